--- /dev/null
+++ b/Makefile
@@ -0,0 +1,33 @@
+# The tasks of the project; `make check` is what CI runs.
+.PHONY: build test lint size check run fuzz
+
+POLICY = control/control.go
+CAP = 1010
+
+build:
+	@sh -c "$$(sed -n 's/^build = "\(.*\)"$$/\1/p' deploy/balancer.toml)"
+	@test -x bin/benchlink && test -x bin/mastusher
+
+test:
+	go test -race ./...
+
+lint:
+	@files=$$(gofmt -l .); test -z "$$files" || { echo "gofmt: $$files" >&2; exit 1; }
+	go vet ./...
+
+size:
+	@lines=$$(grep -c '[^[:space:]]' $(POLICY)); echo "$(POLICY): $$lines lines that are not blank"; \
+	test "$$lines" -le $(CAP) || { echo "$(POLICY): more than $(CAP) lines" >&2; exit 1; }
+	@if expand -t 4 $(POLICY) | grep -nE '^.{111,}'; then echo "$(POLICY): lines over 110 columns" >&2; exit 1; fi
+
+check: lint build size test
+
+# Needs RELAY_CONFIG; see the README.
+run: build
+	exec bin/mastusher serve
+
+fuzz:
+	go test -run '^$$' -fuzz FuzzReadBatch -fuzztime 10s ./internal/wire
+	go test -run '^$$' -fuzz FuzzReadRequest -fuzztime 10s ./internal/httpwire
+	go test -run '^$$' -fuzz FuzzReplay -fuzztime 10s ./internal/journal
+	go test -run '^$$' -fuzz FuzzDecode -fuzztime 10s ./internal/vrrp
--- a/cmd/benchlink/main.go
+++ b/cmd/benchlink/main.go
@@ -9,8 +9,8 @@
 	"os"
 	"time"
 
-	"sliphaven/control"
-	"sliphaven/internal/wire"
+	"mastusher/control"
+	"mastusher/internal/wire"
 )
 
 func main() {
@@ -103,15 +103,15 @@
 func (l *link) event(in *instance, rec *wire.Record) error {
 	switch rec.Code {
 	case wire.EvHello:
-		settings, reports, err := wire.Settings(rec.Setup)
+		settings, err := wire.ParseSettings(rec.Setup)
 		if err != nil {
 			return err
 		}
-		sender, err := control.New(settings, rec.Seed)
+		sender, err := control.New(settings.Settings, rec.Seed)
 		if err != nil {
 			return fmt.Errorf("field setup: %w", err)
 		}
-		in.sender, in.reports, in.events = sender, reports, in.events[:0]
+		in.sender, in.reports, in.events = sender, settings.Reports, in.events[:0]
 		return nil
 	case wire.EvKilled:
 		in.sender, in.events = nil, in.events[:0]
--- /dev/null
+++ b/cmd/mastusher/serve.go
@@ -0,0 +1,72 @@
+package main
+
+import (
+	"fmt"
+	"log/slog"
+	"net"
+	"os"
+	"runtime"
+	"runtime/debug"
+	"time"
+
+	"mastusher/internal/config"
+	"mastusher/internal/httpwire"
+	"mastusher/internal/journal"
+	"mastusher/internal/platform"
+	"mastusher/internal/relay"
+)
+
+// serve runs the relay until stop says to end it and what it holds is finished or safe in the journal.
+func serve(cfg *config.Config, log *slog.Logger, stop <-chan os.Signal) error {
+	runtime.GOMAXPROCS(cfg.Limits.Cores)
+	debug.SetMemoryLimit(cfg.Limits.Memory * 3 / 4)
+	jour, err := journal.Open(cfg.State, cfg.Limits.Disk)
+	if err != nil {
+		return err
+	}
+	core, err := relay.New(cfg, jour, log, time.Now())
+	if err != nil {
+		return err
+	}
+	var servers []*httpwire.Server
+	var listeners []net.Listener
+	listen := func(name, address string, handle httpwire.Handler) error {
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			return fmt.Errorf("the %s front: %w", name, err)
+		}
+		s := httpwire.NewServer(&cfg.Limits, handle)
+		servers, listeners = append(servers, s), append(listeners, l)
+		go func() { _ = s.Serve(l) }()
+		return nil
+	}
+	if cfg.Listen != "" {
+		front := platform.New(cfg, core)
+		core.AddFront(platform.Name, front, relay.ParsePoolConfig(cfg.Known))
+		if err := listen(platform.Name, cfg.Listen, front.Handle); err != nil {
+			return err
+		}
+	}
+	core.Restore(time.Now())
+	go func() {
+		s := <-stop
+		log.Info("the relay drains", "signal", s.String())
+		for _, s := range servers {
+			s.Retire()
+		}
+		core.Drain()
+	}()
+	log.Info("the relay serves", "name", cfg.Name, "listen", cfg.Listen)
+	core.Run()
+	// Clients still come for a moment after the signal: they are refused, not cut off.
+	if rest := cfg.Limits.DrainLinger - core.Draining(time.Now()); rest > 0 {
+		time.Sleep(rest)
+	}
+	for _, l := range listeners {
+		_ = l.Close()
+	}
+	for _, s := range servers {
+		s.Close()
+	}
+	return jour.Close()
+}
--- a/control/api.go
+++ b/control/api.go
@@ -121,7 +121,7 @@
 const (
 	Listed     EventKind = iota + 1 // Endpoints, Whole
 	ListFailed                      // asking for the list failed, or the subscription broke
-	Arrived                         // ID, Destination, Class, Tenant, Key, Deadline, Again
+	Arrived                         // ID, Destination, Class, Tenant, Key, Deadline, Again; Attempt, Ran, RanAt, Endpoint
 	Resolved                        // ID, Attempt, Endpoint, Result, Elapsed, Settled, Wait, Share, Limit
 	Gone                            // ID: the client has withdrawn the message
 	Woken                           // a wake asked for is due
@@ -172,7 +172,9 @@
 	Key         uint64
 	Deadline    time.Duration // on the clock of Step
 	Again       bool          // handed in before, or taken over from a sender that died
-	Attempt     int
+	Attempt     int           // of an arrival: attempts made before this sender started
+	Ran         bool          // one of those may have run, the first at RanAt, at Endpoint
+	RanAt       time.Duration // on the clock of Step
 	Endpoint    uint32
 	Result      Result
 	Elapsed     time.Duration
--- a/control/control.go
+++ b/control/control.go
@@ -324,6 +324,12 @@
 	if s.set.MarksAgain && !ev.Again { // a client with less patience than its class is not late yet
 		m.due = max(m.due, min(s.now+m.class.Aim, m.deadline))
 	}
+	m.attempts = ev.Attempt // made by this sender's process before it was restarted
+	if ev.Ran {
+		if m.ranAt, m.ranIn, m.resend = ev.RanAt, s.eps[ev.Endpoint], true; m.ranIn == nil {
+			m.ranIn = &endpoint{id: ev.Endpoint, zone: -1, node: n}
+		}
+	}
 	s.msgs[m.id] = m
 	s.open++
 	if m.class.InOrder && m.key != 0 {
@@ -848,7 +854,7 @@
 	for _, n := range s.active {
 		q, per := s.drainTime(n), s.perSlot(n)
 		n.held = slices.DeleteFunc(n.held, func(m *message) bool {
-			hopeless := s.spent(m)
+			hopeless := s.spent(m) || m.attempts >= s.set.MaxAttempts
 			if hopeless {
 				s.end(m)
 			} else {
--- a/control/example_test.go
+++ b/control/example_test.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"sliphaven/control"
+	"mastusher/control"
 )
 
 // A forwarder hands the sender what has happened, and does what it asks for.
--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,340 @@
+// Package config is the one place where the relay's configuration is read, checked and given defaults.
+package config
+
+import (
+	"encoding/hex"
+	"fmt"
+	"hash/fnv"
+	"net"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/tidwall/gjson"
+
+	"mastusher/internal/wire"
+)
+
+// Limits holds every limit on sizes, counts and times outside the module. It is filled once, at start, and
+// handed down.
+type Limits struct {
+	Cores    int
+	Memory   int64 // bytes
+	Disk     int64 // bytes in the folder that lasts
+	Sockets  int   // descriptors of the process
+	HeadSize int   // bytes of a request's or answer's first line and headers
+	BodySize int   // bytes of a body
+
+	FrontSockets       int // clients' connections at once
+	Queue              int // events on their way to the core
+	IdleDestinations   int // connections kept to destinations, in all
+	IdlePerDestination int
+
+	Round          time.Duration // from one turn of the core to the next
+	AnswerWithin   time.Duration // an arrival older than this is refused: its client is about to leave
+	BusyRetry      time.Duration // told with a busy reply that the module had no part in
+	ConnectTimeout time.Duration
+	IdleSocket     time.Duration // a pooled connection is retired after this
+	FrontIdle      time.Duration // a client's connection may stand idle for this long
+	FrontRead      time.Duration // a request must be whole within this, from its first byte
+	WatchSilence   time.Duration // a watch that says nothing for so long is dead
+	WatchRetry     time.Duration
+	NoticeTimeout  time.Duration
+	NoticeRetry    time.Duration
+	NoticesPerCall int
+	DrainSends     time.Duration // after SIGTERM, route steps are still begun for so long
+	DrainExit      time.Duration // and the core ends within this
+	DrainLinger    time.Duration // clients are still answered for so long
+}
+
+// Config is all that a relay is told at its start.
+type Config struct {
+	Name, Listen, Discovery, State string
+	Seed                           uint64
+	Known                          gjson.Result // the pool config as this relay last had it
+	Settings                       wire.Settings
+	Limits                         Limits
+	ActivityPub                    *ActivityPub // nil: off
+	VRRP                           *VRRP        // nil: off
+	Hooks                          []Hook
+}
+
+// ActivityPub sets up the second front.
+type ActivityPub struct {
+	Listen   string // address of the inboxes
+	Actor    string // this relay's actor id, a URL
+	KeyID    string
+	KeyFile  string // PEM, PKCS #8 private key; made at first start if it is missing
+	Skew     time.Duration
+	Partners []Partner // whom it delivers to
+	Clients  []Client  // who may post to it
+}
+
+// Partner is a partner system with inboxes.
+type Partner struct {
+	Name        string
+	Destination int
+	Kind        string
+	Zone        string
+	Inboxes     []string // URLs
+}
+
+// Client is an actor that may hand in activities.
+type Client struct {
+	Actor   string
+	KeyID   string
+	KeyFile string // PEM, public key
+	Inbox   string // URL for its final answers
+}
+
+// VRRP sets up the virtual router whose state opens or shuts the ActivityPub front.
+type VRRP struct {
+	Listen     string // UDP address
+	Peers      []string
+	VRID       uint8
+	Priority   uint8
+	Advertise  time.Duration
+	Preempt    bool
+	Address    net.IP   // this router's own, for ties
+	Virtual    []net.IP // the addresses that it stands for
+	AcceptMode bool
+}
+
+// Hook is one WebAssembly plug-in.
+type Hook struct {
+	Name, File string
+	Timeout    time.Duration
+	MemoryMB   int
+}
+
+// KeyError names the key of the configuration that is at fault.
+type KeyError struct{ Key, Why string }
+
+func (e *KeyError) Error() string { return fmt.Sprintf("config: key %s: %s", e.Key, e.Why) }
+
+// Load reads the file that RELAY_CONFIG names, or file if that is not empty; RELAY_NAME, RELAY_LISTEN,
+// RELAY_DISCOVERY and RELAY_STATE from the environment go before the file.
+func Load(file string, env func(string) string) (*Config, error) {
+	if file == "" {
+		file = env("RELAY_CONFIG")
+	}
+	if file == "" {
+		return nil, &KeyError{"RELAY_CONFIG", "not set, and no --config given"}
+	}
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return nil, &KeyError{"RELAY_CONFIG", err.Error()}
+	}
+	return Parse(text, env)
+}
+
+// Parse checks the text of a configuration and fills in the defaults.
+func Parse(text []byte, env func(string) string) (*Config, error) {
+	if !gjson.ValidBytes(text) {
+		return nil, &KeyError{"(whole file)", "not valid JSON"}
+	}
+	p := &parser{root: gjson.ParseBytes(text)}
+	or := func(name, key string) string {
+		if v := env(name); v != "" {
+			return v
+		}
+		return p.text(key, "")
+	}
+	c := &Config{Name: or("RELAY_NAME", "name"), Listen: or("RELAY_LISTEN", "listen"),
+		Discovery: or("RELAY_DISCOVERY", "discovery"), State: or("RELAY_STATE", "state"), Known: p.root.Get("known")}
+	p.need("state", c.State != "", "missing, and RELAY_STATE is not set")
+	c.Seed = seed(p.text("seed", ""))
+	raw := p.root.Get("settings")
+	p.need("settings", raw.IsObject(), "missing or not an object")
+	if raw.IsObject() {
+		set, err := wire.ParseSettings([]byte(raw.Raw))
+		if err != nil {
+			p.fail("settings", err.Error())
+		}
+		c.Settings = set
+	}
+	p.need("settings.lanes", len(c.Settings.Classes) > 0, "no class of message")
+	p.need("settings.family_info.workers", c.Settings.Slots > 0, "at least 1 slot is needed")
+	p.need("settings.allowed.max_attempts", c.Settings.MaxAttempts > 0, "at least 1 attempt is needed")
+	c.Limits = p.limits(&c.Settings)
+	p.optional(c)
+	p.need("listen", c.Listen != "" || c.ActivityPub != nil, "missing, and RELAY_LISTEN is not set")
+	if p.err != nil {
+		return nil, p.err
+	}
+	return c, nil
+}
+
+func seed(s string) uint64 {
+	if b, err := hex.DecodeString(s); err == nil && len(b) == 8 {
+		var v uint64
+		for _, x := range b {
+			v = v<<8 | uint64(x)
+		}
+		return v
+	}
+	h := fnv.New64a()
+	h.Write([]byte(s))
+	return h.Sum64()
+}
+
+// limits gives each limit its default, from what the platform grants.
+func (p *parser) limits(set *wire.Settings) Limits {
+	l := Limits{
+		Cores:    max(1, int(p.number("limits.cores", 1, 0.01, 1024))),
+		Memory:   int64(p.number("limits.memory_mb", 192, 16, 1<<20)) << 20,
+		Disk:     int64(p.number("limits.disk_mb", 3, 0.5, 1<<20) * (1 << 20)),
+		Sockets:  int(p.number("limits.sockets", 1024, 64, 1<<20)),
+		HeadSize: 16 << 10, BodySize: 64 << 10,
+		Queue: 4096, IdlePerDestination: 16,
+		AnswerWithin: 300 * time.Millisecond, BusyRetry: 500 * time.Millisecond,
+		FrontIdle: time.Minute, FrontRead: 10 * time.Second,
+		WatchSilence: 5 * time.Second, WatchRetry: 250 * time.Millisecond,
+		NoticeTimeout: time.Second, NoticeRetry: 100 * time.Millisecond, NoticesPerCall: 200,
+		DrainSends: 2500 * time.Millisecond, DrainExit: 3200 * time.Millisecond,
+		DrainLinger: time.Second,
+		Round:       set.Round, ConnectTimeout: set.ConnectTimeout,
+	}
+	// Half of the descriptors are the clients', a quarter idle ones to destinations; calls that are out,
+	// the journal, the watch and the listeners live off the rest.
+	l.FrontSockets, l.IdleDestinations = l.Sockets/2, l.Sockets/4
+	if l.Round <= 0 {
+		l.Round = 5 * time.Millisecond
+	}
+	if l.ConnectTimeout <= 0 {
+		l.ConnectTimeout = 1500 * time.Millisecond
+	}
+	// A tenth before the other side would close it, so that no request crosses the close.
+	if l.IdleSocket = set.ConnIdle - max(set.ConnIdle/10, time.Second); set.ConnIdle == 0 {
+		l.IdleSocket = 10 * time.Second
+	}
+	return l
+}
+
+// optional reads what is off unless an operator's file sets it up.
+func (p *parser) optional(c *Config) {
+	if p.root.Get("activitypub").Exists() {
+		a := &ActivityPub{Listen: p.must("activitypub.listen"), Actor: p.must("activitypub.actor"),
+			KeyFile: p.must("activitypub.key_file"),
+			Skew:    p.duration("activitypub.date_skew", 5*time.Minute)}
+		a.KeyID = p.text("activitypub.key_id", a.Actor+"#main-key")
+		seen := map[int]bool{}
+		p.each("activitypub.partners", func(at string) {
+			q := Partner{Name: p.must(at + ".name"), Destination: int(p.number(at+".dest", -1, 0, 65535)),
+				Kind: p.text(at+".kind", ""), Zone: p.text(at+".zone", "")}
+			p.each(at+".inboxes", func(in string) { q.Inboxes = append(q.Inboxes, p.url(in)) })
+			p.need(at+".inboxes", len(q.Inboxes) > 0, "no inbox")
+			p.need(at+".dest", !seen[q.Destination], "given to two partners")
+			seen[q.Destination] = true
+			a.Partners = append(a.Partners, q)
+		})
+		p.each("activitypub.clients", func(at string) {
+			k := Client{Actor: p.must(at + ".actor"), KeyFile: p.must(at + ".key_file"), Inbox: p.url(at + ".inbox")}
+			k.KeyID = p.text(at+".key_id", k.Actor+"#main-key")
+			a.Clients = append(a.Clients, k)
+		})
+		p.need("activitypub.partners", len(a.Partners) > 0, "none")
+		p.need("activitypub.clients", len(a.Clients) > 0, "none")
+		c.ActivityPub = a
+	}
+	if p.root.Get("vrrp").Exists() {
+		v := &VRRP{Listen: p.must("vrrp.listen"), VRID: uint8(p.number("vrrp.vrid", -1, 1, 255)),
+			Priority:  uint8(p.number("vrrp.priority", 100, 1, 255)),
+			Advertise: p.duration("vrrp.advertise", time.Second),
+			Preempt:   p.flag("vrrp.preempt", true), Address: p.ip("vrrp.address")}
+		p.need("vrrp.advertise", v.Advertise >= 10*time.Millisecond && v.Advertise <= 40950*time.Millisecond,
+			"want 10ms to 40.95s")
+		p.each("vrrp.peers", func(at string) { v.Peers = append(v.Peers, p.must(at)) })
+		p.each("vrrp.virtual", func(at string) { v.Virtual = append(v.Virtual, p.ip(at)) })
+		p.need("vrrp.virtual", len(v.Virtual) > 0 && len(v.Virtual) < 256, "want 1 to 255 addresses")
+		c.VRRP = v
+	}
+	p.each("hooks", func(at string) {
+		c.Hooks = append(c.Hooks, Hook{Name: p.text(at+".name", at), File: p.must(at + ".file"),
+			Timeout:  p.duration(at+".timeout", 20*time.Millisecond),
+			MemoryMB: int(p.number(at+".memory_mb", 4, 1, 64))})
+	})
+}
+
+// parser reads keys by path and keeps the first error.
+type parser struct {
+	root gjson.Result
+	err  error
+}
+
+func (p *parser) fail(key, why string) {
+	if p.err == nil {
+		p.err = &KeyError{key, why}
+	}
+}
+
+func (p *parser) need(key string, ok bool, why string) {
+	if !ok {
+		p.fail(key, why)
+	}
+}
+
+func (p *parser) text(key, def string) string {
+	v := p.root.Get(key)
+	if !v.Exists() {
+		return def
+	}
+	p.need(key, v.Type == gjson.String, "want a string")
+	return v.String()
+}
+
+func (p *parser) must(key string) string {
+	v := p.text(key, "")
+	p.need(key, v != "", "missing or empty")
+	return v
+}
+
+func (p *parser) url(key string) string {
+	v := p.must(key)
+	p.need(key, strings.HasPrefix(v, "http://"), "want a URL with http://")
+	return v
+}
+
+func (p *parser) ip(key string) net.IP {
+	ip := net.ParseIP(p.must(key))
+	p.need(key, ip != nil, "want an IP address")
+	return ip
+}
+
+func (p *parser) flag(key string, def bool) bool {
+	v := p.root.Get(key)
+	if !v.Exists() {
+		return def
+	}
+	p.need(key, v.IsBool(), "want true or false")
+	return v.Bool()
+}
+
+func (p *parser) number(key string, def, least, most float64) float64 {
+	v := p.root.Get(key)
+	if !v.Exists() {
+		p.need(key, def >= least, "missing")
+		return def
+	}
+	p.need(key, v.Type == gjson.Number && v.Num >= least && v.Num <= most,
+		fmt.Sprintf("want a number from %v to %v", least, most))
+	return v.Num
+}
+
+func (p *parser) duration(key string, def time.Duration) time.Duration {
+	v := p.root.Get(key)
+	if !v.Exists() {
+		return def
+	}
+	d, err := time.ParseDuration(v.String())
+	p.need(key, err == nil && d > 0, `want a duration such as "250ms"`)
+	return d
+}
+
+func (p *parser) each(key string, do func(at string)) {
+	v := p.root.Get(key)
+	p.need(key, !v.Exists() || v.IsArray(), "want a list")
+	for i := range v.Array() {
+		do(fmt.Sprintf("%s.%d", key, i))
+	}
+}
--- /dev/null
+++ b/internal/httpwire/client.go
@@ -0,0 +1,229 @@
+package httpwire
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"math"
+	"net"
+	"net/http/httputil"
+	"strconv"
+	"sync"
+	"syscall"
+	"time"
+
+	"mastusher/internal/config"
+)
+
+// Stage tells how far a call came.
+type Stage uint8
+
+// The stages.
+const (
+	Answered     Stage = iota // there is an answer
+	NotConnected              // its last byte was never written: it has not run
+	Broken                    // the connection broke after that: it may have run
+	TimedOut                  // no answer came in time: it may have run
+	CalledOff                 // the context was cancelled: it may have run
+)
+
+// Pool makes calls and keeps connections for the next ones. It never sends a request twice.
+type Pool struct {
+	lim *config.Limits
+	mu  sync.Mutex
+	// idle holds, by address, the connections that stand idle, the one used last at the end.
+	idle  map[string][]*clientConn
+	count int
+}
+
+type clientConn struct {
+	net.Conn
+	r     *Reader
+	since time.Time
+}
+
+// NewPool returns an empty pool.
+func NewPool(lim *config.Limits) *Pool { return &Pool{lim: lim, idle: map[string][]*clientConn{}} }
+
+// AppendRequest appends a request as it goes over the wire.
+func AppendRequest(b []byte, method, path, host string, header []string, body []byte) []byte {
+	b = append(b, method...)
+	b = append(b, ' ')
+	b = append(b, path...)
+	b = append(b, " HTTP/1.1\r\nHost: "...)
+	b = append(b, host...)
+	b = append(b, "\r\n"...)
+	b = appendHeaders(b, header)
+	if body != nil {
+		b = append(b, "Content-Length: "...)
+		b = strconv.AppendInt(b, int64(len(body)), 10)
+		b = append(b, "\r\n"...)
+	}
+	b = append(b, "\r\n"...)
+	return append(b, body...)
+}
+
+// Do makes one call: it writes request to address, at once and once, and hands the answer to use, whose bytes
+// hold until use returns. When Do returns, the connection is idle or closed: no copy of the call is still out.
+func (p *Pool) Do(ctx context.Context, address string, request []byte, use func(*Response)) Stage {
+	c := p.take(address)
+	if c == nil {
+		dial := net.Dialer{Timeout: p.lim.ConnectTimeout}
+		conn, err := dial.DialContext(ctx, "tcp", address)
+		if err != nil {
+			return NotConnected
+		}
+		c = &clientConn{Conn: conn, r: NewReader(conn, p.lim)}
+	}
+	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
+	answer, stage := c.call(ctx, request)
+	if answer != nil {
+		use(answer)
+	}
+	// A stop that comes too late has spoilt the connection's deadline: it is not kept.
+	if !stop() || stage != Answered || answer.Close || c.r.buffered() {
+		_ = c.Close()
+		return stage
+	}
+	p.keep(address, c)
+	return stage
+}
+
+func (c *clientConn) call(ctx context.Context, request []byte) (*Response, Stage) {
+	if _, err := c.Write(request); err != nil {
+		return nil, NotConnected
+	}
+	answer, err := c.r.ReadResponse()
+	switch {
+	case err == nil:
+		return answer, Answered
+	case errors.Is(ctx.Err(), context.Canceled):
+		return nil, CalledOff
+	case ctx.Err() != nil:
+		return nil, TimedOut
+	}
+	return nil, Broken
+}
+
+// take returns an idle connection that is still good, or nil. Those that stood too long, or that the other
+// side has closed or written to, are closed here: a request on one of them would be lost.
+func (p *Pool) take(address string) *clientConn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for list := p.idle[address]; len(list) > 0; {
+		c := list[len(list)-1]
+		list = list[:len(list)-1]
+		p.idle[address] = list
+		p.count--
+		if time.Since(c.since) < p.lim.IdleSocket && quiet(c.Conn) {
+			return c
+		}
+		_ = c.Close()
+	}
+	return nil
+}
+
+func (p *Pool) keep(address string, c *clientConn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.idle[address]) >= p.lim.IdlePerDestination || p.count >= p.lim.IdleDestinations {
+		_ = c.Close()
+		return
+	}
+	c.since = time.Now()
+	p.idle[address] = append(p.idle[address], c)
+	p.count++
+}
+
+// Retire closes the idle connections to address, or those to all that have stood too long if it is empty.
+func (p *Pool) Retire(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for a, list := range p.idle {
+		kept := list[:0]
+		for _, c := range list {
+			if a == address || address == "" && time.Since(c.since) >= p.lim.IdleSocket {
+				_ = c.Close()
+				p.count--
+			} else {
+				kept = append(kept, c)
+			}
+		}
+		if p.idle[a] = kept; len(kept) == 0 {
+			delete(p.idle, a)
+		}
+	}
+}
+
+// quiet tells whether an idle connection is still open and has nothing to read.
+func quiet(c net.Conn) bool {
+	sc, ok := c.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	ok = false
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		ok = n < 0 && (err == syscall.EAGAIN || err == syscall.EWOULDBLOCK)
+		return true
+	})
+	return ok && err == nil
+}
+
+// Stream is an answer whose body comes line by line, for as long as its connection lasts.
+type Stream struct {
+	conn  net.Conn
+	lines *bufio.Scanner
+	quiet time.Duration
+}
+
+// OpenStream makes a call on a connection of its own. It fails unless the answer is 200.
+func OpenStream(ctx context.Context, address string, request []byte, lim *config.Limits) (*Stream, error) {
+	dial := net.Dialer{Timeout: lim.ConnectTimeout}
+	conn, err := dial.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	_ = conn.SetDeadline(time.Now().Add(lim.WatchSilence))
+	r := NewReader(conn, lim)
+	var p *Response
+	if _, err = conn.Write(request); err == nil {
+		p, err = r.responseHead()
+	}
+	if err == nil && p.Status != 200 {
+		err = &Error{p.Status, "the stream was refused"}
+	}
+	if err != nil {
+		_ = conn.Close()
+		return nil, err
+	}
+	r.src.left = math.MaxInt // a stream has no end; its lines are bounded
+	var from io.Reader = r.br
+	if p.Header.Get("Transfer-Encoding") != "" {
+		from = httputil.NewChunkedReader(r.br)
+	}
+	s := &Stream{conn: conn, lines: bufio.NewScanner(from), quiet: lim.WatchSilence}
+	s.lines.Buffer(nil, 16*lim.BodySize)
+	return s, nil
+}
+
+// Next returns the next line, which holds until the next call. A stream that says nothing for too long ends.
+func (s *Stream) Next() ([]byte, error) {
+	_ = s.conn.SetReadDeadline(time.Now().Add(s.quiet))
+	if s.lines.Scan() {
+		return s.lines.Bytes(), nil
+	}
+	if err := s.lines.Err(); err != nil {
+		return nil, err
+	}
+	return nil, io.EOF
+}
+
+// Close ends the stream.
+func (s *Stream) Close() { _ = s.conn.Close() }
--- /dev/null
+++ b/internal/platform/platform.go
@@ -0,0 +1,332 @@
+// Package platform is the thin front: the platform's own protocol, towards clients, destinations and discovery.
+package platform
+
+import (
+	"bytes"
+	"context"
+	"encoding/base64"
+	"fmt"
+	"math"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/tidwall/gjson"
+
+	"mastusher/control"
+	"mastusher/internal/config"
+	"mastusher/internal/httpwire"
+	"mastusher/internal/relay"
+	"mastusher/internal/wire"
+)
+
+// Name is this front's name in the journal.
+const Name = "platform"
+
+// Front speaks the platform's protocol.
+type Front struct {
+	core      *relay.Core
+	set       *wire.Settings
+	lim       *config.Limits
+	discovery string
+	pool      *httpwire.Pool
+	index     atomic.Int64 // of the pool config
+}
+
+// New returns the front of core; it still has to be added to it.
+func New(cfg *config.Config, core *relay.Core) *Front {
+	f := &Front{core: core, set: &cfg.Settings, lim: &cfg.Limits, discovery: cfg.Discovery,
+		pool: httpwire.NewPool(&cfg.Limits)}
+	f.index.Store(cfg.Known.Get("index").Int())
+	return f
+}
+
+// TellsDeliveries is false: the platform counts the deliveries itself.
+func (f *Front) TellsDeliveries() bool { return false }
+
+// Retire closes idle connections.
+func (f *Front) Retire(address string) { f.pool.Retire(address) }
+
+// Handle answers a request on a front socket.
+func (f *Front) Handle(q *httpwire.Request) httpwire.Answer {
+	path, _, _ := strings.Cut(q.Path, "?")
+	if path == "/up" && (q.Method == "GET" || q.Method == "HEAD") {
+		if f.core.Ready() {
+			return httpwire.Answer{Status: 200}
+		}
+		return httpwire.Answer{Status: 503}
+	}
+	if q.Method != "POST" {
+		return fault(405, "want POST")
+	}
+	m, status, why := f.message(q, path, time.Now())
+	if status != 0 {
+		return fault(status, why)
+	}
+	switch r := f.core.Take(Name, m); r.Verdict {
+	case relay.Taken:
+		return httpwire.Answer{Status: 202, Lost: func() { f.core.Withdraw(Name, m.ID) }}
+	case relay.Busy:
+		return BusyReply(r.Retry)
+	case relay.Rejected:
+		return fault(422, r.Why)
+	default:
+		return fault(500, "given up")
+	}
+}
+
+// message reads the message that q hands in; a status other than 0 is the answer to one that can't be read.
+func (f *Front) message(q *httpwire.Request, path string, now time.Time) (m relay.Message, status int, why string) {
+	class, _, _ := strings.Cut(strings.TrimPrefix(path, "/"), "/")
+	m.Class = -1
+	for i := range f.set.Classes {
+		if f.set.Classes[i].Name == class {
+			m.Class = i
+		}
+	}
+	if m.Class < 0 {
+		return m, 404, "no such class"
+	}
+	if m.ID = q.Header.Get("X-Request-ID"); m.ID == "" {
+		return m, 400, "X-Request-ID is missing"
+	}
+	m.Key, m.Body = q.Header.Get("Idempotency-Key"), q.Body
+	left := f.set.Classes[m.Class].Deadline
+	if v := q.Header.Get("X-Timeout"); v != "" {
+		var ok bool
+		if left, ok = ParseTimeout(v); !ok {
+			return m, 400, "X-Timeout can't be read"
+		}
+	}
+	m.Deadline = now.Add(left)
+	m.Partner = -1
+	for _, part := range strings.FieldsFunc(q.Header.Get("X-Envelope"), func(r rune) bool { return r == ',' || r == ';' }) {
+		if name, v, _ := strings.Cut(strings.TrimSpace(part), "="); name == "dest" {
+			if n, err := strconv.ParseUint(strings.TrimSpace(v), 10, 16); err == nil {
+				m.Partner = int(n)
+			}
+		}
+	}
+	if m.Partner < 0 {
+		return m, 400, "X-Envelope names no dest"
+	}
+	m.Again = q.Header.Get("X-Retried") != ""
+	return m, 0, ""
+}
+
+func fault(status int, why string) httpwire.Answer {
+	return httpwire.Answer{Status: status, Body: []byte(why + "\n")}
+}
+
+// BusyReply is a refusal that tells when to come again.
+func BusyReply(retry time.Duration) httpwire.Answer {
+	a := httpwire.Answer{Status: 429}
+	if retry > 0 {
+		a.Header = []string{"Retry-After", strconv.FormatFloat(retry.Seconds(), 'f', 3, 64)}
+	}
+	return a
+}
+
+// ParseTimeout reads a whole number of milliseconds ("480m") or microseconds ("480000u").
+func ParseTimeout(v string) (time.Duration, bool) {
+	unit := time.Millisecond
+	num, ok := strings.CutSuffix(v, "m")
+	if !ok {
+		unit = time.Microsecond
+		if num, ok = strings.CutSuffix(v, "u"); !ok {
+			return 0, false
+		}
+	}
+	n, err := strconv.ParseUint(num, 10, 63)
+	if err != nil || n > uint64(math.MaxInt64/unit) {
+		return 0, false
+	}
+	return time.Duration(n) * unit, true
+}
+
+// Call makes a route step: a single call, or a bulk one where it carries several messages.
+func (f *Front) Call(ctx context.Context, step *relay.RouteStep) []relay.Outcome {
+	outs := make([]relay.Outcome, len(step.Items))
+	stage := f.pool.Do(ctx, step.To.Address, f.request(step), func(p *httpwire.Response) {
+		f.read(p, step, outs)
+	})
+	if r, failed := StageResult(stage); failed {
+		for i := range outs {
+			outs[i].Result = r
+		}
+	}
+	return outs
+}
+
+// StageResult is the result of a call that got no answer; false: it got one.
+func StageResult(s httpwire.Stage) (control.Result, bool) {
+	switch s {
+	case httpwire.NotConnected:
+		return control.NoConnection, true
+	case httpwire.Broken:
+		return control.Reset, true
+	case httpwire.TimedOut:
+		return control.TimedOut, true
+	case httpwire.CalledOff:
+		return control.Cancelled, true
+	}
+	return 0, false
+}
+
+func (f *Front) request(step *relay.RouteStep) []byte {
+	header := []string{"X-Timeout", strconv.FormatInt(step.Timeout.Milliseconds(), 10) + "m"}
+	if len(step.Items) == 1 {
+		it := &step.Items[0]
+		header = append(header, "X-Request-ID", it.ID)
+		if it.Key != "" {
+			header = append(header, "Idempotency-Key", it.Key)
+		}
+		body := it.Body
+		if body == nil {
+			body = []byte{}
+		}
+		return httpwire.AppendRequest(nil, "POST", "/inbox", step.To.Address, header, body)
+	}
+	body := []byte{'['}
+	for i := range step.Items {
+		it := &step.Items[i]
+		if i > 0 {
+			body = append(body, ',')
+		}
+		body = append(gjson.AppendJSONString(append(body, `{"id":`...), it.ID), `,"key":`...)
+		body = append(gjson.AppendJSONString(body, it.Key), `,"body":"`...)
+		body = append(base64.StdEncoding.AppendEncode(body, it.Body), `"}`...)
+	}
+	body = append(body, ']')
+	return httpwire.AppendRequest(nil, "POST", "/inbox/bulk", step.To.Address, header, body)
+}
+
+// read turns an answer into an outcome for each item.
+func (f *Front) read(p *httpwire.Response, step *relay.RouteStep, outs []relay.Outcome) {
+	var all relay.Outcome
+	all.Wait = RetryAfter(p.Header.Get("Retry-After"))
+	f.report(p.Header.Get("X-Server-Load"), &all)
+	switch p.Status {
+	case 200:
+		all.Result = control.Delivered
+	case 429, 503:
+		if all.Result = control.Full; p.Header.Get("X-No-Slot") != "" {
+			all.Result = control.Moot
+		}
+	case 504, 400, 413: // has not run
+		all.Result = control.Moot
+	case 410:
+		all.Result, all.Over = control.Moot, true
+	default:
+		all.Result = control.Errored
+	}
+	for i := range outs {
+		outs[i] = all
+	}
+	if p.Status != 200 || len(outs) == 1 {
+		return
+	}
+	for i := range outs { // an item that the answer does not name may have run
+		outs[i].Result = control.Errored
+	}
+	gjson.ParseBytes(p.Body).ForEach(func(_, e gjson.Result) bool {
+		id, state := e.Get("id").String(), e.Get("state").String()
+		for i := range step.Items {
+			if step.Items[i].ID != id {
+				continue
+			}
+			switch o := &outs[i]; state {
+			case "delivered":
+				o.Result = control.Delivered
+			case "refused":
+				o.Result = control.Full
+			case "over":
+				o.Result, o.Over = control.Moot, true
+			case "spent":
+				o.Result = control.Moot
+			}
+		}
+		return true
+	})
+}
+
+// RetryAfter reads a wait in seconds, whole or decimal; 0: none.
+func RetryAfter(v string) time.Duration {
+	s, err := strconv.ParseFloat(strings.TrimSpace(v), 64)
+	if err != nil || !(s > 0) {
+		return 0
+	}
+	return time.Duration(min(s, 3600) * float64(time.Second))
+}
+
+// report reads "TEXT x0=0.4, x1=25".
+func (f *Front) report(v string, o *relay.Outcome) {
+	v, ok := strings.CutPrefix(v, "TEXT ")
+	if !ok || f.set.Reports.Share < 0 || f.set.Reports.Limit < 0 {
+		return
+	}
+	found := 0
+	for _, field := range strings.Split(v, ",") {
+		name, num, _ := strings.Cut(strings.TrimSpace(field), "=")
+		x, err := strconv.ParseFloat(num, 64)
+		switch {
+		case err != nil:
+		case name == "x0":
+			o.Share, found = x, found|1
+		case name == "x1":
+			o.Limit, found = x, found|2
+		}
+	}
+	o.Reported = found == 3
+}
+
+// Notify posts notices to the platform, which takes all of them or none.
+func (f *Front) Notify(ctx context.Context, notices []relay.Notice) []bool {
+	var body []byte
+	for _, n := range notices {
+		body = gjson.AppendJSONString(append(body, `{"message":`...), n.ID)
+		if n.HandedBack {
+			body = fmt.Appendf(body, ",\"outcome\":\"handed_back\",\"retry_in_ms\":%d}\n", n.Retry.Milliseconds())
+		} else {
+			body = append(body, ",\"outcome\":\"given_up\"}\n"...)
+		}
+	}
+	request := httpwire.AppendRequest(nil, "POST", "/v1/outcomes", f.discovery, nil, body)
+	ok := false
+	f.pool.Do(ctx, f.discovery, request, func(p *httpwire.Response) { ok = p.Status == 204 })
+	return bytesOf(ok, len(notices))
+}
+
+func bytesOf(v bool, n int) []bool {
+	all := make([]bool, n)
+	for i := range all {
+		all[i] = v
+	}
+	return all
+}
+
+// Watch follows discovery's list of destinations until the watch is lost.
+func (f *Front) Watch(ctx context.Context, changed func(relay.PoolConfig)) error {
+	path := fmt.Sprintf("/discovery/hosts?watch=1&after=%d", f.index.Load())
+	s, err := httpwire.OpenStream(ctx, f.discovery, httpwire.AppendRequest(nil, "GET", path, f.discovery, nil, nil), f.lim)
+	if err != nil {
+		return err
+	}
+	defer s.Close()
+	for {
+		line, err := s.Next()
+		if err != nil {
+			return err
+		}
+		if line = bytes.TrimSpace(line); len(line) == 0 {
+			continue
+		}
+		if !gjson.ValidBytes(line) {
+			return fmt.Errorf("platform: a change of %d bytes that is not JSON", len(line))
+		}
+		p := relay.ParsePoolConfig(gjson.ParseBytes(line))
+		f.index.Store(p.Index)
+		changed(p)
+	}
+}
--- /dev/null
+++ b/internal/relay/relay.go
@@ -0,0 +1,137 @@
+// Package relay is the core: it owns the decision module, the messages, their attempts and the notices owed.
+// It knows no wire. Fronts hand it messages and make its calls; they reach it by one queue only.
+package relay
+
+import (
+	"context"
+	"time"
+
+	"github.com/tidwall/gjson"
+
+	"mastusher/control"
+)
+
+// Message is what a front hands in. Body need only hold until Take returns.
+type Message struct {
+	ID, Key  string
+	Class    int
+	Partner  int // number of the partner system that it is for
+	Deadline time.Time
+	Again    bool // handed in before
+	Body     []byte
+}
+
+// Destination is one endpoint of a partner.
+type Destination struct {
+	Name, Address string
+	Zone, Kind    string
+	Partner       int
+	State         control.State
+
+	front *frontState
+}
+
+// PoolConfig is a list of destinations: the whole of one front's, or what has changed.
+type PoolConfig struct {
+	Index        int64
+	Whole        bool
+	Destinations []Destination
+}
+
+// Item is one message of a route step.
+type Item struct {
+	ID, Key string
+	Class   int
+	Body    []byte
+
+	ref     uint64
+	attempt int
+}
+
+// RouteStep is one attempt: a call to a destination that carries one message or several.
+type RouteStep struct {
+	To      Destination
+	Items   []Item
+	Timeout time.Duration // how long the relay waits for it in all
+
+	cancel context.CancelFunc
+}
+
+// Outcome is how a route step ended for one of its items.
+type Outcome struct {
+	Result   control.Result
+	Wait     time.Duration // told with Full
+	Over     bool          // the message is over: nothing more is owed
+	Reported bool          // Share and Limit were reported
+	Share    float64
+	Limit    float64
+}
+
+// Notice tells a front's clients how a message that was taken on has ended.
+type Notice struct {
+	ID         string
+	Delivered  bool // only for fronts that are told of deliveries
+	HandedBack bool // may be handed in again, after Retry; otherwise it was given up
+	Retry      time.Duration
+
+	ref uint64
+}
+
+// Front is one wire. Its methods may block; the core calls each in a goroutine of its own, but for Retire.
+type Front interface {
+	// Call makes a route step and returns an outcome for each item. When it returns no copy is still out.
+	Call(ctx context.Context, step *RouteStep) []Outcome
+	// Notify passes on final answers and tells which of them were taken.
+	Notify(ctx context.Context, notices []Notice) []bool
+	// Retire closes the idle connections to address, or all that are too old if it is empty.
+	Retire(address string)
+	// Watch reports changes of the pool config until it is lost or ctx ends; a front without one returns nil.
+	Watch(ctx context.Context, changed func(PoolConfig)) error
+	// TellsDeliveries is true if its clients are owed a notice of a delivery too.
+	TellsDeliveries() bool
+}
+
+// Inspector looks at messages on arrival and is told of their ends. It must not block for long on arrival,
+// and not at all at an end.
+type Inspector interface {
+	// Inspect returns false and a reason for a message that is not to be taken on.
+	Inspect(front string, m *Message) (ok bool, why string)
+	Ended(front, id string, how string)
+}
+
+// Verdict is the immediate answer to a message handed in.
+type Verdict uint8
+
+// The verdicts.
+const (
+	Taken    Verdict = iota // the relay owes the message its end
+	Busy                    // a busy reply: handing it in again is harmless, after Retry
+	Failed                  // given up for good
+	Rejected                // an inspector turned it down; see Why
+)
+
+// Reply is the answer to a message handed in.
+type Reply struct {
+	Verdict Verdict
+	Retry   time.Duration
+	Why     string
+}
+
+// ParsePoolConfig reads a list in discovery's form.
+func ParsePoolConfig(list gjson.Result) PoolConfig {
+	p := PoolConfig{Index: list.Get("index").Int(), Whole: list.Get("snapshot").Bool()}
+	list.Get("endpoints").ForEach(func(_, e gjson.Result) bool {
+		d := Destination{Name: e.Get("name").String(), Address: e.Get("address").String(), Zone: e.Get("zone").String(),
+			Kind: e.Get("type").String(), Partner: int(e.Get("group").Int())}
+		switch e.Get("status").String() {
+		case "ready":
+		case "gone":
+			d.State = control.Removed
+		default:
+			d.State = control.Draining
+		}
+		p.Destinations = append(p.Destinations, d)
+		return true
+	})
+	return p
+}
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -7,7 +7,7 @@
 	"slices"
 	"time"
 
-	"sliphaven/control"
+	"mastusher/control"
 )
 
 // setup is the JSON text of the settings; keys that are not here are ignored.
@@ -34,6 +34,7 @@
 	Allowed        struct {
 		Cancel        bool    `json:"cancel"`
 		ConnIdle      float64 `json:"conn_idle"`
+		ConnTimeout   float64 `json:"connect_timeout"`
 		MaxAttempts   int     `json:"max_attempts"`
 		MaxOpen       int     `json:"max_open"`
 		MaxRetryAfter float64 `json:"max_retry_after"`
@@ -49,7 +50,9 @@
 	Prices struct {
 		CrossZone float64 `json:"cross_zone"`
 	} `json:"prices"`
-	RegistryMode string `json:"registry_mode"`
+	RegistryMode string   `json:"registry_mode"`
+	Localities   []string `json:"localities"`
+	Round        float64  `json:"round"`
 	Clients      struct {
 		MarksRetry bool `json:"marks_retry"`
 	} `json:"clients"`
@@ -71,8 +74,19 @@
 // Reports tells where the values of a load report stand; -1: nowhere.
 type Reports struct{ Share, Limit int }
 
-// Settings turns the JSON text of a Hello into the settings of a sender.
-func Settings(text []byte) (control.Settings, Reports, error) {
+// Settings is what an instance is told at its start: in a Hello by the simulator, in its configuration
+// by the platform.
+type Settings struct {
+	control.Settings
+	Reports        Reports
+	Round          time.Duration // from one turn to the next, at least
+	ConnectTimeout time.Duration
+	Zones          []string // names, by number
+	KindNames      []string
+}
+
+// ParseSettings reads the JSON text of the settings.
+func ParseSettings(text []byte) (Settings, error) {
 	var in setup
 	if err := json.Unmarshal(text, &in); err != nil {
 		var at *json.UnmarshalTypeError
@@ -85,7 +99,7 @@
 		default:
 			err = fmt.Errorf("field setup: %w", err)
 		}
-		return control.Settings{}, Reports{}, err
+		return Settings{}, err
 	}
 	us := func(v float64) time.Duration { return time.Duration(v * float64(time.Microsecond)) }
 	s := control.Settings{
@@ -131,5 +145,8 @@
 	for _, o := range in.Orgs {
 		s.Tenants = append(s.Tenants, control.Tenant{Quota: o.Quota})
 	}
-	return s, Reports{Share: slices.Index(in.Report.Fields, "x0"), Limit: slices.Index(in.Report.Fields, "x1")}, nil
+	return Settings{Settings: s, Round: us(in.Round), ConnectTimeout: us(in.Allowed.ConnTimeout),
+		Zones: in.Localities, KindNames: in.MachineTypes,
+		Reports: Reports{Share: slices.Index(in.Report.Fields, "x0"), Limit: slices.Index(in.Report.Fields, "x1")},
+	}, nil
 }
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -8,7 +8,7 @@
 	"testing"
 	"time"
 
-	"sliphaven/control"
+	"mastusher/control"
 )
 
 func unhex(t testing.TB, s string) []byte {
@@ -156,7 +156,7 @@
 }
 
 func TestSettings(t *testing.T) {
-	set, rep, err := Settings([]byte(`{"unheard": 1, "allowed": {"cancel": true, "max_attempts": 8, "max_open": 228,
+	set, err := ParseSettings([]byte(`{"unheard": 1, "allowed": {"cancel": true, "max_attempts": 8, "max_open": 228,
 		"max_retry_after": 2000000, "retry_after": true}, "family_info": {"workers": 12, "kind_apart": [true, false],
 		"per_call": [5, 1], "carriage": [0.01, 0.04], "loses_worth": "line"},
 		"lanes": [{"name": "a", "aim": 2500000, "deadline": 28000000, "effect": "token", "group": "zone",
@@ -176,11 +176,12 @@
 		set.MaxHoldOff != 2*time.Second || !set.Kinds[0].Apart || set.Kinds[0].PerCall != 5 {
 		t.Errorf("settings: %+v", set)
 	}
+	rep := set.Reports
 	if rep != (Reports{Share: 1, Limit: 0}) {
 		t.Errorf("reports: %+v", rep)
 	}
 	for in, want := range map[string]string{`{"me": `: "offset", `{"lanes": 7}`: "lanes", ``: "offset"} {
-		if _, _, err := Settings([]byte(in)); err == nil || !strings.Contains(err.Error(), want) {
+		if _, err := ParseSettings([]byte(in)); err == nil || !strings.Contains(err.Error(), want) {
 			t.Errorf("%q: error %v, want one that names %q", in, err, want)
 		}
 	}
@@ -202,8 +203,8 @@
 func FuzzSettings(f *testing.F) {
 	f.Add([]byte(`{"lanes": [{"aim": 1e300}], "peers_total": -1}`))
 	f.Fuzz(func(t *testing.T, in []byte) {
-		if set, _, err := Settings(in); err == nil {
-			if s, err := control.New(set, 1); err == nil && s == nil {
+		if set, err := ParseSettings(in); err == nil {
+			if s, err := control.New(set.Settings, 1); err == nil && s == nil {
 				t.Error("neither a sender nor an error")
 			}
 		}
