--- a/cmd/mastusher/main.go
+++ b/cmd/mastusher/main.go
@@ -12,6 +12,7 @@
 
 	"github.com/spf13/pflag"
 
+	"mastusher/internal/activitypub"
 	"mastusher/internal/config"
 )
 
@@ -20,6 +21,7 @@
 Usage:
   mastusher [serve] [flags]     run the relay (the default)
   mastusher check-config        read the configuration, say what is wrong with it, and exit
+  mastusher make-key FILE       write a new key for the ActivityPub front to FILE and FILE.pub
   mastusher version             print the version
 
 Flags:
@@ -45,8 +47,15 @@
 	if flags.NArg() > 0 {
 		command = flags.Arg(0)
 	}
+	if command == "make-key" && flags.NArg() == 2 {
+		if err := activitypub.MakeKey(flags.Arg(1)); err != nil {
+			fmt.Fprintln(os.Stderr, "mastusher: make-key:", err)
+			return 1
+		}
+		return 0
+	}
 	if flags.NArg() > 1 {
-		fmt.Fprintf(os.Stderr, "mastusher: %s takes no argument\n", command)
+		fmt.Fprintf(os.Stderr, "mastusher: %s does not take these arguments\n", command)
 		return 2
 	}
 	var lv slog.Level
--- a/cmd/mastusher/serve.go
+++ b/cmd/mastusher/serve.go
@@ -9,11 +9,14 @@
 	"runtime/debug"
 	"time"
 
+	"mastusher/internal/activitypub"
 	"mastusher/internal/config"
+	"mastusher/internal/hook"
 	"mastusher/internal/httpwire"
 	"mastusher/internal/journal"
 	"mastusher/internal/platform"
 	"mastusher/internal/relay"
+	"mastusher/internal/vrrp"
 )
 
 // serve runs the relay until stop says to end it and what it holds is finished or safe in the journal.
@@ -47,6 +50,32 @@
 			return err
 		}
 	}
+	if cfg.ActivityPub != nil {
+		front, pool, err := activitypub.New(cfg, core, log)
+		if err != nil {
+			return err
+		}
+		core.AddFront(activitypub.Name, front, pool)
+		if cfg.VRRP != nil {
+			router, err := vrrp.Listen(cfg.VRRP, log)
+			if err != nil {
+				return err
+			}
+			defer router.Shutdown()
+			front.Open = router.Active
+		}
+		if err := listen(activitypub.Name, cfg.ActivityPub.Listen, front.Handle); err != nil {
+			return err
+		}
+	}
+	for i := range cfg.Hooks {
+		h, err := hook.Load(&cfg.Hooks[i], &cfg.Limits, log)
+		if err != nil {
+			return &config.KeyError{Key: fmt.Sprintf("hooks.%d.file", i), Why: err.Error()}
+		}
+		defer h.Close()
+		core.AddInspector(h)
+	}
 	core.Restore(time.Now())
 	go func() {
 		s := <-stop
--- a/control/api.go
+++ b/control/api.go
@@ -130,7 +130,7 @@
 // Result is how an attempt ended. A Result that is not listed here is taken as one that may have run.
 type Result uint8
 
-// The results. Full, NoConnection and Moot prove that the attempt never ran.
+// The results. Full, NoConnection, Moot and Rejected prove that the attempt never ran.
 const (
 	Delivered Result = iota
 	Errored
@@ -140,9 +140,15 @@
 	Reset
 	Cancelled
 	Moot
+	Rejected // for good: no other attempt would fare better
 	Unknown
 )
 
+// NeverRan tells whether r proves that the attempt had no effect.
+func (r Result) NeverRan() bool {
+	return r == Full || r == NoConnection || r == Moot || r == Rejected
+}
+
 // State is what the list says of an endpoint.
 type State uint8
 
--- a/control/control.go
+++ b/control/control.go
@@ -473,7 +473,7 @@
 	}
 	s.teach(m, e, ev)
 	s.unlink(e)
-	neverRan := ev.Result == Full || ev.Result == NoConnection || ev.Result == Moot
+	neverRan := ev.Result.NeverRan()
 	if !neverRan && ev.Result != Delivered && m.ranIn == nil {
 		m.ranAt, m.ranIn = m.sentAt, e
 	}
@@ -485,6 +485,11 @@
 		s.close(m)
 		return
 	}
+	if ev.Result == Rejected {
+		s.do(Action{Kind: Fail, ID: m.id})
+		s.close(m)
+		return
+	}
 	m.resend = !neverRan
 	if m.attempts >= s.set.MaxAttempts || m.ranIn != nil && m.class.Effect == Unsafe || s.spent(m) {
 		s.end(m)
@@ -574,6 +579,8 @@
 		s.budget = min(budgetMost, s.budget+budgetShare)
 		s.fine(d)
 	case Moot, Cancelled:
+	case Rejected: // it answers, so it is up
+		s.fine(d)
 	case Full:
 		d.wait = max(d.wait, s.now+ev.Wait)
 		s.cut(d, &s.kinds[e.kindNo])
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -7,11 +7,13 @@
 	"hash/fnv"
 	"net"
 	"os"
+	"slices"
 	"strings"
 	"time"
 
 	"github.com/tidwall/gjson"
 
+	"mastusher/control"
 	"mastusher/internal/wire"
 )
 
@@ -30,21 +32,28 @@
 	IdleDestinations   int // connections kept to destinations, in all
 	IdlePerDestination int
 
-	Round          time.Duration // from one turn of the core to the next
-	AnswerWithin   time.Duration // an arrival older than this is refused: its client is about to leave
-	BusyRetry      time.Duration // told with a busy reply that the module had no part in
-	ConnectTimeout time.Duration
-	IdleSocket     time.Duration // a pooled connection is retired after this
-	FrontIdle      time.Duration // a client's connection may stand idle for this long
-	FrontRead      time.Duration // a request must be whole within this, from its first byte
-	WatchSilence   time.Duration // a watch that says nothing for so long is dead
-	WatchRetry     time.Duration
-	NoticeTimeout  time.Duration
-	NoticeRetry    time.Duration
-	NoticesPerCall int
-	DrainSends     time.Duration // after SIGTERM, route steps are still begun for so long
-	DrainExit      time.Duration // and the core ends within this
-	DrainLinger    time.Duration // clients are still answered for so long
+	Round           time.Duration // from one turn of the core to the next
+	AnswerWithin    time.Duration // an arrival older than this is refused: its client is about to leave
+	BusyRetry       time.Duration // told with a busy reply that the module had no part in
+	ConnectTimeout  time.Duration
+	IdleSocket      time.Duration // a pooled connection is retired after this
+	FrontIdle       time.Duration // a client's connection may stand idle for this long
+	FrontRead       time.Duration // a request must be whole within this, from its first byte
+	WatchSilence    time.Duration // a watch that says nothing for so long is dead
+	WatchRetry      time.Duration
+	NoticeTimeout   time.Duration
+	NoticeRetry     time.Duration // doubles with each try in a row that fails
+	NoticeRetryMost time.Duration
+	NoticesAtOnce   int // calls, where each notice is one
+	Remembered      int // messages that have ended, to answer for when they come again
+	NoticesPerCall  int
+	HookStart       time.Duration // for a plug-in's start
+	HookRest        time.Duration // of a plug-in that failed; doubles with each failure in a row
+	HookEnds        int           // ends that wait for a plug-in
+	HookReason      int           // bytes of what it says
+	DrainSends      time.Duration // after SIGTERM, route steps are still begun for so long
+	DrainExit       time.Duration // and the core ends within this
+	DrainLinger     time.Duration // clients are still answered for so long
 }
 
 // Config is all that a relay is told at its start.
@@ -66,8 +75,9 @@
 	KeyID    string
 	KeyFile  string // PEM, PKCS #8 private key; made at first start if it is missing
 	Skew     time.Duration
-	Partners []Partner // whom it delivers to
-	Clients  []Client  // who may post to it
+	Partners []Partner         // whom it delivers to
+	Clients  []Client          // who may post to it
+	Classes  map[string]string // name of the class, by the activity's type
 }
 
 // Partner is a partner system with inboxes.
@@ -191,9 +201,11 @@
 		FrontIdle: time.Minute, FrontRead: 10 * time.Second,
 		WatchSilence: 5 * time.Second, WatchRetry: 250 * time.Millisecond,
 		NoticeTimeout: time.Second, NoticeRetry: 100 * time.Millisecond, NoticesPerCall: 200,
+		NoticeRetryMost: time.Second, NoticesAtOnce: 16, Remembered: 20000,
 		DrainSends: 2500 * time.Millisecond, DrainExit: 3200 * time.Millisecond,
 		DrainLinger: time.Second,
-		Round:       set.Round, ConnectTimeout: set.ConnectTimeout,
+		HookStart:   time.Second, HookRest: 500 * time.Millisecond, HookEnds: 1024, HookReason: 256,
+		Round: set.Round, ConnectTimeout: set.ConnectTimeout,
 	}
 	// Half of the descriptors are the clients', a quarter idle ones to destinations; calls that are out,
 	// the journal, the watch and the listeners live off the rest.
@@ -224,6 +236,9 @@
 				Kind: p.text(at+".kind", ""), Zone: p.text(at+".zone", "")}
 			p.each(at+".inboxes", func(in string) { q.Inboxes = append(q.Inboxes, p.url(in)) })
 			p.need(at+".inboxes", len(q.Inboxes) > 0, "no inbox")
+			if k := slices.Index(c.Settings.KindNames, q.Kind); k >= 0 && k < len(c.Settings.Kinds) {
+				p.need(at+".kind", c.Settings.Kinds[k].PerCall <= 1, "its calls carry several messages; an inbox takes one")
+			}
 			p.need(at+".dest", !seen[q.Destination], "given to two partners")
 			seen[q.Destination] = true
 			a.Partners = append(a.Partners, q)
@@ -235,6 +250,14 @@
 		})
 		p.need("activitypub.partners", len(a.Partners) > 0, "none")
 		p.need("activitypub.clients", len(a.Clients) > 0, "none")
+		a.Classes = map[string]string{}
+		for kind, class := range p.root.Get("activitypub.classes").Map() {
+			key := "activitypub.classes." + kind
+			a.Classes[kind] = class.String()
+			p.need(key, slices.ContainsFunc(c.Settings.Classes, func(k control.Class) bool { return k.Name == class.String() }),
+				"no class of that name in settings.lanes")
+		}
+		p.need("activitypub.classes", len(a.Classes) > 0, "missing: which type of activity is which class")
 		c.ActivityPub = a
 	}
 	if p.root.Get("vrrp").Exists() {
@@ -252,7 +275,7 @@
 	p.each("hooks", func(at string) {
 		c.Hooks = append(c.Hooks, Hook{Name: p.text(at+".name", at), File: p.must(at + ".file"),
 			Timeout:  p.duration(at+".timeout", 20*time.Millisecond),
-			MemoryMB: int(p.number(at+".memory_mb", 4, 1, 64))})
+			MemoryMB: int(p.number(at+".memory_mb", 16, 1, 64))})
 	})
 }
 
--- /dev/null
+++ b/internal/journal/journal_test.go
@@ -0,0 +1,151 @@
+package journal
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+var start = time.UnixMicro(1_700_000_000_000_000)
+
+func open(t testing.TB, dir string, disk int64) *Log {
+	t.Helper()
+	l, err := Open(dir, disk)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return l
+}
+
+func take(t testing.TB, l *Log, id string, body int) *Entry {
+	t.Helper()
+	e := &Entry{ID: id, Key: "k-" + id, Front: "platform", Destination: 7, Class: 1, Deadline: start.Add(time.Second),
+		Body: make([]byte, body)}
+	if err := l.Take(e); err != nil {
+		t.Fatal(err)
+	}
+	return e
+}
+
+// history fills a log with messages in every state.
+func history(t testing.TB, l *Log) {
+	out, refused, ran, owed, over, acked := take(t, l, "out", 9), take(t, l, "refused", 9), take(t, l, "ran", 9),
+		take(t, l, "owed", 9), take(t, l, "over", 9), take(t, l, "acked", 9)
+	l.Start(out, start, "a")
+	l.Start(refused, start, "a")
+	l.Outcome(refused, true)
+	l.Start(ran, start, "a")
+	l.Outcome(ran, false)
+	l.Start(ran, start.Add(time.Second), "b")
+	l.Owe(owed, Notice{HandedBack: true, Retry: 500 * time.Millisecond})
+	l.End(over)
+	l.Owe(acked, Notice{})
+	l.Ack(acked)
+}
+
+func TestReplay(t *testing.T) {
+	dir := t.TempDir()
+	l := open(t, dir, 1<<20)
+	history(t, l)
+	if err := l.Flush(); err != nil {
+		t.Fatal(err)
+	}
+	want := l.Entries()
+	if len(want) != 4 {
+		t.Fatalf("%d entries are not over, want 4", len(want))
+	}
+	for _, step := range []string{"from the log as written", "from the compacted log"} {
+		l := open(t, dir, 1<<20) // as after SIGKILL: the first is not closed
+		if d := cmp.Diff(want, l.Entries()); d != "" {
+			t.Errorf("%s (-want +got)\n%s", step, d)
+		}
+		if e := take(t, l, "next", 0); e.Seq != 7 && step == "from the log as written" {
+			t.Errorf("a new message is number %d, want 7: a number must not be used again", e.Seq)
+		}
+	}
+}
+
+// TestTorn guards against a kill in the middle of a write: what stands before it counts, at any length.
+func TestTorn(t *testing.T) {
+	dir := t.TempDir()
+	l := open(t, dir, 1<<20)
+	history(t, l)
+	_ = l.Flush()
+	whole, err := os.ReadFile(filepath.Join(dir, logName))
+	if err != nil {
+		t.Fatal(err)
+	}
+	most := 0
+	for n := range len(whole) + 1 {
+		torn := &Log{open: map[uint64]*Entry{}}
+		at := torn.replay(whole[:n])
+		if at > n || at < most {
+			t.Fatalf("%d bytes of %d are whole, and %d of fewer", at, n, most)
+		}
+		most = at
+	}
+	if most != len(whole) {
+		t.Errorf("%d bytes of %d are whole", most, len(whole))
+	}
+	whole[len(whole)/2] ^= 1
+	if at := (&Log{open: map[uint64]*Entry{}}).replay(whole); at > len(whole)/2 {
+		t.Errorf("a damaged record at %d was read past, to %d", len(whole)/2, at)
+	}
+}
+
+// TestDisk guards against the folder's outgrowing its limit, which counts as a crash: also while the log is
+// compacted, when two files stand.
+func TestDisk(t *testing.T) {
+	const disk = 512 << 10
+	dir := t.TempDir()
+	l := open(t, dir, disk)
+	var held []*Entry
+	full := 0
+	for i := range 5000 {
+		e := &Entry{ID: "m", Front: "platform", Body: make([]byte, i%4000)}
+		if err := l.Take(e); errors.Is(err, ErrFull) {
+			full++
+			for _, e := range held[:len(held)/2] {
+				l.End(e)
+			}
+			held = held[len(held)/2:]
+		} else if err != nil {
+			t.Fatal(err)
+		} else {
+			l.Start(e, start, "a")
+			held = append(held, e)
+		}
+		before := l.size
+		if err := l.Flush(); err != nil {
+			t.Fatal(err)
+		}
+		if most := max(before, l.size) + l.live + 2*block; l.size < before && most > disk || l.size > disk {
+			t.Fatalf("at message %d the folder may have held %d bytes of %d", i, most, disk)
+		}
+	}
+	if full == 0 {
+		t.Error("no message was ever refused")
+	}
+}
+
+func FuzzReplay(f *testing.F) {
+	dir := f.TempDir()
+	l := open(f, dir, 1<<20)
+	history(f, l)
+	_ = l.Flush()
+	whole, _ := os.ReadFile(filepath.Join(dir, logName))
+	f.Add(whole)
+	f.Fuzz(func(t *testing.T, in []byte) {
+		l := &Log{open: map[uint64]*Entry{}}
+		if at := l.replay(in); at > len(in) {
+			t.Errorf("%d bytes of %d were read", at, len(in))
+		}
+		for payload := in; len(payload) > 0; payload = payload[1:] { // past the checksum too
+			l.apply(payload)
+		}
+	})
+}
--- /dev/null
+++ b/internal/platform/platform_test.go
@@ -0,0 +1,192 @@
+package platform
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"log/slog"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
+
+	"mastusher/control"
+	"mastusher/internal/config"
+	"mastusher/internal/exchange"
+	"mastusher/internal/httpwire"
+	"mastusher/internal/journal"
+	"mastusher/internal/relay"
+)
+
+const settings = `{"allowed": {"cancel": true, "max_attempts": 1, "max_open": 40, "max_retry_after": 3000000,
+  "retry_after": true, "conn_idle": 15000000, "connect_timeout": 1500000},
+  "family_info": {"kind_apart": [true], "per_call": [3], "workers": 8}, "peers_total": 1, "round": 1000,
+  "lanes": [{"name": "match-event", "effect": "token", "group": "all", "memory_span": 4000000, "aim": 3000000,
+    "deadline": 16000000, "worth": 1}, {"name": "score-state", "effect": "pure", "aim": 2000000,
+    "deadline": 24000000, "worth": 3}],
+  "localities": ["a"], "machine_types": ["m2"], "report": {"fields": ["x0", "x1"], "how": "inline"}}`
+
+func configure(t *testing.T, discovery, destination string) *config.Config {
+	t.Helper()
+	text, _ := json.Marshal(map[string]any{"listen": "-", "state": t.TempDir(), "discovery": discovery,
+		"settings": json.RawMessage(settings), "known": map[string]any{"index": 41, "snapshot": true,
+			"endpoints": []any{map[string]any{"name": "s-1", "address": destination, "zone": "a", "type": "m2",
+				"group": 7, "status": "ready"}}}})
+	cfg, err := config.Parse(text, func(string) string { return "" })
+	if err != nil {
+		t.Fatal(err)
+	}
+	return cfg
+}
+
+// play waits for a connection and plays a recording over it.
+func play(t *testing.T, l net.Listener, file string, done chan<- bool) {
+	defer func() { done <- true }()
+	conn, err := l.Accept()
+	if err != nil {
+		t.Error(err)
+		return
+	}
+	exchange.Play(t, conn, file, "{address}", l.Addr().String())
+	_ = conn.Close()
+}
+
+// TestWhole plays the platform's protocol from the client to the destination and the notice.
+func TestWhole(t *testing.T) {
+	for _, c := range []struct {
+		client, destination, discovery string
+	}{
+		{"testdata/client-delivered.txt", "testdata/destination-delivered.txt", ""},
+		{"testdata/client-failed.txt", "testdata/destination-failed.txt", "testdata/discovery-failed.txt"},
+		{"testdata/client-refused.txt", "", ""},
+	} {
+		t.Run(c.client, func(t *testing.T) {
+			destination, discovery, clients := exchange.Listen(t), exchange.Listen(t), exchange.Listen(t)
+			cfg := configure(t, discovery.Addr().String(), destination.Addr().String())
+			cfg.Settings.Ask = true // and the module asks once: the watch below fails, and is let be
+			jour, err := journal.Open(cfg.State, cfg.Limits.Disk)
+			if err != nil {
+				t.Fatal(err)
+			}
+			core, err := relay.New(cfg, jour, slog.New(slog.NewTextHandler(io.Discard, nil)), time.Now())
+			if err != nil {
+				t.Fatal(err)
+			}
+			f := New(cfg, core)
+			core.AddFront(Name, quiet{f}, relay.ParsePoolConfig(cfg.Known))
+			core.Restore(time.Now())
+			s := httpwire.NewServer(&cfg.Limits, f.Handle)
+			go func() { _ = s.Serve(clients) }()
+			ended := make(chan bool)
+			go func() { core.Run(); ended <- true }()
+			done := make(chan bool, 2)
+			if c.destination != "" {
+				go play(t, destination, c.destination, done)
+			}
+			if c.discovery != "" {
+				go play(t, discovery, c.discovery, done)
+			}
+			exchange.Play(t, exchange.Dial(t, clients.Addr().String()), c.client)
+			for _, file := range []string{c.destination, c.discovery} {
+				if file != "" {
+					<-done
+				}
+			}
+			core.Drain()
+			<-ended
+			_ = clients.Close()
+			s.Close()
+			if left := jour.Entries(); len(left) != 0 {
+				t.Errorf("%d messages are left without an end", len(left))
+			}
+		})
+	}
+}
+
+// quiet is the front without its watch, which TestWatch covers.
+type quiet struct{ *Front }
+
+func (quiet) Watch(context.Context, func(relay.PoolConfig)) error { return nil }
+
+// TestOutcomes reads every answer that a destination may give: whether a message may be sent again hangs on it.
+func TestOutcomes(t *testing.T) {
+	f := New(configure(t, "-", "-"), nil)
+	one := &relay.RouteStep{Items: []relay.Item{{ID: "a"}}}
+	two := &relay.RouteStep{Items: []relay.Item{{ID: "a"}, {ID: "b"}}}
+	h := func(kv ...string) map[string][]string {
+		m := map[string][]string{}
+		for i := 0; i < len(kv); i += 2 {
+			m[kv[i]] = []string{kv[i+1]}
+		}
+		return m
+	}
+	type outs = []relay.Outcome
+	for _, c := range []struct {
+		name   string
+		step   *relay.RouteStep
+		status int
+		header map[string][]string
+		body   string
+		want   outs
+	}{
+		{"delivered", one, 200, nil, "", outs{{Result: control.Delivered}}},
+		{"with a report", one, 200, h("X-Server-Load", "TEXT x0=0.4, x1=25"), "",
+			outs{{Result: control.Delivered, Reported: true, Share: 0.4, Limit: 25}}},
+		{"with half a report", one, 200, h("X-Server-Load", "TEXT x0=0.4"), "", outs{{Result: control.Delivered, Share: 0.4}}},
+		{"error", one, 500, nil, "", outs{{Result: control.Errored}}},
+		{"told to wait", one, 429, h("Retry-After", "0.43"), "", outs{{Result: control.Full, Wait: 430 * time.Millisecond}}},
+		{"shut", one, 503, nil, "", outs{{Result: control.Full}}},
+		{"no slot", one, 503, h("X-No-Slot", "1"), "", outs{{Result: control.Moot}}},
+		{"attempts used up", one, 504, nil, "", outs{{Result: control.Moot}}},
+		{"over", one, 410, nil, "", outs{{Result: control.Moot, Over: true}}},
+		{"all alike", two, 500, nil, "", outs{{Result: control.Errored}, {Result: control.Errored}}},
+		{"each by itself", two, 200, h("Retry-After", "1"), `[{"id":"b","state":"delivered"},{"id":"a","state":"refused"}]`,
+			outs{{Result: control.Full, Wait: time.Second}, {Result: control.Delivered, Wait: time.Second}}},
+		{"over and spent", two, 200, nil, `[{"id":"a","state":"over"},{"id":"b","state":"spent"}]`,
+			outs{{Result: control.Moot, Over: true}, {Result: control.Moot}}},
+		{"not named: may have run", two, 200, nil, `[{"id":"a","state":"failed"}]`,
+			outs{{Result: control.Errored}, {Result: control.Errored}}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			got := make(outs, len(c.step.Items))
+			f.read(&httpwire.Response{Status: c.status, Header: c.header, Body: []byte(c.body)}, c.step, got)
+			if d := cmp.Diff(c.want, got); d != "" {
+				t.Errorf("(-want +got)\n%s", d)
+			}
+		})
+	}
+}
+
+// TestBulk: the body of a call with several messages.
+func TestBulk(t *testing.T) {
+	f := New(configure(t, "-", "-"), nil)
+	got := string(f.request(&relay.RouteStep{To: relay.Destination{Address: "h"}, Timeout: 1500 * time.Millisecond,
+		Items: []relay.Item{{ID: "a", Key: "k", Body: []byte("hello")}, {ID: `"`}}}))
+	const want = "POST /inbox/bulk HTTP/1.1\r\nHost: h\r\nX-Timeout: 1500m\r\nContent-Length: 71\r\n\r\n" +
+		`[{"id":"a","key":"k","body":"aGVsbG8="},{"id":"\"","key":"","body":""}]`
+	if d := cmp.Diff(want, got); d != "" {
+		t.Errorf("(-want +got)\n%s", d)
+	}
+}
+
+func TestWatch(t *testing.T) {
+	l := exchange.Listen(t)
+	f := New(configure(t, l.Addr().String(), "-"), nil)
+	done := make(chan bool, 1)
+	go play(t, l, "testdata/watch.txt", done)
+	var got []relay.PoolConfig
+	if err := f.Watch(context.Background(), func(p relay.PoolConfig) { got = append(got, p) }); err == nil {
+		t.Error("the watch ended with no error")
+	}
+	<-done
+	want := []relay.PoolConfig{{Index: 43, Destinations: []relay.Destination{{Name: "s-1", Address: "h:1", Zone: "a", Kind: "m2",
+		Partner: 3, State: control.Draining}, {Name: "s-2", State: control.Removed}}}}
+	if d := cmp.Diff(want, got, cmpopts.IgnoreUnexported(relay.Destination{})); d != "" {
+		t.Errorf("(-want +got)\n%s", d)
+	}
+	if f.index.Load() != 43 { // the next watch goes on from there
+		t.Errorf("index %d", f.index.Load())
+	}
+}
--- a/internal/relay/core.go
+++ b/internal/relay/core.go
@@ -61,6 +61,7 @@
 	owed    []Notice
 	sending bool
 	retryAt time.Time
+	gap     time.Duration // before the next try
 }
 
 // message is one that is not over.
@@ -116,11 +117,7 @@
 		if e.Out { // it was out when the process ended: it may have run
 			c.jour.Outcome(e, false)
 		}
-		ev := c.arrival(m)
-		if ev.Attempt, ev.Ran = e.Attempts, e.Ran; e.Ran {
-			ev.RanAt, ev.Endpoint = c.clock(e.RanAt), c.number(f, e.RanIn)
-		}
-		c.in = append(c.in, ev)
+		c.in = append(c.in, c.arrival(m))
 	}
 	c.Turn(now, nil)
 	c.ready.Store(true)
@@ -133,8 +130,12 @@
 func (c *Core) clock(t time.Time) time.Duration { return max(clockStart+t.Sub(c.base), 1) }
 
 func (c *Core) arrival(m *message) control.Event {
-	return control.Event{Kind: control.Arrived, ID: m.ref, Destination: m.front.no<<20 + m.e.Destination,
-		Class: m.e.Class, Deadline: c.clock(m.e.Deadline), Again: m.e.Again}
+	ev := control.Event{Kind: control.Arrived, ID: m.ref, Destination: m.front.no<<20 + m.e.Destination,
+		Class: m.e.Class, Deadline: c.clock(m.e.Deadline), Again: m.e.Again, Attempt: m.e.Attempts, Ran: m.e.Ran}
+	if ev.Ran {
+		ev.RanAt, ev.Endpoint = c.clock(m.e.RanAt), c.number(m.front, m.e.RanIn)
+	}
+	return ev
 }
 
 func (c *Core) add(f *frontState, e *journal.Entry) *message {
@@ -213,7 +214,7 @@
 		return
 	}
 	msg := c.add(f, &journal.Entry{ID: m.ID, Key: m.Key, Front: a.front, Destination: m.Partner, Class: m.Class,
-		Deadline: m.Deadline, Again: m.Again, Body: bytes.Clone(m.Body)})
+		Deadline: m.Deadline, Again: m.Again, Body: bytes.Clone(m.Body), Ran: !m.RanAt.IsZero(), RanAt: m.RanAt})
 	msg.reply = a.reply
 	c.arrived = append(c.arrived, msg)
 	c.in = append(c.in, c.arrival(msg))
@@ -260,7 +261,7 @@
 			c.jour.End(m.e)
 			c.finish(m, "delivered")
 		default:
-			c.jour.Outcome(m.e, o.Result == control.Full || o.Result == control.NoConnection || o.Result == control.Moot)
+			c.jour.Outcome(m.e, o.Result.NeverRan())
 		}
 	}
 }
@@ -313,10 +314,15 @@
 
 func (n notified) apply(c *Core, now time.Time) {
 	n.front.sending = false
+	if !slices.Contains(n.taken, false) {
+		n.front.gap = 0
+	} else { // twice as long each time in a row
+		n.front.gap = min(max(2*n.front.gap, c.lim.NoticeRetry), c.lim.NoticeRetryMost)
+		n.front.retryAt = now.Add(n.front.gap)
+	}
 	for i, notice := range n.sent {
 		if m := c.msgs[notice.ref]; !n.taken[i] {
 			n.front.owed = append(n.front.owed, notice)
-			n.front.retryAt = now.Add(c.lim.NoticeRetry)
 		} else if m != nil {
 			c.owed--
 			c.jour.Ack(m.e)
@@ -456,8 +462,12 @@
 func (c *Core) owe(m *message, n journal.Notice) {
 	c.owed++
 	m.e.Owed, m.e.Notice = true, n
-	m.front.owed = append(m.front.owed, Notice{ID: m.e.ID, Delivered: n.Delivered, HandedBack: n.HandedBack,
-		Retry: n.Retry, ref: m.ref})
+	notice := Notice{ID: m.e.ID, Delivered: n.Delivered, HandedBack: n.HandedBack, Retry: n.Retry,
+		Class: m.e.Class, Deadline: m.e.Deadline, Body: m.e.Body, ref: m.ref}
+	if m.e.Ran {
+		notice.RanAt = m.e.RanAt
+	}
+	m.front.owed = append(m.front.owed, notice)
 }
 
 // finish forgets a message that is over.
--- /dev/null
+++ b/internal/relay/core_test.go
@@ -0,0 +1,310 @@
+package relay
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
+
+	"mastusher/control"
+	"mastusher/internal/config"
+	"mastusher/internal/journal"
+)
+
+const settings = `{"state": "-", "listen": "-", "settings": {
+  "allowed": {"cancel": true, "max_attempts": 3, "max_open": 4, "max_retry_after": 3000000, "retry_after": true},
+  "family_info": {"kind_apart": [true, true], "per_call": [3, 1], "workers": 8}, "peers_total": 1, "round": 5000,
+  "lanes": [
+    {"name": "match-event", "effect": "token", "group": "all", "memory_span": 4000000, "aim": 3000000, "deadline": 16000000, "worth": 1},
+    {"name": "score-state", "effect": "pure", "aim": 2000000, "deadline": 24000000, "worth": 3}],
+  "localities": ["a"], "machine_types": ["news-groups", "club-sites"], "registry_mode": "subscribe"}}`
+
+// fakeFront is a wire whose answers the test gives.
+type fakeFront struct {
+	steps   chan *RouteStep
+	answers chan []Outcome
+	notices chan []Notice
+	taken   chan bool
+	tells   bool
+}
+
+func (f *fakeFront) Call(_ context.Context, s *RouteStep) []Outcome { f.steps <- s; return <-f.answers }
+func (f *fakeFront) Notify(_ context.Context, n []Notice) []bool {
+	f.notices <- n
+	all := make([]bool, len(n))
+	for i, ok := 0, <-f.taken; i < len(all); i++ {
+		all[i] = ok
+	}
+	return all
+}
+func (f *fakeFront) Retire(string)                                 {}
+func (f *fakeFront) Watch(context.Context, func(PoolConfig)) error { return nil }
+func (f *fakeFront) TellsDeliveries() bool                         { return f.tells }
+
+// rig is a core whose turns and clock the test drives.
+type rig struct {
+	t     *testing.T
+	c     *Core
+	front *fakeFront
+	now   time.Time
+	dir   string
+}
+
+func newRig(t *testing.T, dir string, now time.Time) *rig {
+	t.Helper()
+	cfg, err := config.Parse([]byte(settings), func(string) string { return "" })
+	if err != nil {
+		t.Fatal(err)
+	}
+	jour, err := journal.Open(dir, 3<<20)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c, err := New(cfg, jour, slog.New(slog.NewTextHandler(io.Discard, nil)), now)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &rig{t: t, c: c, now: now, dir: dir, front: &fakeFront{steps: make(chan *RouteStep, 9),
+		answers: make(chan []Outcome, 9), notices: make(chan []Notice, 9), taken: make(chan bool, 9)}}
+	c.AddFront("platform", r.front, PoolConfig{Destinations: []Destination{
+		{Name: "s-1", Zone: "a", Kind: "news-groups", Partner: 7}, {Name: "s-2", Zone: "a", Kind: "club-sites", Partner: 8}}})
+	c.Restore(now)
+	return r
+}
+
+// hand makes the arrival of a message.
+func (r *rig) hand(id string, class, partner int, left time.Duration) (arrival, chan Reply) {
+	reply := make(chan Reply, 1)
+	return arrival{"platform", Message{ID: id, Key: "k", Class: class, Partner: partner, Deadline: r.now.Add(left),
+		Body: []byte("body")}, r.now, reply}, reply
+}
+
+// after lets d pass and takes the turn.
+func (r *rig) after(d time.Duration, events ...event) {
+	r.now = r.now.Add(d)
+	r.c.Turn(r.now, events)
+}
+
+// answered gives the call that is out its answer and takes the turn that learns of it.
+func (r *rig) answered(outs ...Outcome) {
+	r.front.answers <- outs
+	r.after(5*time.Millisecond, <-r.c.queue)
+}
+
+func TestAnswerInTheTurn(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		class int
+		left  time.Duration
+		late  time.Duration // how long the arrival stood in the queue
+		want  Verdict
+	}{
+		{"taken", 1, time.Second, 0, Taken},
+		{"hopeless from the start: the module refuses it in the same turn", 1, 10 * time.Millisecond, 0, Busy},
+		// Its client is about to close the connection and hand it in elsewhere: two copies would run.
+		{"stood in the queue for too long", 1, time.Second, 350 * time.Millisecond, Busy},
+		{"no such class", 9, time.Second, 0, Taken}, // the front has checked it: the module just ignores it
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r := newRig(t, t.TempDir(), time.Now())
+			a, reply := r.hand("m", c.class, 7, c.left)
+			r.after(c.late, a)
+			got := <-reply
+			if got.Verdict != c.want || got.Verdict == Busy && got.Retry <= 0 {
+				t.Errorf("got %+v, want verdict %d, and with a refusal when to come again", got, c.want)
+			}
+			if held := len(r.c.msgs) == 1; held != (c.want == Taken) {
+				t.Errorf("held: %v", held)
+			}
+		})
+	}
+	r := newRig(t, t.TempDir(), time.Now())
+	for i := range 5 {
+		a, reply := r.hand(fmt.Sprint(i), 1, 9, time.Second) // for a partner that has no destination yet
+		r.after(0, a)
+		if <-reply; len(r.c.msgs)-r.c.owed > 4 {
+			t.Errorf("%d messages are held, 4 at most", len(r.c.msgs)-r.c.owed)
+		}
+	}
+	a, reply := r.hand("0", 1, 9, time.Second)
+	r.c.msgs = map[uint64]*message{}
+	if r.after(0, a); (<-reply).Verdict != Taken || len(r.c.msgs) != 0 {
+		t.Error("a message that is held already is taken on again")
+	}
+}
+
+// TestJournalFirst guards against a kill right after the answer or the first byte of a call: the journal
+// must hold both by then.
+func TestJournalFirst(t *testing.T) {
+	r := newRig(t, t.TempDir(), time.Now())
+	a, reply := r.hand("m", 0, 7, time.Second)
+	r.after(0, a)
+	if got := <-reply; got.Verdict != Taken {
+		t.Fatalf("got %+v", got)
+	}
+	if step := <-r.front.steps; len(step.Items) != 1 || string(step.Items[0].Body) != "body" || step.Items[0].Key != "k" {
+		t.Errorf("the call carries %+v", step.Items)
+	}
+	killed, err := journal.Open(r.dir, 3<<20)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if e := killed.Entries(); len(e) != 1 || e[0].ID != "m" || e[0].Attempts != 1 || !e[0].Out || e[0].LastIn != "s-1" {
+		t.Errorf("the journal holds %+v", e)
+	}
+}
+
+// TestRestart: what the module is told of the time before a restart decides whether a message may go again.
+func TestRestart(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		class    int
+		attempts int
+		gap      time.Duration // from the attempt to the restart
+		ran      bool
+		sent     bool
+		notice   []Notice
+	}{
+		{"keyed, within its window", 0, 1, time.Second, true, true, nil},
+		{"keyed, past its window", 0, 1, 5 * time.Second, true, false, []Notice{{ID: "m", HandedBack: true}}},
+		{"keyed, never ran", 0, 1, 5 * time.Second, false, true, nil},
+		{"safe, at any time", 1, 1, 5 * time.Second, true, true, nil},
+		{"all attempts made", 1, 3, time.Second, true, false, []Notice{{ID: "m", HandedBack: true}}},
+		{"its time is up", 1, 1, 30 * time.Second, true, false, []Notice{{ID: "m", HandedBack: true}}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			dir, now := t.TempDir(), time.Now()
+			jour, err := journal.Open(dir, 3<<20)
+			if err != nil {
+				t.Fatal(err)
+			}
+			e := &journal.Entry{ID: "m", Front: "platform", Destination: 7, Class: c.class, Deadline: now.Add(16 * time.Second)}
+			_ = jour.Take(e)
+			for range c.attempts {
+				jour.Start(e, now, "s-1")
+				if !c.ran {
+					jour.Outcome(e, true)
+				}
+			}
+			_ = jour.Flush()
+			r := newRig(t, dir, now.Add(c.gap))
+			if c.sent {
+				if step := <-r.front.steps; step.Items[0].attempt != c.attempts {
+					t.Errorf("sent as attempt %d, want %d", step.Items[0].attempt, c.attempts)
+				}
+			} else {
+				same := cmpopts.IgnoreFields(Notice{}, "Retry", "Class", "Deadline", "RanAt", "ref")
+				if d := cmp.Diff(c.notice, <-r.front.notices, same, cmpopts.EquateEmpty()); d != "" {
+					t.Errorf("notices (-want +got)\n%s", d)
+				}
+			}
+			if n := r.c.stepsOut; (n == 1) != c.sent {
+				t.Errorf("%d calls are out", n)
+			}
+		})
+	}
+}
+
+// TestBulk: sends of one turn to one destination share a call, as in the simulator, and each item fares as
+// its own answer says.
+func TestBulk(t *testing.T) {
+	r := newRig(t, t.TempDir(), time.Now())
+	r.front.tells = true
+	var in []event
+	for _, id := range []string{"a", "b", "c", "d"} {
+		a, _ := r.hand(id, 1, 7, 20*time.Second)
+		in = append(in, a)
+	}
+	r.after(0, in...)
+	step := <-r.front.steps
+	if len(step.Items) != 3 {
+		t.Fatalf("%d messages in the call, want the 3 that its kind carries", len(step.Items))
+	}
+	if r.c.joins(&RouteStep{To: step.To}, &message{e: &journal.Entry{Body: make([]byte, 60<<10)}}) {
+		t.Error("a message joins a call that in Base64 would outgrow a body")
+	}
+	r.front.taken <- true
+	r.answered(Outcome{Result: control.Delivered}, Outcome{Result: control.Moot, Over: true},
+		Outcome{Result: control.Full, Wait: 10 * time.Second})
+	if got := <-r.front.notices; len(got) != 1 || got[0].ID != step.Items[0].ID || !got[0].Delivered {
+		t.Errorf("notices %+v, want one of the delivery", got)
+	}
+	if r.c.byID["platform "+step.Items[1].ID] != nil || r.c.byID["platform "+step.Items[2].ID] == nil {
+		t.Error("want the message that is over forgotten and the one turned away held")
+	}
+}
+
+// TestEnds follows messages that are not delivered to their one notice, which is owed until it is taken.
+func TestEnds(t *testing.T) {
+	r := newRig(t, t.TempDir(), time.Now())
+	a, _ := r.hand("m", 0, 8, 2*time.Second)
+	r.after(0, a)
+	<-r.front.steps
+	r.front.taken <- false // discovery is down
+	r.answered(Outcome{Result: control.Rejected})
+	if got := <-r.front.notices; len(got) != 1 || got[0].HandedBack {
+		t.Errorf("notices %+v, want one that m was given up", got)
+	}
+	r.after(0, <-r.c.queue)
+	if len(r.front.notices) != 0 {
+		t.Error("the notice is sent again at once")
+	}
+	r.front.taken <- true
+	r.after(r.c.lim.NoticeRetry)
+	if got := <-r.front.notices; len(got) != 1 || got[0].ID != "m" {
+		t.Errorf("notices %+v, want that of m again", got)
+	}
+	r.after(0, <-r.c.queue)
+	if len(r.c.jour.Entries()) != 0 || len(r.c.msgs) != 0 || r.c.owed != 0 {
+		t.Error("a message whose notice was taken is still held")
+	}
+}
+
+// TestWithdrawn: a client that never heard its answer hands the message in elsewhere, so this copy must stop.
+func TestWithdrawn(t *testing.T) {
+	r := newRig(t, t.TempDir(), time.Now())
+	a, _ := r.hand("m", 0, 8, 2*time.Second)
+	r.after(0, a)
+	step := <-r.front.steps
+	r.after(0, withdrawn{"platform", "m"})
+	r.answered(Outcome{Result: control.Cancelled})
+	if len(r.c.msgs) != 0 || len(r.front.steps) != 0 || step.cancel == nil || len(r.c.jour.Entries()) != 0 {
+		t.Error("it is still held, or sent again")
+	}
+}
+
+// TestPoolConfig: a whole list of one front must not take the other front's destinations away.
+func TestPoolConfig(t *testing.T) {
+	r := newRig(t, t.TempDir(), time.Now())
+	r.c.AddFront("other", r.front, PoolConfig{Destinations: []Destination{{Name: "s-1", Partner: 7}}})
+	r.after(0, poolChanged{r.c.order[1], PoolConfig{Whole: true}}, watchLost{})
+	a, _ := r.hand("m", 1, 8, time.Second)
+	if r.after(0, a); (<-r.front.steps).To.Name != "s-2" {
+		t.Error("the first front's destination is gone")
+	}
+}
+
+// TestDrain: after SIGTERM new work is refused, and what is held goes on.
+func TestDrain(t *testing.T) {
+	r := newRig(t, t.TempDir(), time.Now())
+	first, _ := r.hand("m", 1, 8, 20*time.Second)
+	r.after(0, first)
+	r.c.Drain()
+	if got := r.c.Take("platform", Message{}); got.Verdict != Busy {
+		t.Errorf("got %+v", got)
+	}
+	second, reply := r.hand("n", 1, 8, time.Second)
+	r.after(0, <-r.c.queue, second)
+	if got := <-reply; got.Verdict != Busy {
+		t.Errorf("got %+v", got)
+	}
+	go func() { r.front.answers <- []Outcome{{Result: control.Delivered}} }()
+	if r.c.Run(); len(r.c.jour.Entries()) != 0 {
+		t.Error("Run ended before the call did")
+	}
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -19,6 +19,7 @@
 	Deadline time.Time
 	Again    bool // handed in before
 	Body     []byte
+	RanAt    time.Time // when an attempt began that may have run, before it was handed back; zero: none
 }
 
 // Destination is one endpoint of a partner.
@@ -73,6 +74,10 @@
 	Delivered  bool // only for fronts that are told of deliveries
 	HandedBack bool // may be handed in again, after Retry; otherwise it was given up
 	Retry      time.Duration
+	Class      int
+	Deadline   time.Time
+	Body       []byte
+	RanAt      time.Time // when the first attempt began that may have run; zero: none
 
 	ref uint64
 }
--- /dev/null
+++ b/internal/vrrp/router.go
@@ -0,0 +1,158 @@
+package vrrp
+
+import (
+	"errors"
+	"log/slog"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"mastusher/internal/config"
+)
+
+// Counts are the packets taken and dropped since the start.
+type Counts struct {
+	Taken, Sent                                     atomic.Uint64
+	Malformed, Checksum, OtherRouter, Stranger, Own atomic.Uint64 // dropped
+}
+
+// Instance runs a machine over UDP.
+type Instance struct {
+	Counts Counts
+
+	mu     sync.Mutex
+	m      *Machine
+	conn   *net.UDPConn
+	own    netip.Addr
+	vrid   uint8
+	peers  map[netip.Addr]netip.AddrPort
+	log    *slog.Logger
+	active atomic.Bool
+	kick   chan struct{} // the timer has to be looked at again
+	stop   chan struct{}
+	done   sync.WaitGroup
+}
+
+// Listen starts a router on its UDP address.
+func Listen(cfg *config.VRRP, log *slog.Logger) (*Instance, error) {
+	at, err := net.ResolveUDPAddr("udp", cfg.Listen)
+	if err != nil {
+		return nil, &config.KeyError{Key: "vrrp.listen", Why: err.Error()}
+	}
+	own, _ := netip.AddrFromSlice(cfg.Address)
+	r := Router{VRID: cfg.VRID, Priority: cfg.Priority, Advertise: cfg.Advertise, Preempt: cfg.Preempt, Address: own.Unmap()}
+	for _, ip := range cfg.Virtual {
+		a, _ := netip.AddrFromSlice(ip)
+		if a = a.Unmap(); a.Is4() != r.Address.Is4() {
+			return nil, &config.KeyError{Key: "vrrp.virtual", Why: "not of the family of vrrp.address"}
+		}
+		r.Virtual = append(r.Virtual, a)
+	}
+	in := &Instance{m: NewMachine(r), own: r.Address, vrid: r.VRID, peers: map[netip.Addr]netip.AddrPort{},
+		log: log, kick: make(chan struct{}, 1), stop: make(chan struct{})}
+	for _, p := range cfg.Peers {
+		ap, err := netip.ParseAddrPort(p)
+		if err != nil {
+			return nil, &config.KeyError{Key: "vrrp.peers", Why: err.Error()}
+		}
+		in.peers[ap.Addr().Unmap()] = ap
+	}
+	if in.conn, err = net.ListenUDP("udp", at); err != nil {
+		return nil, err
+	}
+	in.act(func(now time.Time) []Packet { return in.m.Startup(now) })
+	in.done.Add(2)
+	go in.read()
+	go in.time()
+	return in, nil
+}
+
+// Active tells whether this router stands for the virtual addresses.
+func (in *Instance) Active() bool { return in.active.Load() }
+
+// Shutdown gives up this router's part and stops it.
+func (in *Instance) Shutdown() {
+	in.act(func(time.Time) []Packet { return in.m.Shutdown() })
+	close(in.stop)
+	_ = in.conn.Close()
+	in.done.Wait()
+}
+
+// act lets the machine do something, and sends what it says.
+func (in *Instance) act(do func(now time.Time) []Packet) {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	was := in.m.State()
+	out := do(time.Now())
+	if now := in.m.State(); now != was {
+		in.log.Info("the virtual router changes state", "vrid", in.vrid, "from", was.String(), "to", now.String())
+		in.active.Store(now == Active)
+	}
+	for i := range out {
+		for to, ap := range in.peers {
+			if _, err := in.conn.WriteToUDPAddrPort(out[i].Encode(in.own, to), ap); err == nil {
+				in.Counts.Sent.Add(1)
+			}
+		}
+	}
+	select {
+	case in.kick <- struct{}{}:
+	default:
+	}
+}
+
+func (in *Instance) read() {
+	defer in.done.Done()
+	buf := make([]byte, 4096)
+	for {
+		n, ap, err := in.conn.ReadFromUDPAddrPort(buf)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		} else if err != nil {
+			continue
+		}
+		in.take(buf[:n], ap.Addr().Unmap())
+	}
+}
+
+// take drops and counts what is not for this router; the machine gets the rest.
+func (in *Instance) take(b []byte, from netip.Addr) {
+	p, err := Decode(b, from, in.own)
+	switch _, known := in.peers[from]; {
+	case from == in.own:
+		in.Counts.Own.Add(1)
+	case !known:
+		in.Counts.Stranger.Add(1)
+	case errors.Is(err, ErrChecksum):
+		in.Counts.Checksum.Add(1)
+	case err != nil:
+		in.Counts.Malformed.Add(1)
+	case p.VRID != in.vrid:
+		in.Counts.OtherRouter.Add(1)
+	default:
+		in.Counts.Taken.Add(1)
+		in.act(func(now time.Time) []Packet { return in.m.Receive(now, p, from) })
+	}
+}
+
+func (in *Instance) time() {
+	defer in.done.Done()
+	for {
+		in.mu.Lock()
+		due := in.m.Due()
+		in.mu.Unlock()
+		var fire <-chan time.Time
+		if !due.IsZero() {
+			fire = time.After(time.Until(due))
+		}
+		select {
+		case <-in.stop:
+			return
+		case <-in.kick:
+		case <-fire:
+			in.act(func(now time.Time) []Packet { return in.m.Tick(now) })
+		}
+	}
+}
