--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # The tasks of the project; `make check` is what CI runs.
-.PHONY: build test lint size check run fuzz
+.PHONY: build test lint size check run hook fuzz
 
 POLICY = control/control.go
 CAP = 1010
@@ -27,6 +27,9 @@
 run: build
 	exec bin/mastusher serve
 
+hook:
+	GOOS=wasip1 GOARCH=wasm go build -buildmode=c-shared -o bin/hook.wasm ./examples/hook
+
 fuzz:
 	go test -run '^$$' -fuzz FuzzReadBatch -fuzztime 10s ./internal/wire
 	go test -run '^$$' -fuzz FuzzReadRequest -fuzztime 10s ./internal/httpwire
--- /dev/null
+++ b/cmd/mastusher/main_test.go
@@ -0,0 +1,77 @@
+package main
+
+import (
+	"io"
+	"log/slog"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+
+	"mastusher/internal/config"
+	"mastusher/internal/exchange"
+)
+
+const text = `{"listen": "127.0.0.1:1", "state": "STATE", "discovery": "127.0.0.1:1", "settings": {"peers_total": 1,
+  "allowed": {"max_attempts": 6}, "family_info": {"workers": 4}, "lanes": [{"name": "match-event", "deadline": 1000000}]}}`
+
+func TestCommands(t *testing.T) {
+	dir := t.TempDir()
+	good, bad := filepath.Join(dir, "good.json"), filepath.Join(dir, "bad.json")
+	_ = os.WriteFile(good, []byte(text), 0o600)
+	_ = os.WriteFile(bad, []byte(`{}`), 0o600)
+	for _, c := range []struct {
+		args string
+		want int
+	}{
+		{"version", 0}, {"--help", 0}, {"check-config --config " + good, 0}, {"check-config --config " + bad, 1},
+		{"serve --config " + bad, 1}, {"--log-level loud", 2}, {"--nonsense", 2}, {"dance", 2}, {"version twice", 2},
+		{"make-key " + filepath.Join(dir, "key"), 0}, {"make-key " + filepath.Join(dir, "key"), 1},
+	} {
+		if got := run(strings.Fields(c.args)); got != c.want {
+			t.Errorf("mastusher %s: exit %d, want %d", c.args, got, c.want)
+		}
+	}
+}
+
+// TestOperatorFile: the file under deploy/ must stay one that the program takes.
+func TestOperatorFile(t *testing.T) {
+	if _, err := config.Load("../../deploy/activitypub.json", os.Getenv); err != nil {
+		t.Error(err)
+	}
+}
+
+// TestTerm: after SIGTERM clients are still answered, and the process then ends by itself.
+func TestTerm(t *testing.T) {
+	l := exchange.Listen(t)
+	address := l.Addr().String()
+	_ = l.Close() // the relay takes its place
+	cfg, err := config.Parse([]byte(strings.Replace(text, "STATE", t.TempDir(), 1)), func(k string) string {
+		return map[string]string{"RELAY_LISTEN": address}[k]
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	stop, ended, ready := make(chan os.Signal, 1), make(chan error), make(chan struct{}, 9)
+	log := slog.New(slog.NewTextHandler(told(ready), nil))
+	go func() { ended <- serve(cfg, log, stop) }()
+	<-ready // "the relay serves"
+	kept := exchange.Dial(t, address)
+	exchange.Play(t, kept, "testdata/up.txt")
+	stop <- syscall.SIGTERM
+	<-ready // "the relay drains"
+	exchange.Play(t, kept, "testdata/draining.txt")
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+}
+
+type told chan struct{}
+
+func (c told) Write(b []byte) (int, error) {
+	if strings.Contains(string(b), "the relay") {
+		c <- struct{}{}
+	}
+	return io.Discard.Write(b)
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -161,7 +161,11 @@
 		if err != nil {
 			p.fail("settings", err.Error())
 		}
-		c.Settings = set
+		if _, err := control.New(set.Settings, 0); err == nil || len(set.Classes) == 0 || set.Slots < 1 || set.MaxAttempts < 1 {
+			c.Settings = set // the keys checked below have messages of their own
+		} else {
+			p.fail("settings", err.Error())
+		}
 	}
 	p.need("settings.lanes", len(c.Settings.Classes) > 0, "no class of message")
 	p.need("settings.family_info.workers", c.Settings.Slots > 0, "at least 1 slot is needed")
--- /dev/null
+++ b/internal/vrrp/vrrp_test.go
@@ -0,0 +1,201 @@
+package vrrp
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
+
+	"mastusher/internal/config"
+)
+
+var (
+	low, high = netip.MustParseAddr("10.0.0.1"), netip.MustParseAddr("10.0.0.9")
+	own       = netip.MustParseAddr("10.0.0.5")
+	virtual   = netip.MustParseAddr("10.0.0.100")
+	t0        = time.Unix(1_700_000_000, 0)
+)
+
+// TestMachine walks the machine through RFC 9568, section 6.4: a line is what happens, then the state, when
+// the timer is due (ms since the start) and the priorities that are advertised.
+func TestMachine(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		priority uint8
+		preempt  bool
+		script   string
+	}{
+		{"nobody is heard: skew and three intervals, then active", 128, true, `
+			0 start backup 3500
+			3499 tick backup 3500
+			3500 tick active 4500 128
+			4500 tick active 5500 128
+			5000 stop initialize 0 0`},
+		{"the owner is active at once", 255, true, `
+			0 start active 1000 255
+			10 hear 254 high active 1000 255`},
+		{"a lower one is preempted", 128, true, `
+			0 start backup 3500
+			500 hear 50 high backup 3500
+			3500 tick active 4500 128`},
+		{"a lower one is left alone without preemption", 128, false, `
+			0 start backup 3500
+			500 hear 50 high backup 4000`},
+		{"priority 0: only the skew is waited for", 128, true, `
+			0 start backup 3500
+			500 hear 200 high backup 4000
+			1000 hear 0 high backup 1500
+			1500 tick active 2500 128`},
+		{"an active router yields to a higher one, and among equals to the higher address", 128, true, `
+			0 start backup 3500
+			3500 tick active 4500 128
+			3700 hear 128 low active 4500 128
+			3800 hear 128 high backup 7300
+			7300 tick active 8300 128
+			7500 hear 129 low backup 11000`},
+		{"an active router that hears priority 0 asserts itself", 128, true, `
+			0 start backup 3500
+			3500 tick active 4500 128
+			4000 hear 0 high active 5000 128`},
+		{"stopped in backup nothing is said", 128, true, `
+			0 start backup 3500
+			1 stop initialize 0
+			2 hear 0 high initialize 0
+			9000 tick initialize 0`},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			m := NewMachine(Router{VRID: 7, Priority: c.priority, Preempt: c.preempt, Advertise: time.Second, Address: own,
+				Virtual: []netip.Addr{virtual}})
+			var got, want []string
+			for _, line := range strings.Split(strings.TrimSpace(c.script), "\n") {
+				line = strings.TrimSpace(line)
+				want = append(want, line)
+				f := strings.Fields(line)
+				var ms int
+				_, _ = fmt.Sscan(f[0], &ms)
+				now := t0.Add(time.Duration(ms) * time.Millisecond)
+				var sent []Packet
+				did := f[:2]
+				switch f[1] {
+				case "start":
+					sent = m.Startup(now)
+				case "stop":
+					sent = m.Shutdown()
+				case "tick":
+					sent = m.Tick(now)
+				case "hear":
+					did = f[:4]
+					p := Packet{VRID: 7, Advertise: time.Second}
+					_, _ = fmt.Sscan(f[2], &p.Priority)
+					sent = m.Receive(now, p, map[string]netip.Addr{"low": low, "high": high}[f[3]])
+				}
+				due := int64(0)
+				if !m.Due().IsZero() {
+					due = m.Due().Sub(t0).Milliseconds()
+				}
+				out := fmt.Sprint(strings.Join(did, " "), " ", m.State(), " ", due)
+				for _, p := range sent {
+					out += fmt.Sprint(" ", p.Priority)
+				}
+				got = append(got, out)
+			}
+			if d := cmp.Diff(want, got); d != "" {
+				t.Errorf("(-want +got)\n%s", d)
+			}
+		})
+	}
+}
+
+// good is an advertisement whose checksum was worked out by hand: 3107+6401+0064+0a00+0064 = 9fd0.
+var good = []byte{0x31, 7, 100, 1, 0, 100, 0x60, 0x2f, 10, 0, 0, 100}
+
+func TestPacket(t *testing.T) {
+	p := Packet{VRID: 7, Priority: 100, Advertise: time.Second, Addresses: []netip.Addr{virtual}}
+	if b := p.Encode(low, high); !bytes.Equal(b, good) {
+		t.Errorf("encoded %x, want %x", b, good)
+	}
+	for _, c := range []struct {
+		name string
+		at   int
+		to   byte
+		err  error
+	}{
+		{"whole", 0, 0x31, nil},
+		{"version 2", 0, 0x21, ErrVersion},
+		{"not an advertisement", 0, 0x32, ErrType},
+		{"count", 3, 2, ErrCount},
+		{"no address", 3, 0, ErrCount},
+		{"one bit", 11, 101, ErrChecksum},
+	} {
+		b := bytes.Clone(good)
+		b[c.at] = c.to
+		got, err := Decode(b, low, high)
+		if !errors.Is(err, c.err) {
+			t.Errorf("%s: error %v, want %v", c.name, err, c.err)
+		}
+		if d := cmp.Diff(p, got, cmpopts.EquateComparable(netip.Addr{})); c.err == nil && d != "" {
+			t.Errorf("%s (-want +got)\n%s", c.name, d)
+		}
+	}
+	if _, err := Decode(good[:7], low, high); !errors.Is(err, ErrShort) {
+		t.Errorf("error %v, want %v", err, ErrShort)
+	}
+	six, other := netip.MustParseAddr("fe80::1"), netip.MustParseAddr("fe80::2")
+	p.Addresses = []netip.Addr{six}
+	b := p.Encode(six, other)
+	if _, err := Decode(b, six, other); err != nil {
+		t.Error(err)
+	}
+	if _, err := Decode(b, six, virtual); !errors.Is(err, ErrChecksum) { // the pseudo-header counts
+		t.Errorf("error %v, want %v", err, ErrChecksum)
+	}
+}
+
+// TestDrop: what is not an advertisement of this virtual router from a peer is dropped and counted.
+func TestDrop(t *testing.T) {
+	in, err := Listen(&config.VRRP{Listen: "127.0.0.1:0", VRID: 7, Priority: 100, Advertise: 40 * time.Second,
+		Address: net.ParseIP("127.0.0.1"), Virtual: []net.IP{net.ParseIP("10.0.0.100")}, Peers: []string{"127.0.0.2:9"}},
+		slog.New(slog.NewTextHandler(io.Discard, nil)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer in.Shutdown()
+	peer := netip.MustParseAddr("127.0.0.2")
+	bad := bytes.Clone(good)
+	bad[2] = 1
+	other := (&Packet{VRID: 8, Advertise: time.Second, Addresses: []netip.Addr{virtual}}).Encode(peer, in.own)
+	in.take(good, peer)
+	in.take(good, in.own)
+	in.take(good, high)
+	in.take(bad, peer)
+	in.take(nil, peer)
+	in.take(other, peer)
+	c := &in.Counts
+	got := []uint64{c.Taken.Load(), c.Own.Load(), c.Stranger.Load(), c.Checksum.Load(), c.Malformed.Load(), c.OtherRouter.Load()}
+	if d := cmp.Diff([]uint64{1, 1, 1, 1, 1, 1}, got); d != "" || in.Active() {
+		t.Errorf("active %v, counts (-want +got)\n%s", in.Active(), d)
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	f.Add(good)
+	f.Fuzz(func(t *testing.T, in []byte) {
+		p, err := Decode(in, low, high)
+		if err != nil {
+			return
+		}
+		again, err := Decode(p.Encode(low, high), low, high)
+		if d := cmp.Diff(p, again, cmpopts.EquateComparable(netip.Addr{})); err != nil || d != "" {
+			t.Errorf("error %v (-first +again)\n%s", err, d)
+		}
+	})
+}
