Never write a keyed repeat after its window: bound the connect of a route step

The trace shows resets 3.2 to 3.8 s after a first attempt when a silent partner is back, and connects that hang for up to 1.505 s; a repeat allowed by the module just before the window's end, with a connect that comes up late, leaves after 4 s. Wrong lines: httpwire.Pool.Do wrote whenever the connect came up. Now a route step carries the end of the window, and nothing is written from then on; such a step never ran.

Also: messages queued after the core's last turn are refused, not left waiting; VRRP gives up its part at SIGTERM; front sockets have a type of their own; route steps are logged at debug level.

--- a/cmd/mastusher/serve.go
+++ b/cmd/mastusher/serve.go
@@ -32,6 +32,7 @@
 		return err
 	}
 	var servers []*httpwire.Server
+	var router *vrrp.Instance // nil: off
 	var listeners []net.Listener
 	listen := func(name, address string, handle httpwire.Handler) error {
 		l, err := net.Listen("tcp", address)
@@ -57,8 +58,7 @@
 		}
 		core.AddFront(activitypub.Name, front, pool)
 		if cfg.VRRP != nil {
-			router, err := vrrp.Listen(cfg.VRRP, log)
-			if err != nil {
+			if router, err = vrrp.Listen(cfg.VRRP, log); err != nil {
 				return err
 			}
 			defer router.Shutdown()
@@ -80,6 +80,9 @@
 	go func() {
 		s := <-stop
 		log.Info("the relay drains", "signal", s.String())
+		if router != nil {
+			router.Shutdown() // the others need not wait for this process to end
+		}
 		for _, s := range servers {
 			s.Retire()
 		}
--- a/internal/activitypub/activitypub_test.go
+++ b/internal/activitypub/activitypub_test.go
@@ -361,6 +361,15 @@
 	}
 }
 
+// TestStandBy: a router that is not active takes nothing new on, and says when to come again.
+func TestStandBy(t *testing.T) {
+	none := stand(t, nil)
+	f, at := start(t, none, none)
+	f.Open = func() bool { return false }
+	conn := exchange.Dial(t, at)
+	exchange.Play(t, conn, "testdata/stand-by.txt")
+}
+
 // TestOutcome maps every answer of an inbox.
 func TestOutcome(t *testing.T) {
 	got := map[int]string{}
--- a/internal/activitypub/front.go
+++ b/internal/activitypub/front.go
@@ -259,12 +259,12 @@
 func (f *Front) Call(ctx context.Context, step *relay.RouteStep) []relay.Outcome {
 	outs := make([]relay.Outcome, len(step.Items))
 	for i := range step.Items {
-		outs[i] = f.post(ctx, f.inboxes[step.To.Name], step.Items[i].Body)
+		outs[i] = f.post(ctx, f.inboxes[step.To.Name], step.Items[i].Body, step.Before)
 	}
 	return outs
 }
 
-func (f *Front) post(ctx context.Context, u *url.URL, body []byte) (o relay.Outcome) {
+func (f *Front) post(ctx context.Context, u *url.URL, body []byte, before time.Time) (o relay.Outcome) {
 	if u == nil {
 		return relay.Outcome{Result: control.Rejected}
 	}
@@ -274,7 +274,7 @@
 		return relay.Outcome{Result: control.Moot}
 	}
 	request := httpwire.AppendRequest(nil, "POST", u.RequestURI(), u.Host, head, body)
-	stage := f.pool.Do(ctx, address(u), request, func(p *httpwire.Response) { o = outcome(p) })
+	stage := f.pool.Do(ctx, address(u), request, before, func(p *httpwire.Response) { o = outcome(p) })
 	if r, failed := platform.StageResult(stage); failed {
 		o.Result = r
 	}
@@ -319,7 +319,7 @@
 		room <- struct{}{}
 		go func() {
 			defer func() { <-room; all.Done() }()
-			r := f.post(ctx, u, f.answer(n)).Result
+			r := f.post(ctx, u, f.answer(n), time.Time{}).Result
 			taken[i] = r == control.Delivered || r == control.Rejected
 		}()
 	}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -39,6 +39,7 @@
 	IdleSocket      time.Duration // a pooled connection is retired after this
 	FrontIdle       time.Duration // a client's connection may stand idle for this long
 	FrontRead       time.Duration // a request must be whole within this, from its first byte
+	FrontLinger     time.Duration // how long what follows a faulty request is still read
 	WatchSilence    time.Duration // a watch that says nothing for so long is dead
 	WatchRetry      time.Duration
 	NoticeTimeout   time.Duration
@@ -202,7 +203,7 @@
 		HeadSize: 16 << 10, BodySize: 64 << 10,
 		Queue: 4096, IdlePerDestination: 16,
 		AnswerWithin: 300 * time.Millisecond, BusyRetry: 500 * time.Millisecond,
-		FrontIdle: time.Minute, FrontRead: 10 * time.Second,
+		FrontIdle: time.Minute, FrontRead: 10 * time.Second, FrontLinger: time.Second,
 		WatchSilence: 5 * time.Second, WatchRetry: 250 * time.Millisecond,
 		NoticeTimeout: time.Second, NoticeRetry: 100 * time.Millisecond, NoticesPerCall: 200,
 		NoticeRetryMost: time.Second, NoticesAtOnce: 16, Remembered: 20000,
@@ -273,6 +274,7 @@
 			"want 10ms to 40.95s")
 		p.each("vrrp.peers", func(at string) { v.Peers = append(v.Peers, p.must(at)) })
 		p.each("vrrp.virtual", func(at string) { v.Virtual = append(v.Virtual, p.ip(at)) })
+		p.need("vrrp", c.ActivityPub != nil, "it opens and shuts the activitypub front, which is off")
 		p.need("vrrp.virtual", len(v.Virtual) > 0 && len(v.Virtual) < 256, "want 1 to 255 addresses")
 		c.VRRP = v
 	}
--- a/internal/httpwire/client.go
+++ b/internal/httpwire/client.go
@@ -65,17 +65,22 @@
 }
 
 // Do makes one call: it writes request to address, at once and once, and hands the answer to use, whose bytes
-// hold until use returns. When Do returns, the connection is idle or closed: no copy of the call is still out.
-func (p *Pool) Do(ctx context.Context, address string, request []byte, use func(*Response)) Stage {
+// hold until use returns. Unless before is zero, nothing is written from then on: a connection may take seconds
+// to come up, and a keyed message that is repeated must not leave after its window. When Do returns, the connection is idle or closed: no copy of the call is still out.
+func (p *Pool) Do(ctx context.Context, address string, request []byte, before time.Time, use func(*Response)) Stage {
 	c := p.take(address)
 	if c == nil {
-		dial := net.Dialer{Timeout: p.lim.ConnectTimeout}
+		dial := net.Dialer{Timeout: p.lim.ConnectTimeout, Deadline: before}
 		conn, err := dial.DialContext(ctx, "tcp", address)
 		if err != nil {
 			return NotConnected
 		}
 		c = &clientConn{Conn: conn, r: NewReader(conn, p.lim)}
 	}
+	if !before.IsZero() && !time.Now().Before(before) {
+		_ = c.Close()
+		return NotConnected
+	}
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
 	answer, stage := c.call(ctx, request)
 	if answer != nil {
--- a/internal/httpwire/httpwire_test.go
+++ b/internal/httpwire/httpwire_test.go
@@ -72,7 +72,7 @@
 			}()
 			p := NewPool(limits())
 			address := l.Addr().String()
-			got := p.Do(ctx, address, AppendRequest(nil, "POST", "/", address, nil, []byte("hi")), func(*Response) {})
+			got := p.Do(ctx, address, AppendRequest(nil, "POST", "/", address, nil, []byte("hi")), time.Time{}, func(*Response) {})
 			if got != c.want || p.count != c.kept {
 				t.Errorf("stage %d with %d connections kept, want %d with %d", got, p.count, c.want, c.kept)
 			}
@@ -81,11 +81,23 @@
 	l := exchange.Listen(t)
 	address := l.Addr().String()
 	_ = l.Close()
-	if got := NewPool(limits()).Do(context.Background(), address, []byte("x"), nil); got != NotConnected {
+	if got := NewPool(limits()).Do(context.Background(), address, []byte("x"), time.Time{}, nil); got != NotConnected {
 		t.Errorf("a refused connection is stage %d, want %d", got, NotConnected)
 	}
 }
 
+// TestBefore guards against a repeat that leaves after its window because its connection came up late: the
+// partner would take it for a new message.
+func TestBefore(t *testing.T) {
+	l := exchange.Listen(t)
+	address := l.Addr().String()
+	p := NewPool(limits())
+	got := p.Do(context.Background(), address, []byte("POST / HTTP/1.1\r\n\r\n"), time.Now(), nil)
+	if got != NotConnected {
+		t.Errorf("stage %d, want %d", got, NotConnected)
+	}
+}
+
 // TestStale guards against a request on a kept connection that the other side has closed: it would be lost
 // with the message, and may not be sent again without the core's knowing.
 func TestStale(t *testing.T) {
@@ -109,7 +121,7 @@
 	address := l.Addr().String()
 	request := AppendRequest(nil, "GET", "/", address, nil, nil)
 	for range 2 {
-		if got := p.Do(context.Background(), address, request, func(*Response) {}); got != Answered {
+		if got := p.Do(context.Background(), address, request, time.Time{}, func(*Response) {}); got != Answered {
 			t.Fatalf("stage %d, want an answer", got)
 		}
 		<-closed
--- a/internal/httpwire/server.go
+++ b/internal/httpwire/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"io"
 	"net"
 	"strconv"
 	"sync"
@@ -81,6 +82,14 @@
 	s.mu.Unlock()
 }
 
+// frontSocket is one client's connection.
+type frontSocket struct {
+	net.Conn
+	s   *Server
+	r   *Reader
+	out []byte
+}
+
 func (s *Server) serve(conn net.Conn) {
 	defer func() {
 		s.mu.Lock()
@@ -90,62 +99,66 @@
 		<-s.room
 		s.done.Done()
 	}()
-	r := NewReader(conn, s.lim)
-	var out []byte
-	for {
-		_ = conn.SetReadDeadline(time.Now().Add(s.lim.FrontIdle))
-		if s.closing.Load() && !r.buffered() {
-			return
-		}
-		if r.await() != nil {
-			return
-		}
-		s.mark(conn, false)
-		_ = conn.SetReadDeadline(time.Now().Add(s.lim.FrontRead))
-		q, err := r.ReadRequest(func() error {
-			_, err := conn.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
-			return err
-		})
-		var fault *Error
-		if errors.As(err, &fault) {
-			q = &Request{Close: true}
-		} else if err != nil {
-			return
-		}
-		var a Answer
-		if fault != nil {
-			a = Answer{Status: fault.Status, Body: []byte(fault.Why + "\n")}
-		} else {
-			a = s.handle(q)
-		}
-		// With little room left no client keeps its connection.
-		last := q.Close || s.retired.Load() || s.closing.Load() || len(s.room) > cap(s.room)*3/4
-		out = AppendAnswer(out[:0], &a, last)
-		_ = conn.SetWriteDeadline(time.Now().Add(s.lim.FrontRead))
-		if _, err := conn.Write(out); err != nil {
-			if a.Lost != nil {
-				a.Lost()
-			}
-			return
-		}
-		if last {
-			if c, ok := conn.(*net.TCPConn); ok && fault != nil {
-				_ = c.CloseWrite() // unread bytes must not turn the answer into a reset
-				_ = conn.SetReadDeadline(time.Now().Add(time.Second))
-				buf := make([]byte, 4096)
-				for n := 0; n < 2*s.lim.BodySize; {
-					k, err := conn.Read(buf)
-					if n += k; err != nil {
-						break
-					}
-				}
-			}
-			return
-		}
+	f := &frontSocket{Conn: conn, s: s, r: NewReader(conn, s.lim)}
+	for f.one() {
 		s.mark(conn, true)
 	}
 }
 
+// one reads and answers one request; false: the connection is at its end.
+func (f *frontSocket) one() bool {
+	lim := f.s.lim
+	_ = f.SetReadDeadline(time.Now().Add(lim.FrontIdle))
+	if f.s.closing.Load() && !f.r.buffered() {
+		return false
+	}
+	if f.r.await() != nil {
+		return false
+	}
+	f.s.mark(f.Conn, false)
+	_ = f.SetReadDeadline(time.Now().Add(lim.FrontRead))
+	q, err := f.r.ReadRequest(func() error {
+		_, err := f.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
+		return err
+	})
+	var a Answer
+	var fault *Error
+	switch {
+	case errors.As(err, &fault):
+		a = Answer{Status: fault.Status, Body: []byte(fault.Why + "\n")}
+	case err != nil:
+		return false
+	default:
+		a = f.s.handle(q)
+	}
+	// With little room left no client keeps its connection.
+	last := fault != nil || q.Close || f.s.retired.Load() || f.s.closing.Load() || len(f.s.room) > cap(f.s.room)*3/4
+	f.out = AppendAnswer(f.out[:0], &a, last)
+	_ = f.SetWriteDeadline(time.Now().Add(lim.FrontRead))
+	if _, err := f.Write(f.out); err != nil {
+		if a.Lost != nil {
+			a.Lost()
+		}
+		return false
+	}
+	if fault != nil {
+		f.linger()
+	}
+	return !last
+}
+
+// linger reads on for a moment after a request that could not be read: bytes left unread would turn the
+// answer into a reset.
+func (f *frontSocket) linger() {
+	c, ok := f.Conn.(*net.TCPConn)
+	if !ok {
+		return
+	}
+	_ = c.CloseWrite()
+	_ = f.SetReadDeadline(time.Now().Add(f.s.lim.FrontLinger))
+	_, _ = io.CopyN(io.Discard, f.Conn, int64(2*f.s.lim.BodySize))
+}
+
 // AppendAnswer appends a as it goes over the wire.
 func AppendAnswer(b []byte, a *Answer, last bool) []byte {
 	b = append(b, "HTTP/1.1 "...)
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -148,7 +148,7 @@
 // Call makes a route step: a single call, or a bulk one where it carries several messages.
 func (f *Front) Call(ctx context.Context, step *relay.RouteStep) []relay.Outcome {
 	outs := make([]relay.Outcome, len(step.Items))
-	stage := f.pool.Do(ctx, step.To.Address, f.request(step), func(p *httpwire.Response) {
+	stage := f.pool.Do(ctx, step.To.Address, f.request(step), step.Before, func(p *httpwire.Response) {
 		f.read(p, step, outs)
 	})
 	if r, failed := StageResult(stage); failed {
@@ -294,7 +294,7 @@
 	}
 	request := httpwire.AppendRequest(nil, "POST", "/v1/outcomes", f.discovery, nil, body)
 	ok := false
-	f.pool.Do(ctx, f.discovery, request, func(p *httpwire.Response) { ok = p.Status == 204 })
+	f.pool.Do(ctx, f.discovery, request, time.Time{}, func(p *httpwire.Response) { ok = p.Status == 204 })
 	return bytesOf(ok, len(notices))
 }
 
--- a/internal/relay/core.go
+++ b/internal/relay/core.go
@@ -245,6 +245,8 @@
 	for i, it := range s.step.Items {
 		o := s.outcomes[i]
 		m := c.msgs[it.ref]
+		c.log.Debug("route step ended", "id", it.ID, "attempt", it.attempt, "destination", s.step.To.Name,
+			"result", o.Result, "wait", o.Wait, "over", o.Over)
 		if m != nil && m.step == s.step {
 			m.step = nil
 		}
@@ -419,7 +421,14 @@
 			open[s.a.Endpoint] = step
 		}
 		c.jour.Start(s.m.e, now, d.Name)
+		c.log.Debug("route step", "id", s.m.e.ID, "class", s.m.e.Class, "attempt", s.m.e.Attempts-1, "destination", d.Name,
+			"within", s.a.For)
 		step.Timeout = min(step.Timeout, s.a.For)
+		if k := &c.set.Classes[s.m.e.Class]; s.m.e.Ran && k.Effect == control.Keyed {
+			if end := s.m.e.RanAt.Add(k.Memory); step.Before.IsZero() || end.Before(step.Before) {
+				step.Before = end
+			}
+		}
 		step.Items = append(step.Items, Item{ID: s.m.e.ID, Key: s.m.e.Key, Class: s.m.e.Class, Body: s.m.e.Body,
 			ref: s.m.ref, attempt: s.m.e.Attempts - 1})
 		s.m.step = step
@@ -595,11 +604,22 @@
 			}
 		}
 		if !c.drainAt.IsZero() && (now.Sub(c.drainAt) > c.lim.DrainExit || len(c.msgs) == 0 && c.stepsOut == 0) {
+			go c.refuse()
 			return
 		}
 	}
 }
 
+// refuse answers whoever passed Take's check before Drain and came to the queue after Run's last turn: with
+// nobody there it would wait for ever, and its connection would end with no answer.
+func (c *Core) refuse() {
+	for ev := range c.queue {
+		if a, ok := ev.(arrival); ok {
+			a.reply <- Reply{Verdict: Busy, Retry: c.lim.BusyRetry}
+		}
+	}
+}
+
 // nap is how long nothing needs to be done unless something happens.
 func (c *Core) nap(now time.Time) time.Duration {
 	d := time.Second
--- a/internal/relay/core_test.go
+++ b/internal/relay/core_test.go
@@ -194,9 +194,14 @@
 			_ = jour.Flush()
 			r := newRig(t, dir, now.Add(c.gap))
 			if c.sent {
-				if step := <-r.front.steps; step.Items[0].attempt != c.attempts {
+				step := <-r.front.steps
+				if step.Items[0].attempt != c.attempts {
 					t.Errorf("sent as attempt %d, want %d", step.Items[0].attempt, c.attempts)
 				}
+				if end := time.UnixMicro(now.UnixMicro()).Add(4 * time.Second); !step.Before.IsZero() != (c.ran && c.class == 0) ||
+					!step.Before.IsZero() && !step.Before.Equal(end) {
+					t.Errorf("to be written before %v, want the end of the window, %v", step.Before, end)
+				}
 			} else {
 				same := cmpopts.IgnoreFields(Notice{}, "Retry", "Class", "Deadline", "RanAt", "ref")
 				if d := cmp.Diff(c.notice, <-r.front.notices, same, cmpopts.EquateEmpty()); d != "" {
@@ -307,4 +312,8 @@
 	if r.c.Run(); len(r.c.jour.Entries()) != 0 {
 		t.Error("Run ended before the call did")
 	}
+	late, reply := r.hand("o", 1, 8, time.Second)
+	if r.c.queue <- late; (<-reply).Verdict != Busy {
+		t.Error("a message that came after the last turn is not refused")
+	}
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -54,6 +54,7 @@
 	To      Destination
 	Items   []Item
 	Timeout time.Duration // how long the relay waits for it in all
+	Before  time.Time     // nothing of it may be written from then on; zero: no bound
 
 	cancel context.CancelFunc
 }
--- a/internal/vrrp/router.go
+++ b/internal/vrrp/router.go
@@ -32,6 +32,7 @@
 	active atomic.Bool
 	kick   chan struct{} // the timer has to be looked at again
 	stop   chan struct{}
+	once   sync.Once
 	done   sync.WaitGroup
 }
 
@@ -72,12 +73,14 @@
 // Active tells whether this router stands for the virtual addresses.
 func (in *Instance) Active() bool { return in.active.Load() }
 
-// Shutdown gives up this router's part and stops it.
+// Shutdown gives up this router's part and stops it; once is enough.
 func (in *Instance) Shutdown() {
-	in.act(func(time.Time) []Packet { return in.m.Shutdown() })
-	close(in.stop)
-	_ = in.conn.Close()
-	in.done.Wait()
+	in.once.Do(func() {
+		in.act(func(time.Time) []Packet { return in.m.Shutdown() })
+		close(in.stop)
+		_ = in.conn.Close()
+		in.done.Wait()
+	})
 }
 
 // act lets the machine do something, and sends what it says.
