--- a/cmd/mastusher/serve.go
+++ b/cmd/mastusher/serve.go
@@ -46,7 +46,7 @@
 	}
 	if cfg.Listen != "" {
 		front := platform.New(cfg, core)
-		core.AddFront(platform.Name, front, relay.ParsePoolConfig(cfg.Known))
+		core.AddFront(platform.Name, front, platform.ParsePoolConfig(cfg.Known))
 		if err := listen(platform.Name, cfg.Listen, front.Handle); err != nil {
 			return err
 		}
--- a/internal/activitypub/signature.go
+++ b/internal/activitypub/signature.go
@@ -14,6 +14,7 @@
 	"fmt"
 	"net/http"
 	"os"
+	"slices"
 	"strings"
 	"time"
 
@@ -102,7 +103,7 @@
 	}
 	names := strings.Fields(strings.ToLower(p["headers"]))
 	for _, want := range signedHeaders {
-		if !contains(names, want) {
+		if !slices.Contains(names, want) {
 			return "", &Refusal{401, "the signature does not cover " + want}
 		}
 	}
@@ -161,15 +162,6 @@
 	return all
 }
 
-func contains(list []string, v string) bool {
-	for _, x := range list {
-		if x == v {
-			return true
-		}
-	}
-	return false
-}
-
 // ReadKey reads a private key from a PEM file, PKCS #8 or PKCS #1.
 func ReadKey(file string) (crypto.Signer, error) {
 	block, err := readPEM(file)
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -7,6 +7,7 @@
 	"encoding/base64"
 	"fmt"
 	"math"
+	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -295,15 +296,26 @@
 	request := httpwire.AppendRequest(nil, "POST", "/v1/outcomes", f.discovery, nil, body)
 	ok := false
 	f.pool.Do(ctx, f.discovery, request, time.Time{}, func(p *httpwire.Response) { ok = p.Status == 204 })
-	return bytesOf(ok, len(notices))
+	return slices.Repeat([]bool{ok}, len(notices))
 }
 
-func bytesOf(v bool, n int) []bool {
-	all := make([]bool, n)
-	for i := range all {
-		all[i] = v
-	}
-	return all
+// ParsePoolConfig reads a list in discovery's form.
+func ParsePoolConfig(list gjson.Result) relay.PoolConfig {
+	p := relay.PoolConfig{Index: list.Get("index").Int(), Whole: list.Get("snapshot").Bool()}
+	list.Get("endpoints").ForEach(func(_, e gjson.Result) bool {
+		d := relay.Destination{Name: e.Get("name").String(), Address: e.Get("address").String(), Zone: e.Get("zone").String(),
+			Kind: e.Get("type").String(), Partner: int(e.Get("group").Int())}
+		switch e.Get("status").String() {
+		case "ready":
+		case "gone":
+			d.State = control.Removed
+		default:
+			d.State = control.Draining
+		}
+		p.Destinations = append(p.Destinations, d)
+		return true
+	})
+	return p
 }
 
 // Watch follows discovery's list of destinations until the watch is lost.
@@ -325,7 +337,7 @@
 		if !gjson.ValidBytes(line) {
 			return fmt.Errorf("platform: a change of %d bytes that is not JSON", len(line))
 		}
-		p := relay.ParsePoolConfig(gjson.ParseBytes(line))
+		p := ParsePoolConfig(gjson.ParseBytes(line))
 		f.index.Store(p.Index)
 		changed(p)
 	}
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -75,7 +75,7 @@
 				t.Fatal(err)
 			}
 			f := New(cfg, core)
-			core.AddFront(Name, quiet{f}, relay.ParsePoolConfig(cfg.Known))
+			core.AddFront(Name, quiet{f}, ParsePoolConfig(cfg.Known))
 			core.Restore(time.Now())
 			s := httpwire.NewServer(&cfg.Limits, f.Handle)
 			go func() { _ = s.Serve(clients) }()
--- a/internal/relay/core_test.go
+++ b/internal/relay/core_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"slices"
 	"testing"
 	"time"
 
@@ -36,11 +37,7 @@
 func (f *fakeFront) Call(_ context.Context, s *RouteStep) []Outcome { f.steps <- s; return <-f.answers }
 func (f *fakeFront) Notify(_ context.Context, n []Notice) []bool {
 	f.notices <- n
-	all := make([]bool, len(n))
-	for i, ok := 0, <-f.taken; i < len(all); i++ {
-		all[i] = ok
-	}
-	return all
+	return slices.Repeat([]bool{<-f.taken}, len(n))
 }
 func (f *fakeFront) Retire(string)                                 {}
 func (f *fakeFront) Watch(context.Context, func(PoolConfig)) error { return nil }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -6,8 +6,6 @@
 	"context"
 	"time"
 
-	"github.com/tidwall/gjson"
-
 	"mastusher/control"
 )
 
@@ -122,22 +120,3 @@
 	Retry   time.Duration
 	Why     string
 }
-
-// ParsePoolConfig reads a list in discovery's form.
-func ParsePoolConfig(list gjson.Result) PoolConfig {
-	p := PoolConfig{Index: list.Get("index").Int(), Whole: list.Get("snapshot").Bool()}
-	list.Get("endpoints").ForEach(func(_, e gjson.Result) bool {
-		d := Destination{Name: e.Get("name").String(), Address: e.Get("address").String(), Zone: e.Get("zone").String(),
-			Kind: e.Get("type").String(), Partner: int(e.Get("group").Int())}
-		switch e.Get("status").String() {
-		case "ready":
-		case "gone":
-			d.State = control.Removed
-		default:
-			d.State = control.Draining
-		}
-		p.Destinations = append(p.Destinations, d)
-		return true
-	})
-	return p
-}
