--- a/internal/hook/hook.go
+++ b/internal/hook/hook.go
@@ -96,6 +96,7 @@
 	close(h.stopped)
 	h.turn <- struct{}{}
 	_ = h.runtime.Close(context.Background())
+	h.log.Info("the hook has stopped", "name", h.name, "failures", h.Failures.Load(), "skipped", h.Skipped.Load())
 }
 
 func (h *Hook) start(ctx context.Context) error {
--- a/internal/hook/hook_test.go
+++ b/internal/hook/hook_test.go
@@ -54,7 +54,7 @@
 }
 
 func TestExample(t *testing.T) {
-	out := &lines{ch: make(chan string, 9)}
+	out := &lines{ch: make(chan string, 20)}
 	h := load(t, build(t, "../../examples/hook"), out)
 	if ok, why := h.Inspect("platform", &relay.Message{ID: "a"}); ok || why != "the message is empty" {
 		t.Errorf("an empty message: %v, %q", ok, why)
--- a/internal/vrrp/router.go
+++ b/internal/vrrp/router.go
@@ -80,6 +80,10 @@
 		close(in.stop)
 		_ = in.conn.Close()
 		in.done.Wait()
+		c := &in.Counts
+		in.log.Info("the virtual router has stopped", "vrid", in.vrid, "sent", c.Sent.Load(), "taken", c.Taken.Load(),
+			"malformed", c.Malformed.Load(), "checksum", c.Checksum.Load(), "other_router", c.OtherRouter.Load(),
+			"stranger", c.Stranger.Load(), "own", c.Own.Load())
 	})
 }
 
