Reload on SIGHUP: move the watch and the notices to the file's new discovery

Checked: main.go registered SIGTERM and SIGINT only, so SIGHUP kept its default; Parse let RELAY_DISCOVERY hide the file's address, so a reload through it would have moved nowhere. Now SIGHUP goes through config.Load; a faulty file is logged with its key and changes nothing. The core ends the front's watch and its notice call and begins both anew at once; the pool config's index has moved into the core, which drops a change that an overtaken watch still reports. Tests: TestReload (file against environment, faulty file), TestMoved (index kept, notice sent again at once).

--- a/cmd/mastusher/main.go
+++ b/cmd/mastusher/main.go
@@ -87,9 +87,10 @@
 		return 0
 	}
 	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: lv}))
-	stop := make(chan os.Signal, 1)
-	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
-	if err := serve(cfg, log, stop); err != nil {
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	again := func() (*config.Config, error) { return config.Load(*file, os.Getenv) }
+	if err := serve(cfg, log, signals, again); err != nil {
 		log.Error("the relay stops", "error", err)
 		return 1
 	}
--- a/cmd/mastusher/main_test.go
+++ b/cmd/mastusher/main_test.go
@@ -1,8 +1,8 @@
 package main
 
 import (
-	"io"
 	"log/slog"
+	"net"
 	"os"
 	"path/filepath"
 	"strings"
@@ -53,9 +53,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	stop, ended, ready := make(chan os.Signal, 1), make(chan error), make(chan struct{}, 9)
-	log := slog.New(slog.NewTextHandler(told(ready), nil))
-	go func() { ended <- serve(cfg, log, stop) }()
+	stop, ended, ready := make(chan os.Signal, 1), make(chan error), make(told, 9)
+	log := slog.New(slog.NewTextHandler(ready, nil))
+	go func() { ended <- serve(cfg, log, stop, nil) }()
 	<-ready // "the relay serves"
 	kept := exchange.Dial(t, address)
 	exchange.Play(t, kept, "testdata/up.txt")
@@ -67,11 +67,58 @@
 	}
 }
 
-type told chan struct{}
+// TestReload: upon SIGHUP the watch moves to the discovery that the file names now, whatever the environment
+// says, and a faulty file changes nothing but for a line that names the key.
+func TestReload(t *testing.T) {
+	file, before, after := filepath.Join(t.TempDir(), "config.json"), exchange.Listen(t), exchange.Listen(t)
+	write := func(discovery string) {
+		s := strings.NewReplacer("STATE", t.TempDir(), `"discovery": "127.0.0.1:1"`, `"discovery": `+discovery).Replace(text)
+		if err := os.WriteFile(file, []byte(s), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	again := func() (*config.Config, error) {
+		return config.Load(file, func(k string) string {
+			return map[string]string{"RELAY_LISTEN": "127.0.0.1:0", "RELAY_DISCOVERY": before.Addr().String()}[k]
+		})
+	}
+	watched := func(l net.Listener) {
+		conn, err := l.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = conn.Close() })
+		exchange.Play(t, conn, "testdata/watch.txt")
+	}
+	write(`"` + before.Addr().String() + `"`)
+	cfg, err := again()
+	if err != nil {
+		t.Fatal(err)
+	}
+	signals, ended, lines := make(chan os.Signal, 1), make(chan error), make(told, 9)
+	go func() { ended <- serve(cfg, slog.New(slog.NewTextHandler(lines, nil)), signals, again) }()
+	<-lines // "the relay serves"
+	watched(before)
+	write(`7`)
+	signals <- syscall.SIGHUP
+	if line := <-lines; !strings.Contains(line, "key discovery") {
+		t.Errorf("the log says %q and names no key", line)
+	}
+	write(`"` + after.Addr().String() + `"`)
+	signals <- syscall.SIGHUP
+	watched(after)
+	signals <- syscall.SIGTERM
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+}
+
+// told passes on what the log says of the relay as a whole.
+type told chan string
 
 func (c told) Write(b []byte) (int, error) {
-	if strings.Contains(string(b), "the relay") {
-		c <- struct{}{}
+	if strings.Contains(string(b), "the relay") || strings.Contains(string(b), "configuration") {
+		c <- string(b)
 	}
-	return io.Discard.Write(b)
+	return len(b), nil
 }
--- a/cmd/mastusher/serve.go
+++ b/cmd/mastusher/serve.go
@@ -7,6 +7,7 @@
 	"os"
 	"runtime"
 	"runtime/debug"
+	"syscall"
 	"time"
 
 	"mastusher/internal/activitypub"
@@ -19,8 +20,9 @@
 	"mastusher/internal/vrrp"
 )
 
-// serve runs the relay until stop says to end it and what it holds is finished or safe in the journal.
-func serve(cfg *config.Config, log *slog.Logger, stop <-chan os.Signal) error {
+// serve runs the relay until a signal says to end it and what it holds is finished or safe in the journal.
+// Upon SIGHUP it reads its configuration again and moves to the discovery that is named there.
+func serve(cfg *config.Config, log *slog.Logger, signals <-chan os.Signal, again func() (*config.Config, error)) error {
 	runtime.GOMAXPROCS(cfg.Limits.Cores)
 	debug.SetMemoryLimit(cfg.Limits.Memory * 3 / 4)
 	jour, err := journal.Open(cfg.State, cfg.Limits.Disk)
@@ -44,8 +46,9 @@
 		go func() { _ = s.Serve(l) }()
 		return nil
 	}
+	var front *platform.Front // nil: off
 	if cfg.Listen != "" {
-		front := platform.New(cfg, core)
+		front = platform.New(cfg, core)
 		core.AddFront(platform.Name, front, platform.ParsePoolConfig(cfg.Known))
 		if err := listen(platform.Name, cfg.Listen, front.Handle); err != nil {
 			return err
@@ -78,15 +81,23 @@
 	}
 	core.Restore(time.Now())
 	go func() {
-		s := <-stop
-		log.Info("the relay drains", "signal", s.String())
-		if router != nil {
-			router.Shutdown() // the others need not wait for this process to end
-		}
-		for _, s := range servers {
-			s.Retire()
+		draining := false
+		for s := range signals {
+			switch {
+			case s == syscall.SIGHUP:
+				reload(front, log, again)
+			case !draining:
+				draining = true
+				log.Info("the relay drains", "signal", s.String())
+				if router != nil {
+					router.Shutdown() // the others need not wait for this process to end
+				}
+				for _, s := range servers {
+					s.Retire()
+				}
+				core.Drain()
+			}
 		}
-		core.Drain()
 	}()
 	log.Info("the relay serves", "name", cfg.Name, "listen", cfg.Listen)
 	core.Run()
@@ -102,3 +113,16 @@
 	}
 	return jour.Close()
 }
+
+// reload reads the configuration again. A faulty one changes nothing: the relay goes on with what it has.
+func reload(front *platform.Front, log *slog.Logger, again func() (*config.Config, error)) {
+	cfg, err := again()
+	if err != nil {
+		log.Error("the new configuration is not taken", "error", err)
+		return
+	}
+	log.Info("the relay reloads", "discovery", cfg.Discovery)
+	if front != nil {
+		front.Move(cfg.Discovery)
+	}
+}
--- a/internal/activitypub/front.go
+++ b/internal/activitypub/front.go
@@ -146,7 +146,7 @@
 func (f *Front) Retire(address string) { f.pool.Retire(address) }
 
 // Watch has nothing to follow: the partners stand in the configuration.
-func (f *Front) Watch(context.Context, func(relay.PoolConfig)) error { return nil }
+func (f *Front) Watch(context.Context, int64, func(relay.PoolConfig)) error { return nil }
 
 // Handle answers a request on a front socket.
 func (f *Front) Handle(q *httpwire.Request) httpwire.Answer {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -124,8 +124,9 @@
 
 func (e *KeyError) Error() string { return fmt.Sprintf("config: key %s: %s", e.Key, e.Why) }
 
-// Load reads the file that RELAY_CONFIG names, or file if that is not empty; RELAY_NAME, RELAY_LISTEN,
-// RELAY_DISCOVERY and RELAY_STATE from the environment go before the file.
+// Load reads the file that RELAY_CONFIG names, or file if that is not empty; RELAY_NAME, RELAY_LISTEN and
+// RELAY_STATE from the environment go before the file. RELAY_DISCOVERY goes after it: a file can be replaced
+// while the process runs, its environment can't, so where the two differ the file is the newer.
 func Load(file string, env func(string) string) (*Config, error) {
 	if file == "" {
 		file = env("RELAY_CONFIG")
@@ -153,7 +154,7 @@
 		return p.text(key, "")
 	}
 	c := &Config{Name: or("RELAY_NAME", "name"), Listen: or("RELAY_LISTEN", "listen"),
-		Discovery: or("RELAY_DISCOVERY", "discovery"), State: or("RELAY_STATE", "state"), Known: p.root.Get("known")}
+		Discovery: p.text("discovery", env("RELAY_DISCOVERY")), State: or("RELAY_STATE", "state"), Known: p.root.Get("known")}
 	p.need("state", c.State != "", "missing, and RELAY_STATE is not set")
 	c.Seed = seed(p.text("seed", ""))
 	raw := p.root.Get("settings")
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -30,19 +30,23 @@
 	core      *relay.Core
 	set       *wire.Settings
 	lim       *config.Limits
-	discovery string
+	discovery atomic.Pointer[string] // its address
 	pool      *httpwire.Pool
-	index     atomic.Int64 // of the pool config
 }
 
 // New returns the front of core; it still has to be added to it.
 func New(cfg *config.Config, core *relay.Core) *Front {
-	f := &Front{core: core, set: &cfg.Settings, lim: &cfg.Limits, discovery: cfg.Discovery,
-		pool: httpwire.NewPool(&cfg.Limits)}
-	f.index.Store(cfg.Known.Get("index").Int())
+	f := &Front{core: core, set: &cfg.Settings, lim: &cfg.Limits, pool: httpwire.NewPool(&cfg.Limits)}
+	f.discovery.Store(&cfg.Discovery)
 	return f
 }
 
+// Move takes discovery to be at address from now on.
+func (f *Front) Move(address string) {
+	f.discovery.Store(&address)
+	f.core.Moved(Name)
+}
+
 // TellsDeliveries is false: the platform counts the deliveries itself.
 func (f *Front) TellsDeliveries() bool { return false }
 
@@ -293,9 +297,10 @@
 			body = append(body, ",\"outcome\":\"given_up\"}\n"...)
 		}
 	}
-	request := httpwire.AppendRequest(nil, "POST", "/v1/outcomes", f.discovery, nil, body)
+	discovery := *f.discovery.Load()
+	request := httpwire.AppendRequest(nil, "POST", "/v1/outcomes", discovery, nil, body)
 	ok := false
-	f.pool.Do(ctx, f.discovery, request, time.Time{}, func(p *httpwire.Response) { ok = p.Status == 204 })
+	f.pool.Do(ctx, discovery, request, time.Time{}, func(p *httpwire.Response) { ok = p.Status == 204 })
 	return slices.Repeat([]bool{ok}, len(notices))
 }
 
@@ -319,13 +324,15 @@
 }
 
 // Watch follows discovery's list of destinations until the watch is lost.
-func (f *Front) Watch(ctx context.Context, changed func(relay.PoolConfig)) error {
-	path := fmt.Sprintf("/discovery/hosts?watch=1&after=%d", f.index.Load())
-	s, err := httpwire.OpenStream(ctx, f.discovery, httpwire.AppendRequest(nil, "GET", path, f.discovery, nil, nil), f.lim)
+func (f *Front) Watch(ctx context.Context, after int64, changed func(relay.PoolConfig)) error {
+	discovery := *f.discovery.Load()
+	path := fmt.Sprintf("/discovery/hosts?watch=1&after=%d", after)
+	s, err := httpwire.OpenStream(ctx, discovery, httpwire.AppendRequest(nil, "GET", path, discovery, nil, nil), f.lim)
 	if err != nil {
 		return err
 	}
 	defer s.Close()
+	defer context.AfterFunc(ctx, s.Close)()
 	for {
 		line, err := s.Next()
 		if err != nil {
@@ -337,8 +344,6 @@
 		if !gjson.ValidBytes(line) {
 			return fmt.Errorf("platform: a change of %d bytes that is not JSON", len(line))
 		}
-		p := ParsePoolConfig(gjson.ParseBytes(line))
-		f.index.Store(p.Index)
-		changed(p)
+		changed(ParsePoolConfig(gjson.ParseBytes(line)))
 	}
 }
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -108,7 +108,7 @@
 // quiet is the front without its watch, which TestWatch covers.
 type quiet struct{ *Front }
 
-func (quiet) Watch(context.Context, func(relay.PoolConfig)) error { return nil }
+func (quiet) Watch(context.Context, int64, func(relay.PoolConfig)) error { return nil }
 
 // TestOutcomes reads every answer that a destination may give: whether a message may be sent again hangs on it.
 func TestOutcomes(t *testing.T) {
@@ -177,7 +177,7 @@
 	done := make(chan bool, 1)
 	go play(t, l, "testdata/watch.txt", done)
 	var got []relay.PoolConfig
-	if err := f.Watch(context.Background(), func(p relay.PoolConfig) { got = append(got, p) }); err == nil {
+	if err := f.Watch(context.Background(), 41, func(p relay.PoolConfig) { got = append(got, p) }); err == nil {
 		t.Error("the watch ended with no error")
 	}
 	<-done
@@ -186,7 +186,4 @@
 	if d := cmp.Diff(want, got, cmpopts.IgnoreUnexported(relay.Destination{})); d != "" {
 		t.Errorf("(-want +got)\n%s", d)
 	}
-	if f.index.Load() != 43 { // the next watch goes on from there
-		t.Errorf("index %d", f.index.Load())
-	}
 }
--- a/internal/relay/core.go
+++ b/internal/relay/core.go
@@ -57,9 +57,12 @@
 	name    string
 	no      int
 	Front   Front
-	list    map[string]uint32 // its destinations
+	list    map[string]uint32  // its destinations
+	index   int64              // of the newest pool config
+	watchNo int                // of the watch that was begun last
+	unwatch context.CancelFunc // ends that watch; nil: it has ended
 	owed    []Notice
-	sending bool
+	unsend  context.CancelFunc // ends the call with notices that is out; nil: none is
 	retryAt time.Time
 	gap     time.Duration // before the next try
 }
@@ -237,6 +240,27 @@
 	}
 }
 
+// Moved tells that a front's discovery stands somewhere else now: its watch and its notices go there at once.
+func (c *Core) Moved(front string) { c.queue <- moved{front} }
+
+type moved struct{ front string }
+
+func (v moved) apply(c *Core, now time.Time) {
+	f := c.fronts[v.front]
+	if f == nil {
+		return
+	}
+	if f.unwatch != nil {
+		f.unwatch()
+		f.unwatch = nil // what it still reports of its end is out of date
+	}
+	c.watchAt = now
+	if f.unsend != nil {
+		f.unsend() // comes back as not taken
+	}
+	f.retryAt, f.gap = now, 0
+}
+
 type drain struct{}
 
 func (drain) apply(c *Core, now time.Time) { c.drainAt = now }
@@ -281,6 +305,10 @@
 }
 
 func (p poolChanged) apply(c *Core, _ time.Time) {
+	if !p.Whole && p.Index < p.front.index { // from a watch that a newer one has overtaken
+		return
+	}
+	p.front.index = p.Index
 	ev := control.Event{Kind: control.Listed, Whole: p.Whole}
 	if p.Whole {
 		p.front.list = map[string]uint32{}
@@ -304,9 +332,18 @@
 		Destination: d.front.no<<20 + d.Partner, State: d.State}
 }
 
-type watchLost struct{ err error }
+type watchEnded struct {
+	front *frontState
+	no    int
+	err   error
+}
 
-func (w watchLost) apply(c *Core, now time.Time) {
+func (w watchEnded) apply(c *Core, now time.Time) {
+	if w.no != w.front.watchNo || w.front.unwatch == nil {
+		return // it was ended here, for another
+	}
+	w.front.unwatch()
+	w.front.unwatch = nil
 	c.log.Info("the pool config's watch is lost", "error", w.err)
 	if c.set.Ask {
 		c.in = append(c.in, control.Event{Kind: control.ListFailed}) // the module says when to ask again
@@ -317,13 +354,16 @@
 
 type notified struct {
 	front *frontState
+	ctx   context.Context
 	sent  []Notice
 	taken []bool
 }
 
 func (n notified) apply(c *Core, now time.Time) {
-	n.front.sending = false
-	if !slices.Contains(n.taken, false) {
+	moved := n.ctx.Err() == context.Canceled // while this call was out: the next goes elsewhere, and at once
+	n.front.unsend()
+	n.front.unsend = nil
+	if moved || !slices.Contains(n.taken, false) {
 		n.front.gap = 0
 	} else { // twice as long each time in a row
 		n.front.gap = min(max(2*n.front.gap, c.lim.NoticeRetry), c.lim.NoticeRetryMost)
@@ -547,12 +587,20 @@
 	}
 }
 
+// watch begins a watch for each front that has none.
 func (c *Core) watch() {
 	c.watchAt = time.Time{}
 	for _, f := range c.order {
+		if f.unwatch != nil {
+			continue
+		}
+		var ctx context.Context
+		ctx, f.unwatch = context.WithCancel(c.ctx)
+		f.watchNo++
+		no, after := f.watchNo, f.index
 		go func() {
-			if err := f.Front.Watch(c.ctx, func(p PoolConfig) { c.queue <- poolChanged{f, p} }); err != nil {
-				c.queue <- watchLost{err}
+			if err := f.Front.Watch(ctx, after, func(p PoolConfig) { c.queue <- poolChanged{f, p} }); err != nil {
+				c.queue <- watchEnded{f, no, err}
 			}
 		}()
 	}
@@ -561,18 +609,15 @@
 // notify sends the notices owed, one call a front at a time.
 func (c *Core) notify(now time.Time) {
 	for _, f := range c.order {
-		if f.sending || len(f.owed) == 0 || now.Before(f.retryAt) {
+		if f.unsend != nil || len(f.owed) == 0 || now.Before(f.retryAt) {
 			continue
 		}
 		n := min(len(f.owed), c.lim.NoticesPerCall)
 		batch := slices.Clone(f.owed[:n])
 		f.owed = slices.Delete(f.owed, 0, n)
-		f.sending = true
-		go func() {
-			ctx, cancel := context.WithTimeout(c.ctx, c.lim.NoticeTimeout)
-			defer cancel()
-			c.queue <- notified{f, batch, f.Front.Notify(ctx, batch)}
-		}()
+		var ctx context.Context
+		ctx, f.unsend = context.WithTimeout(c.ctx, c.lim.NoticeTimeout)
+		go func() { c.queue <- notified{f, ctx, batch, f.Front.Notify(ctx, batch)} }()
 	}
 }
 
@@ -638,7 +683,7 @@
 	until(c.wakeAt)
 	until(c.watchAt)
 	for _, f := range c.order {
-		if len(f.owed) > 0 && !f.sending {
+		if len(f.owed) > 0 && f.unsend == nil {
 			until(f.retryAt)
 		}
 	}
--- a/internal/relay/core_test.go
+++ b/internal/relay/core_test.go
@@ -32,6 +32,7 @@
 	notices chan []Notice
 	taken   chan bool
 	tells   bool
+	watches chan int64 // after which index each was begun
 }
 
 func (f *fakeFront) Call(_ context.Context, s *RouteStep) []Outcome { f.steps <- s; return <-f.answers }
@@ -39,9 +40,13 @@
 	f.notices <- n
 	return slices.Repeat([]bool{<-f.taken}, len(n))
 }
-func (f *fakeFront) Retire(string)                                 {}
-func (f *fakeFront) Watch(context.Context, func(PoolConfig)) error { return nil }
-func (f *fakeFront) TellsDeliveries() bool                         { return f.tells }
+func (f *fakeFront) Retire(string) {}
+func (f *fakeFront) Watch(ctx context.Context, after int64, _ func(PoolConfig)) error {
+	f.watches <- after
+	<-ctx.Done()
+	return ctx.Err()
+}
+func (f *fakeFront) TellsDeliveries() bool { return f.tells }
 
 // rig is a core whose turns and clock the test drives.
 type rig struct {
@@ -67,7 +72,8 @@
 		t.Fatal(err)
 	}
 	r := &rig{t: t, c: c, now: now, dir: dir, front: &fakeFront{steps: make(chan *RouteStep, 9),
-		answers: make(chan []Outcome, 9), notices: make(chan []Notice, 9), taken: make(chan bool, 9)}}
+		answers: make(chan []Outcome, 9), notices: make(chan []Notice, 9), taken: make(chan bool, 9),
+		watches: make(chan int64, 9)}}
 	c.AddFront("platform", r.front, PoolConfig{Destinations: []Destination{
 		{Name: "s-1", Zone: "a", Kind: "news-groups", Partner: 7}, {Name: "s-2", Zone: "a", Kind: "club-sites", Partner: 8}}})
 	c.Restore(now)
@@ -286,7 +292,7 @@
 func TestPoolConfig(t *testing.T) {
 	r := newRig(t, t.TempDir(), time.Now())
 	r.c.AddFront("other", r.front, PoolConfig{Destinations: []Destination{{Name: "s-1", Partner: 7}}})
-	r.after(0, poolChanged{r.c.order[1], PoolConfig{Whole: true}}, watchLost{})
+	r.after(0, poolChanged{r.c.order[1], PoolConfig{Whole: true}})
 	a, _ := r.hand("m", 1, 8, time.Second)
 	if r.after(0, a); (<-r.front.steps).To.Name != "s-2" {
 		t.Error("the first front's destination is gone")
@@ -316,3 +322,33 @@
 		t.Error("a message that came after the last turn is not refused")
 	}
 }
+
+// TestMoved guards against a reload that leaves the watch or the notices with the old discovery, which takes
+// no new connection, and against one that asks for what has been told already or forgets what has not.
+func TestMoved(t *testing.T) {
+	r := newRig(t, t.TempDir(), time.Now())
+	if got := <-r.front.watches; got != 0 {
+		t.Errorf("the first watch goes on after %d", got)
+	}
+	r.after(0, poolChanged{r.c.order[0], PoolConfig{Index: 43}})
+	a, _ := r.hand("m", 0, 8, 2*time.Second)
+	r.after(0, a)
+	<-r.front.steps
+	r.answered(Outcome{Result: control.Rejected})
+	<-r.front.notices // goes to the old discovery, and gets no answer there
+	call := r.c.order[0].unsend
+	r.after(0, moved{"platform"}, moved{"nobody"})
+	if got := <-r.front.watches; got != 43 {
+		t.Errorf("the new watch goes on after %d, want 43", got)
+	}
+	r.front.taken <- false
+	for range 2 { // that call's end, and the old watch's
+		r.after(0, <-r.c.queue)
+	}
+	if got := <-r.front.notices; call == nil || len(got) != 1 || got[0].ID != "m" {
+		t.Errorf("notices %+v, want that of m again, at once", got)
+	}
+	if len(r.front.watches) != 0 {
+		t.Error("the end of the old watch has begun one more")
+	}
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -89,8 +89,9 @@
 	Notify(ctx context.Context, notices []Notice) []bool
 	// Retire closes the idle connections to address, or all that are too old if it is empty.
 	Retire(address string)
-	// Watch reports changes of the pool config until it is lost or ctx ends; a front without one returns nil.
-	Watch(ctx context.Context, changed func(PoolConfig)) error
+	// Watch reports what has changed in the pool config since the index after, until it is lost or ctx ends; a
+	// front without one returns nil.
+	Watch(ctx context.Context, after int64, changed func(PoolConfig)) error
 	// TellsDeliveries is true if its clients are owed a notice of a delivery too.
 	TellsDeliveries() bool
 }
