--- a/Makefile
+++ b/Makefile
@@ -33,5 +33,6 @@
 fuzz:
 	go test -run '^$$' -fuzz FuzzReadBatch -fuzztime 10s ./internal/wire
 	go test -run '^$$' -fuzz FuzzReadRequest -fuzztime 10s ./internal/httpwire
+	go test -run '^$$' -fuzz FuzzReadResponse -fuzztime 10s ./internal/httpwire
 	go test -run '^$$' -fuzz FuzzReplay -fuzztime 10s ./internal/journal
 	go test -run '^$$' -fuzz FuzzDecode -fuzztime 10s ./internal/vrrp
--- a/control/api.go
+++ b/control/api.go
@@ -141,6 +141,7 @@
 	Cancelled
 	Moot
 	Rejected // for good: no other attempt would fare better
+	Spoilt   // an answer came that can't be read
 	Unknown
 )
 
@@ -205,6 +206,7 @@
 	Wake                            // At
 	Subscribe                       // to changes of the list
 	Close                           // Endpoint: its idle connections
+	Recall                          // ID: its attempt, if nothing of it has been written yet
 	Log                             // Text
 )
 
--- a/control/control.go
+++ b/control/control.go
@@ -217,7 +217,7 @@
 	for _, c := range set.Classes {
 		longest = max(longest, c.Deadline)
 	}
-	s := &Sender{set: set, rng: seed, nodes: map[int]*node{}, eps: map[uint32]*endpoint{},
+	s := &Sender{set: set, longest: longest, rng: seed, nodes: map[int]*node{}, eps: map[uint32]*endpoint{},
 		msgs: map[uint64]*message{}, keys: map[uint64]*keyLine{},
 		kinds: make([]kindSeen, len(set.Kinds)+1), budget: budgetMost / 2}
 	for i := range s.kinds {
@@ -270,7 +270,7 @@
 	return out
 }
 
-// listed takes over the list. An endpoint is never forgotten, only marked, since calls to it may be out.
+// listed takes over the list. What has left it is only marked at first, since calls to it may be out.
 func (s *Sender) listed(ev *Event) {
 	s.askAt, s.askGap = 0, 0
 	if ev.Whole {
@@ -287,6 +287,44 @@
 		}
 		e.state, e.node.stale = l.State, true
 	}
+	s.order = slices.DeleteFunc(s.order, func(n *node) bool {
+		n.eps = slices.DeleteFunc(n.eps, s.left)
+		n.dests = slices.DeleteFunc(n.dests, func(d *destination) bool {
+			return !slices.ContainsFunc(n.eps, func(e *endpoint) bool { return e.dest == d })
+		})
+		if len(n.eps) > 0 || len(n.held) > 0 || n.active {
+			return false
+		}
+		delete(s.nodes, n.id)
+		return true
+	})
+}
+
+// left calls back what is still on its way to an endpoint that is no longer ready, and tells whether the
+// endpoint can be forgotten: it is long gone, no call to it is out and no wait binds.
+func (s *Sender) left(e *endpoint) bool {
+	if e.state != Ready {
+		s.recall(e)
+	}
+	switch {
+	case e.state != Removed:
+		e.goneAt = 0
+	case e.goneAt == 0:
+		e.goneAt = s.now
+	case s.now-e.goneAt > s.longest && len(e.out) == 0 && e.dest.wait <= s.now:
+		delete(s.eps, e.id)
+		s.linked = slices.DeleteFunc(s.linked, func(o *endpoint) bool { return o == e })
+		return true
+	}
+	return false
+}
+
+// recall calls back what is on its way to e: a connection that comes up slowly must not carry a call to an
+// endpoint that has meanwhile told to wait, or is to get nothing new.
+func (s *Sender) recall(e *endpoint) {
+	for _, m := range e.out {
+		s.do(Action{Kind: Recall, ID: m.id})
+	}
 }
 
 func (s *Sender) learn(l Endpoint) *endpoint {
@@ -581,8 +619,19 @@
 	case Moot, Cancelled:
 	case Rejected: // it answers, so it is up
 		s.fine(d)
+	case Spoilt: // so it does here, in its usual time
+		e.t.add(s.now, s.edges, took)
+		e.node.t.add(s.now, s.edges, took)
+		d.newest = max(d.newest, m.sentAt)
+		s.fine(d)
 	case Full:
-		d.wait = max(d.wait, s.now+ev.Wait)
+		if d.wait = max(d.wait, s.now+ev.Wait); ev.Wait > 0 {
+			for _, o := range e.node.eps {
+				if o.dest == d {
+					s.recall(o)
+				}
+			}
+		}
 		s.cut(d, &s.kinds[e.kindNo])
 		s.fail(d, true)
 	case TimedOut:
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -1001,3 +1001,67 @@
 		}
 	}
 }
+
+// What has left the list is forgotten once nothing of it can be unfinished, but not a wait that still binds.
+func TestForgetsWhatIsGone(t *testing.T) {
+	r := newRig(t, settings(), Endpoint{ID: 1, Kind: 1}, Endpoint{ID: 2, Kind: 1, Destination: 5})
+	to := of(r.step(r.arrive(1, 2)), Send)[0].Endpoint
+	told := outcome(1, 0, to, Full)
+	told.Wait = time.Minute
+	r.step(told)
+	for range 3 {
+		r.step(Event{Kind: Listed, Whole: true})
+		if len(r.s.eps) != 2 {
+			t.Fatalf("%d endpoints are known after %v, want 2", len(r.s.eps), r.now)
+		}
+		r.now += 10 * time.Second
+	}
+	if r.step(Event{Kind: Listed}); len(r.s.eps) != 1 || len(r.s.order) != 1 || len(r.s.nodes) != 1 {
+		t.Errorf("%d endpoints, %d destinations, want the one whose wait binds", len(r.s.eps), len(r.s.order))
+	}
+	r.now += time.Minute
+	if r.step(Event{Kind: Listed}); len(r.s.eps)+len(r.s.order)+len(r.s.nodes)+len(r.s.linked) != 0 {
+		t.Errorf("%d endpoints and %d destinations are still known", len(r.s.eps), len(r.s.order))
+	}
+	if r.step(Event{Kind: Listed, Endpoints: []Endpoint{{ID: 3}}}, r.arrive(2, 0)); len(of(r.out, Send)) != 1 {
+		t.Error("nothing is sent to one that is new there")
+	}
+}
+
+// An answer that can't be read says nothing against the endpoint: it is up, and took its usual time.
+func TestSpoiltIsNoOutage(t *testing.T) {
+	r := newRig(t, settings(), Endpoint{ID: 1})
+	r.warm(5, 100*ms)
+	for i := range uint64(4) {
+		r.step(r.arrive(i, 0))
+		r.now += 100 * ms
+		acts := r.step(outcome(i, 0, 1, Spoilt))
+		if got := of(acts, Send); len(got) != 1 || got[0].ID != i {
+			t.Fatalf("after %d spoilt answers: sent %v, want the message again", i+1, got)
+		}
+		r.now += 100 * ms
+		r.step(outcome(i, 1, 1, Delivered))
+	}
+	r.step(r.arrive(9, 2))
+	if r.step(outcome(9, 0, 1, Spoilt)); len(of(r.out, Fail)) != 1 {
+		t.Error("it proves that the message ran: one that must not run twice has failed")
+	}
+}
+
+// A connection may come up only after a wait was told: what is on its way is called back.
+func TestRecallsWhatIsOnItsWay(t *testing.T) {
+	r := newRig(t, settings(), Endpoint{ID: 1}, Endpoint{ID: 2, Destination: 5})
+	elsewhere := r.arrive(3, 0)
+	elsewhere.Destination = 5
+	r.step(r.arrive(1, 0), r.arrive(2, 0), elsewhere)
+	told := outcome(1, 0, 1, Full)
+	if told.Wait = time.Second; len(of(r.out, Send)) != 3 {
+		t.Fatalf("sent %v", r.out)
+	}
+	if got := of(r.step(told), Recall); len(got) != 1 || got[0].ID != 2 {
+		t.Errorf("called back %v, want message 2", got)
+	}
+	if got := of(r.step(Event{Kind: Listed, Endpoints: []Endpoint{{ID: 2, Destination: 5, State: Draining}}}), Recall); len(got) != 1 {
+		t.Errorf("called back %v, want message 3", got)
+	}
+}
--- a/control/state.go
+++ b/control/state.go
@@ -22,7 +22,8 @@
 	turn   uint64     // the Step in which call was opened
 	call   *call
 	kindNo int
-	linked bool // it may hold an idle connection
+	linked bool          // it may hold an idle connection
+	goneAt time.Duration // when it left the list; 0: it is on it
 }
 
 // kindSeen is what a sender has seen of one kind of destination.
@@ -98,6 +99,7 @@
 // Sender makes the decisions of one sender. It is not safe for concurrent use.
 type Sender struct {
 	set           Settings
+	longest       time.Duration // deadline of a class
 	edges         []float64
 	rng           uint64
 	now           time.Duration
--- a/internal/activitypub/activitypub_test.go
+++ b/internal/activitypub/activitypub_test.go
@@ -10,6 +10,7 @@
 	"io"
 	"log/slog"
 	"net"
+	"net/url"
 	"os"
 	"path/filepath"
 	"strconv"
@@ -22,6 +23,7 @@
 	"github.com/google/go-cmp/cmp"
 	"github.com/tidwall/gjson"
 
+	"mastusher/control"
 	"mastusher/internal/config"
 	"mastusher/internal/exchange"
 	"mastusher/internal/httpwire"
@@ -60,7 +62,7 @@
 }
 
 func serve(t *testing.T, l net.Listener, handle httpwire.Handler) {
-	lim := &config.Limits{HeadSize: 16 << 10, BodySize: 64 << 10, FrontSockets: 400, FrontIdle: time.Minute, FrontRead: time.Minute}
+	lim := &config.Limits{HeadSize: 16 << 10, BodySize: 64 << 10, FrontSockets: 400, FrontIdle: time.Minute, FrontRead: time.Minute, FrontWrite: time.Minute}
 	s := httpwire.NewServer(lim, handle)
 	go func() { _ = s.Serve(l) }()
 	t.Cleanup(func() { _ = l.Close(); s.Close() })
@@ -385,6 +387,24 @@
 	}
 }
 
+// TestSpoilt: as on the other front, the first line of a spoilt answer tells a delivery, and nothing else.
+func TestSpoilt(t *testing.T) {
+	none := stand(t, nil)
+	f, _ := start(t, none, none)
+	for status, want := range map[string]control.Result{"202": control.Delivered, "503": control.Spoilt} {
+		l := exchange.Listen(t)
+		go func() {
+			if conn, err := l.Accept(); err == nil {
+				exchange.Play(t, conn, "testdata/spoilt.txt", "{status}", status)
+			}
+		}()
+		u := &url.URL{Scheme: "http", Host: l.Addr().String(), Path: "/inbox"}
+		if d := cmp.Diff(relay.Outcome{Result: want}, f.post(t.Context(), u, nil, nil)); d != "" {
+			t.Errorf("%s (-want +got)\n%s", status, d)
+		}
+	}
+}
+
 // TestKeys: a key made by make-key signs, and its public half checks that.
 func TestKeys(t *testing.T) {
 	file := filepath.Join(t.TempDir(), "key")
--- a/internal/activitypub/front.go
+++ b/internal/activitypub/front.go
@@ -32,7 +32,7 @@
 // Taker is the part of the core that takes messages on.
 type Taker interface {
 	Take(front string, m relay.Message) relay.Reply
-	Withdraw(front, id string)
+	Withdraw(relay.Reply)
 	Ready() bool
 }
 
@@ -143,7 +143,13 @@
 func (f *Front) TellsDeliveries() bool { return true }
 
 // Retire closes idle connections.
-func (f *Front) Retire(address string) { f.pool.Retire(address) }
+func (f *Front) Retire(to *relay.Destination) {
+	if to == nil {
+		f.pool.Retire(httpwire.Peer{})
+	} else {
+		f.pool.Retire(httpwire.Peer{Address: to.Address})
+	}
+}
 
 // Watch has nothing to follow: the partners stand in the configuration.
 func (f *Front) Watch(context.Context, int64, func(relay.PoolConfig)) error { return nil }
@@ -182,7 +188,7 @@
 	m.Partner = partner
 	switch r := f.core.Take(Name, m); r.Verdict {
 	case relay.Taken:
-		return httpwire.Answer{Status: 202, Lost: func() { f.core.Withdraw(Name, m.ID) }}
+		return httpwire.Answer{Status: 202, Lost: func() { f.core.Withdraw(r) }}
 	case relay.Busy:
 		return platform.BusyReply(r.Retry)
 	case relay.Rejected:
@@ -259,12 +265,12 @@
 func (f *Front) Call(ctx context.Context, step *relay.RouteStep) []relay.Outcome {
 	outs := make([]relay.Outcome, len(step.Items))
 	for i := range step.Items {
-		outs[i] = f.post(ctx, f.inboxes[step.To.Name], step.Items[i].Body, step.Before)
+		outs[i] = f.post(ctx, f.inboxes[step.To.Name], step.Items[i].Body, step.MayWrite)
 	}
 	return outs
 }
 
-func (f *Front) post(ctx context.Context, u *url.URL, body []byte, before time.Time) (o relay.Outcome) {
+func (f *Front) post(ctx context.Context, u *url.URL, body []byte, mayWrite func() bool) (o relay.Outcome) {
 	if u == nil {
 		return relay.Outcome{Result: control.Rejected}
 	}
@@ -274,9 +280,9 @@
 		return relay.Outcome{Result: control.Moot}
 	}
 	request := httpwire.AppendRequest(nil, "POST", u.RequestURI(), u.Host, head, body)
-	stage := f.pool.Do(ctx, address(u), request, before, func(p *httpwire.Response) { o = outcome(p) })
-	if r, failed := platform.StageResult(stage); failed {
-		o.Result = r
+	stage := f.pool.Do(ctx, httpwire.Peer{Address: address(u)}, request, mayWrite, func(p *httpwire.Response) { o = outcome(p) })
+	if r, failed := platform.StageResult(stage); failed && (stage != httpwire.Spoilt || o.Result != control.Delivered) {
+		o = relay.Outcome{Result: r}
 	}
 	return o
 }
@@ -319,7 +325,7 @@
 		room <- struct{}{}
 		go func() {
 			defer func() { <-room; all.Done() }()
-			r := f.post(ctx, u, f.answer(n), time.Time{}).Result
+			r := f.post(ctx, u, f.answer(n), nil).Result
 			taken[i] = r == control.Delivered || r == control.Rejected
 		}()
 	}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -26,6 +26,7 @@
 	Sockets  int   // descriptors of the process
 	HeadSize int   // bytes of a request's or answer's first line and headers
 	BodySize int   // bytes of a body
+	NameSize int   // bytes of an id or key
 
 	FrontSockets       int // clients' connections at once
 	Queue              int // events on their way to the core
@@ -37,8 +38,12 @@
 	BusyRetry       time.Duration // told with a busy reply that the module had no part in
 	ConnectTimeout  time.Duration
 	IdleSocket      time.Duration // a pooled connection is retired after this
+	AnswerRead      time.Duration // an answer must be whole within this, from its first byte
+	Provisional     int           // answers to one call, of which all but the last are 1xx
 	FrontIdle       time.Duration // a client's connection may stand idle for this long
-	FrontRead       time.Duration // a request must be whole within this, from its first byte
+	FrontRead       time.Duration // a request must be whole within this, from its first byte; the first of a connection, from its start
+	FrontWrite      time.Duration // a client takes its answer within this
+	FrontRest       time.Duration // what follows a request that was turned away is not read before
 	FrontLinger     time.Duration // how long what follows a faulty request is still read
 	WatchSilence    time.Duration // a watch that says nothing for so long is dead
 	WatchRetry      time.Duration
@@ -202,10 +207,11 @@
 		Memory:   int64(p.number("limits.memory_mb", 192, 16, 1<<20)) << 20,
 		Disk:     int64(p.number("limits.disk_mb", 3, 0.5, 1<<20) * (1 << 20)),
 		Sockets:  int(p.number("limits.sockets", 1024, 64, 1<<20)),
-		HeadSize: 16 << 10, BodySize: 64 << 10,
+		HeadSize: 16 << 10, BodySize: 64 << 10, NameSize: 256,
 		Queue: 4096, IdlePerDestination: 16,
 		AnswerWithin: 300 * time.Millisecond, BusyRetry: 500 * time.Millisecond,
-		FrontIdle: time.Minute, FrontRead: 10 * time.Second, FrontLinger: time.Second,
+		FrontIdle: 2 * time.Second, FrontRead: 2500 * time.Millisecond, FrontWrite: 2 * time.Second,
+		AnswerRead: 500 * time.Millisecond, Provisional: 64, FrontRest: 50 * time.Millisecond, FrontLinger: 400 * time.Millisecond,
 		WatchSilence: 5 * time.Second, WatchRetry: 250 * time.Millisecond,
 		NoticeTimeout: time.Second, NoticeRetry: 100 * time.Millisecond, NoticesPerCall: 200,
 		NoticeRetryMost: time.Second, NoticesAtOnce: 16, Remembered: 20000,
--- a/internal/httpwire/client.go
+++ b/internal/httpwire/client.go
@@ -8,6 +8,7 @@
 	"math"
 	"net"
 	"net/http/httputil"
+	"slices"
 	"strconv"
 	"sync"
 	"syscall"
@@ -22,29 +23,36 @@
 // The stages.
 const (
 	Answered     Stage = iota // there is an answer
+	Spoilt                    // there is one, of which at most the first line could be read: it has run
+	Withheld                  // it was called back before its first byte: it has not run
 	NotConnected              // its last byte was never written: it has not run
 	Broken                    // the connection broke after that: it may have run
 	TimedOut                  // no answer came in time: it may have run
 	CalledOff                 // the context was cancelled: it may have run
 )
 
+// Peer is a machine to call. One that takes over another's address is not the same, and must not be called on
+// the connections of the other.
+type Peer struct{ Name, Address string }
+
 // Pool makes calls and keeps connections for the next ones. It never sends a request twice.
 type Pool struct {
 	lim *config.Limits
 	mu  sync.Mutex
-	// idle holds, by address, the connections that stand idle, the one used last at the end.
-	idle  map[string][]*clientConn
+	// idle holds the connections that stand idle, the one used last at the end.
+	idle  map[Peer][]*clientConn
 	count int
 }
 
 type clientConn struct {
 	net.Conn
 	r     *Reader
+	lim   *config.Limits
 	since time.Time
 }
 
 // NewPool returns an empty pool.
-func NewPool(lim *config.Limits) *Pool { return &Pool{lim: lim, idle: map[string][]*clientConn{}} }
+func NewPool(lim *config.Limits) *Pool { return &Pool{lim: lim, idle: map[Peer][]*clientConn{}} }
 
 // AppendRequest appends a request as it goes over the wire.
 func AppendRequest(b []byte, method, path, host string, header []string, body []byte) []byte {
@@ -64,22 +72,26 @@
 	return append(b, body...)
 }
 
-// Do makes one call: it writes request to address, at once and once, and hands the answer to use, whose bytes
-// hold until use returns. Unless before is zero, nothing is written from then on: a connection may take seconds
-// to come up, and a keyed message that is repeated must not leave after its window. When Do returns, the connection is idle or closed: no copy of the call is still out.
-func (p *Pool) Do(ctx context.Context, address string, request []byte, before time.Time, use func(*Response)) Stage {
-	c := p.take(address)
+// Do makes one call: it writes request to a peer, at once and once, and hands the answer to use, whose bytes
+// hold until use returns; of a spoilt answer it gets the status. A connection may take seconds to come up: mayWrite,
+// if not nil, is asked right before the first byte. When Do returns, the connection is idle or closed: no copy of
+// the call is still out.
+func (p *Pool) Do(ctx context.Context, to Peer, request []byte, mayWrite func() bool, use func(*Response)) Stage {
+	c := p.take(to)
 	if c == nil {
-		dial := net.Dialer{Timeout: p.lim.ConnectTimeout, Deadline: before}
-		conn, err := dial.DialContext(ctx, "tcp", address)
-		if err != nil {
+		dial := net.Dialer{Timeout: p.lim.ConnectTimeout}
+		conn, err := dial.DialContext(ctx, "tcp", to.Address)
+		switch {
+		case err != nil && mayWrite != nil && !mayWrite():
+			return Withheld
+		case err != nil:
 			return NotConnected
 		}
-		c = &clientConn{Conn: conn, r: NewReader(conn, p.lim)}
+		c = &clientConn{Conn: conn, r: NewReader(conn, p.lim), lim: p.lim}
 	}
-	if !before.IsZero() && !time.Now().Before(before) {
+	if mayWrite != nil && !mayWrite() {
 		_ = c.Close()
-		return NotConnected
+		return Withheld
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
 	answer, stage := c.call(ctx, request)
@@ -91,7 +103,7 @@
 		_ = c.Close()
 		return stage
 	}
-	p.keep(address, c)
+	p.keep(to, c)
 	return stage
 }
 
@@ -99,10 +111,24 @@
 	if _, err := c.Write(request); err != nil {
 		return nil, NotConnected
 	}
-	answer, err := c.r.ReadResponse()
+	for range c.lim.Provisional {
+		if err := c.r.await(); err != nil {
+			break
+		}
+		// An answer comes in one piece: one that stops half-way, or never ends, must not hold its slot for long.
+		c.bound(ctx, time.Now().Add(c.lim.AnswerRead))
+		answer, err := c.r.ReadResponse()
+		c.bound(ctx, time.Time{})
+		switch {
+		case err != nil && answer == nil:
+			return &Response{}, Spoilt
+		case err != nil:
+			return answer, Spoilt
+		case answer.Status >= 200:
+			return answer, Answered
+		}
+	}
 	switch {
-	case err == nil:
-		return answer, Answered
 	case errors.Is(ctx.Err(), context.Canceled):
 		return nil, CalledOff
 	case ctx.Err() != nil:
@@ -111,15 +137,22 @@
 	return nil, Broken
 }
 
+// bound sets the deadline for reading, unless ctx has ended: that one stands.
+func (c *clientConn) bound(ctx context.Context, t time.Time) {
+	if _ = c.SetReadDeadline(t); ctx.Err() != nil {
+		_ = c.SetReadDeadline(time.Unix(1, 0))
+	}
+}
+
 // take returns an idle connection that is still good, or nil. Those that stood too long, or that the other
 // side has closed or written to, are closed here: a request on one of them would be lost.
-func (p *Pool) take(address string) *clientConn {
+func (p *Pool) take(to Peer) *clientConn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for list := p.idle[address]; len(list) > 0; {
+	for list := p.idle[to]; len(list) > 0; {
 		c := list[len(list)-1]
 		list = list[:len(list)-1]
-		p.idle[address] = list
+		p.idle[to] = list
 		p.count--
 		if time.Since(c.since) < p.lim.IdleSocket && quiet(c.Conn) {
 			return c
@@ -129,34 +162,33 @@
 	return nil
 }
 
-func (p *Pool) keep(address string, c *clientConn) {
+func (p *Pool) keep(to Peer, c *clientConn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if len(p.idle[address]) >= p.lim.IdlePerDestination || p.count >= p.lim.IdleDestinations {
+	if len(p.idle[to]) >= p.lim.IdlePerDestination || p.count >= p.lim.IdleDestinations {
 		_ = c.Close()
 		return
 	}
 	c.since = time.Now()
-	p.idle[address] = append(p.idle[address], c)
+	p.idle[to] = append(p.idle[to], c)
 	p.count++
 }
 
-// Retire closes the idle connections to address, or those to all that have stood too long if it is empty.
-func (p *Pool) Retire(address string) {
+// Retire closes the idle connections to a peer, or those to all that have stood too long if it is the zero one.
+func (p *Pool) Retire(to Peer) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for a, list := range p.idle {
-		kept := list[:0]
-		for _, c := range list {
-			if a == address || address == "" && time.Since(c.since) >= p.lim.IdleSocket {
-				_ = c.Close()
-				p.count--
-			} else {
-				kept = append(kept, c)
+	for peer, list := range p.idle {
+		list = slices.DeleteFunc(list, func(c *clientConn) bool {
+			if peer != to && (to != Peer{} || time.Since(c.since) < p.lim.IdleSocket) {
+				return false
 			}
-		}
-		if p.idle[a] = kept; len(kept) == 0 {
-			delete(p.idle, a)
+			_ = c.Close()
+			p.count--
+			return true
+		})
+		if p.idle[peer] = list; len(list) == 0 {
+			delete(p.idle, peer)
 		}
 	}
 }
--- a/internal/httpwire/httpwire_test.go
+++ b/internal/httpwire/httpwire_test.go
@@ -15,7 +15,7 @@
 
 func limits() *config.Limits {
 	return &config.Limits{HeadSize: 16 << 10, BodySize: 64 << 10, FrontSockets: 8, FrontIdle: time.Minute,
-		FrontRead: time.Minute, IdleDestinations: 4, IdlePerDestination: 2, IdleSocket: time.Minute,
+		FrontRead: time.Minute, FrontWrite: time.Minute, AnswerRead: time.Minute, Provisional: 4, IdleDestinations: 4, IdlePerDestination: 2, IdleSocket: time.Minute,
 		ConnectTimeout: time.Minute, WatchSilence: time.Minute}
 }
 
@@ -54,7 +54,25 @@
 		}, Answered, 0},
 		{"more than an answer: the connection is spoilt", func(c net.Conn, _ func()) { _, _ = c.Write([]byte(ok + "x")) }, Answered, 0},
 		{"broken after the last byte", func(c net.Conn, _ func()) { _ = c.Close() }, Broken, 0},
-		{"cut within the answer", func(c net.Conn, _ func()) { _, _ = c.Write([]byte(ok[:30])); _ = c.Close() }, Broken, 0},
+		{"past provisional answers", func(c net.Conn, _ func()) {
+			_, _ = c.Write([]byte("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Hints\r\nA: b\r\n\r\n" + ok))
+		}, Answered, 1},
+		{"provisional answers without end", func(c net.Conn, _ func()) {
+			_, _ = c.Write([]byte(strings.Repeat("HTTP/1.1 100 Continue\r\n\r\n", 9)))
+		}, Broken, 0},
+		{"cut within the answer", func(c net.Conn, _ func()) { _, _ = c.Write([]byte(ok[:30])); _ = c.Close() }, Spoilt, 0},
+		{"noise, and no end of line", func(c net.Conn, _ func()) { _, _ = c.Write([]byte("\x00\x01\xff\xfe noise")) }, Spoilt, 0},
+		{"no status", func(c net.Conn, _ func()) { _, _ = c.Write([]byte("HTTP/1.1 2OO OK\r\n\r\n")) }, Spoilt, 0},
+		{"unreadable head", func(c net.Conn, _ func()) { _, _ = c.Write([]byte("HTTP/1.1 200 OK\r\n\x00\r\n\r\n")) }, Spoilt, 0},
+		{"a head without end", func(c net.Conn, _ func()) {
+			_, _ = c.Write([]byte("HTTP/1.1 200 OK\r\n" + strings.Repeat("A: b\r\n", 4<<10)))
+		}, Spoilt, 0},
+		{"3 GB to come", func(c net.Conn, _ func()) {
+			_, _ = c.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 3221225472\r\n\r\nxxxx"))
+		}, Spoilt, 0},
+		{"less than its length", func(c net.Conn, _ func()) {
+			_, _ = c.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok"))
+		}, Spoilt, 0},
 		{"called off", func(_ net.Conn, cancel func()) { cancel() }, CalledOff, 0},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -70,9 +88,11 @@
 					c.answer(conn, cancel)
 				}
 			}()
-			p := NewPool(limits())
+			lim := limits()
+			lim.AnswerRead = 100 * time.Millisecond // only "less than its length" waits for it
+			p := NewPool(lim)
 			address := l.Addr().String()
-			got := p.Do(ctx, address, AppendRequest(nil, "POST", "/", address, nil, []byte("hi")), time.Time{}, func(*Response) {})
+			got := p.Do(ctx, Peer{Address: address}, AppendRequest(nil, "POST", "/", address, nil, []byte("hi")), nil, func(*Response) {})
 			if got != c.want || p.count != c.kept {
 				t.Errorf("stage %d with %d connections kept, want %d with %d", got, p.count, c.want, c.kept)
 			}
@@ -81,20 +101,21 @@
 	l := exchange.Listen(t)
 	address := l.Addr().String()
 	_ = l.Close()
-	if got := NewPool(limits()).Do(context.Background(), address, []byte("x"), time.Time{}, nil); got != NotConnected {
+	if got := NewPool(limits()).Do(context.Background(), Peer{Address: address}, []byte("x"), nil, nil); got != NotConnected {
 		t.Errorf("a refused connection is stage %d, want %d", got, NotConnected)
 	}
 }
 
-// TestBefore guards against a repeat that leaves after its window because its connection came up late: the
-// partner would take it for a new message.
-func TestBefore(t *testing.T) {
+// TestWithheld guards against a call that leaves after its window, or into a wait told meanwhile, because its
+// connection came up late.
+func TestWithheld(t *testing.T) {
 	l := exchange.Listen(t)
 	address := l.Addr().String()
 	p := NewPool(limits())
-	got := p.Do(context.Background(), address, []byte("POST / HTTP/1.1\r\n\r\n"), time.Now(), nil)
-	if got != NotConnected {
-		t.Errorf("stage %d, want %d", got, NotConnected)
+	no := func() bool { return false }
+	got := p.Do(context.Background(), Peer{Address: address}, []byte("POST / HTTP/1.1\r\n\r\n"), no, nil)
+	if got != Withheld {
+		t.Errorf("stage %d, want %d", got, Withheld)
 	}
 }
 
@@ -121,12 +142,12 @@
 	address := l.Addr().String()
 	request := AppendRequest(nil, "GET", "/", address, nil, nil)
 	for range 2 {
-		if got := p.Do(context.Background(), address, request, time.Time{}, func(*Response) {}); got != Answered {
+		if got := p.Do(context.Background(), Peer{Address: address}, request, nil, func(*Response) {}); got != Answered {
 			t.Fatalf("stage %d, want an answer", got)
 		}
 		<-closed
 	}
-	if p.Retire(address); p.count != 0 {
+	if p.Retire(Peer{Address: address}); p.count != 0 {
 		t.Errorf("%d connections left after Retire", p.count)
 	}
 }
@@ -158,6 +179,68 @@
 	}
 }
 
+// TestPeers guards against a call to a new machine on a connection to the one that had its address before.
+func TestPeers(t *testing.T) {
+	p := NewPool(limits())
+	old, _ := net.Pipe()
+	p.keep(Peer{"s-1", "h:1"}, &clientConn{Conn: old})
+	if p.take(Peer{"s-2", "h:1"}) != nil || p.take(Peer{"s-1", "h:1"}) == nil {
+		t.Error("want the connection kept for s-1 alone")
+	}
+}
+
+// TestRoom guards against a silent crowd that shuts out those who ask: with no room left the connection that
+// never asked goes first, then the one idle the longest, and never one whose request is being answered.
+func TestRoom(t *testing.T) {
+	lim := limits()
+	lim.FrontSockets = 3
+	s := NewServer(lim, echo)
+	conns := make([]net.Conn, 6)
+	socks := make([]*frontSocket, 6)
+	for i := range conns {
+		conns[i], _ = net.Pipe()
+	}
+	for i := range 3 {
+		socks[i] = s.admit(conns[i])
+	}
+	socks[0].mark(true) // asked, and is idle again, and longer than 2
+	socks[2].mark(true)
+	for i, want := range []int{1, 3, 4} { // those that came in their place have not asked either
+		if socks[3+i] = s.admit(conns[3+i]); s.conns[socks[want]] || socks[want].mark(false) {
+			t.Errorf("connection %d did not make room for %d", want, 3+i)
+		}
+	}
+}
+
+// TestHurry guards against clients that say nothing, or begin and never end: both are closed by themselves.
+func TestHurry(t *testing.T) {
+	lim := limits()
+	lim.FrontIdle, lim.FrontRead = 20*time.Millisecond, 40*time.Millisecond
+	l := exchange.Listen(t)
+	s := NewServer(lim, echo)
+	go func() { _ = s.Serve(l) }()
+	for _, file := range []string{"testdata/hurry/silent.txt", "testdata/hurry/half.txt"} {
+		exchange.Play(t, exchange.Dial(t, l.Addr().String()), file)
+	}
+}
+
+func FuzzReadResponse(f *testing.F) {
+	f.Add([]byte("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab"))
+	f.Add([]byte("HTTP/1.1 503 X\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n"))
+	f.Fuzz(func(t *testing.T, in []byte) {
+		r := NewReader(bytes.NewReader(in), limits())
+		for range 4 {
+			p, err := r.ReadResponse()
+			if p != nil && (p.Status < 100 || p.Status > 999 || len(p.Body) > len(in)) {
+				t.Errorf("status %d with a body of %d bytes out of %d", p.Status, len(p.Body), len(in))
+			}
+			if err != nil {
+				return
+			}
+		}
+	})
+}
+
 func FuzzReadRequest(f *testing.F) {
 	f.Add([]byte("POST / HTTP/1.1\r\nContent-Length: 2\r\n\r\nab"))
 	f.Add([]byte("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n"))
--- a/internal/httpwire/read.go
+++ b/internal/httpwire/read.go
@@ -76,7 +76,7 @@
 // next gives up the last message's bytes and allows for a new one.
 func (r *Reader) next() {
 	_, _ = r.br.Discard(r.used) // they have been peeked at
-	r.used, r.src.left = 0, r.lim.HeadSize
+	r.used, r.src.left, r.big = 0, r.lim.HeadSize, nil
 }
 
 // await returns once the first byte of a message has come.
@@ -97,13 +97,23 @@
 	if err != nil {
 		return "", nil, err
 	}
+	h, err := r.header()
+	return line, h, err
+}
+
+func (r *Reader) header() (textproto.MIMEHeader, error) {
 	h, err := r.tp.ReadMIMEHeader()
 	var fault *Error
 	var proto textproto.ProtocolError
 	if errors.As(err, &proto) && !errors.As(err, &fault) {
 		err = &Error{400, "malformed header"}
 	}
-	return line, h, err
+	for name := range h { // textproto lets "Content-Length : 3" pass, under that name
+		if strings.Contains(name, " ") {
+			err = &Error{400, "malformed header name"}
+		}
+	}
+	return h, err
 }
 
 // ReadRequest reads one request; goOn is called where its client waits to be told to send the body.
@@ -128,33 +138,40 @@
 	return q, err
 }
 
-// ReadResponse reads one answer, past any that are only provisional.
+// ReadResponse reads one answer, provisional or not. With an error comes what its first line said, if that
+// could be read.
 func (r *Reader) ReadResponse() (*Response, error) {
-	for {
-		p, err := r.responseHead()
-		if err != nil || p.Status >= 200 {
-			if err == nil && p.Status != 204 && p.Status != 304 {
-				p.Body, err = r.body(p.Header, true)
-			}
-			return p, err
-		}
+	p, err := r.responseHead()
+	if err == nil && p.Status >= 200 && p.Status != 204 && p.Status != 304 {
+		p.Body, err = r.body(p.Header, true)
 	}
+	return p, err
 }
 
 func (r *Reader) responseHead() (*Response, error) {
 	r.next()
-	line, h, err := r.head()
+	const mark = "HTTP/1."
+	if b, err := r.br.Peek(len(mark)); err != nil {
+		return nil, err
+	} else if string(b) != mark { // noise: its line may never end
+		return nil, &Error{502, "not an answer"}
+	}
+	line, err := r.tp.ReadLine()
 	if err != nil {
 		return nil, err
 	}
 	proto, rest, _ := strings.Cut(line, " ")
 	code, _, _ := strings.Cut(rest, " ")
-	status, err := strconv.Atoi(code)
-	if err != nil || !strings.HasPrefix(proto, "HTTP/1.") || status < 100 || status > 999 {
+	status, err := strconv.ParseUint(code, 10, 16)
+	if err != nil || len(code) != 3 || status < 100 {
 		return nil, &Error{502, "malformed status line"}
 	}
-	p := &Response{Status: status, Header: h, Close: closes(h, proto)}
-	if h.Get("Content-Length") == "" && h.Get("Transfer-Encoding") == "" && status >= 200 && status != 204 {
+	p := &Response{Status: int(status)}
+	if p.Header, err = r.header(); err != nil {
+		return p, err
+	}
+	p.Close = closes(p.Header, proto)
+	if len(p.Header["Content-Length"]) == 0 && len(p.Header["Transfer-Encoding"]) == 0 && status >= 200 && status != 204 {
 		p.Close = true // its body ends with the connection
 	}
 	return p, nil
@@ -168,8 +185,10 @@
 // body reads what belongs to a head. toEnd: without a length it lasts until the connection ends.
 func (r *Reader) body(h textproto.MIMEHeader, toEnd bool) ([]byte, error) {
 	r.src.left = r.lim.BodySize + r.lim.HeadSize
-	if te := h.Get("Transfer-Encoding"); te != "" {
-		if !strings.EqualFold(te, "chunked") || h.Get("Content-Length") != "" {
+	lengths := h["Content-Length"]
+	// An encoding that is empty, named twice or beside a length may hide a second message in the body.
+	if te := h["Transfer-Encoding"]; len(te) > 0 {
+		if len(te) > 1 || !strings.EqualFold(te[0], "chunked") || len(lengths) > 0 {
 			return nil, &Error{400, "unusable transfer encoding"}
 		}
 		b, err := r.drain(httputil.NewChunkedReader(r.br))
@@ -178,7 +197,6 @@
 		}
 		return b, err
 	}
-	lengths := h["Content-Length"]
 	if len(lengths) == 0 {
 		if toEnd {
 			return r.drain(r.br)
@@ -199,11 +217,9 @@
 		}
 		return b, short(err)
 	}
-	if cap(r.big) < int(n) {
-		r.big = make([]byte, n)
-	}
-	_, err = io.ReadFull(r.br, r.big[:n])
-	return r.big[:n], short(err)
+	r.big = make([]byte, n) // given up with the message: few are as long, and connections are many
+	_, err = io.ReadFull(r.br, r.big)
+	return r.big, short(err)
 }
 
 func (r *Reader) drain(from io.Reader) ([]byte, error) {
--- a/internal/httpwire/server.go
+++ b/internal/httpwire/server.go
@@ -27,37 +27,61 @@
 type Server struct {
 	lim     *config.Limits
 	handle  Handler
-	room    chan struct{}
 	closing atomic.Bool // connections end where they stand between requests
 	retired atomic.Bool // every answer is its connection's last
 
 	mu    sync.Mutex
-	conns map[net.Conn]bool // true: between requests
+	conns map[*frontSocket]bool
 	done  sync.WaitGroup
 }
 
 // NewServer returns a server that hands requests to handle, one goroutine a connection.
 func NewServer(lim *config.Limits, handle Handler) *Server {
-	return &Server{lim: lim, handle: handle, room: make(chan struct{}, lim.FrontSockets), conns: map[net.Conn]bool{}}
+	return &Server{lim: lim, handle: handle, conns: map[*frontSocket]bool{}}
 }
 
-// Serve accepts front sockets until l is closed. With no room left the next one waits in the backlog.
+// Serve accepts front sockets until l is closed.
 func (s *Server) Serve(l net.Listener) error {
 	for {
-		s.room <- struct{}{}
 		conn, err := l.Accept()
 		if err != nil {
-			<-s.room
 			if errors.Is(err, net.ErrClosed) {
 				return nil
 			}
 			time.Sleep(5 * time.Millisecond) // out of descriptors for the moment
 			continue
 		}
-		s.done.Add(1)
-		s.mark(conn, true)
-		go s.serve(conn)
+		if f := s.admit(conn); f != nil {
+			go f.serve()
+		}
+	}
+}
+
+// admit takes conn on. With no room left it closes the one that has stood idle the longest, first of those
+// that have never asked for anything: a crowd that says nothing must not keep out those who do. Where none is
+// idle conn itself is closed.
+func (s *Server) admit(conn net.Conn) *frontSocket {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.conns) >= s.lim.FrontSockets {
+		var out *frontSocket
+		for f := range s.conns {
+			if f.idle && (out == nil || f.served != out.served && !f.served ||
+				f.served == out.served && f.since.Before(out.since)) {
+				out = f
+			}
+		}
+		if out == nil {
+			_ = conn.Close()
+			return nil
+		}
+		delete(s.conns, out)
+		_ = out.Close()
 	}
+	f := &frontSocket{Conn: conn, s: s, r: NewReader(conn, s.lim), idle: true, since: time.Now()}
+	s.conns[f] = true
+	s.done.Add(1)
+	return f
 }
 
 // Retire makes every answer the last of its connection; it goes on answering.
@@ -67,19 +91,20 @@
 func (s *Server) Close() {
 	s.closing.Store(true)
 	s.mu.Lock()
-	for c, idle := range s.conns {
-		if idle {
-			_ = c.SetReadDeadline(time.Unix(1, 0)) // serve closes it
+	for f := range s.conns {
+		if f.idle {
+			_ = f.SetReadDeadline(time.Unix(1, 0)) // serve closes it
 		}
 	}
 	s.mu.Unlock()
 	s.done.Wait()
 }
 
-func (s *Server) mark(c net.Conn, idle bool) {
+// crowded tells whether there is little room left.
+func (s *Server) crowded() bool {
 	s.mu.Lock()
-	s.conns[c] = idle
-	s.mu.Unlock()
+	defer s.mu.Unlock()
+	return len(s.conns) > s.lim.FrontSockets*3/4
 }
 
 // frontSocket is one client's connection.
@@ -88,35 +113,53 @@
 	s   *Server
 	r   *Reader
 	out []byte
+
+	// Under the server's lock:
+	idle   bool      // between requests
+	served bool      // it has handed in a whole request
+	since  time.Time // when it was opened, or last became idle
 }
 
-func (s *Server) serve(conn net.Conn) {
+// mark notes where the connection stands; false: it has been closed to make room.
+func (f *frontSocket) mark(idle bool) bool {
+	f.s.mu.Lock()
+	defer f.s.mu.Unlock()
+	if f.idle = idle; idle {
+		f.served, f.since = true, time.Now()
+	}
+	return f.s.conns[f]
+}
+
+func (f *frontSocket) serve() {
 	defer func() {
-		s.mu.Lock()
-		delete(s.conns, conn)
-		s.mu.Unlock()
-		_ = conn.Close()
-		<-s.room
-		s.done.Done()
+		f.s.mu.Lock()
+		delete(f.s.conns, f)
+		f.s.mu.Unlock()
+		_ = f.Close()
+		f.s.done.Done()
 	}()
-	f := &frontSocket{Conn: conn, s: s, r: NewReader(conn, s.lim)}
-	for f.one() {
-		s.mark(conn, true)
+	// The first request must be whole soon after the connection came up, however its bytes trickle in.
+	by := f.since.Add(f.s.lim.FrontRead)
+	for f.one(by) && f.mark(true) {
+		by = time.Time{}
 	}
 }
 
-// one reads and answers one request; false: the connection is at its end.
-func (f *frontSocket) one() bool {
+// one reads and answers one request, which must be whole by then, or within FrontRead of its first byte;
+// false: the connection is at its end.
+func (f *frontSocket) one(by time.Time) bool {
 	lim := f.s.lim
 	_ = f.SetReadDeadline(time.Now().Add(lim.FrontIdle))
 	if f.s.closing.Load() && !f.r.buffered() {
 		return false
 	}
-	if f.r.await() != nil {
+	if f.r.await() != nil || !f.mark(false) {
 		return false
 	}
-	f.s.mark(f.Conn, false)
-	_ = f.SetReadDeadline(time.Now().Add(lim.FrontRead))
+	if by.IsZero() {
+		by = time.Now().Add(lim.FrontRead)
+	}
+	_ = f.SetReadDeadline(by)
 	q, err := f.r.ReadRequest(func() error {
 		_, err := f.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
 		return err
@@ -131,18 +174,22 @@
 	default:
 		a = f.s.handle(q)
 	}
-	// With little room left no client keeps its connection.
-	last := fault != nil || q.Close || f.s.retired.Load() || f.s.closing.Load() || len(f.s.room) > cap(f.s.room)*3/4
+	// A client that hands in what can't be used, and has more of it on the way already, is cut short; with
+	// little room left no client keeps its connection.
+	last := fault != nil || q.Close || f.s.retired.Load() || f.s.closing.Load() || f.s.crowded() ||
+		a.Status >= 400 && f.r.buffered()
 	f.out = AppendAnswer(f.out[:0], &a, last)
-	_ = f.SetWriteDeadline(time.Now().Add(lim.FrontRead))
+	_ = f.SetWriteDeadline(time.Now().Add(lim.FrontWrite))
 	if _, err := f.Write(f.out); err != nil {
 		if a.Lost != nil {
 			a.Lost()
 		}
 		return false
 	}
-	if fault != nil {
+	if last && (fault != nil || f.r.buffered()) {
 		f.linger()
+	} else if a.Status >= 400 { // whoever comes again at once waits, and not the relay
+		time.Sleep(lim.FrontRest)
 	}
 	return !last
 }
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -51,7 +51,14 @@
 func (f *Front) TellsDeliveries() bool { return false }
 
 // Retire closes idle connections.
-func (f *Front) Retire(address string) { f.pool.Retire(address) }
+func (f *Front) Retire(to *relay.Destination) { f.pool.Retire(peer(to)) }
+
+func peer(to *relay.Destination) httpwire.Peer {
+	if to == nil {
+		return httpwire.Peer{}
+	}
+	return httpwire.Peer{Name: to.Name, Address: to.Address}
+}
 
 // Handle answers a request on a front socket.
 func (f *Front) Handle(q *httpwire.Request) httpwire.Answer {
@@ -71,7 +78,7 @@
 	}
 	switch r := f.core.Take(Name, m); r.Verdict {
 	case relay.Taken:
-		return httpwire.Answer{Status: 202, Lost: func() { f.core.Withdraw(Name, m.ID) }}
+		return httpwire.Answer{Status: 202, Lost: func() { f.core.Withdraw(r) }}
 	case relay.Busy:
 		return BusyReply(r.Retry)
 	case relay.Rejected:
@@ -93,16 +100,25 @@
 	if m.Class < 0 {
 		return m, 404, "no such class"
 	}
-	if m.ID = q.Header.Get("X-Request-ID"); m.ID == "" {
+	m.ID, m.Key, m.Body = q.Header.Get("X-Request-ID"), q.Header.Get("Idempotency-Key"), q.Body
+	k := &f.set.Classes[m.Class]
+	switch {
+	case m.ID == "":
 		return m, 400, "X-Request-ID is missing"
+	case !f.plain(m.ID): // both go out again as they are, in a header
+		return m, 400, "X-Request-ID can't be used"
+	case m.Key == "" && k.Effect == control.Keyed:
+		return m, 400, "Idempotency-Key is missing"
+	case !f.plain(m.Key):
+		return m, 400, "Idempotency-Key can't be used"
 	}
-	m.Key, m.Body = q.Header.Get("Idempotency-Key"), q.Body
-	left := f.set.Classes[m.Class].Deadline
+	left := k.Deadline
 	if v := q.Header.Get("X-Timeout"); v != "" {
-		var ok bool
-		if left, ok = ParseTimeout(v); !ok {
+		told, ok := ParseTimeout(v)
+		if !ok {
 			return m, 400, "X-Timeout can't be read"
 		}
+		left = min(left, told)
 	}
 	m.Deadline = now.Add(left)
 	m.Partner = -1
@@ -120,6 +136,11 @@
 	return m, 0, ""
 }
 
+// plain tells whether s is short and of printable ASCII.
+func (f *Front) plain(s string) bool {
+	return len(s) <= f.lim.NameSize && !strings.ContainsFunc(s, func(r rune) bool { return r <= ' ' || r > '~' })
+}
+
 func fault(status int, why string) httpwire.Answer {
 	return httpwire.Answer{Status: status, Body: []byte(why + "\n")}
 }
@@ -153,12 +174,16 @@
 // Call makes a route step: a single call, or a bulk one where it carries several messages.
 func (f *Front) Call(ctx context.Context, step *relay.RouteStep) []relay.Outcome {
 	outs := make([]relay.Outcome, len(step.Items))
-	stage := f.pool.Do(ctx, step.To.Address, f.request(step), step.Before, func(p *httpwire.Response) {
+	stage := f.pool.Do(ctx, peer(&step.To), f.request(step), step.MayWrite, func(p *httpwire.Response) {
 		f.read(p, step, outs)
 	})
 	if r, failed := StageResult(stage); failed {
+		// Of one message the first line tells all, of several each has its part in the body.
+		if stage == httpwire.Spoilt && len(outs) == 1 && outs[0].Result == control.Delivered {
+			r = control.Delivered
+		}
 		for i := range outs {
-			outs[i].Result = r
+			outs[i] = relay.Outcome{Result: r}
 		}
 	}
 	return outs
@@ -167,6 +192,10 @@
 // StageResult is the result of a call that got no answer; false: it got one.
 func StageResult(s httpwire.Stage) (control.Result, bool) {
 	switch s {
+	case httpwire.Spoilt:
+		return control.Spoilt, true
+	case httpwire.Withheld:
+		return control.Moot, true
 	case httpwire.NotConnected:
 		return control.NoConnection, true
 	case httpwire.Broken:
@@ -233,7 +262,10 @@
 		return
 	}
 	for i := range outs { // an item that the answer does not name may have run
-		outs[i].Result = control.Errored
+		outs[i].Result = control.Spoilt
+	}
+	if !gjson.ValidBytes(p.Body) { // gjson would read what it can of it
+		return
 	}
 	gjson.ParseBytes(p.Body).ForEach(func(_, e gjson.Result) bool {
 		id, state := e.Get("id").String(), e.Get("state").String()
@@ -244,6 +276,8 @@
 			switch o := &outs[i]; state {
 			case "delivered":
 				o.Result = control.Delivered
+			case "failed":
+				o.Result = control.Errored
 			case "refused":
 				o.Result = control.Full
 			case "over":
@@ -256,13 +290,13 @@
 	})
 }
 
-// RetryAfter reads a wait in seconds, whole or decimal; 0: none.
+// RetryAfter reads a wait in seconds, whole or decimal; 0: none, or one of over an hour, which nobody means.
 func RetryAfter(v string) time.Duration {
 	s, err := strconv.ParseFloat(strings.TrimSpace(v), 64)
-	if err != nil || !(s > 0) {
+	if err != nil || !(s > 0 && s <= 3600) {
 		return 0
 	}
-	return time.Duration(min(s, 3600) * float64(time.Second))
+	return time.Duration(s * float64(time.Second))
 }
 
 // report reads "TEXT x0=0.4, x1=25".
@@ -276,7 +310,7 @@
 		name, num, _ := strings.Cut(strings.TrimSpace(field), "=")
 		x, err := strconv.ParseFloat(num, 64)
 		switch {
-		case err != nil:
+		case err != nil || !(x >= 0 && x <= 1e6): // nor what is not a number, or no figure that can be
 		case name == "x0":
 			o.Share, found = x, found|1
 		case name == "x1":
@@ -300,7 +334,7 @@
 	discovery := *f.discovery.Load()
 	request := httpwire.AppendRequest(nil, "POST", "/v1/outcomes", discovery, nil, body)
 	ok := false
-	f.pool.Do(ctx, discovery, request, time.Time{}, func(p *httpwire.Response) { ok = p.Status == 204 })
+	f.pool.Do(ctx, httpwire.Peer{Address: discovery}, request, nil, func(p *httpwire.Response) { ok = p.Status == 204 })
 	return slices.Repeat([]bool{ok}, len(notices))
 }
 
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -147,7 +147,13 @@
 		{"over and spent", two, 200, nil, `[{"id":"a","state":"over"},{"id":"b","state":"spent"}]`,
 			outs{{Result: control.Moot, Over: true}, {Result: control.Moot}}},
 		{"not named: may have run", two, 200, nil, `[{"id":"a","state":"failed"}]`,
-			outs{{Result: control.Errored}, {Result: control.Errored}}},
+			outs{{Result: control.Errored}, {Result: control.Spoilt}}},
+		{"broken JSON", two, 200, nil, `[{"id":"a","state":"delivered"},{"id":"b","sta`,
+			outs{{Result: control.Spoilt}, {Result: control.Spoilt}}},
+		{"figures that are none", one, 429, h("Retry-After", "Inf", "X-Server-Load", "TEXT x0=NaN, x1=-5"), "",
+			outs{{Result: control.Full}}},
+		{"a wait that nobody means", one, 503, h("Retry-After", "1e300", "X-Server-Load", "TEXT x0=0.1, x1=1e300"), "",
+			outs{{Result: control.Full, Share: 0.1}}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			got := make(outs, len(c.step.Items))
@@ -159,6 +165,29 @@
 	}
 }
 
+// TestSpoilt: of a spoilt answer the first line counts, and only for a call of one message.
+func TestSpoilt(t *testing.T) {
+	one, two := []relay.Item{{ID: "a"}}, []relay.Item{{ID: "a"}, {ID: "b"}}
+	for _, c := range []struct {
+		file  string
+		items []relay.Item
+		want  control.Result
+	}{
+		{"testdata/spoilt-200.txt", one, control.Delivered}, {"testdata/spoilt-200.txt", two, control.Spoilt},
+		{"testdata/spoilt-503.txt", one, control.Spoilt},
+	} {
+		l, done := exchange.Listen(t), make(chan bool, 1)
+		go play(t, l, c.file, done)
+		step := &relay.RouteStep{To: relay.Destination{Address: l.Addr().String()}, Items: c.items}
+		for _, o := range New(configure(t, "-", "-"), nil).Call(context.Background(), step) {
+			if d := cmp.Diff(relay.Outcome{Result: c.want}, o); d != "" {
+				t.Errorf("%s, %d messages (-want +got)\n%s", c.file, len(c.items), d)
+			}
+		}
+		<-done
+	}
+}
+
 // TestBulk: the body of a call with several messages.
 func TestBulk(t *testing.T) {
 	f := New(configure(t, "-", "-"), nil)
--- a/internal/relay/core.go
+++ b/internal/relay/core.go
@@ -37,8 +37,10 @@
 	msgs     map[uint64]*message
 	byID     map[string]*message // by front and id
 	dests    map[uint32]*Destination
-	names    map[string]uint32
+	names    map[string]uint32 // numbers of destinations, by front and name
+	lastNo   uint32
 	lastRef  uint64
+	forget   time.Duration // after which nothing of a destination that is gone can be unfinished
 	stepsOut int
 	owed     int // notices
 
@@ -93,7 +95,11 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Core{set: &cfg.Settings, lim: &cfg.Limits, log: log, mod: mod, jour: jour,
+	forget := time.Second
+	for _, k := range set.Classes {
+		forget = max(forget, k.Deadline+time.Second)
+	}
+	return &Core{set: &cfg.Settings, forget: forget, lim: &cfg.Limits, log: log, mod: mod, jour: jour,
 		queue: make(chan event, cfg.Limits.Queue), ctx: context.Background(), base: now,
 		fronts: map[string]*frontState{}, msgs: map[uint64]*message{}, byID: map[string]*message{},
 		dests: map[uint32]*Destination{}, names: map[string]uint32{}}, nil
@@ -167,12 +173,40 @@
 	key := f.name + " " + name
 	n, ok := c.names[key]
 	if !ok {
-		n = uint32(len(c.names) + 1)
+		c.lastNo++
+		n = c.lastNo
 		c.names[key] = n
 	}
 	return n
 }
 
+// serves tells whether the pool config names a destination of that partner, or did so until lately.
+func (c *Core) serves(f *frontState, partner int) bool {
+	for _, d := range c.dests {
+		if d.front == f && d.Partner == partner {
+			return true
+		}
+	}
+	return false
+}
+
+// forgetGone drops the destinations that left the list so long ago that no message can still be out there.
+func (c *Core) forgetGone(now time.Time) {
+	for n, d := range c.dests {
+		if !d.goneAt.IsZero() && now.Sub(d.goneAt) > c.forget {
+			delete(c.dests, n)
+			if d.front.list[d.Name] == n {
+				delete(d.front.list, d.Name)
+			}
+		}
+	}
+	for name, n := range c.names { // some stand only in the journal
+		if c.dests[n] == nil {
+			delete(c.names, name)
+		}
+	}
+}
+
 // Take hands in a message and waits for the answer, which comes within the turn.
 func (c *Core) Take(front string, m Message) Reply {
 	if !c.ready.Load() {
@@ -192,8 +226,13 @@
 	}
 }
 
-// Withdraw tells that the client of a message never heard that it was taken on.
-func (c *Core) Withdraw(front, id string) { c.queue <- withdrawn{front, id} }
+// Withdraw tells that a client never heard the answer r: what was taken on with it is over. Where the message
+// had been taken on before, whoever handed it in first still counts on it.
+func (c *Core) Withdraw(r Reply) {
+	if r.ref != 0 {
+		c.queue <- withdrawn{r.ref}
+	}
+}
 
 // Drain refuses new messages from now on; Run returns when the others are over, or at the limit.
 func (c *Core) Drain() {
@@ -215,7 +254,7 @@
 	f, m := c.fronts[a.front], &a.msg
 	// Past AnswerWithin the client is about to leave, and would hand it in again beside this one.
 	if f == nil || !c.drainAt.IsZero() || now.Sub(a.at) > c.lim.AnswerWithin ||
-		c.set.MaxOpen > 0 && len(c.msgs)-c.owed >= c.set.MaxOpen {
+		c.set.MaxOpen > 0 && len(c.msgs)-c.owed >= c.set.MaxOpen || !c.serves(f, m.Partner) {
 		a.reply <- Reply{Verdict: Busy, Retry: c.lim.BusyRetry}
 		return
 	}
@@ -230,10 +269,10 @@
 	c.in = append(c.in, c.arrival(msg))
 }
 
-type withdrawn struct{ front, id string }
+type withdrawn struct{ ref uint64 }
 
 func (w withdrawn) apply(c *Core, _ time.Time) {
-	if m := c.byID[w.front+" "+w.id]; m != nil && !m.e.Owed {
+	if m := c.msgs[w.ref]; m != nil && !m.e.Owed {
 		c.in = append(c.in, control.Event{Kind: control.Gone, ID: m.ref})
 		c.jour.End(m.e)
 		c.finish(m, "withdrawn")
@@ -282,7 +321,7 @@
 			m.step = nil
 		}
 		c.in = append(c.in, control.Event{Kind: control.Resolved, ID: it.ref, Attempt: it.attempt,
-			Endpoint: c.number(s.step.To.front, s.step.To.Name), Result: o.Result, Settled: o.Over, Wait: o.Wait,
+			Endpoint: s.step.To.no, Result: o.Result, Settled: o.Over, Wait: o.Wait,
 			Reported: o.Reported, Share: o.Share, Limit: o.Limit})
 		switch {
 		case m == nil || m.e.Owed: // ended before
@@ -304,13 +343,18 @@
 	PoolConfig
 }
 
-func (p poolChanged) apply(c *Core, _ time.Time) {
+func (p poolChanged) apply(c *Core, now time.Time) {
 	if !p.Whole && p.Index < p.front.index { // from a watch that a newer one has overtaken
 		return
 	}
 	p.front.index = p.Index
 	ev := control.Event{Kind: control.Listed, Whole: p.Whole}
 	if p.Whole {
+		for _, n := range p.front.list { // unless it is named again below
+			if d := c.dests[n]; d.goneAt.IsZero() {
+				d.goneAt = now
+			}
+		}
 		p.front.list = map[string]uint32{}
 		for _, f := range c.order { // a whole list is one front's; the others' stand
 			for _, n := range f.list {
@@ -319,8 +363,14 @@
 		}
 	}
 	for _, d := range p.Destinations {
-		d.front = p.front
 		n := c.number(p.front, d.Name)
+		d.front, d.no = p.front, n
+		if d.State == control.Removed {
+			d.goneAt = now
+		}
+		if d.State != control.Ready { // it gets nothing new, and another may come to stand at its address
+			p.front.Front.Retire(&d)
+		}
 		c.dests[n], p.front.list[d.Name] = &d, n
 		ev.Endpoints = append(ev.Endpoints, c.listed(n, &d))
 	}
@@ -431,6 +481,10 @@
 			if m != nil && m.step != nil {
 				m.step.cancel()
 			}
+		case control.Recall:
+			if m != nil && m.step != nil {
+				m.step.recall()
+			}
 		case control.Wake:
 			at := c.base.Add(a.At - clockStart)
 			if c.wakeAt.IsZero() || at.Before(c.wakeAt) {
@@ -440,7 +494,7 @@
 			c.watch()
 		case control.Close:
 			if d := c.dests[a.Endpoint]; d != nil {
-				d.front.Front.Retire(d.Address)
+				d.front.Front.Retire(d)
 			}
 		case control.Log:
 			c.log.Debug("module", "says", a.Text)
@@ -567,9 +621,9 @@
 			m.reply <- *m.busy
 		case err != nil: // not on disk: not taken on
 			m.reply <- Reply{Verdict: Busy, Retry: c.lim.BusyRetry}
-			withdrawn{m.front.name, m.e.ID}.apply(c, now)
+			withdrawn{m.ref}.apply(c, now)
 		default:
-			m.reply <- Reply{Verdict: Taken}
+			m.reply <- Reply{Verdict: Taken, ref: m.ref}
 		}
 		m.reply = nil
 	}
@@ -652,8 +706,9 @@
 		if now.Sub(house) > time.Second {
 			house = now
 			for _, f := range c.order {
-				f.Front.Retire("")
+				f.Front.Retire(nil)
 			}
+			c.forgetGone(now)
 		}
 		if !c.drainAt.IsZero() && (now.Sub(c.drainAt) > c.lim.DrainExit || len(c.msgs) == 0 && c.stepsOut == 0) {
 			go c.refuse()
--- a/internal/relay/core_test.go
+++ b/internal/relay/core_test.go
@@ -40,7 +40,7 @@
 	f.notices <- n
 	return slices.Repeat([]bool{<-f.taken}, len(n))
 }
-func (f *fakeFront) Retire(string) {}
+func (f *fakeFront) Retire(*Destination) {}
 func (f *fakeFront) Watch(ctx context.Context, after int64, _ func(PoolConfig)) error {
 	f.watches <- after
 	<-ctx.Done()
@@ -128,13 +128,13 @@
 	}
 	r := newRig(t, t.TempDir(), time.Now())
 	for i := range 5 {
-		a, reply := r.hand(fmt.Sprint(i), 1, 9, time.Second) // for a partner that has no destination yet
+		a, reply := r.hand(fmt.Sprint(i), 1, 7, time.Second)
 		r.after(0, a)
 		if <-reply; len(r.c.msgs)-r.c.owed > 4 {
 			t.Errorf("%d messages are held, 4 at most", len(r.c.msgs)-r.c.owed)
 		}
 	}
-	a, reply := r.hand("0", 1, 9, time.Second)
+	a, reply := r.hand("0", 1, 7, time.Second)
 	r.c.msgs = map[uint64]*message{}
 	if r.after(0, a); (<-reply).Verdict != Taken || len(r.c.msgs) != 0 {
 		t.Error("a message that is held already is taken on again")
@@ -281,7 +281,7 @@
 	a, _ := r.hand("m", 0, 8, 2*time.Second)
 	r.after(0, a)
 	step := <-r.front.steps
-	r.after(0, withdrawn{"platform", "m"})
+	r.after(0, withdrawn{1})
 	r.answered(Outcome{Result: control.Cancelled})
 	if len(r.c.msgs) != 0 || len(r.front.steps) != 0 || step.cancel == nil || len(r.c.jour.Entries()) != 0 {
 		t.Error("it is still held, or sent again")
@@ -352,3 +352,87 @@
 		t.Error("the end of the old watch has begun one more")
 	}
 }
+
+// TestHeldID: a second request with the id of a message that is held owns nothing of it. When its answer is lost,
+// the first client's message goes on.
+func TestHeldID(t *testing.T) {
+	r := newRig(t, t.TempDir(), time.Now())
+	a, first := r.hand("m", 1, 8, 2*time.Second)
+	r.after(0, a)
+	b, second := r.hand("m", 1, 8, 2*time.Second)
+	r.after(0, b)
+	if got := <-second; got.Verdict != Taken {
+		t.Fatalf("got %+v", got)
+	} else if r.c.Withdraw(got); len(r.c.queue) != 0 {
+		t.Error("the second client withdraws the first one's message")
+	}
+	if r.c.Withdraw(<-first); len(r.c.queue) != 1 {
+		t.Error("the first client can't withdraw its message")
+	}
+}
+
+// TestNoDestination: a message for a partner that no pool config names is refused, not held until its time is up.
+func TestNoDestination(t *testing.T) {
+	r := newRig(t, t.TempDir(), time.Now())
+	a, reply := r.hand("m", 1, 9, 2*time.Second)
+	if r.after(0, a); (<-reply).Verdict != Busy || len(r.c.msgs) != 0 {
+		t.Error("it is taken on")
+	}
+}
+
+// TestRecall guards against a call whose connection comes up only after its destination has told to wait, or
+// drains: nothing of it may be written any more.
+func TestRecall(t *testing.T) {
+	for name, happens := range map[string]func(r *rig, out, on *RouteStep){
+		"a wait is told": func(r *rig, out, on *RouteStep) {
+			r.after(0, stepEnded{out, []Outcome{{Result: control.Full, Wait: time.Second}}})
+		},
+		"it drains": func(r *rig, _, on *RouteStep) {
+			r.after(0, poolChanged{r.c.order[0], PoolConfig{Destinations: []Destination{
+				{Name: "s-1", Zone: "a", Kind: "news-groups", Partner: 7, State: control.Draining}}}})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, t.TempDir(), time.Now())
+			var steps []*RouteStep
+			for _, id := range []string{"a", "b"} {
+				a, _ := r.hand(id, 1, 7, 20*time.Second)
+				r.after(5*time.Millisecond, a)
+				steps = append(steps, <-r.front.steps)
+			}
+			if !steps[0].MayWrite() {
+				t.Fatal("the first call may not be written")
+			}
+			if happens(r, steps[0], steps[1]); steps[1].MayWrite() || steps[0].begun.Load() != 1 {
+				t.Error("want the second call alone called back")
+			}
+		})
+	}
+	if late := (&RouteStep{Before: time.Now()}); late.MayWrite() {
+		t.Error("a call may be written after its window")
+	}
+}
+
+// TestForget guards against tables that grow for as long as the relay runs: a destination that has left the list
+// is forgotten once nothing of it can be unfinished, and its number is not given to another.
+func TestForget(t *testing.T) {
+	r := newRig(t, t.TempDir(), time.Now())
+	for i := range 50 {
+		gone := Destination{Name: fmt.Sprint("old-", i), Zone: "a", Kind: "news-groups", Partner: 7}
+		r.after(time.Second, poolChanged{r.c.order[0], PoolConfig{Index: int64(2 * i), Destinations: []Destination{gone}}})
+		gone.State = control.Removed
+		r.after(time.Second, poolChanged{r.c.order[0], PoolConfig{Index: int64(2*i + 1), Destinations: []Destination{gone}}})
+		r.c.forgetGone(r.now)
+	}
+	if n, names, list := len(r.c.dests), len(r.c.names), len(r.c.order[0].list); n > 20 || names != n || list != n {
+		t.Errorf("%d destinations, %d names and %d in the list, want those of the last 25 s", n, names, list)
+	}
+	if r.c.names["platform s-1"] != 1 || r.c.number(r.c.order[0], "new") <= 50 {
+		t.Error("the one still listed is gone, or a number is used again")
+	}
+	r.after(0, poolChanged{r.c.order[0], PoolConfig{Whole: true, Index: 999}})
+	r.c.forgetGone(r.now.Add(time.Minute))
+	if len(r.c.dests) != 0 || r.c.serves(r.c.order[0], 7) {
+		t.Errorf("%d destinations stay though the whole list is empty", len(r.c.dests))
+	}
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"mastusher/control"
@@ -27,7 +28,9 @@
 	Partner       int
 	State         control.State
 
-	front *frontState
+	front  *frontState
+	no     uint32    // the module's id of it
+	goneAt time.Time // when it left the list; zero: it is on it
 }
 
 // PoolConfig is a list of destinations: the whole of one front's, or what has changed.
@@ -55,6 +58,19 @@
 	Before  time.Time     // nothing of it may be written from then on; zero: no bound
 
 	cancel context.CancelFunc
+	begun  atomic.Int32 // 1: its first byte may have been written; 2: it was called back before that
+}
+
+// MayWrite is asked right before the step's first byte goes out, and promises that it does unless it is false.
+func (s *RouteStep) MayWrite() bool {
+	return (s.Before.IsZero() || time.Now().Before(s.Before)) && s.begun.CompareAndSwap(0, 1)
+}
+
+// recall ends the step if nothing of it has been written.
+func (s *RouteStep) recall() {
+	if s.begun.CompareAndSwap(0, 2) {
+		s.cancel()
+	}
 }
 
 // Outcome is how a route step ended for one of its items.
@@ -87,8 +103,8 @@
 	Call(ctx context.Context, step *RouteStep) []Outcome
 	// Notify passes on final answers and tells which of them were taken.
 	Notify(ctx context.Context, notices []Notice) []bool
-	// Retire closes the idle connections to address, or all that are too old if it is empty.
-	Retire(address string)
+	// Retire closes the idle connections to a destination, or all that are too old if it is nil.
+	Retire(to *Destination)
 	// Watch reports what has changed in the pool config since the index after, until it is lost or ctx ends; a
 	// front without one returns nil.
 	Watch(ctx context.Context, after int64, changed func(PoolConfig)) error
@@ -120,4 +136,6 @@
 	Verdict Verdict
 	Retry   time.Duration
 	Why     string
+
+	ref uint64 // of the message that was taken on with this answer; 0: with an earlier one
 }
