Leave endpoints that take nothing now out of the plan, and answers to repeats out of the tables

Traced (debug log, one destination): its other route was faster but told to wait, so the plan cut calls at 47 ms in favour of a resend that went to the same slow route; a resend of a message that had run was answered at once, in 2 ms, and was learnt as a call of 2 ms, after which every call was cut at 10 ms. At fault: plan.solve took in every ready endpoint; teach took every delivery for a call's time. Ruled out: surplus answers (none on that connection) and the endpoint's own speed.

--- a/control/control.go
+++ b/control/control.go
@@ -140,12 +140,16 @@
 // plan is E*_l for l = 1.. over the endpoints of one destination; level 0 stands for no attempt left.
 type plan struct{ least []float64 }
 
-func (p *plan) solve(edges []float64, eps []*endpoint, levels int, penalty float64) {
+// solve leaves out the endpoints that take nothing now: a call must not be cut for the sake of one that is
+// faster, but shut. It hurts where that one opens again in the meantime.
+func (p *plan) solve(edges []float64, eps []*endpoint, levels int, penalty float64, now time.Duration) {
 	p.least = append(p.least[:0], math.Inf(1))
+	takes := func(e *endpoint) bool { return e.known() && e.state == Ready && e.dest.open(now) }
+	all := !slices.ContainsFunc(eps, takes) // none does: as if all did
 	for l := 1; l <= levels; l++ {
 		best := math.Inf(1)
 		for _, e := range eps {
-			if e.known() && e.state == Ready {
+			if takes(e) || all && e.known() && e.state == Ready {
 				c, _ := e.mix.restart(edges, penalty*p.least[l-1])
 				best = min(best, c)
 			}
@@ -609,9 +613,12 @@
 	m.refused = ev.Result == Full
 	switch ev.Result {
 	case Delivered:
-		e.t.add(s.now, s.edges, took)
-		e.node.t.add(s.now, s.edges, took)
-		s.all.add(s.now, s.edges, took)
+		if m.ranIn == nil || took >= e.mix.quantile(s.edges, 0.1) {
+			// One that has run before may be answered at once when it comes again: no call takes so little.
+			e.t.add(s.now, s.edges, took)
+			e.node.t.add(s.now, s.edges, took)
+			s.all.add(s.now, s.edges, took)
+		}
 		d.newest = max(d.newest, m.sentAt)
 		d.good.add(s.now, 1)
 		s.budget = min(budgetMost, s.budget+budgetShare)
@@ -817,6 +824,11 @@
 // suspect tells whether only trials go to d.
 func (d *destination) suspect() bool { return d.health == stopped || d.health == overrunning }
 
+// open tells whether nothing that d has told keeps calls from it: no wait, and no rest after a refusal.
+func (d *destination) open(now time.Duration) bool {
+	return d.wait <= now && d.again <= now
+}
+
 // pace tells whether the destination's pace lets a call go now: the learnt limit, and around an outage this
 // sender's own pace times what a cold destination takes. While it is stopped that is what it takes at its
 // return, whenever that comes: the trials of all senders together push nothing over, however many they are,
@@ -938,9 +950,12 @@
 			continue
 		}
 		if n.stale || s.now-n.at > time.Second {
-			n.stale, n.at = false, s.now
+			n.stale, n.at, n.solved = false, s.now, 0
 			s.pool(n)
-			n.p.solve(s.edges, n.eps, s.set.MaxAttempts, s.penalty())
+		}
+		if n.solved != s.steps {
+			n.solved = s.steps
+			n.p.solve(s.edges, n.eps, s.set.MaxAttempts, s.penalty(), s.now)
 		}
 		cost, at := 0.0, -1
 		if e.known() {
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -116,9 +116,9 @@
 // The example of the paper's section 1: 5 s at 0.6, 20 s at 0.4 gives 11, 7.4 and 5.96 s.
 func TestPlanPaperExample(t *testing.T) {
 	edges := []float64{5, 20}
-	e := &endpoint{mix: *tableOf(edges, map[float64]float64{5: 60, 20: 40})}
+	e := &endpoint{dest: &destination{}, mix: *tableOf(edges, map[float64]float64{5: 60, 20: 40})}
 	var p plan
-	p.solve(edges, []*endpoint{e}, 3, 1)
+	p.solve(edges, []*endpoint{e}, 3, 1, 0)
 	near(t, "E1", p.least[1], 11)
 	near(t, "E2", p.least[2], 3+0.4*(5+11)) // the time spent is charged
 	near(t, "E3", p.least[3], 3+0.4*(5+9.4))
@@ -146,10 +146,10 @@
 
 func TestPlanTwoEndpointsAndTies(t *testing.T) {
 	edges := []float64{1, 2, 8}
-	fast := &endpoint{mix: *tableOf(edges, map[float64]float64{1: 50, 8: 50})}
-	even := &endpoint{mix: *tableOf(edges, map[float64]float64{2: 100})}
+	fast := &endpoint{dest: &destination{}, mix: *tableOf(edges, map[float64]float64{1: 50, 8: 50})}
+	even := &endpoint{dest: &destination{}, mix: *tableOf(edges, map[float64]float64{2: 100})}
 	var p plan
-	p.solve(edges, []*endpoint{fast, even}, 2, 1)
+	p.solve(edges, []*endpoint{fast, even}, 2, 1, 0)
 	near(t, "E1", p.least[1], 2)
 	near(t, "E2", p.least[2], 2) // fast first, cut at 1: 0.5 + 0.5 (1 + 2) = 2, a tie with even
 	cost, s := fast.mix.restart(edges, 2)
@@ -1065,3 +1065,33 @@
 		t.Errorf("called back %v, want message 3", got)
 	}
 }
+
+// A call is not cut for the sake of a faster endpoint that takes nothing now: the resend would go to the same one
+// again, with the same cut, and so on until all attempts are used up.
+func TestPlanLeavesOutWhatIsShut(t *testing.T) {
+	edges := []float64{0.1, 1, 8}
+	fast := &endpoint{dest: &destination{}, mix: *tableOf(edges, map[float64]float64{0.1: 100})}
+	slow := &endpoint{dest: &destination{}, mix: *tableOf(edges, map[float64]float64{0.1: 10, 1: 90})}
+	for what, shut := range map[string]destination{"none": {}, "a wait": {wait: time.Second}, "a refusal": {again: time.Second}} {
+		fast.dest = &shut
+		var p plan
+		p.solve(edges, []*endpoint{fast, slow}, 2, 1, 0)
+		if _, s := slow.mix.restart(edges, p.least[1]); (s == 0) != (what == "none") {
+			t.Errorf("%s: cut at bucket %d", what, s)
+		}
+	}
+}
+
+// A message that ran before its time-out may be answered at once when it comes again: that is no call's time.
+func TestAnswerToARepeatTeachesNoTime(t *testing.T) {
+	r := newRig(t, settings(), Endpoint{ID: 1})
+	r.warm(5, 300*ms)
+	r.step(r.arrive(1, 0))
+	r.now += 8 * 300 * ms
+	r.step(outcome(1, 0, 1, TimedOut))
+	before := r.s.eps[1].t.n[0]
+	r.now += 2 * ms
+	if r.step(outcome(1, 1, 1, Delivered)); r.s.eps[1].t.n[0] > before || before > 0 {
+		t.Errorf("%v calls of 2 ms are in the table", r.s.eps[1].t.n[0])
+	}
+}
--- a/control/state.go
+++ b/control/state.go
@@ -68,7 +68,8 @@
 	t      table          // calls to all of its endpoints
 	p      plan
 	stale  bool
-	at     time.Duration // when p was solved
+	at     time.Duration // when its endpoints' evidence was pooled
+	solved uint64        // the Step in which p was solved
 }
 
 // message is one message that has not had its final answer, or has an attempt out.
