--- a/control/control.go
+++ b/control/control.go
@@ -657,7 +657,7 @@
 		}
 		s.fail(d, took < overrunMin)
 		d.ranNot = true
-	case Reset: // of one connection: where the destination is down the next can't be opened, or many are reset
+	case Reset: // of one connection: where the destination is down the next fail to connect, or are reset too
 		e.t.addLost(s.now)
 		e.node.t.addLost(s.now)
 		if d.resets++; d.resets >= tripResets {
