Hold a quarter more messages in the same folder, and leave descriptors for the calls out

At fault: reserve charged each message 768 bytes for records that a new file never holds; two attempts and an end come to under 384. IdleDestinations takes account of the slots: with many, idle connections ate the calls' part.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -223,9 +223,10 @@
 		HookStart: time.Second, HookRest: 500 * time.Millisecond, HookEnds: 1024, HookReason: 256,
 		Round: set.Round, ConnectTimeout: set.ConnectTimeout,
 	}
-	// Half of the descriptors are the clients', a quarter idle ones to destinations; calls that are out,
-	// the journal, the watch and the listeners live off the rest.
-	l.FrontSockets, l.IdleDestinations = l.Sockets/2, l.Sockets/4
+	// Half of the descriptors are the clients', and what the calls that are out, the journal, the watch and the
+	// listeners leave of the rest is for idle ones to destinations, a quarter at most.
+	l.FrontSockets = l.Sockets / 2
+	l.IdleDestinations = max(0, min(l.Sockets/4, l.Sockets-l.FrontSockets-set.Slots-16))
 	if l.Round <= 0 {
 		l.Round = 5 * time.Millisecond
 	}
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -34,6 +34,11 @@
 	if l := c.Limits; l.FrontSockets+l.IdleDestinations >= l.Sockets {
 		t.Errorf("%d and %d of %d descriptors leave none", l.FrontSockets, l.IdleDestinations, l.Sockets)
 	}
+	// Idle connections must leave descriptors for as many calls as may be out.
+	if c, err := parse(strings.NewReplacer(`"sockets": 1024`, `"sockets": 128`, `"workers": 4`, `"workers": 32`).Replace(good)); err != nil ||
+		c.Limits.FrontSockets != 64 || c.Limits.IdleDestinations != 16 {
+		t.Errorf("error %v, limits %+v", err, c)
+	}
 	c, err = Parse([]byte(good), func(k string) string { return map[string]string{"RELAY_LISTEN": "127.0.0.2:1"}[k] })
 	if err != nil || c.Listen != "127.0.0.2:1" {
 		t.Errorf("error %v, listen %q: the environment goes first", err, c.Listen)
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -59,8 +59,9 @@
 	logName    = "journal.log"
 	nextName   = "journal.next"
 	block      = 512 // files count in whole blocks
-	// A live message is charged for its records to come: six attempts, their outcomes and its end.
-	reserve = 768
+	// A live message is charged for what it may come to in a new file beside its texts: two attempts, with the
+	// names of their destinations, their outcomes and its end.
+	reserve = 384
 )
 
 var table = crc32.MakeTable(crc32.Castagnoli)
--- a/internal/journal/journal_test.go
+++ b/internal/journal/journal_test.go
@@ -132,6 +132,18 @@
 	}
 }
 
+// TestRoom guards against turning away what the folder has room for: on the busiest days a relay of 3 MB holds
+// close to a thousand messages.
+func TestRoom(t *testing.T) {
+	l := open(t, t.TempDir(), 3<<20)
+	for i := range 1100 {
+		if err := l.Take(&Entry{ID: "9b1f03aa5c7e2d41", Key: "5c0f6e1a2b3d4c59a8b7c6d5e4f30211", Front: "platform",
+			Body: make([]byte, 600)}); err != nil {
+			t.Fatalf("message %d: %v", i, err)
+		}
+	}
+}
+
 func FuzzReplay(f *testing.F) {
 	dir := f.TempDir()
 	l := open(f, dir, 1<<20)
