Let one error stop a returning destination again, while a reset does not

At fault: since single resets count for connections, fail waited for two failures in a row before it stopped a returning destination, so each came back to one that still failed.

--- a/control/control.go
+++ b/control/control.go
@@ -731,7 +731,8 @@
 	switch {
 	case d.health == stopped:
 		d.tokens = 2*s.rand() - 1
-	case silent || d.streak >= tripStreak || d.wait > s.now+tripWait:
+	case silent || d.streak >= tripStreak || d.wait > s.now+tripWait,
+		d.health == returning && d.streak > 0: // it is the first to fail again, or has not come back
 		s.doubt(d, stopped)
 	}
 }
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -1096,8 +1096,8 @@
 	}
 }
 
-// Connections are reset one at a time where nothing is wrong with the destination, and more of them where it has
-// just returned: neither stops it. Failed connects do.
+// Connections are reset one at a time where nothing is wrong with the destination, also where it has just returned:
+// that does not stop it. An error of one that has just returned does.
 func TestResetsAreNoOutage(t *testing.T) {
 	r := newRig(t, settings(), Endpoint{ID: 1})
 	r.warm(5, 100*ms)
@@ -1106,8 +1106,8 @@
 		health health
 		res    Result
 		want   health
-	}{{steady, Reset, steady}, {steady, Reset, steady}, {steady, Reset, steady}, {returning, Errored, returning},
-		{returning, Errored, stopped}, {returning, Delivered, returning}, {returning, Reset, returning}} {
+	}{{steady, Reset, steady}, {steady, Reset, steady}, {steady, Reset, steady}, {steady, Delivered, steady},
+		{returning, Reset, returning}, {returning, Errored, stopped}} {
 		if d.health != c.health {
 			r.s.turn(d, c.health)
 		}
