--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # The tasks of the project; `make check` is what CI runs.
-.PHONY: build test lint size check run hook fuzz
+.PHONY: build test lint size check run plugins fuzz bench-plugins
 
 POLICY = control/control.go
 CAP = 1010
@@ -27,8 +27,10 @@
 run: build
 	exec bin/mastusher serve
 
-hook:
-	GOOS=wasip1 GOARCH=wasm go build -buildmode=c-shared -o bin/hook.wasm ./examples/hook
+# The examples of plug-ins, to bin/plugins.
+plugins:
+	@for p in examples/plugins/*; do GOOS=wasip1 GOARCH=wasm CGO_ENABLED=0 \
+		go build -buildmode=c-shared -ldflags=-s -o bin/plugins/$$(basename $$p).wasm ./$$p || exit 1; done
 
 fuzz:
 	go test -run '^$$' -fuzz FuzzReadBatch -fuzztime 10s ./internal/wire
@@ -36,3 +38,12 @@
 	go test -run '^$$' -fuzz FuzzReadResponse -fuzztime 10s ./internal/httpwire
 	go test -run '^$$' -fuzz FuzzReplay -fuzztime 10s ./internal/journal
 	go test -run '^$$' -fuzz FuzzDecode -fuzztime 10s ./internal/vrrp
+	go test -run '^$$' -fuzz FuzzHostFunctions -fuzztime 10s ./internal/plugin
+	go test -run '^$$' -fuzz FuzzBounded -fuzztime 10s ./internal/plugin/wasm
+
+# Long runs, outside CI: what plug-ins cost, and what a hostile set costs other partners.
+bench-plugins: build
+	go build -o bin/plugbench ./cmd/plugbench
+	bin/plugbench --mode hostile
+	bin/plugbench --mode passing --pairs 3
+	go test -run '^$$' -bench Arrive -benchmem ./internal/plugin
--- a/cmd/mastusher/main.go
+++ b/cmd/mastusher/main.go
@@ -2,97 +2,123 @@
 package main
 
 import (
+	"errors"
 	"fmt"
+	"io"
 	"log/slog"
 	"os"
 	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"strings"
 	"syscall"
 
-	"github.com/spf13/pflag"
+	"github.com/spf13/cobra"
 
 	"mastusher/internal/activitypub"
 	"mastusher/internal/config"
 )
 
-const usage = `mastusher relays messages to partner systems.
-
-Usage:
-  mastusher [serve] [flags]     run the relay (the default)
-  mastusher check-config        read the configuration, say what is wrong with it, and exit
-  mastusher make-key FILE       write a new key for the ActivityPub front to FILE and FILE.pub
-  mastusher version             print the version
-
-Flags:
-`
-
 // version is set by the linker for releases.
 var version = "devel"
 
-func main() { os.Exit(run(os.Args[1:])) }
+func main() { os.Exit(run(os.Args[1:], os.Stdout, os.Stderr)) }
 
-func run(args []string) int {
-	flags := pflag.NewFlagSet("mastusher", pflag.ContinueOnError)
-	file := flags.String("config", "", "configuration file (default: the one that RELAY_CONFIG names)")
-	level := flags.String("log-level", "info", "debug, info, warn or error")
-	flags.Usage = func() { fmt.Fprint(os.Stderr, usage, flags.FlagUsages()) }
-	if err := flags.Parse(args); err == pflag.ErrHelp {
+// errWork is a fault of the work and not of the command line: exit code 1, where that is 2.
+type errWork struct{ error }
+
+func (e errWork) Unwrap() error { return e.error }
+
+func run(args []string, out, errs io.Writer) int {
+	root := commands()
+	root.SetArgs(args)
+	root.SetOut(out)
+	root.SetErr(errs)
+	err := root.Execute()
+	if err == nil {
 		return 0
-	} else if err != nil {
-		fmt.Fprintln(os.Stderr, "mastusher:", err)
-		return 2
 	}
-	command := "serve"
-	if flags.NArg() > 0 {
-		command = flags.Arg(0)
+	fmt.Fprintln(errs, "mastusher:", err)
+	if errors.As(err, new(errWork)) {
+		return 1
 	}
-	if command == "make-key" && flags.NArg() == 2 {
-		if err := activitypub.MakeKey(flags.Arg(1)); err != nil {
-			fmt.Fprintln(os.Stderr, "mastusher: make-key:", err)
-			return 1
+	fmt.Fprintln(errs, `"mastusher --help" tells more`)
+	return 2
+}
+
+// options are the flags that all commands know.
+type options struct{ file, level, format string }
+
+func commands() *cobra.Command {
+	o := &options{}
+	serving := func(cmd *cobra.Command, _ []string) error {
+		log, err := o.logger(cmd.ErrOrStderr())
+		if err != nil {
+			return err
 		}
-		return 0
-	}
-	if flags.NArg() > 1 {
-		fmt.Fprintf(os.Stderr, "mastusher: %s does not take these arguments\n", command)
-		return 2
-	}
-	var lv slog.Level
-	if err := lv.UnmarshalText([]byte(*level)); err != nil {
-		fmt.Fprintln(os.Stderr, "mastusher: --log-level:", err)
-		return 2
-	}
-	switch command {
-	case "version":
-		v := version
-		if info, ok := debug.ReadBuildInfo(); ok && v == "devel" && info.Main.Version != "" {
-			v = info.Main.Version
+		cfg, err := config.Load(o.file, os.Getenv)
+		if err != nil {
+			return errWork{err}
 		}
-		fmt.Println("mastusher", v, runtime.Version())
-		return 0
-	case "serve", "check-config":
-	default:
-		fmt.Fprintf(os.Stderr, "mastusher: no command %q\n", command)
-		flags.Usage()
-		return 2
-	}
-	cfg, err := config.Load(*file, os.Getenv)
-	if err != nil {
-		fmt.Fprintln(os.Stderr, "mastusher:", err)
-		return 1
+		signals := make(chan os.Signal, 4)
+		signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+		again := func() (*config.Config, error) { return config.Load(o.file, os.Getenv) }
+		if err := serve(cfg, log, signals, again); err != nil {
+			log.Error("the relay stops", "error", err)
+			return errWork{err}
+		}
+		return nil
 	}
-	if command == "check-config" {
-		fmt.Println("the configuration is good")
-		return 0
+	root := &cobra.Command{Use: "mastusher", Short: "mastusher relays messages to partner systems", Args: cobra.NoArgs,
+		Long: "mastusher relays messages to partner systems.\n\nWithout a command it serves.",
+		RunE: serving, SilenceUsage: true, SilenceErrors: true}
+	flags := root.PersistentFlags()
+	flags.StringVar(&o.file, "config", "", "configuration file (default: the one that RELAY_CONFIG names)")
+	flags.StringVar(&o.level, "log-level", "info", "debug, info, warn or error")
+	flags.StringVar(&o.format, "log-format", "text", "text or json")
+	_ = root.RegisterFlagCompletionFunc("log-level", cobra.FixedCompletions([]string{"debug", "info", "warn", "error"}, cobra.ShellCompDirectiveNoFileComp))
+	_ = root.RegisterFlagCompletionFunc("log-format", cobra.FixedCompletions([]string{"text", "json"}, cobra.ShellCompDirectiveNoFileComp))
+	root.AddCommand(
+		&cobra.Command{Use: "serve", Short: "run the relay (the default)", Args: cobra.NoArgs, RunE: serving},
+		&cobra.Command{Use: "check-config", Short: "read the configuration and name the first faulty key", Args: cobra.NoArgs,
+			RunE: func(cmd *cobra.Command, _ []string) error {
+				if _, err := config.Load(o.file, os.Getenv); err != nil {
+					return errWork{err}
+				}
+				cmd.Println("the configuration is good")
+				return nil
+			}},
+		&cobra.Command{Use: "make-key FILE", Short: "write a new key for the ActivityPub front to FILE and FILE.pub", Args: cobra.ExactArgs(1),
+			RunE: func(_ *cobra.Command, args []string) error {
+				if err := activitypub.MakeKey(args[0]); err != nil {
+					return errWork{fmt.Errorf("make-key: %w", err)}
+				}
+				return nil
+			}},
+		&cobra.Command{Use: "version", Short: "print the version", Args: cobra.NoArgs, Run: func(cmd *cobra.Command, _ []string) {
+			v := version
+			if info, ok := debug.ReadBuildInfo(); ok && v == "devel" && info.Main.Version != "" {
+				v = info.Main.Version
+			}
+			fmt.Fprintln(cmd.OutOrStdout(), "mastusher", v, runtime.Version())
+		}},
+		pluginCommand(o),
+	)
+	return root
+}
+
+// logger is the log of a command, as the flags say.
+func (o *options) logger(w io.Writer) (*slog.Logger, error) {
+	var lv slog.Level
+	if err := lv.UnmarshalText([]byte(o.level)); err != nil {
+		return nil, fmt.Errorf("--log-level: %q is none of debug, info, warn, error", o.level)
 	}
-	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: lv}))
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	again := func() (*config.Config, error) { return config.Load(*file, os.Getenv) }
-	if err := serve(cfg, log, signals, again); err != nil {
-		log.Error("the relay stops", "error", err)
-		return 1
+	opt := &slog.HandlerOptions{Level: lv}
+	switch strings.ToLower(o.format) {
+	case "text":
+		return slog.New(slog.NewTextHandler(w, opt)), nil
+	case "json":
+		return slog.New(slog.NewJSONHandler(w, opt)), nil
 	}
-	return 0
+	return nil, fmt.Errorf("--log-format: %q is neither text nor json", o.format)
 }
--- a/cmd/mastusher/main_test.go
+++ b/cmd/mastusher/main_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"io"
 	"log/slog"
 	"net"
 	"os"
@@ -29,7 +30,7 @@
 		{"serve --config " + bad, 1}, {"--log-level loud", 2}, {"--nonsense", 2}, {"dance", 2}, {"version twice", 2},
 		{"make-key " + filepath.Join(dir, "key"), 0}, {"make-key " + filepath.Join(dir, "key"), 1},
 	} {
-		if got := run(strings.Fields(c.args)); got != c.want {
+		if got := run(strings.Fields(c.args), io.Discard, io.Discard); got != c.want {
 			t.Errorf("mastusher %s: exit %d, want %d", c.args, got, c.want)
 		}
 	}
--- /dev/null
+++ b/cmd/mastusher/plugin_test.go
@@ -0,0 +1,268 @@
+package main
+
+import (
+	"bytes"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"mastusher/internal/httpwire"
+	"mastusher/internal/plugin/wasmtest"
+	"mastusher/internal/standin"
+)
+
+// TestMain lets the tests start this program as a process of its own, to be killed.
+func TestMain(m *testing.M) {
+	if os.Getenv("MASTUSHER_TEST_RUN") != "" {
+		os.Exit(run(os.Args[1:], os.Stdout, os.Stderr))
+	}
+	os.Exit(m.Run())
+}
+
+// TestExamples builds the examples with the Go tool chain and plays their golden cases.
+func TestExamples(t *testing.T) {
+	settings := map[string]string{"required-header": `{"desks": {"football": "fb-12"}, "otherwise": "sports"}`}
+	examples, _ := filepath.Glob("../../examples/plugins/*")
+	if len(examples) < 3 {
+		t.Fatal("the examples are not there")
+	}
+	// As a program of its own, without the race detector, under which to compile a module takes ten times as long.
+	program := filepath.Join(t.TempDir(), "mastusher")
+	if out, err := exec.Command("go", "build", "-o", program, ".").CombinedOutput(); err != nil {
+		t.Fatalf("%v\n%s", err, out)
+	}
+	play := func(args ...string) (int, string) {
+		cmd := exec.Command(program, append([]string{"plugin"}, args...)...)
+		out, err := cmd.CombinedOutput()
+		if cmd.ProcessState == nil {
+			t.Fatal(err)
+		}
+		return cmd.ProcessState.ExitCode(), string(out)
+	}
+	for _, dir := range examples {
+		name := filepath.Base(dir)
+		t.Run(name, func(t *testing.T) {
+			module, cache := filepath.Join(t.TempDir(), name+".wasm"), t.TempDir() // compiled once
+			build := exec.Command("go", "build", "-buildmode=c-shared", "-ldflags=-s", "-o", module, dir)
+			build.Env = append(os.Environ(), "GOOS=wasip1", "GOARCH=wasm", "CGO_ENABLED=0")
+			if out, err := build.CombinedOutput(); err != nil {
+				t.Fatalf("%v\n%s", err, out)
+			}
+			cases, wrong := filepath.Join(dir, "cases.txt"), filepath.Join(t.TempDir(), "wrong.txt")
+			_ = os.WriteFile(wrong, []byte("case wrong\n  phase arrival\nwant\n  body other\n"), 0o600)
+			for _, c := range []struct {
+				args []string
+				want int
+			}{
+				{[]string{"check", module}, 0},
+				{[]string{"test", module, cases, "--settings", settings[name]}, 0},
+				{[]string{"test", module, wrong}, 1}, // a case that must not pass
+				{[]string{"run", module, "--set", "id=7"}, 0},
+			} {
+				if code, out := play(append(c.args, "--cache", cache)...); code != c.want {
+					t.Errorf("plugin %v: exit %d, want %d\n%s", c.args, code, c.want, out)
+				}
+			}
+		})
+	}
+}
+
+func TestPluginCommands(t *testing.T) {
+	dir := t.TempDir()
+	file := func(name string, b []byte) string {
+		f := filepath.Join(dir, name)
+		if err := os.WriteFile(f, b, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		return f
+	}
+	good, later := file("good.wasm", wasmtest.Header("X-Desk", "sports")), file("later.wasm", wasmtest.Later())
+	for _, c := range []struct {
+		args []string
+		code int
+		want string
+	}{
+		{[]string{"check", good}, 0, "ABI 2, phases arrival"},
+		{[]string{"check", later}, 1, "speaks ABI 3; this relay speaks 1 and 2"},
+		{[]string{"check", filepath.Join(dir, "none")}, 1, "no such file"},
+		{[]string{"check"}, 2, "accepts 1 arg"},
+		{[]string{"run", good, "--set", "partner=x"}, 2, "--set partner"},
+		{[]string{"run", good}, 0, "header X-Desk: sports"},
+		{[]string{"run", good, "--settings", "{"}, 1, "not valid JSON"},
+		{[]string{"test", good, file("c1", []byte("case a\n  phase noon\n"))}, 1, "line 2: phase: \"noon\""},
+		{[]string{"test", good, file("c2", []byte("wrong\n"))}, 1, "line 1: want a case"},
+		{[]string{"test", good, file("c3", []byte("case a\nwant\n  pass\n"))}, 1, "0 passed, 1 failed"},
+		{[]string{"test", good, file("c4", nil)}, 1, "0 passed, 0 failed"},
+		{[]string{"test", good, file("c5", []byte("case a\n  left 1s\n  told 2s\n  again true\n  in X: y\nwant\n  pass\n  header X-Desk: sports\n"))}, 0, "1 passed, 0 failed"},
+		{[]string{"bench", good, "--calls", "0"}, 2, "--calls"},
+		{[]string{"bench", good, "--calls", "100"}, 0, "100 calls, 0 failed"},
+		{[]string{"dance"}, 0, "Available Commands"},
+	} {
+		var out bytes.Buffer
+		if code := run(append([]string{"plugin"}, c.args...), &out, &out); code != c.code || !strings.Contains(out.String(), c.want) {
+			t.Errorf("plugin %v: exit %d, want %d with %q; it says\n%s", c.args, code, c.code, c.want, out.String())
+		}
+	}
+}
+
+// daemon is the relay as a process of its own.
+type daemon struct {
+	*exec.Cmd
+	address string
+}
+
+func (d *daemon) start(t *testing.T, file string) {
+	t.Helper()
+	d.Cmd = exec.Command(os.Args[0], "serve", "--config", file, "--log-format", "json")
+	d.Env = append(os.Environ(), "MASTUSHER_TEST_RUN=1")
+	d.Stderr = os.Stderr
+	if testing.Verbose() {
+		d.Stderr = os.Stdout
+	}
+	if err := d.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = d.Process.Kill(); _ = d.Wait() })
+	for range 400 {
+		up := 0
+		httpwire.NewPool(standin.Limits()).Do(t.Context(), httpwire.Peer{Address: d.address}, httpwire.AppendRequest(nil, "GET", "/up", d.address, nil, nil),
+			nil, func(p *httpwire.Response) { up = p.Status })
+		if up == 200 {
+			return
+		}
+		time.Sleep(25 * time.Millisecond)
+	}
+	t.Fatal("the relay does not come up")
+}
+
+const lanes = `"limits": {"disk_mb": 3}, "settings": {"peers_total": 1, "round": 5000, "machine_types": ["club-sites"], "localities": ["a"],
+  "allowed": {"max_attempts": 6, "cancel": true, "max_open": 100, "retry_after": true, "max_retry_after": 3000000}, "family_info": {"workers": 8},
+  "lanes": [{"name": "match-event", "effect": "token", "group": "all", "memory_span": 60000000, "aim": 30000000, "deadline": 60000000, "worth": 1}]}`
+
+// sent is what a call carried that must be the same each time: all but the time that is left.
+func sent(a standin.Arrival) string {
+	var lines []string
+	for k, v := range a.Header {
+		if k != "X-Timeout" {
+			lines = append(lines, fmt.Sprint(k, v))
+		}
+	}
+	return fmt.Sprintf("%v %s", sorted(lines), a.Body)
+}
+
+func sorted(s []string) []string {
+	for i := range s {
+		for j := range i {
+			if s[i] < s[j] {
+				s[i], s[j] = s[j], s[i]
+			}
+		}
+	}
+	return s
+}
+
+// TestSameBytes: what a message was shaped to is sent again as it was, after SIGKILL and a restart with another version
+// of the plug-in, and after a reload; new messages meet the new version.
+func TestSameBytes(t *testing.T) {
+	dir := t.TempDir()
+	module, file := filepath.Join(dir, "p.wasm"), filepath.Join(dir, "config.json")
+	version := func(desk string) {
+		if err := os.WriteFile(module, wasmtest.Header("X-Desk", desk), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	calls := make(chan standin.Arrival)
+	hang := make(chan struct{})
+	ends, err := standin.NewEndpoints(1, func(a standin.Arrival) httpwire.Answer {
+		select {
+		case calls <- a:
+		case <-hang:
+		}
+		if a.ID == "m" {
+			<-hang // the first message never gets an answer
+		}
+		return httpwire.Answer{Status: 200}
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	disco, err := standin.NewDiscovery(ends.Known("club-sites", "a"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { close(hang); disco.Close(); ends.Close() })
+	spare, err := standin.NewEndpoints(1, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	spare.Close()
+	d := &daemon{address: spare.Addresses[0]}
+	text := fmt.Sprintf(`{"name": "t", "listen": %q, "discovery": %q, "state": %q, "known": %s, "plugin_host": {"store": %q},
+		"plugins": [{"name": "p", "file": %q, "timeout": "60ms", "memory_mb": 1}], %s}`, d.address, disco.Address, filepath.Join(dir, "state"), ends.Known("club-sites", "a"), dir, module, lanes)
+	_ = os.Mkdir(filepath.Join(dir, "state"), 0o700)
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	hand := func(id string) {
+		t.Helper()
+		m := &standin.Message{ID: id, Key: "k" + id, Class: "match-event", Partner: 0, Timeout: time.Minute, Body: "goal"}
+		if status, body := standin.NewClient(d.address).Send(t.Context(), m); status != 202 {
+			t.Fatalf("status %d: %s", status, body)
+		}
+	}
+	version("one")
+	d.start(t, file)
+	hand("m")
+	first := <-calls
+	_ = d.Process.Kill()
+	_ = d.Wait()
+	version("two")
+	d.start(t, file)
+	second := <-calls
+	if dd := cmp.Diff(sent(first), sent(second)); dd != "" || first.Header["X-Desk"][0] != "one" {
+		t.Errorf("after SIGKILL and another version (-first +second)\n%s", dd)
+	}
+	hand("n")
+	if a := <-calls; a.Header["X-Desk"][0] != "two" {
+		t.Errorf("a new message is sent with %v", a.Header)
+	}
+	version("three")
+	var out bytes.Buffer
+	if code := run([]string{"plugin", "reload", "--config", file, "--pid", fmt.Sprint(d.Process.Pid)}, &out, &out); code != 0 {
+		t.Fatalf("reload: exit %d\n%s", code, out.String())
+	}
+	hand("o")
+	if a := <-calls; a.Header["X-Desk"][0] != "three" {
+		t.Errorf("after a reload a message is sent with %v", a.Header)
+	}
+	// A faulty version: the relay is not even told.
+	_ = os.WriteFile(module, wasmtest.Later(), 0o600)
+	if code := run([]string{"plugin", "reload", "--config", file, "--pid", fmt.Sprint(d.Process.Pid)}, &out, &out); code != 1 || !strings.Contains(out.String(), "not told") {
+		t.Errorf("reload of a faulty version: exit %d\n%s", code, out.String())
+	}
+	// Told all the same, it changes nothing and its status names the key.
+	_ = d.Process.Signal(syscall.SIGHUP)
+	named := regexp.MustCompile(`generation \d+.*\n.*plugins\.0`)
+	for i := 0; ; i++ {
+		out.Reset()
+		if run([]string{"plugin", "status", "--config", file}, &out, &out) == 0 && named.MatchString(out.String()) {
+			break
+		}
+		if i > 400 {
+			t.Fatalf("the status says\n%s", out.String())
+		}
+		time.Sleep(25 * time.Millisecond)
+	}
+	hand("p")
+	if a := <-calls; a.Header["X-Desk"][0] != "three" {
+		t.Errorf("after a faulty reload a message is sent with %v", a.Header)
+	}
+}
--- a/cmd/mastusher/serve.go
+++ b/cmd/mastusher/serve.go
@@ -12,10 +12,11 @@
 
 	"mastusher/internal/activitypub"
 	"mastusher/internal/config"
-	"mastusher/internal/hook"
 	"mastusher/internal/httpwire"
 	"mastusher/internal/journal"
 	"mastusher/internal/platform"
+	"mastusher/internal/plugin"
+	"mastusher/internal/plugin/rules"
 	"mastusher/internal/relay"
 	"mastusher/internal/vrrp"
 )
@@ -33,6 +34,14 @@
 	if err != nil {
 		return err
 	}
+	plugins, err := loadPlugins(cfg, log)
+	if err != nil {
+		return err
+	}
+	if plugins != nil {
+		defer plugins.Close()
+		core.SetInspector(plugins)
+	}
 	var servers []*httpwire.Server
 	var router *vrrp.Instance // nil: off
 	var listeners []net.Listener
@@ -71,21 +80,22 @@
 			return err
 		}
 	}
-	for i := range cfg.Hooks {
-		h, err := hook.Load(&cfg.Hooks[i], &cfg.Limits, log)
-		if err != nil {
-			return &config.KeyError{Key: fmt.Sprintf("hooks.%d.file", i), Why: err.Error()}
-		}
-		defer h.Close()
-		core.AddInspector(h)
-	}
 	core.Restore(time.Now())
+	reloads := make(chan struct{}, 1) // one more is enough for any number that come while one is under way
+	go func() {
+		for range reloads {
+			reload(front, plugins, log, again)
+		}
+	}()
 	go func() {
 		draining := false
 		for s := range signals {
 			switch {
-			case s == syscall.SIGHUP:
-				reload(front, log, again)
+			case s == syscall.SIGHUP: // not here: to compile plug-ins takes time, and SIGTERM must not wait
+				select {
+				case reloads <- struct{}{}:
+				default:
+				}
 			case !draining:
 				draining = true
 				log.Info("the relay drains", "signal", s.String())
@@ -114,8 +124,24 @@
 	return jour.Close()
 }
 
+// loadPlugins starts the plug-ins, or returns nil where the configuration sets up no host for them: then nothing of
+// theirs costs anything. With a plugin_host, plug-ins may also come with a reload.
+func loadPlugins(cfg *config.Config, log *slog.Logger) (*plugin.Host, error) {
+	if !cfg.PluginHost.On {
+		return nil, nil
+	}
+	h, err := plugin.New(cfg, []rules.Front{platform.Guard, activitypub.Guard}, log)
+	if err != nil {
+		return nil, err
+	}
+	// A thread that runs a plug-in holds one of the runtime's processors: those are to be in excess. Which threads
+	// get the machine's is the scheduler's to say, and plug-ins have the lowest class there.
+	runtime.GOMAXPROCS(cfg.Limits.Cores + max(h.Procs(), 2))
+	return h, nil
+}
+
 // reload reads the configuration again. A faulty one changes nothing: the relay goes on with what it has.
-func reload(front *platform.Front, log *slog.Logger, again func() (*config.Config, error)) {
+func reload(front *platform.Front, plugins *plugin.Host, log *slog.Logger, again func() (*config.Config, error)) {
 	cfg, err := again()
 	if err != nil {
 		log.Error("the new configuration is not taken", "error", err)
@@ -125,4 +151,13 @@
 	if front != nil {
 		front.Move(cfg.Discovery)
 	}
+	switch {
+	case plugins != nil:
+		if err := plugins.Reload(cfg); err != nil {
+			log.Error("the new plug-ins are not taken; those that ran go on", "error", err)
+		}
+		runtime.GOMAXPROCS(cfg.Limits.Cores + max(plugins.Procs(), 2))
+	case len(cfg.Plugins) > 0:
+		log.Warn("plug-ins can only be added to a relay that was started with plugin_host or plug-ins")
+	}
 }
--- a/internal/activitypub/activitypub_test.go
+++ b/internal/activitypub/activitypub_test.go
@@ -399,7 +399,7 @@
 			}
 		}()
 		u := &url.URL{Scheme: "http", Host: l.Addr().String(), Path: "/inbox"}
-		if d := cmp.Diff(relay.Outcome{Result: want}, f.post(t.Context(), u, nil, nil)); d != "" {
+		if d := cmp.Diff(relay.Outcome{Result: want}, f.post(t.Context(), u, nil, nil, nil)); d != "" {
 			t.Errorf("%s (-want +got)\n%s", status, d)
 		}
 	}
--- a/internal/activitypub/front.go
+++ b/internal/activitypub/front.go
@@ -3,6 +3,7 @@
 package activitypub
 
 import (
+	"cmp"
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
@@ -21,12 +22,31 @@
 	"mastusher/internal/config"
 	"mastusher/internal/httpwire"
 	"mastusher/internal/platform"
+	"mastusher/internal/plugin/rules"
 	"mastusher/internal/relay"
 )
 
 // Name is this front's name in the journal.
 const Name = "activitypub"
 
+// Guard is what plug-ins may change here: headers that neither the signature nor the protocol owns, and the body
+// before it is signed, as long as it stays the same activity by the same actor.
+var Guard = rules.Front{Name: Name, Owned: []string{"Accept", "Authorization", "Content-Digest", "Content-Type", "Date",
+	"Digest", "Signature", "Signature-*"}, Body: func(before, after []byte) bool {
+	if !gjson.ValidBytes(after) {
+		return false
+	}
+	was, is := gjson.ParseBytes(before), gjson.ParseBytes(after)
+	times := map[string]int{} // a key that stands there twice is read differently by different partners
+	is.ForEach(func(k, _ gjson.Result) bool { times[k.String()]++; return true })
+	for _, key := range []string{"id", "actor", "type", "endTime"} {
+		if was.Get(key).Raw != is.Get(key).Raw || times[key] > 1 {
+			return false
+		}
+	}
+	return is.IsObject()
+}}
+
 const contentType = "application/activity+json"
 
 // Taker is the part of the core that takes messages on.
@@ -192,7 +212,9 @@
 	case relay.Busy:
 		return platform.BusyReply(r.Retry)
 	case relay.Rejected:
-		return say(422, r.Why)
+		a := say(cmp.Or(r.Status, 422), r.Why)
+		a.Prompt = true
+		return a
 	default:
 		return say(500, "given up")
 	}
@@ -229,7 +251,8 @@
 	case !known:
 		return m, false, &Refusal{422, "no class for this type of activity"}
 	}
-	m = relay.Message{ID: id, Key: id, Class: class, Deadline: now.Add(f.set[class].Deadline), Body: q.Body}
+	m = relay.Message{ID: id, Key: id, Class: class, Deadline: now.Add(f.set[class].Deadline), Body: q.Body,
+		Header: q.Header}
 	if v := act.Get("endTime"); v.Exists() {
 		t, err := time.Parse(time.RFC3339, v.String())
 		if err != nil {
@@ -265,12 +288,14 @@
 func (f *Front) Call(ctx context.Context, step *relay.RouteStep) []relay.Outcome {
 	outs := make([]relay.Outcome, len(step.Items))
 	for i := range step.Items {
-		outs[i] = f.post(ctx, f.inboxes[step.To.Name], step.Items[i].Body, step.MayWrite)
+		it := &step.Items[i]
+		outs[i] = f.post(ctx, f.inboxes[step.To.Name], it.Body, it.Headers, step)
 	}
 	return outs
 }
 
-func (f *Front) post(ctx context.Context, u *url.URL, body []byte, mayWrite func() bool) (o relay.Outcome) {
+// post signs a body and posts it, for a step or, where that is nil, as an answer to a client.
+func (f *Front) post(ctx context.Context, u *url.URL, body []byte, more []string, step *relay.RouteStep) (o relay.Outcome) {
 	if u == nil {
 		return relay.Outcome{Result: control.Rejected}
 	}
@@ -279,8 +304,16 @@
 		f.log.Error("activitypub", "error", err)
 		return relay.Outcome{Result: control.Moot}
 	}
-	request := httpwire.AppendRequest(nil, "POST", u.RequestURI(), u.Host, head, body)
-	stage := f.pool.Do(ctx, httpwire.Peer{Address: address(u)}, request, mayWrite, func(p *httpwire.Response) { o = outcome(p) })
+	request := httpwire.AppendRequest(nil, "POST", u.RequestURI(), u.Host, append(head, more...), body)
+	var mayWrite func() bool
+	if step != nil {
+		mayWrite = step.MayWrite
+	}
+	stage := f.pool.Do(ctx, httpwire.Peer{Address: address(u)}, request, mayWrite, func(p *httpwire.Response) {
+		if o = outcome(p); step != nil {
+			step.See(p.Status, p.Header, p.Body)
+		}
+	})
 	if r, failed := platform.StageResult(stage); failed && (stage != httpwire.Spoilt || o.Result != control.Delivered) {
 		o = relay.Outcome{Result: r}
 	}
@@ -325,7 +358,7 @@
 		room <- struct{}{}
 		go func() {
 			defer func() { <-room; all.Done() }()
-			r := f.post(ctx, u, f.answer(n), nil).Result
+			r := f.post(ctx, u, f.answer(n), nil, nil).Result
 			taken[i] = r == control.Delivered || r == control.Rejected
 		}()
 	}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -55,14 +55,35 @@
 	NoticesAtOnce   int // calls, where each notice is one
 	Remembered      int // messages that have ended, to answer for when they come again
 	NoticesPerCall  int
-	HookStart       time.Duration // for a plug-in's start
-	HookRest        time.Duration // of a plug-in that failed; doubles with each failure in a row
-	HookEnds        int           // ends that wait for a plug-in
-	HookReason      int           // bytes of what it says
 	WindowMargin    time.Duration // no repeat of a keyed message is begun in this last part of its window
 	DrainSends      time.Duration // after SIGTERM, route steps are still begun for so long
 	DrainExit       time.Duration // and the core ends within this
 	DrainLinger     time.Duration // clients are still answered for so long
+
+	PluginStart      time.Duration // for an instance's start
+	PluginBudget     time.Duration // for all plug-ins that see a message arrive, of the 400 ms that its client waits
+	PluginGrace      time.Duration // after its deadline a call that can't be stopped is left to itself
+	PluginMemory     int64         // bytes, of all instances together
+	PluginStack      int           // values of eight bytes that the open calls in an instance may take
+	PluginCopied     int           // bytes that a call may have the relay copy out of its memory
+	PluginThreads    int           // that run plug-ins at once
+	PluginYields     bool          // those give way to the relay's own threads
+	PluginBurst      time.Duration // processor time that a plug-in may use at once beyond its share
+	PluginStrikes    float64       // failures that open a circuit breaker, less a part of the good calls
+	PluginRest       time.Duration // how long it stays open at first
+	PluginMostRest   time.Duration // and at most
+	PluginTrials     int           // good calls in a row that close it
+	PluginPartners   int           // that a plug-in keeps breakers for
+	PluginEnds       int           // calls after the fact that wait for a plug-in
+	PluginLines      int           // log lines a second, and in one call
+	PluginReason     int           // bytes of a log line or reason
+	PluginHeaders    int           // set on one message
+	PluginValue      int           // bytes of a header's value
+	PluginHeaderSize int           // bytes of all headers set on one message
+	PluginSample     int           // bytes of an answer that plug-ins may see
+	PluginMostWait   time.Duration // that a plug-in may ask for
+	PluginSave       time.Duration // from one saving of the stores to the next
+	PluginCache      int64         // bytes of compiled modules that are kept
 }
 
 // Config is all that a relay is told at its start.
@@ -74,7 +95,8 @@
 	Limits                         Limits
 	ActivityPub                    *ActivityPub // nil: off
 	VRRP                           *VRRP        // nil: off
-	Hooks                          []Hook
+	Plugins                        []Plugin     // in the order in which they are called
+	PluginHost                     PluginHost
 }
 
 // ActivityPub sets up the second front.
@@ -119,11 +141,28 @@
 	AcceptMode bool
 }
 
-// Hook is one WebAssembly plug-in.
-type Hook struct {
+// Plugin is one WebAssembly plug-in.
+type Plugin struct {
+	Key        string // where it stands in the configuration
 	Name, File string
-	Timeout    time.Duration
-	MemoryMB   int
+	Fronts     []string      // names; none: all
+	Partners   []int         // none: all
+	Classes    []int         // none: all
+	Phases     []string      // arrival, answer, end; none: all that it takes part in
+	Timeout    time.Duration // of one call
+	MemoryMB   int           // of one instance
+	Instances  int
+	Share      float64 // of one core
+	Reject     bool    // a message is turned away when the plug-in fails; otherwise it passes
+	StoreKB    int
+	Config     string // JSON, handed to the plug-in as it is
+}
+
+// PluginHost is what all plug-ins share.
+type PluginHost struct {
+	On    bool   // there are plug-ins, or may be after a reload
+	Cache string // folder for compiled modules; "": none
+	Store string // folder for the plug-ins' stores; "": they are not kept
 }
 
 // KeyError names the key of the configuration that is at fault.
@@ -220,8 +259,14 @@
 		NoticeRetryMost: time.Second, NoticesAtOnce: 16, Remembered: 20000,
 		DrainSends: 2500 * time.Millisecond, DrainExit: 3200 * time.Millisecond,
 		DrainLinger: time.Second, WindowMargin: 250 * time.Millisecond,
-		HookStart: time.Second, HookRest: 500 * time.Millisecond, HookEnds: 1024, HookReason: 256,
-		Round: set.Round, ConnectTimeout: set.ConnectTimeout,
+		PluginStart: time.Second, PluginBudget: 60 * time.Millisecond, PluginGrace: 5 * time.Millisecond,
+		PluginStack: 128 << 10, PluginCopied: 256 << 10, PluginThreads: 16, PluginYields: true, PluginBurst: 50 * time.Millisecond, PluginStrikes: 3,
+		PluginRest: 500 * time.Millisecond, PluginMostRest: time.Minute, PluginTrials: 5, PluginPartners: 1024,
+		PluginEnds: 1024, PluginLines: 10, PluginReason: 256, PluginHeaders: 16, PluginValue: 1024,
+		PluginHeaderSize: 4 << 10, PluginSample: 512, PluginMostWait: time.Minute, PluginSave: 5 * time.Second,
+		PluginMemory: int64(p.number("plugin_host.memory_mb", 16, 1, 1<<12)) << 20,
+		PluginCache:  int64(p.number("plugin_host.cache_mb", 64, 1, 1<<12)) << 20,
+		Round:        set.Round, ConnectTimeout: set.ConnectTimeout,
 	}
 	// Half of the descriptors are the clients', and what the calls that are out, the journal, the watch and the
 	// listeners leave of the rest is for idle ones to destinations, a quarter at most.
@@ -290,11 +335,7 @@
 		p.need("vrrp.virtual", len(v.Virtual) > 0 && len(v.Virtual) < 256, "want 1 to 255 addresses")
 		c.VRRP = v
 	}
-	p.each("hooks", func(at string) {
-		c.Hooks = append(c.Hooks, Hook{Name: p.text(at+".name", at), File: p.must(at + ".file"),
-			Timeout:  p.duration(at+".timeout", 20*time.Millisecond),
-			MemoryMB: int(p.number(at+".memory_mb", 16, 1, 64))})
-	})
+	p.plugins(c)
 }
 
 // parser reads keys by path and keeps the first error.
--- /dev/null
+++ b/internal/config/plugins.go
@@ -0,0 +1,98 @@
+package config
+
+import (
+	"fmt"
+	"regexp"
+	"slices"
+	"time"
+
+	"github.com/tidwall/gjson"
+
+	"mastusher/control"
+)
+
+// pluginName is what a plug-in may be called: the name is a file's too.
+var pluginName = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9_-]{0,63}$`)
+
+// plugins reads the plug-ins, and as plug-ins the hooks of earlier configurations.
+func (p *parser) plugins(c *Config) {
+	h := &c.PluginHost
+	h.Cache, h.Store = p.text("plugin_host.cache", ""), p.text("plugin_host.store", "")
+	seen := map[string]bool{}
+	one := func(at string) {
+		g := Plugin{Key: at, Name: p.text(at+".name", fmt.Sprintf("plugin-%d", len(c.Plugins))), File: p.must(at + ".file"),
+			Timeout:   p.duration(at+".timeout", 20*time.Millisecond),
+			MemoryMB:  int(p.number(at+".memory_mb", 16, 1, 256)),
+			Instances: int(p.number(at+".instances", 2, 1, 16)),
+			Share:     p.number(at+".cpu_share", 0.05, 0.001, 1),
+			StoreKB:   int(p.number(at+".store_kb", 64, 0, 1<<16))}
+		p.need(at+".name", pluginName.MatchString(g.Name), "want letters, digits, - and _, 64 at most")
+		p.need(at+".name", !seen[g.Name], "given to two plug-ins")
+		seen[g.Name] = true
+		p.need(at+".timeout", g.Timeout <= c.Limits.PluginBudget,
+			fmt.Sprintf("more than the %v that all plug-ins together may take", c.Limits.PluginBudget))
+		p.each(at+".fronts", func(in string) {
+			front := p.must(in)
+			p.need(in, front == "platform" || front == "activitypub", "want platform or activitypub")
+			g.Fronts = append(g.Fronts, front)
+		})
+		p.each(at+".partners", func(in string) { g.Partners = append(g.Partners, int(p.number(in, -1, 0, 65535))) })
+		p.each(at+".classes", func(in string) {
+			name := p.must(in)
+			n := slices.IndexFunc(c.Settings.Classes, func(k control.Class) bool { return k.Name == name })
+			p.need(in, n >= 0, "no class of that name in settings.lanes")
+			g.Classes = append(g.Classes, n)
+		})
+		p.each(at+".phases", func(in string) {
+			phase := p.must(in)
+			p.need(in, slices.Contains([]string{"arrival", "answer", "end"}, phase), "want arrival, answer or end")
+			g.Phases = append(g.Phases, phase)
+		})
+		fail := p.text(at+".on_failure", "pass")
+		p.need(at+".on_failure", fail == "pass" || fail == "reject", "want pass or reject")
+		g.Reject = fail == "reject"
+		if v := p.root.Get(at + ".config"); v.Exists() {
+			p.need(at+".config", len(v.Raw) <= 16<<10, "more than 16 KB")
+			g.Config = v.Raw
+		}
+		c.Plugins = append(c.Plugins, g)
+	}
+	p.each("hooks", one)
+	p.each("plugins", one)
+	h.On = len(c.Plugins) > 0 || p.root.Get("plugin_host").Exists()
+	// An instance that could not have its first page would only be found out under load.
+	most := int64(0)
+	for _, g := range c.Plugins {
+		most += int64(g.Instances) << 16
+	}
+	p.need("plugin_host.memory_mb", most <= c.Limits.PluginMemory, "too little for the instances that are set up")
+}
+
+// ForPlugin is a configuration with one plug-in and nothing else, for the tools of authors. Limits and settings are
+// those of the plug-in of a name in from, or the defaults where from is nil.
+func ForPlugin(file string, from *Config, name, seedText, settings string) (*Config, error) {
+	p := &parser{}
+	c := &Config{Plugins: []Plugin{{Key: "plugins.0", Name: "plugin", Timeout: 20 * time.Millisecond, MemoryMB: 16, Instances: 2,
+		Share: 1, StoreKB: 64}}}
+	c.Limits = p.limits(&c.Settings)
+	c.Limits.PluginYields = false // there is no relay to give way to
+	if from != nil {
+		i := slices.IndexFunc(from.Plugins, func(g Plugin) bool { return g.Name == name })
+		if i < 0 {
+			return nil, &KeyError{"plugins", fmt.Sprintf("none is called %q", name)}
+		}
+		c.Plugins[0], c.Limits, c.Settings, c.Seed = from.Plugins[i], from.Limits, from.Settings, from.Seed
+		c.PluginHost.Cache = from.PluginHost.Cache
+	}
+	if c.Plugins[0].File = file; settings != "" {
+		if !gjson.Valid(settings) {
+			return nil, &KeyError{"plugins.0.config", "not valid JSON"}
+		}
+		c.Plugins[0].Config = settings
+	}
+	if seedText != "" {
+		c.Seed = seed(seedText)
+	}
+	c.PluginHost.On = true
+	return c, nil
+}
--- a/internal/httpwire/server.go
+++ b/internal/httpwire/server.go
@@ -17,6 +17,7 @@
 	Status int
 	Header []string // name, value, name, value...
 	Body   []byte
+	Prompt bool // an error that is no sign of a client that hammers: the next request is read at once
 	Lost   func()
 }
 
@@ -188,7 +189,7 @@
 	}
 	if last && (fault != nil || f.r.buffered()) {
 		f.linger()
-	} else if a.Status >= 400 { // whoever comes again at once waits, and not the relay
+	} else if a.Status >= 400 && !a.Prompt { // whoever comes again at once waits, and not the relay
 		time.Sleep(lim.FrontRest)
 	}
 	return !last
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -23,6 +23,7 @@
 	Deadline    time.Time
 	Again       bool
 	Body        []byte
+	Headers     []string // that go out with it, names and values in turn
 
 	Attempts int       // made so far
 	Out      bool      // the last of them has no outcome
@@ -136,6 +137,11 @@
 	case recTaken:
 		e = &Entry{Seq: seq, ID: r.text(), Key: r.text(), Front: r.text(), Destination: int(r.uint()),
 			Class: int(r.uint()), Deadline: r.time(), Again: r.uint() == 1, Body: []byte(r.text())}
+		if len(r.b) > 0 { // the log of an older version has none
+			for n := r.uint(); n > 0 && !r.bad; n-- {
+				e.Headers = append(e.Headers, r.text())
+			}
+		}
 		if !r.bad {
 			l.open[seq], l.last = e, max(l.last, seq)
 			l.live += e.cost()
@@ -170,7 +176,11 @@
 }
 
 func (e *Entry) cost() int64 {
-	return int64(reserve + len(e.ID) + len(e.Key) + len(e.Front) + len(e.Body))
+	n := reserve + len(e.ID) + len(e.Key) + len(e.Front) + len(e.Body)
+	for _, h := range e.Headers {
+		n += len(h) + binary.MaxVarintLen16
+	}
+	return int64(n)
 }
 
 // Take notes a message that is taken on, if there is room for it and what it will still need, also while the
@@ -196,7 +206,13 @@
 		b = text(text(text(b, e.ID), e.Key), e.Front)
 		b = binary.AppendUvarint(binary.AppendUvarint(b, uint64(e.Destination)), uint64(e.Class))
 		b = binary.AppendUvarint(stamp(b, e.Deadline), again)
-		return text(b, string(e.Body))
+		if b = text(b, string(e.Body)); len(e.Headers) > 0 {
+			b = binary.AppendUvarint(b, uint64(len(e.Headers)))
+			for _, h := range e.Headers {
+				b = text(b, h)
+			}
+		}
+		return b
 	})
 }
 
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -3,6 +3,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/base64"
 	"fmt"
@@ -18,6 +19,7 @@
 	"mastusher/control"
 	"mastusher/internal/config"
 	"mastusher/internal/httpwire"
+	"mastusher/internal/plugin/rules"
 	"mastusher/internal/relay"
 	"mastusher/internal/wire"
 )
@@ -25,6 +27,11 @@
 // Name is this front's name in the journal.
 const Name = "platform"
 
+// Guard is what plug-ins may change here: headers that the protocol does not own. Id, key and body pass on as they
+// came.
+var Guard = rules.Front{Name: Name, Owned: []string{"Idempotency-Key", "Retry-After", "X-Envelope", "X-No-Slot", "X-Request-Id",
+	"X-Retried", "X-Server-Load", "X-Timeout"}}
+
 // Front speaks the platform's protocol.
 type Front struct {
 	core      *relay.Core
@@ -82,7 +89,8 @@
 	case relay.Busy:
 		return BusyReply(r.Retry)
 	case relay.Rejected:
-		return fault(422, r.Why)
+		// The message was sound, and others come on this connection too: a plug-in's word on one is not theirs.
+		return httpwire.Answer{Status: cmp.Or(r.Status, 422), Body: []byte(r.Why + "\n"), Prompt: true}
 	default:
 		return fault(500, "given up")
 	}
@@ -128,7 +136,7 @@
 	if m.Partner < 0 {
 		return m, 400, "X-Envelope names no dest"
 	}
-	m.Again = q.Header.Get("X-Retried") != ""
+	m.Again, m.Header = q.Header.Get("X-Retried") != "", q.Header
 	return m, 0, ""
 }
 
@@ -171,6 +179,7 @@
 func (f *Front) Call(ctx context.Context, step *relay.RouteStep) []relay.Outcome {
 	outs := make([]relay.Outcome, len(step.Items))
 	stage := f.pool.Do(ctx, peer(&step.To), f.request(step), step.MayWrite, func(p *httpwire.Response) {
+		step.See(p.Status, p.Header, p.Body)
 		f.read(p, step, outs)
 	})
 	if r, failed := StageResult(stage); failed {
@@ -206,6 +215,7 @@
 
 func (f *Front) request(step *relay.RouteStep) []byte {
 	header := []string{"X-Timeout", strconv.FormatInt(step.Timeout.Milliseconds(), 10) + "m"}
+	header = append(header, step.Items[0].Headers...) // the same for all of a bulk call
 	if len(step.Items) == 1 {
 		it := &step.Items[0]
 		header = append(header, "X-Request-ID", it.ID)
--- a/internal/relay/core.go
+++ b/internal/relay/core.go
@@ -27,7 +27,7 @@
 	log   *slog.Logger
 	mod   *control.Sender
 	jour  *journal.Log
-	hooks []Inspector
+	spect Inspector // nil: none
 	queue chan event
 	ctx   context.Context // of all calls
 
@@ -114,8 +114,8 @@
 	poolChanged{st, known}.apply(c, c.base)
 }
 
-// AddInspector adds a hook.
-func (c *Core) AddInspector(h Inspector) { c.hooks = append(c.hooks, h) }
+// SetInspector sets who sees messages, answers and ends; it must be called before the fronts take messages.
+func (c *Core) SetInspector(i Inspector) { c.spect = i }
 
 // Restore takes up again what the journal holds: the module is told what happened before the restart.
 func (c *Core) Restore(now time.Time) {
@@ -212,12 +212,11 @@
 	if !c.ready.Load() {
 		return Reply{Verdict: Busy, Retry: c.lim.BusyRetry}
 	}
-	for _, h := range c.hooks {
-		if ok, why := h.Inspect(front, &m); !ok {
-			return Reply{Verdict: Rejected, Why: why}
-		}
+	a := arrival{front: front, at: time.Now(), reply: make(chan Reply, 1)}
+	if c.spect != nil {
+		a.ruling = c.spect.Arrive(front, &m)
 	}
-	a := arrival{front: front, msg: m, at: time.Now(), reply: make(chan Reply, 1)}
+	a.msg = m
 	select {
 	case c.queue <- a:
 		return <-a.reply
@@ -244,26 +243,36 @@
 func (c *Core) Draining(now time.Time) time.Duration { return now.Sub(c.drainAt) }
 
 type arrival struct {
-	front string
-	msg   Message
-	at    time.Time
-	reply chan Reply
+	front  string
+	msg    Message
+	at     time.Time
+	reply  chan Reply
+	ruling Ruling
 }
 
 func (a arrival) apply(c *Core, now time.Time) {
 	f, m := c.fronts[a.front], &a.msg
 	// Past AnswerWithin the client is about to leave, and would hand it in again beside this one.
-	if f == nil || !c.drainAt.IsZero() || now.Sub(a.at) > c.lim.AnswerWithin ||
-		c.set.MaxOpen > 0 && len(c.msgs)-c.owed >= c.set.MaxOpen || !c.serves(f, m.Partner) {
-		a.reply <- Reply{Verdict: Busy, Retry: c.lim.BusyRetry}
+	busy := Reply{Verdict: Busy, Retry: c.lim.BusyRetry}
+	if f == nil || !c.drainAt.IsZero() || now.Sub(a.at) > c.lim.AnswerWithin {
+		a.reply <- busy
+		return
+	}
+	// It is held already: the relay owes it one end, not two, whatever an inspector says of it this time.
+	if a.ruling.Verdict != Taken && c.byID[a.front+" "+m.ID] == nil {
+		a.reply <- Reply{Verdict: a.ruling.Verdict, Retry: c.lim.BusyRetry, Status: a.ruling.Status, Why: a.ruling.Why}
+		return
+	}
+	if c.set.MaxOpen > 0 && len(c.msgs)-c.owed >= c.set.MaxOpen || !c.serves(f, m.Partner) {
+		a.reply <- busy
 		return
 	}
-	if c.byID[a.front+" "+m.ID] != nil { // it is held already: the relay owes it one end, not two
+	if c.byID[a.front+" "+m.ID] != nil {
 		a.reply <- Reply{Verdict: Taken}
 		return
 	}
 	msg := c.add(f, &journal.Entry{ID: m.ID, Key: m.Key, Front: a.front, Destination: m.Partner, Class: m.Class,
-		Deadline: m.Deadline, Again: m.Again, Body: bytes.Clone(m.Body), Ran: !m.RanAt.IsZero(), RanAt: m.RanAt})
+		Deadline: m.Deadline, Again: m.Again, Body: bytes.Clone(m.Body), Headers: m.Out, Ran: !m.RanAt.IsZero(), RanAt: m.RanAt})
 	msg.reply = a.reply
 	c.arrived = append(c.arrived, msg)
 	c.in = append(c.in, c.arrival(msg))
@@ -514,7 +523,7 @@
 		}
 		step := open[s.a.Endpoint]
 		if step == nil || !c.joins(step, s.m) {
-			step = &RouteStep{To: *d, Timeout: s.a.For}
+			step = &RouteStep{To: *d, Timeout: s.a.For, sample: -1}
 			steps = append(steps, step)
 			if open == nil {
 				open = map[uint32]*RouteStep{}
@@ -531,7 +540,7 @@
 			}
 		}
 		step.Items = append(step.Items, Item{ID: s.m.e.ID, Key: s.m.e.Key, Class: s.m.e.Class, Body: s.m.e.Body,
-			ref: s.m.ref, attempt: s.m.e.Attempts - 1})
+			Headers: s.m.e.Headers, ref: s.m.ref, attempt: s.m.e.Attempts - 1})
 		s.m.step = step
 	}
 	return steps
@@ -548,7 +557,8 @@
 	for _, it := range append(step.Items, Item{ID: m.e.ID, Key: m.e.Key, Body: m.e.Body}) {
 		size += 64 + 6*(len(it.ID)+len(it.Key)) + len(it.Body)*4/3
 	}
-	return len(step.Items) < most && size <= c.lim.BodySize
+	// One call has one set of headers.
+	return len(step.Items) < most && size <= c.lim.BodySize && slices.Equal(step.Items[0].Headers, m.e.Headers)
 }
 
 // end gives a message its one final answer.
@@ -587,8 +597,10 @@
 }
 
 func (c *Core) tell(m *message, how string) {
-	for _, h := range c.hooks {
-		c.ended = append(c.ended, func() { h.Ended(m.front.name, m.e.ID, how) })
+	if c.spect != nil {
+		c.ended = append(c.ended, func() {
+			c.spect.Ended(m.front.name, End{m.e.ID, m.e.Key, m.e.Destination, m.e.Class, how})
+		})
 	}
 }
 
@@ -637,7 +649,18 @@
 			stepEnded{s, moot}.apply(c, now)
 			continue
 		}
-		go func() { c.queue <- stepEnded{s, s.To.front.Front.Call(ctx, s)} }()
+		if c.spect != nil {
+			for i := range s.Items {
+				s.sample = max(s.sample, c.spect.Sample(s.To.front.name, s.To.Partner, s.Items[i].Class))
+			}
+		}
+		go func() {
+			outs := s.To.front.Front.Call(ctx, s)
+			if s.seen != nil { // an answer that came whole
+				c.spect.Answered(s.To.front.name, s, outs)
+			}
+			c.queue <- stepEnded{s, outs}
+		}()
 	}
 }
 
--- a/internal/relay/core_test.go
+++ b/internal/relay/core_test.go
@@ -83,8 +83,8 @@
 // hand makes the arrival of a message.
 func (r *rig) hand(id string, class, partner int, left time.Duration) (arrival, chan Reply) {
 	reply := make(chan Reply, 1)
-	return arrival{"platform", Message{ID: id, Key: "k", Class: class, Partner: partner, Deadline: r.now.Add(left),
-		Body: []byte("body")}, r.now, reply}, reply
+	return arrival{front: "platform", msg: Message{ID: id, Key: "k", Class: class, Partner: partner, Deadline: r.now.Add(left),
+		Body: []byte("body")}, at: r.now, reply: reply}, reply
 }
 
 // after lets d pass and takes the turn.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -3,7 +3,9 @@
 package relay
 
 import (
+	"bytes"
 	"context"
+	"net/textproto"
 	"sync/atomic"
 	"time"
 
@@ -18,7 +20,9 @@
 	Deadline time.Time
 	Again    bool // handed in before
 	Body     []byte
-	RanAt    time.Time // when an attempt began that may have run, before it was handed back; zero: none
+	Header   textproto.MIMEHeader // the client's; only for an inspector
+	Out      []string             // headers to go out with it, names and values in turn: an inspector sets them
+	RanAt    time.Time            // when an attempt began that may have run, before it was handed back; zero: none
 }
 
 // Destination is one endpoint of a partner.
@@ -45,6 +49,7 @@
 	ID, Key string
 	Class   int
 	Body    []byte
+	Headers []string // that go out with it, fixed when it was taken on
 
 	ref     uint64
 	attempt int
@@ -57,10 +62,30 @@
 	Timeout time.Duration // how long the relay waits for it in all
 	Before  time.Time     // nothing of it may be written from then on; zero: no bound
 
+	sample int   // bytes of the answer that an inspector wants to see; below 0: it wants none of it
+	seen   *Seen // what it is shown
+
 	cancel context.CancelFunc
 	begun  atomic.Int32 // 1: its first byte may have been written; 2: it was called back before that
 }
 
+// Seen is a destination's answer as an inspector is shown it.
+type Seen struct {
+	Status int
+	Header textproto.MIMEHeader
+	Body   []byte // the first bytes
+}
+
+// See is told of each answer by the front that makes the call; it keeps what an inspector wants of it.
+func (s *RouteStep) See(status int, header textproto.MIMEHeader, body []byte) {
+	if s.sample >= 0 {
+		s.seen = &Seen{status, header, bytes.Clone(body[:min(len(body), s.sample)])}
+	}
+}
+
+// Seen is the answer to the step; nil: there was none, or nobody wants to see it.
+func (s *RouteStep) Seen() *Seen { return s.seen }
+
 // MayWrite is asked right before the step's first byte goes out, and promises that it does unless it is false.
 func (s *RouteStep) MayWrite() bool {
 	return (s.Before.IsZero() || time.Now().Before(s.Before)) && s.begun.CompareAndSwap(0, 1)
@@ -112,12 +137,32 @@
 	TellsDeliveries() bool
 }
 
-// Inspector looks at messages on arrival and is told of their ends. It must not block for long on arrival,
-// and not at all at an end.
+// Inspector shapes messages on arrival, sees answers and is told of ends. Nothing of it runs between a decision and
+// its first byte.
 type Inspector interface {
-	// Inspect returns false and a reason for a message that is not to be taken on.
-	Inspect(front string, m *Message) (ok bool, why string)
-	Ended(front, id string, how string)
+	// Arrive rules on a message that is not taken on yet, and may set its Out and replace its Body. It runs on the
+	// front's goroutine and must not block for long.
+	Arrive(front string, m *Message) Ruling
+	// Sample is how many bytes of the answers to such messages Answered wants to see; below 0: it need not be called.
+	Sample(front string, partner, class int) int
+	// Answered sees the answer to a step and may make its outcomes more careful. It runs on the step's goroutine.
+	Answered(front string, step *RouteStep, outs []Outcome)
+	// Ended is told of an end by the core's goroutine, and must not block.
+	Ended(front string, e End)
+}
+
+// Ruling is what an inspector decides on a message: with Verdict Taken, that it may be taken on.
+type Ruling struct {
+	Verdict Verdict
+	Status  int // with Rejected: what the client is told, 4xx; 0: 422
+	Why     string
+}
+
+// End is how a message ended that was taken on.
+type End struct {
+	ID, Key        string
+	Partner, Class int
+	How            string // delivered, handed_back, given_up or withdrawn
 }
 
 // Verdict is the immediate answer to a message handed in.
@@ -135,7 +180,13 @@
 type Reply struct {
 	Verdict Verdict
 	Retry   time.Duration
+	Status  int // with Rejected
 	Why     string
 
 	ref uint64 // of the message that was taken on with this answer; 0: with an earlier one
 }
+
+// NewStep returns a step to show to an inspector that wants sample bytes of its answer, for tools and tests.
+func NewStep(to Destination, sample int, items ...Item) *RouteStep {
+	return &RouteStep{To: to, Items: items, sample: sample}
+}
