--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # The tasks of the project; `make check` is what CI runs.
-.PHONY: build test lint size check run plugins fuzz bench-plugins
+.PHONY: build test lint size check run plugins fuzz bench-plugins bench-capture
 
 POLICY = control/control.go
 CAP = 1010
@@ -43,7 +43,10 @@
 
 # Long runs, outside CI: what plug-ins cost, and what a hostile set costs other partners.
 bench-plugins: build
-	go build -o bin/plugbench ./cmd/plugbench
 	bin/plugbench --mode hostile
 	bin/plugbench --mode passing --pairs 3
 	go test -run '^$$' -bench Arrive -benchmem ./internal/plugin
+
+# What a capture costs the relay.
+bench-capture: build
+	bin/plugbench --mode capture
--- a/cmd/benchlink/main.go
+++ b/cmd/benchlink/main.go
@@ -7,14 +7,20 @@
 	"fmt"
 	"io"
 	"os"
+	"path/filepath"
 	"time"
 
+	"github.com/spf13/pflag"
+
 	"mastusher/control"
+	"mastusher/internal/capture"
 	"mastusher/internal/wire"
 )
 
 func main() {
-	if err := run(os.Stdin, os.Stdout); err != nil {
+	record := pflag.String("record", "", "folder for a capture of each instance, which mastusher replay reads")
+	pflag.Parse()
+	if err := run(os.Stdin, os.Stdout, *record); err != nil {
 		fmt.Fprintln(os.Stderr, "benchlink:", err)
 		os.Exit(1)
 	}
@@ -27,6 +33,7 @@
 	reports wire.Reports
 	events  []control.Event
 	touched bool
+	rec     *capture.Writer // nil: it is not recorded
 }
 
 // link holds the instances and lists of one process.
@@ -37,11 +44,19 @@
 	reply     wire.Reply
 	actions   []control.Action
 	now       time.Duration
+	record    string // folder; "": none
+	recorded  int
 }
 
-func run(in io.Reader, out io.Writer) error {
+// run serves a simulator until its input ends.
+func run(in io.Reader, out io.Writer, record string) (err error) {
 	r, w := bufio.NewReaderSize(in, 1<<16), bufio.NewWriterSize(out, 1<<16)
-	l := &link{instances: map[uint16]*instance{}, lists: map[uint8][]wire.Member{}}
+	l := &link{instances: map[uint16]*instance{}, lists: map[uint8][]wire.Member{}, record: record}
+	defer func() {
+		for _, i := range l.instances {
+			err = errors.Join(err, i.stop())
+		}
+	}()
 	var buf []byte
 	for {
 		var b wire.Batch
@@ -92,6 +107,11 @@
 		in.touched = false
 		if in.sender != nil && len(in.events) > 0 {
 			l.actions = in.sender.Step(l.now, in.events, l.actions[:0])
+			if in.rec != nil {
+				if err := in.rec.Turn(l.now, in.events, l.actions); err != nil {
+					return err
+				}
+			}
 			l.write(in.id, l.actions)
 		}
 		in.events = in.events[:0]
@@ -112,10 +132,16 @@
 			return fmt.Errorf("field setup: %w", err)
 		}
 		in.sender, in.reports, in.events = sender, settings.Reports, in.events[:0]
-		return nil
+		if err := in.stop(); err != nil || l.record == "" {
+			return err
+		}
+		l.recorded++
+		in.rec, err = capture.Create(filepath.Join(l.record, fmt.Sprintf("sim-%d-%04d-%d%s", os.Getpid(), l.recorded, in.id, capture.Ext)),
+			capture.Begin{Relay: fmt.Sprint("instance ", in.id), Clock: l.now, Seed: rec.Seed, Settings: settings.Settings})
+		return err
 	case wire.EvKilled:
 		in.sender, in.events = nil, in.events[:0]
-		return nil
+		return in.stop()
 	}
 	ev := control.Event{ID: rec.Ticket}
 	switch rec.Code {
@@ -169,6 +195,16 @@
 	return nil
 }
 
+// stop ends what is recorded of an instance.
+func (in *instance) stop() error {
+	if in.rec == nil {
+		return nil
+	}
+	rec := in.rec
+	in.rec = nil
+	return rec.Close()
+}
+
 func result(status uint16) control.Result {
 	switch status {
 	case 0:
--- a/cmd/benchlink/main_test.go
+++ b/cmd/benchlink/main_test.go
@@ -3,8 +3,12 @@
 import (
 	"bytes"
 	"encoding/binary"
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
+
+	"mastusher/internal/capture"
 )
 
 const setupText = `{"allowed": {"max_attempts": 4}, "family_info": {"workers": 4, "kind_apart": [false], "per_call": [1]},
@@ -55,9 +59,11 @@
 	in.Write(new(frame).context(1).hello(0xa1).query(1).context(2).hello(0xa2).query(2).bytes(1, 1000000))
 	in.Write(new(frame).context(1).query(3).rec(uint8(10)).hello(0xa3).query(4).bytes(2, 1100000))
 	var out bytes.Buffer
-	if err := run(&in, &out); err != nil {
+	dir := t.TempDir()
+	if err := run(&in, &out, dir); err != nil {
 		t.Fatal(err)
 	}
+	replays(t, dir, 3) // two instances, one of which had two lives
 	assign := func(id uint64, target uint32) []byte {
 		b, _ := binary.Append([]byte{5}, binary.BigEndian, id)
 		b, _ = binary.Append(b, binary.BigEndian, target)
@@ -84,7 +90,7 @@
 		"no slots":   {new(frame).context(1).rec(uint8(1), uint64(1), uint32(2), "{}").bytes(1, 1), "setup"},
 		"truncated":  {new(frame).context(1).bytes(1, 1)[:21], "truncated"},
 	} {
-		err := run(bytes.NewReader(c.in), new(bytes.Buffer))
+		err := run(bytes.NewReader(c.in), new(bytes.Buffer), "")
 		if err == nil || !strings.Contains(err.Error(), c.want) || strings.Contains(err.Error(), "\n") {
 			t.Errorf("%s: error %v, want one line that names %q", name, err, c.want)
 		}
@@ -100,7 +106,7 @@
 			first.context(i).hello(uint32(0xa0 + i)).query(uint64(10 * i)).query(uint64(10*i + 1))
 		}
 		in.Write(first.bytes(1, 1000000))
-		if err := run(&in, &out); err != nil {
+		if err := run(&in, &out, ""); err != nil {
 			t.Fatal(err)
 		}
 		got := map[uint16]string{}
@@ -116,3 +122,26 @@
 		}
 	}
 }
+
+// replays has all that was recorded replayed, with the same decisions.
+func replays(t *testing.T, dir string, want int) {
+	t.Helper()
+	files, _ := filepath.Glob(filepath.Join(dir, "*"+capture.Ext))
+	if len(files) != want {
+		t.Errorf("%d captures, want %d", len(files), want)
+	}
+	for _, name := range files {
+		f, err := os.Open(name)
+		if err != nil {
+			t.Fatal(err)
+		}
+		r, err := capture.NewReader(f)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if res, err := capture.Replay(r, capture.Options{}); err != nil || res.Actions == 0 {
+			t.Errorf("%s: %+v, %v", name, res, err)
+		}
+		_ = f.Close()
+	}
+}
--- a/cmd/mastusher/serve.go
+++ b/cmd/mastusher/serve.go
@@ -26,6 +26,9 @@
 func serve(cfg *config.Config, log *slog.Logger, signals <-chan os.Signal, again func() (*config.Config, error)) error {
 	runtime.GOMAXPROCS(cfg.Limits.Cores)
 	debug.SetMemoryLimit(cfg.Limits.Memory * 3 / 4)
+	if os.Getenv("GOGC") == "" {
+		debug.SetGCPercent(50) // what lives is small: the heap need not grow to 4 MB before it is looked through
+	}
 	jour, err := journal.Open(cfg.State, cfg.Limits.Disk)
 	if err != nil {
 		return err
--- a/cmd/plugbench/main.go
+++ b/cmd/plugbench/main.go
@@ -49,7 +49,7 @@
 	pflag.IntVar(&o.rate, "rate", 200, "messages a second (1 to 2000)")
 	pflag.IntVar(&o.partners, "partners", 20, "partners that the plug-ins are not for (1 to 200)")
 	pflag.IntVar(&o.victims, "victims", 2, "partners that the hostile plug-ins are for (1 to 50)")
-	pflag.StringVar(&o.mode, "mode", "hostile", "the plug-ins: hostile, passing, none, or one of the hostile: loops, traps, hoards, recurses, fans, floods")
+	pflag.StringVar(&o.mode, "mode", "hostile", "the plug-ins: hostile, passing, none, or one of the hostile; or capture, which has no plug-ins and records: loops, traps, hoards, recurses, fans, floods")
 	pflag.Parse()
 	for name, v := range map[string][3]int{"pairs": {o.pairs, 1, 50}, "seconds": {o.seconds, 2, 300}, "rate": {o.rate, 1, 2000},
 		"partners": {o.partners, 1, 200}, "victims": {o.victims, 1, 50}} {
@@ -139,6 +139,8 @@
 		set = hostile
 	case "passing":
 		set, scope = map[string][]byte{"passing": wasmtest.Passing()}, ""
+	case "capture": // a folder for each run; see play
+		return `"capture": {"dir": "CAPTURES", "on": true}, `, nil
 	case "none":
 		return `"plugin_host": {}, `, nil
 	default: // one of the hostile
@@ -230,7 +232,8 @@
 		return nil, err
 	}
 	text := fmt.Sprintf(`{"name": "b", "listen": %q, "state": %q, "discovery": %q, "seed": "%016x", "known": %s, %s%s}`,
-		address, filepath.Join(dir, "state"), disco.Address, seed, ends.Known("club-sites", "a"), plugins, settings)
+		address, filepath.Join(dir, "state"), disco.Address, seed, ends.Known("club-sites", "a"),
+		strings.ReplaceAll(plugins, "CAPTURES", filepath.Join(dir, "captures")), settings)
 	file := filepath.Join(dir, "config.json")
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		return nil, err
@@ -255,7 +258,29 @@
 		r.cpu = float64((s.SystemTime() + s.UserTime()).Microseconds()) / float64(len(sent))
 	}
 	o.judge(r, sent, taken, ends, disco)
-	return r, nil
+	return r, o.replay(r, filepath.Join(dir, "captures"), len(sent))
+}
+
+// replay tells what a capture takes, and that it replays the same.
+func (o *options) replay(r *result, dir string, messages int) error {
+	files, _ := filepath.Glob(filepath.Join(dir, "*.mcap"))
+	if len(files) == 0 {
+		return nil
+	}
+	size := int64(0)
+	for _, f := range files {
+		if info, err := os.Stat(f); err == nil {
+			size += info.Size()
+		}
+	}
+	from := time.Now()
+	out, err := exec.Command(o.relay, append([]string{"replay"}, files...)...).CombinedOutput()
+	if err != nil || !strings.Contains(string(out), "every decision is the same") {
+		return fmt.Errorf("the capture does not replay: %w; %s", err, out)
+	}
+	r.note = fmt.Sprintf("%d bytes a message; replayed at %.0f times its pace, with the program's start", size/int64(messages),
+		float64(o.seconds)/time.Since(from).Seconds())
+	return nil
 }
 
 // judge counts ends and latencies.
--- a/internal/config/plugins.go
+++ b/internal/config/plugins.go
@@ -2,8 +2,8 @@
 
 import (
 	"fmt"
-	"regexp"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/tidwall/gjson"
@@ -11,8 +11,12 @@
 	"mastusher/control"
 )
 
-// pluginName is what a plug-in may be called: the name is a file's too.
-var pluginName = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9_-]{0,63}$`)
+// pluginName tells whether a plug-in may be called so: the name is a file's too.
+func pluginName(s string) bool {
+	return s != "" && len(s) <= 64 && !strings.ContainsFunc(s, func(r rune) bool {
+		return !(r >= 'a' && r <= 'z' || r >= 'A' && r <= 'Z' || r >= '0' && r <= '9' || r == '-' || r == '_')
+	})
+}
 
 // plugins reads the plug-ins, and as plug-ins the hooks of earlier configurations.
 func (p *parser) plugins(c *Config) {
@@ -26,7 +30,7 @@
 			Instances: int(p.number(at+".instances", 2, 1, 16)),
 			Share:     p.number(at+".cpu_share", 0.05, 0.001, 1),
 			StoreKB:   int(p.number(at+".store_kb", 64, 0, 1<<16))}
-		p.need(at+".name", pluginName.MatchString(g.Name), "want letters, digits, - and _, 64 at most")
+		p.need(at+".name", pluginName(g.Name), "want letters, digits, - and _, 64 at most")
 		p.need(at+".name", !seen[g.Name], "given to two plug-ins")
 		seen[g.Name] = true
 		p.need(at+".timeout", g.Timeout <= c.Limits.PluginBudget,
--- a/internal/plugin/host.go
+++ b/internal/plugin/host.go
@@ -7,6 +7,7 @@
 	"os"
 	"path/filepath"
 	"runtime"
+	"runtime/debug"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -128,7 +129,9 @@
 	if h.cacheDir != "" && fresh > 0 {
 		h.trimCache()
 	}
-	h.status(cfg, nil)
+	if h.status(cfg, nil); fresh > 0 {
+		debug.FreeOSMemory() // to load a module takes many times what it keeps
+	}
 	return nil
 }
 
--- a/internal/relay/core_test.go
+++ b/internal/relay/core_test.go
@@ -32,10 +32,17 @@
 	notices chan []Notice
 	taken   chan bool
 	tells   bool
-	watches chan int64 // after which index each was begun
+	watches chan int64                 // after which index each was begun
+	at      func(*RouteStep) []Outcome // answers in the place of answers, if it is set
 }
 
-func (f *fakeFront) Call(_ context.Context, s *RouteStep) []Outcome { f.steps <- s; return <-f.answers }
+func (f *fakeFront) Call(_ context.Context, s *RouteStep) []Outcome {
+	f.steps <- s
+	if f.at != nil {
+		return f.at(s)
+	}
+	return <-f.answers
+}
 func (f *fakeFront) Notify(_ context.Context, n []Notice) []bool {
 	f.notices <- n
 	return slices.Repeat([]bool{<-f.taken}, len(n))
--- a/internal/relay/inspector_test.go
+++ b/internal/relay/inspector_test.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"context"
 	"testing"
 	"time"
 
@@ -117,17 +116,6 @@
 	}
 }
 
-// answering is a front whose destination answers each call at once.
-type answering struct {
-	*fakeFront
-	out Outcome
-}
-
-func (f answering) Call(_ context.Context, s *RouteStep) []Outcome {
-	s.See(503, map[string][]string{"X-Why": {"shut"}}, []byte("maintenance"))
-	return []Outcome{f.out}
-}
-
 // TestAnsweredFirst: the module hears of an answer what the inspector has made of it, and an end is told once.
 func TestAnsweredFirst(t *testing.T) {
 	r := newRig(t, t.TempDir(), time.Now())
@@ -138,7 +126,10 @@
 		outs[0].Result = control.Rejected
 	}}
 	r.c.SetInspector(i)
-	r.c.order[0].Front = answering{r.front, Outcome{Result: control.Full}}
+	r.front.at = func(s *RouteStep) []Outcome {
+		s.See(503, map[string][]string{"X-Why": {"shut"}}, []byte("maintenance"))
+		return []Outcome{{Result: control.Full}}
+	}
 	a, _ := r.hand("m", 1, 8, 20*time.Second)
 	r.after(0, a)
 	r.after(5*time.Millisecond, <-r.c.queue)
