--- /dev/null
+++ b/internal/relay/events.go
@@ -0,0 +1,213 @@
+package relay
+
+import (
+	"bytes"
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	"mastusher/control"
+	"mastusher/internal/journal"
+)
+
+type arrival struct {
+	front  string
+	msg    Message
+	at     time.Time
+	reply  chan Reply
+	ruling Ruling
+}
+
+func (a arrival) apply(c *Core, now time.Time) {
+	f, m := c.fronts[a.front], &a.msg
+	// Past AnswerWithin the client is about to leave, and would hand it in again beside this one.
+	busy := Reply{Verdict: Busy, Retry: c.lim.BusyRetry}
+	if f == nil || !c.drainAt.IsZero() || now.Sub(a.at) > c.lim.AnswerWithin {
+		a.reply <- busy
+		return
+	}
+	// It is held already: the relay owes it one end, not two, whatever an inspector says of it this time.
+	if a.ruling.Verdict != Taken && c.byID[a.front+" "+m.ID] == nil {
+		a.reply <- Reply{Verdict: a.ruling.Verdict, Retry: c.lim.BusyRetry, Status: a.ruling.Status, Why: a.ruling.Why}
+		return
+	}
+	if c.set.MaxOpen > 0 && len(c.msgs)-c.owed >= c.set.MaxOpen || !c.serves(f, m.Partner) {
+		a.reply <- busy
+		return
+	}
+	if c.byID[a.front+" "+m.ID] != nil {
+		a.reply <- Reply{Verdict: Taken}
+		return
+	}
+	msg := c.add(f, &journal.Entry{ID: m.ID, Key: m.Key, Front: a.front, Destination: m.Partner, Class: m.Class,
+		Deadline: m.Deadline, Again: m.Again, Body: bytes.Clone(m.Body), Headers: m.Out, Ran: !m.RanAt.IsZero(), RanAt: m.RanAt})
+	msg.reply = a.reply
+	c.arrived = append(c.arrived, msg)
+	c.in = append(c.in, c.arrival(msg))
+}
+
+type withdrawn struct{ ref uint64 }
+
+func (w withdrawn) apply(c *Core, _ time.Time) {
+	if m := c.msgs[w.ref]; m != nil && !m.e.Owed {
+		c.in = append(c.in, control.Event{Kind: control.Gone, ID: m.ref})
+		c.jour.End(m.e)
+		c.finish(m, "withdrawn")
+	}
+}
+
+// Moved tells that a front's discovery stands somewhere else now: its watch and its notices go there at once.
+func (c *Core) Moved(front string) { c.queue <- moved{front} }
+
+type moved struct{ front string }
+
+func (v moved) apply(c *Core, now time.Time) {
+	f := c.fronts[v.front]
+	if f == nil {
+		return
+	}
+	if f.unwatch != nil {
+		f.unwatch()
+		f.unwatch = nil // what it still reports of its end is out of date
+	}
+	c.watchAt = now
+	c.note(now, "discovery of "+v.front+" has moved")
+	if f.unsend != nil {
+		f.unsend() // comes back as not taken
+	}
+	f.retryAt, f.gap = now, 0
+}
+
+type drain struct{}
+
+func (drain) apply(c *Core, now time.Time) {
+	c.drainAt = now
+	c.note(now, "the relay drains")
+}
+
+type stepEnded struct {
+	step     *RouteStep
+	outcomes []Outcome
+}
+
+func (s stepEnded) apply(c *Core, _ time.Time) {
+	s.step.cancel()
+	c.stepsOut--
+	for i, it := range s.step.Items {
+		o := s.outcomes[i]
+		m := c.msgs[it.ref]
+		c.log.Debug("route step ended", "id", it.ID, "attempt", it.attempt, "destination", s.step.To.Name,
+			"result", o.Result, "wait", o.Wait, "over", o.Over)
+		if m != nil && m.step == s.step {
+			m.step = nil
+		}
+		c.in = append(c.in, control.Event{Kind: control.Resolved, ID: it.ref, Attempt: it.attempt,
+			Endpoint: s.step.To.no, Result: o.Result, Settled: o.Over, Wait: o.Wait,
+			Reported: o.Reported, Share: o.Share, Limit: o.Limit})
+		switch {
+		case m == nil || m.e.Owed: // ended before
+		case o.Result == control.Delivered && m.front.Front.TellsDeliveries():
+			c.owe(m, journal.Notice{Delivered: true})
+			c.jour.Owe(m.e, m.e.Notice)
+			c.tell(m, "delivered")
+		case o.Result == control.Delivered || o.Over:
+			c.jour.End(m.e)
+			c.finish(m, "delivered")
+		default:
+			c.jour.Outcome(m.e, o.Result.NeverRan())
+		}
+	}
+}
+
+type poolChanged struct {
+	front *frontState
+	PoolConfig
+}
+
+func (p poolChanged) apply(c *Core, now time.Time) {
+	if !p.Whole && p.Index < p.front.index { // from a watch that a newer one has overtaken
+		return
+	}
+	p.front.index = p.Index
+	ev := control.Event{Kind: control.Listed, Whole: p.Whole}
+	if p.Whole {
+		for _, n := range p.front.list { // unless it is named again below
+			if d := c.dests[n]; d.goneAt.IsZero() {
+				d.goneAt = now
+			}
+		}
+		p.front.list = map[string]uint32{}
+		for _, f := range c.order { // a whole list is one front's; the others' stand
+			for _, n := range slices.Sorted(maps.Values(f.list)) { // the module learns them in this order
+				ev.Endpoints = append(ev.Endpoints, c.listed(n, c.dests[n]))
+			}
+		}
+	}
+	for _, d := range p.Destinations {
+		n := c.number(p.front, d.Name)
+		d.front, d.no = p.front, n
+		if d.State == control.Removed {
+			d.goneAt = now
+		}
+		if d.State != control.Ready { // it gets nothing new, and another may come to stand at its address
+			p.front.Front.Retire(&d)
+		}
+		c.dests[n], p.front.list[d.Name] = &d, n
+		ev.Endpoints = append(ev.Endpoints, c.listed(n, &d))
+	}
+	c.in = append(c.in, ev)
+}
+
+func (c *Core) listed(n uint32, d *Destination) control.Endpoint {
+	return control.Endpoint{ID: n, Zone: slices.Index(c.set.Zones, d.Zone), Kind: slices.Index(c.set.KindNames, d.Kind),
+		Destination: d.front.no<<20 + d.Partner, State: d.State}
+}
+
+type watchEnded struct {
+	front *frontState
+	no    int
+	err   error
+}
+
+func (w watchEnded) apply(c *Core, now time.Time) {
+	if w.no != w.front.watchNo || w.front.unwatch == nil {
+		return // it was ended here, for another
+	}
+	w.front.unwatch()
+	w.front.unwatch = nil
+	c.log.Info("the pool config's watch is lost", "error", w.err)
+	if c.set.Ask {
+		c.in = append(c.in, control.Event{Kind: control.ListFailed}) // the module says when to ask again
+	} else {
+		c.watchAt = now.Add(c.lim.WatchRetry)
+	}
+}
+
+type notified struct {
+	front *frontState
+	ctx   context.Context
+	sent  []Notice
+	taken []bool
+}
+
+func (n notified) apply(c *Core, now time.Time) {
+	moved := n.ctx.Err() == context.Canceled // while this call was out: the next goes elsewhere, and at once
+	n.front.unsend()
+	n.front.unsend = nil
+	if moved || !slices.Contains(n.taken, false) {
+		n.front.gap = 0
+	} else { // twice as long each time in a row
+		n.front.gap = min(max(2*n.front.gap, c.lim.NoticeRetry), c.lim.NoticeRetryMost)
+		n.front.retryAt = now.Add(n.front.gap)
+	}
+	for i, notice := range n.sent {
+		if m := c.msgs[notice.ref]; !n.taken[i] {
+			n.front.owed = append(n.front.owed, notice)
+		} else if m != nil {
+			c.owed--
+			c.jour.Ack(m.e)
+			c.drop(m)
+		}
+	}
+}
--- /dev/null
+++ b/internal/relay/turn.go
@@ -0,0 +1,242 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"time"
+
+	"mastusher/control"
+	"mastusher/internal/journal"
+)
+
+// Turn takes in what has happened, lets the module decide, writes that down, and then acts on it.
+func (c *Core) Turn(now time.Time, events []event) {
+	for _, ev := range events {
+		ev.apply(c, now)
+	}
+	woken := !c.wakeAt.IsZero() && !now.Before(c.wakeAt)
+	if woken {
+		c.in = append(c.in, control.Event{Kind: control.Woken})
+	}
+	var steps []*RouteStep
+	if len(c.in) > 0 {
+		if woken {
+			c.wakeAt = time.Time{}
+		}
+		if c.rec != nil && c.rec.WantsState() {
+			c.record()
+		}
+		c.acts = c.mod.Step(c.clock(now), c.in, c.acts[:0])
+		if c.rec != nil {
+			c.rec.Turn(c.clock(now), c.in, c.acts)
+		}
+		c.in = c.in[:0]
+		steps = c.decided(now)
+	}
+	c.begin(now, steps)
+	if !c.watchAt.IsZero() && !now.Before(c.watchAt) {
+		c.watch()
+	}
+	c.notify(now)
+	for _, tell := range c.ended {
+		tell()
+	}
+	c.ended = c.ended[:0]
+}
+
+// decided carries out the module's actions, up to the route steps that it returns.
+func (c *Core) decided(now time.Time) (steps []*RouteStep) {
+	type send struct {
+		m *message
+		a control.Action
+	}
+	var sends []send
+	for _, a := range c.acts {
+		m := c.msgs[a.ID]
+		switch a.Kind {
+		case control.Send:
+			if m != nil {
+				sends = append(sends, send{m, a})
+			}
+		case control.Refuse, control.Fail:
+			if m != nil {
+				c.end(m, a)
+			}
+		case control.Cancel:
+			if m != nil && m.step != nil {
+				m.step.cancel()
+			}
+		case control.Recall:
+			if m != nil && m.step != nil {
+				m.step.recall()
+			}
+		case control.Wake:
+			at := c.base.Add(a.At - clockStart)
+			if c.wakeAt.IsZero() || at.Before(c.wakeAt) {
+				c.wakeAt = at
+			}
+		case control.Subscribe:
+			c.watch()
+		case control.Close:
+			if d := c.dests[a.Endpoint]; d != nil {
+				d.front.Front.Retire(d)
+			}
+		case control.Log:
+			c.log.Debug("module", "says", a.Text)
+		}
+	}
+	c.answer()
+	var open map[uint32]*RouteStep
+	for _, s := range sends {
+		d := c.dests[s.a.Endpoint]
+		if !c.drainAt.IsZero() && now.Sub(c.drainAt) > c.lim.DrainSends {
+			continue // left for the next start
+		}
+		if c.msgs[s.m.ref] == nil || d == nil { // not taken on after all: the module has its slot back
+			c.in = append(c.in, control.Event{Kind: control.Resolved, ID: s.a.ID, Attempt: s.m.e.Attempts,
+				Endpoint: s.a.Endpoint, Result: control.Moot})
+			continue
+		}
+		step := open[s.a.Endpoint]
+		if step == nil || !c.joins(step, s.m) {
+			step = &RouteStep{To: *d, Timeout: s.a.For, sample: -1}
+			steps = append(steps, step)
+			if open == nil {
+				open = map[uint32]*RouteStep{}
+			}
+			open[s.a.Endpoint] = step
+		}
+		c.jour.Start(s.m.e, now, d.Name)
+		c.log.Debug("route step", "id", s.m.e.ID, "class", s.m.e.Class, "attempt", s.m.e.Attempts-1, "destination", d.Name,
+			"within", s.a.For)
+		step.Timeout = min(step.Timeout, s.a.For)
+		if k := &c.set.Classes[s.m.e.Class]; s.m.e.Ran && k.Effect == control.Keyed {
+			if end := s.m.e.RanAt.Add(k.Memory - c.lim.WindowMargin/2); step.Before.IsZero() || end.Before(step.Before) {
+				step.Before = end
+			}
+		}
+		step.Items = append(step.Items, Item{ID: s.m.e.ID, Key: s.m.e.Key, Class: s.m.e.Class, Body: s.m.e.Body,
+			Headers: s.m.e.Headers, ref: s.m.ref, attempt: s.m.e.Attempts - 1})
+		s.m.step = step
+	}
+	return steps
+}
+
+// joins tells whether m fits into the call that step already is: as in the module, sends of one turn to one
+// destination share one. A call must also fit into one body, in Base64.
+func (c *Core) joins(step *RouteStep, m *message) bool {
+	most := 1
+	if k := slices.Index(c.set.KindNames, step.To.Kind); k >= 0 && k < len(c.set.Kinds) {
+		most = c.set.Kinds[k].PerCall
+	}
+	size := 0
+	for _, it := range append(step.Items, Item{ID: m.e.ID, Key: m.e.Key, Body: m.e.Body}) {
+		size += 64 + 6*(len(it.ID)+len(it.Key)) + len(it.Body)*4/3
+	}
+	// One call has one set of headers.
+	return len(step.Items) < most && size <= c.lim.BodySize && slices.Equal(step.Items[0].Headers, m.e.Headers)
+}
+
+// end gives a message its one final answer.
+func (c *Core) end(m *message, a control.Action) {
+	if m.reply != nil { // in the turn of its arrival: a plain answer will do, and nothing is taken on
+		if m.busy = (&Reply{Verdict: Failed}); a.Kind == control.Refuse {
+			m.busy = &Reply{Verdict: Busy, Retry: a.For}
+		}
+		return
+	}
+	n := journal.Notice{HandedBack: a.Kind == control.Refuse, Retry: a.For}
+	c.owe(m, n)
+	c.jour.Owe(m.e, n)
+	if n.HandedBack {
+		c.tell(m, "handed_back")
+	} else {
+		c.tell(m, "given_up")
+	}
+}
+
+func (c *Core) owe(m *message, n journal.Notice) {
+	c.owed++
+	m.e.Owed, m.e.Notice = true, n
+	notice := Notice{ID: m.e.ID, Delivered: n.Delivered, HandedBack: n.HandedBack, Retry: n.Retry,
+		Class: m.e.Class, Deadline: m.e.Deadline, Body: m.e.Body, ref: m.ref}
+	if m.e.Ran {
+		notice.RanAt = m.e.RanAt
+	}
+	m.front.owed = append(m.front.owed, notice)
+}
+
+// finish forgets a message that is over.
+func (c *Core) finish(m *message, how string) {
+	c.drop(m)
+	c.tell(m, how)
+}
+
+func (c *Core) tell(m *message, how string) {
+	if c.spect != nil {
+		c.ended = append(c.ended, func() {
+			c.spect.Ended(m.front.name, End{m.e.ID, m.e.Key, m.e.Destination, m.e.Class, how})
+		})
+	}
+}
+
+// answer journals the messages that were taken on in this turn, and drops those that were not. Nothing is
+// told to a client before the journal is written; see begin.
+func (c *Core) answer() {
+	for _, m := range c.arrived {
+		if m.busy == nil {
+			if err := c.jour.Take(m.e); err == nil {
+				continue
+			} else if !errors.Is(err, journal.ErrFull) {
+				c.log.Error("journal", "error", err)
+			}
+			m.busy = &Reply{Verdict: Busy, Retry: c.lim.BusyRetry}
+			c.in = append(c.in, control.Event{Kind: control.Gone, ID: m.ref}) // the module learns of it next turn
+		}
+		c.drop(m)
+	}
+}
+
+// begin writes the journal, and only then answers clients and lets calls go out.
+func (c *Core) begin(now time.Time, steps []*RouteStep) {
+	err := c.jour.Flush()
+	if err != nil {
+		c.log.Error("journal", "error", err)
+	}
+	for _, m := range c.arrived {
+		switch {
+		case m.busy != nil:
+			m.reply <- *m.busy
+		case err != nil: // not on disk: not taken on
+			m.reply <- Reply{Verdict: Busy, Retry: c.lim.BusyRetry}
+			withdrawn{m.ref}.apply(c, now)
+		default:
+			m.reply <- Reply{Verdict: Taken, ref: m.ref}
+		}
+		m.reply = nil
+	}
+	c.arrived = c.arrived[:0]
+	for _, s := range steps {
+		var ctx context.Context
+		ctx, s.cancel = context.WithDeadline(c.ctx, now.Add(s.Timeout))
+		c.stepsOut++
+		if err != nil {
+			moot := slices.Repeat([]Outcome{{Result: control.Moot}}, len(s.Items))
+			stepEnded{s, moot}.apply(c, now)
+			continue
+		}
+		if c.spect != nil {
+			for i := range s.Items {
+				s.sample = max(s.sample, c.spect.Sample(s.To.front.name, s.To.Partner, s.Items[i].Class))
+			}
+		}
+		go func() {
+			outs := s.To.front.Front.Call(ctx, s)
+			if s.seen != nil { // an answer that came whole
+				c.spect.Answered(s.To.front.name, s, outs)
+			}
+			c.queue <- stepEnded{s, outs}
+		}()
+	}
+}
