Set up relays in process tests in one place

Need: two tests set up endpoints, discovery and a configuration in the same lines.

Change: stage does it for both; what they check stands as it was.

--- a/cmd/mastusher/capture_test.go
+++ b/cmd/mastusher/capture_test.go
@@ -21,7 +21,8 @@
 func TestCaptured(t *testing.T) {
 	dir := t.TempDir()
 	hang := make(chan struct{})
-	ends, err := standin.NewEndpoints(4, func(a standin.Arrival) httpwire.Answer {
+	captures := filepath.Join(dir, "captures")
+	d, file, text := stage(t, dir, 4, func(a standin.Arrival) httpwire.Answer {
 		switch a.Endpoint {
 		case 1:
 			<-hang
@@ -29,28 +30,8 @@
 			return httpwire.Answer{Status: 429, Header: []string{"Retry-After", "0.3"}}
 		}
 		return httpwire.Answer{Status: 200}
-	})
-	if err != nil {
-		t.Fatal(err)
-	}
-	disco, err := standin.NewDiscovery(ends.Known("club-sites", "a"))
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { close(hang); disco.Close(); ends.Close() })
-	spare, err := standin.NewEndpoints(1, nil)
-	if err != nil {
-		t.Fatal(err)
-	}
-	spare.Close()
-	d := &daemon{address: spare.Addresses[0]}
-	file, captures := filepath.Join(dir, "config.json"), filepath.Join(dir, "captures")
-	text := fmt.Sprintf(`{"name": "t", "listen": %q, "discovery": %q, "state": %q, "known": %s, "capture": {"dir": %q}, %s}`,
-		d.address, disco.Address, filepath.Join(dir, "state"), ends.Known("club-sites", "a"), captures, lanes)
-	_ = os.Mkdir(filepath.Join(dir, "state"), 0o700)
-	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
-		t.Fatal(err)
-	}
+	}, fmt.Sprintf(`"capture": {"dir": %q}`, captures))
+	t.Cleanup(func() { close(hang) })
 	tool := func(want int, args ...string) string {
 		t.Helper()
 		var out bytes.Buffer
--- a/cmd/mastusher/plugin_test.go
+++ b/cmd/mastusher/plugin_test.go
@@ -147,6 +147,35 @@
   "allowed": {"max_attempts": 6, "cancel": true, "max_open": 100, "retry_after": true, "max_retry_after": 3000000}, "family_info": {"workers": 8},
   "lanes": [{"name": "match-event", "effect": "token", "group": "all", "memory_span": 60000000, "aim": 30000000, "deadline": 60000000, "worth": 1}]}`
 
+// stage sets up a relay with n endpoints and discovery around it; more is what else its configuration has. The relay is
+// not started yet.
+func stage(t *testing.T, dir string, n int, answer func(standin.Arrival) httpwire.Answer, more string) (d *daemon, file, text string) {
+	t.Helper()
+	ends, err := standin.NewEndpoints(n, answer)
+	if err != nil {
+		t.Fatal(err)
+	}
+	disco, err := standin.NewDiscovery(ends.Known("club-sites", "a"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { disco.Close(); ends.Close() })
+	spare, err := standin.NewEndpoints(1, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	spare.Close()
+	d = &daemon{address: spare.Addresses[0]}
+	text = fmt.Sprintf(`{"name": "t", "listen": %q, "discovery": %q, "state": %q, "known": %s, %s, %s}`, d.address, disco.Address,
+		filepath.Join(dir, "state"), ends.Known("club-sites", "a"), more, lanes)
+	file = filepath.Join(dir, "config.json")
+	_ = os.Mkdir(filepath.Join(dir, "state"), 0o700)
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return d, file, text
+}
+
 // sent is what a call carried that must be the same each time: all but the time that is left.
 func sent(a standin.Arrival) string {
 	var lines []string
@@ -173,7 +202,7 @@
 // of the plug-in, and after a reload; new messages meet the new version.
 func TestSameBytes(t *testing.T) {
 	dir := t.TempDir()
-	module, file := filepath.Join(dir, "p.wasm"), filepath.Join(dir, "config.json")
+	module := filepath.Join(dir, "p.wasm")
 	version := func(desk string) {
 		if err := os.WriteFile(module, wasmtest.Header("X-Desk", desk), 0o600); err != nil {
 			t.Fatal(err)
@@ -181,7 +210,7 @@
 	}
 	calls := make(chan standin.Arrival)
 	hang := make(chan struct{})
-	ends, err := standin.NewEndpoints(1, func(a standin.Arrival) httpwire.Answer {
+	d, file, _ := stage(t, dir, 1, func(a standin.Arrival) httpwire.Answer {
 		select {
 		case calls <- a:
 		case <-hang:
@@ -190,27 +219,8 @@
 			<-hang // the first message never gets an answer
 		}
 		return httpwire.Answer{Status: 200}
-	})
-	if err != nil {
-		t.Fatal(err)
-	}
-	disco, err := standin.NewDiscovery(ends.Known("club-sites", "a"))
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { close(hang); disco.Close(); ends.Close() })
-	spare, err := standin.NewEndpoints(1, nil)
-	if err != nil {
-		t.Fatal(err)
-	}
-	spare.Close()
-	d := &daemon{address: spare.Addresses[0]}
-	text := fmt.Sprintf(`{"name": "t", "listen": %q, "discovery": %q, "state": %q, "known": %s, "plugin_host": {"store": %q},
-		"plugins": [{"name": "p", "file": %q, "timeout": "60ms", "memory_mb": 1}], %s}`, d.address, disco.Address, filepath.Join(dir, "state"), ends.Known("club-sites", "a"), dir, module, lanes)
-	_ = os.Mkdir(filepath.Join(dir, "state"), 0o700)
-	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
-		t.Fatal(err)
-	}
+	}, fmt.Sprintf(`"plugin_host": {"store": %q}, "plugins": [{"name": "p", "file": %q, "timeout": "60ms", "memory_mb": 1}]`, dir, module))
+	t.Cleanup(func() { close(hang) })
 	hand := func(id string) {
 		t.Helper()
 		m := &standin.Message{ID: id, Key: "k" + id, Class: "match-event", Partner: 0, Timeout: time.Minute, Body: "goal"}
