Test modules of ABI 1 that reject, and the time that all plug-ins share

Need: a module of ABI 1 that rejects, and the bound on the client's time, had no test that fails without them.

--- a/internal/plugin/host_test.go
+++ b/internal/plugin/host_test.go
@@ -550,3 +550,34 @@
 		t.Error("two messages, one random number")
 	}
 }
+
+// TestOne: a module of ABI 1, which writes over the same room each time, still rejects with 422 and its name.
+func TestOne(t *testing.T) {
+	h := newSetup(t).with("old", wasmtest.One(1024, 1), "").host()
+	for range 3 {
+		if d := cmp.Diff(relay.Ruling{Verdict: relay.Rejected, Status: 422, Why: "rejected by old"}, h.Arrive("platform", message("m", 7))); d != "" {
+			t.Error(d)
+		}
+	}
+}
+
+// TestBudget: a plug-in for which none of the client's time is left counts as failed, and is not called.
+func TestBudget(t *testing.T) {
+	for keys, want := range map[string]relay.Verdict{`"on_failure": "pass"`: relay.Taken, `"on_failure": "reject"`: relay.Busy} {
+		s := newSetup(t).with("p", wasmtest.Header("X-Desk", "sports"), keys)
+		cfg := s.config()
+		cfg.Limits.PluginBudget = time.Nanosecond
+		h, err := New(cfg, fronts, slog.New(slog.NewTextHandler(io.Discard, nil)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		m := message("m", 7)
+		if r := h.Arrive("platform", m); r.Verdict != want || len(m.Out) > 0 {
+			t.Errorf("%s: %+v, headers %v", keys, r, m.Out)
+		}
+		if c := &h.now.Load().chain[0].counts; c.Skipped.Load() != 1 || c.Calls.Load() != 0 {
+			t.Errorf("%s: %d skipped, %d calls", keys, c.Skipped.Load(), c.Calls.Load())
+		}
+		h.Close()
+	}
+}
