Keep trials of breakers out of the plug-ins' tests, whatever the machine's pace

Need: on a machine that is slow enough, a breaker's first trial after 0.5 s would have changed the counts that tests expect.

Change: in tests breakers rest for an hour.

Measured: go test -race -count=2 ./internal/plugin passes.

--- a/internal/plugin/host_test.go
+++ b/internal/plugin/host_test.go
@@ -70,6 +70,7 @@
 		}
 	}
 	cfg.Limits.PluginBurst = time.Minute
+	cfg.Limits.PluginRest, cfg.Limits.PluginMostRest = time.Hour, time.Hour // no trial comes while a test runs
 	return cfg
 }
 
