Tell a gate's open partners in order, drop an argument nothing read, shorten replay's report

Need: Gate.Look walked a map, so its list, and with it TestScripts, came out in either order: seen once in a run of the tests.

Change: the list is sorted; breaker.begin takes no time, which it never used; replay prints its two lists of actions in one loop.

Measured: TestScripts 60 times over, and the tests of plug-ins and commands, pass.

--- a/cmd/mastusher/capture.go
+++ b/cmd/mastusher/capture.go
@@ -16,6 +16,7 @@
 
 	"github.com/spf13/cobra"
 
+	"mastusher/control"
 	"mastusher/internal/capture"
 	"mastusher/internal/config"
 	"mastusher/internal/relay"
@@ -249,15 +250,8 @@
 		for _, e := range d.Turn.Events {
 			fmt.Fprintln(w, "  ", res.Event(e))
 		}
-		for _, side := range []struct {
-			name    string
-			actions int
-		}{{"recorded", 0}, {"decided now", 1}} {
-			fmt.Fprintln(w, side.name)
-			list := d.Turn.Actions
-			if side.actions == 1 {
-				list = d.Got
-			}
+		for i, list := range [][]control.Action{d.Turn.Actions, d.Got} {
+			fmt.Fprintln(w, [...]string{"recorded", "decided now"}[i])
 			for _, a := range list {
 				fmt.Fprintln(w, "  ", res.Action(a))
 			}
--- a/internal/plugin/gate/gate.go
+++ b/internal/plugin/gate/gate.go
@@ -2,7 +2,10 @@
 // by partner. It has no clock, I/O or goroutine; its caller brings the time and the lock.
 package gate
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Limits bounds one plug-in.
 type Limits struct {
@@ -87,7 +90,7 @@
 	case g.busy >= g.lim.Instances || p.busy >= g.lim.PerPartner():
 		return Ticket{}, Crowded
 	}
-	t := Ticket{partner: no, trial: p.begin(now), shared: g.own.begin(now)}
+	t := Ticket{partner: no, trial: p.begin(), shared: g.own.begin()}
 	g.busy++
 	p.busy++
 	return t, Go
@@ -144,6 +147,7 @@
 			l.Partners = append(l.Partners, no)
 		}
 	}
+	slices.Sort(l.Partners)
 	return l
 }
 
@@ -217,7 +221,7 @@
 }
 
 // begin notes that a call is let in, and tells whether it is a trial.
-func (b *breaker) begin(time.Time) bool {
+func (b *breaker) begin() bool {
 	if b.state == closed {
 		return false
 	}
