--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # The tasks of the project; `make check` is what CI runs.
-.PHONY: build test lint size check run plugins fuzz bench-plugins bench-capture
+.PHONY: build test lint size check run plugins fuzz bench-plugins bench-capture bench-replay
 
 POLICY = control/control.go
 CAP = 1010
@@ -50,3 +50,7 @@
 # What a capture costs the relay.
 bench-capture: build
 	bin/plugbench --mode capture
+
+# An hour at 120 messages/s, recorded from a core in virtual time, and replayed.
+bench-replay:
+	go test ./internal/relay -run Hour -v -args -hour 1h
--- a/cmd/mastusher/capture.go
+++ b/cmd/mastusher/capture.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"os"
 	"path/filepath"
+	"reflect"
 	"runtime/debug"
 	"slices"
 	"strings"
@@ -184,15 +185,23 @@
 	var until, from, length time.Duration
 	var explain, against, test string
 	cmd := &cobra.Command{Use: "replay FILE...", Short: "reproduce the decisions of captures, or say where they differ", Args: cobra.MinimumNArgs(1),
-		Long: "replay feeds what a capture tells to this build's decision module. It says that every decision is the same, or stops at\n" +
-			"the first turn that differs and prints the turn, both lists of actions and the state that explains them.",
+		Long: "replay feeds what a capture tells to this build's decision module, and to a whole core with the recording in the place of\n" +
+			"its clock, fronts and journal. It says that every decision is the same, or stops at the first turn that differs and\n" +
+			"prints the turn, both lists of actions and the state that explains them. With --explain, captures that know nothing of\n" +
+			"the message are passed over.",
 		RunE: func(cmd *cobra.Command, args []string) error {
 			w := cmd.OutOrStdout()
+			told := false
 			for _, file := range args {
 				err := reading(file, func(r *capture.Reader) error {
 					switch {
 					case explain != "":
 						lines, err := capture.Story(r, explain)
+						if errors.Is(err, capture.ErrNoMessage) {
+							return nil // it may stand in another
+						}
+						told = true
+						fmt.Fprintln(w, file)
 						for _, line := range lines {
 							fmt.Fprintln(w, line)
 						}
@@ -206,6 +215,9 @@
 					return errWork{fmt.Errorf("%s: %w", file, err)}
 				}
 			}
+			if explain != "" && !told {
+				return errWork{fmt.Errorf("%w: %q", capture.ErrNoMessage, explain)}
+			}
 			return nil
 		}}
 	f := cmd.Flags()
@@ -242,24 +254,19 @@
 		}
 		o.Until = first + until
 	}
+	var core relay.Rerun
+	if against == "" {
+		o.Core = core.Record
+	}
 	began := time.Now()
 	res, err := capture.Replay(r, o)
+	var cd *relay.CoreDifference
+	if errors.As(err, &cd) {
+		coreDiffers(w, res, cd)
+	}
 	var d *capture.Difference
 	if errors.As(err, &d) {
-		fmt.Fprintf(w, "turn %d, %v after the start, differs after %d turns that are the same\nevents\n", d.Turn.No, d.Turn.Now-res.First, res.Turns-1)
-		for _, e := range d.Turn.Events {
-			fmt.Fprintln(w, "  ", res.Event(e))
-		}
-		for i, list := range [][]control.Action{d.Turn.Actions, d.Got} {
-			fmt.Fprintln(w, [...]string{"recorded", "decided now"}[i])
-			for _, a := range list {
-				fmt.Fprintln(w, "  ", res.Action(a))
-			}
-		}
-		fmt.Fprintln(w, "state")
-		for _, line := range d.State {
-			fmt.Fprintln(w, "  ", line)
-		}
+		moduleDiffers(w, res, d)
 	}
 	if err != nil {
 		return err
@@ -268,6 +275,9 @@
 	fmt.Fprintf(w, "%s: %d turns with %d events over %v replayed in %v", file, res.Turns, res.Events, (res.Last - res.First).Round(time.Millisecond), took.Round(time.Millisecond))
 	if against == "" {
 		fmt.Fprintln(w, ": every decision is the same")
+		if core.Turns > 0 {
+			fmt.Fprintf(w, "  so is all that the core did in its %d turns\n", core.Turns)
+		}
 	} else {
 		fmt.Fprintf(w, " under the settings of %s: %d turns differ\n", against, res.Differ)
 	}
@@ -288,6 +298,36 @@
 	return nil
 }
 
+func moduleDiffers(w io.Writer, res *capture.Result, d *capture.Difference) {
+	fmt.Fprintf(w, "turn %d, %v after the start, differs after %d turns that are the same\n", d.Turn.No, d.Turn.Now-res.First, res.Turns-1)
+	list(w, "events", d.Turn.Events, res.Event)
+	list(w, "recorded", d.Turn.Actions, res.Action)
+	list(w, "decided now", d.Got, res.Action)
+	list(w, "state", d.State, func(s string) string { return s })
+}
+
+func list[T any](w io.Writer, title string, all []T, words func(T) string) {
+	fmt.Fprintln(w, title)
+	for _, v := range all {
+		fmt.Fprintln(w, "  ", words(v))
+	}
+}
+
+func coreDiffers(w io.Writer, res *capture.Result, d *relay.CoreDifference) {
+	if d.Turn != nil && d.Acts != nil && reflect.DeepEqual(d.Turn.Events, d.Told) {
+		moduleDiffers(w, res, &capture.Difference{Turn: d.Turn, Got: d.Acts, State: capture.Explain(d.State, res, capture.Concerned(d.Turn, d.Acts))})
+	}
+	fmt.Fprintf(w, "the core's turn %v after the start differs: %s\n", d.Input.Now-res.First, d.Why)
+	list(w, "events", d.Input.Events, func(e capture.CoreEvent) string { return res.CoreEvent(&e) })
+	list(w, "done now", d.Got.Did, res.Deed)
+	var was []control.Event
+	if d.Turn != nil {
+		was = d.Turn.Events
+	}
+	list(w, "the module was told", was, res.Event)
+	list(w, "and now", d.Told, res.Event)
+}
+
 // firstTurn is when a capture's first turn was, on the module's clock.
 func firstTurn(file string) (at time.Duration, err error) {
 	err = reading(file, func(r *capture.Reader) error {
@@ -314,11 +354,11 @@
 	if err != nil {
 		return err
 	}
-	turns, err := capture.Window(r, f, from, from+length)
+	turns, err := capture.Window(r, f, from, from+length, &relay.Rerun{})
 	if err = errors.Join(err, f.Close()); err != nil {
 		_ = os.Remove(name)
 		return err
 	}
-	fmt.Fprintf(w, "%s: %d turns; captures in a testdata folder of internal/capture are replayed by its tests\n", name, turns)
+	fmt.Fprintf(w, "%s: %d turns; captures in testdata of internal/capture and internal/relay are replayed by their tests\n", name, turns)
 	return nil
 }
--- a/cmd/mastusher/capture_test.go
+++ b/cmd/mastusher/capture_test.go
@@ -76,7 +76,15 @@
 		return nil
 	}
 	await(1, "")
-	hand(20, 60)
+	hand(20, 40)
+	moved, err := standin.NewDiscovery(d.known)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(moved.Close)
+	_ = os.WriteFile(file, []byte(strings.Replace(text, d.discovery, moved.Address, 1)), 0o600)
+	_ = d.Process.Signal(syscall.SIGHUP)
+	hand(40, 60)
 	await(1, "m-59")
 	_ = d.Process.Kill()
 	_ = d.Wait()
@@ -92,14 +100,22 @@
 	if out, err := exec.Command("go", "build", "-o", program, ".").CombinedOutput(); err != nil {
 		t.Fatalf("%v\n%s", err, out)
 	}
+	hasMoved := false
 	for _, f := range files {
 		for range 10 {
 			out, err := exec.Command(program, "replay", f).CombinedOutput()
 			if err != nil || !strings.Contains(string(out), "every decision is the same") {
 				t.Fatalf("%s: %v\n%s", f, err, out)
 			}
+			if !strings.Contains(string(out), "so is all that the core did") {
+				t.Fatalf("%s: the core is not replayed\n%s", f, out)
+			}
+			hasMoved = hasMoved || strings.Contains(string(out), "discovery of platform has moved")
 		}
 	}
+	if !hasMoved {
+		t.Error("no capture tells that the discovery has moved")
+	}
 	if out := tool(0, "replay", files[0], "--explain", "m-21"); !strings.Contains(out, "m-21 arrives for destination 1") {
 		t.Errorf("the story of m-21 is\n%s", out)
 	}
--- a/cmd/mastusher/plugin_test.go
+++ b/cmd/mastusher/plugin_test.go
@@ -116,7 +116,9 @@
 // daemon is the relay as a process of its own.
 type daemon struct {
 	*exec.Cmd
-	address string
+	address   string
+	discovery string
+	known     string
 }
 
 func (d *daemon) start(t *testing.T, file string) {
@@ -165,7 +167,7 @@
 		t.Fatal(err)
 	}
 	spare.Close()
-	d = &daemon{address: spare.Addresses[0]}
+	d = &daemon{address: spare.Addresses[0], discovery: disco.Address, known: ends.Known("club-sites", "a")}
 	text = fmt.Sprintf(`{"name": "t", "listen": %q, "discovery": %q, "state": %q, "known": %s, %s, %s}`, d.address, disco.Address,
 		filepath.Join(dir, "state"), ends.Known("club-sites", "a"), more, lanes)
 	file = filepath.Join(dir, "config.json")
--- /dev/null
+++ b/internal/capture/batch.go
@@ -0,0 +1,143 @@
+package capture
+
+import (
+	"runtime"
+	"time"
+
+	"mastusher/control"
+)
+
+// batch holds records as they are, until the writer encodes them all at once: a turn that comes after a pause finds the
+// encoder's code in no cache, and would take several times as long. What records point to stands in lists that are used
+// again.
+type batch struct {
+	order    []Type
+	turns    []Turn
+	inputs   []Input
+	names    []Name
+	messages []Message
+	notes    []Note
+	states   []State
+	cores    []*Core
+	gaps     []Gap
+
+	events  []control.Event
+	actions []control.Action
+	told    []CoreEvent
+	handed  []Arrival
+
+	weight int       // about the bytes it will take before it is compressed
+	file   bool      // a file begins with it
+	since  time.Time // when its first turn ended
+}
+
+// What records weigh, as measured.
+const (
+	weighsTurn, weighsEvent, weighsAction = 14, 24, 22
+	weighsTold, weighsName                = 36, 30
+)
+
+func (b *batch) turn(no uint64, now time.Duration, events []control.Event, actions []control.Action) {
+	b.turns = append(b.turns, Turn{no, now, into(&b.events, events), into(&b.actions, actions)})
+	b.order = append(b.order, TypeTurn)
+	b.weight += weighsTurn + weighsEvent*len(events) + weighsAction*len(actions)
+}
+
+func (b *batch) input(in *Input) {
+	own := *in
+	own.Events, own.Did = into(&b.told, in.Events), nil
+	for i := range own.Events {
+		if a := own.Events[i].Arrival; a != nil {
+			b.handed = append(b.handed, *a)
+			own.Events[i].Arrival = &b.handed[len(b.handed)-1]
+		}
+	}
+	if len(in.Full) > 0 {
+		own.Full = append([]int(nil), in.Full...)
+	} else {
+		own.Full = nil
+	}
+	b.inputs = append(b.inputs, own)
+	b.order = append(b.order, TypeInput)
+	b.weight += weighsTurn + weighsTold*len(in.Events)
+}
+
+func (b *batch) name(n Name) {
+	b.names, b.order = append(b.names, n), append(b.order, TypeName)
+	b.weight += weighsName
+}
+
+func (b *batch) message(m Message) {
+	b.messages, b.order = append(b.messages, m), append(b.order, TypeMessage)
+	b.weight += weighsName
+}
+
+func (b *batch) note(n Note) { b.notes, b.order = append(b.notes, n), append(b.order, TypeNote) }
+func (b *batch) gap(g Gap)   { b.gaps, b.order = append(b.gaps, g), append(b.order, TypeGap) }
+
+func (b *batch) state(x *control.Snapshot, core *Core) {
+	b.states, b.order = append(b.states, State{x}), append(b.order, TypeState)
+	if core != nil {
+		b.cores, b.order = append(b.cores, core), append(b.order, TypeCore)
+	}
+}
+
+// into copies a list to the end of another and returns the copy: nil if it is empty.
+func into[T any](all *[]T, list []T) []T {
+	if len(list) == 0 {
+		return nil
+	}
+	n := len(*all)
+	*all = append(*all, list...)
+	return (*all)[n:len(*all):len(*all)]
+}
+
+// encode adds all records to a block, in order. It lets others run in between: there may be one processor for all.
+func (b *batch) encode(to *block) (err error) {
+	var at [TypeInput + 1]int
+	for n, t := range b.order {
+		i := at[t]
+		at[t]++
+		switch t {
+		case TypeTurn:
+			err = to.add(t, &b.turns[i])
+		case TypeInput:
+			err = to.add(t, &b.inputs[i])
+		case TypeName:
+			err = to.add(t, &b.names[i])
+		case TypeMessage:
+			err = to.add(t, &b.messages[i])
+		case TypeNote:
+			err = to.add(t, &b.notes[i])
+		case TypeState:
+			err = to.add(t, &b.states[i])
+		case TypeCore:
+			err = to.add(t, b.cores[i])
+		case TypeGap:
+			err = to.add(t, &b.gaps[i])
+		}
+		if err != nil {
+			return err
+		}
+		if n%16 == 15 {
+			runtime.Gosched()
+		}
+	}
+	return nil
+}
+
+// reset empties a batch for other records.
+func (b *batch) reset() {
+	clear(b.inputs)
+	clear(b.names)
+	clear(b.messages)
+	clear(b.states)
+	clear(b.cores)
+	clear(b.events)
+	clear(b.actions)
+	clear(b.told)
+	clear(b.handed)
+	*b = batch{order: b.order[:0], turns: b.turns[:0], inputs: b.inputs[:0], names: b.names[:0], messages: b.messages[:0],
+		notes: b.notes[:0], states: b.states[:0], cores: b.cores[:0], gaps: b.gaps[:0], events: b.events[:0], actions: b.actions[:0],
+		told: b.told[:0], handed: b.handed[:0]}
+}
--- a/internal/capture/capture_test.go
+++ b/internal/capture/capture_test.go
@@ -20,7 +20,7 @@
 	"mastusher/control"
 )
 
-var limits = Limits{Queue: 1 << 14, Chunk: 4 << 10, Within: time.Hour, FileSize: 1 << 30, DirSize: 1 << 32}
+var limits = Limits{Queue: 1 << 12, Chunk: 4 << 10, Within: time.Hour, FileSize: 1 << 30, DirSize: 1 << 32}
 
 var quiet = slog.New(slog.NewTextHandler(io.Discard, nil))
 
@@ -80,7 +80,7 @@
 	for no := range turns {
 		now, in := w.turn(no)
 		if no >= from && r.WantsState() {
-			r.State(mod.Snapshot(), []Name{{1, "platform", "s-1"}}, nil)
+			r.State(mod.Snapshot(), nil, []Name{{1, "platform", "s-1"}}, nil)
 		}
 		for _, e := range in {
 			if e.Kind == control.Arrived && no >= from {
@@ -90,6 +90,7 @@
 		out := mod.Step(now, in, nil)
 		if no >= from {
 			r.Turn(now, in, out)
+			r.Tick(time.Now())
 		}
 		w.did(out)
 	}
@@ -210,7 +211,7 @@
 	minor[5] = 9
 	c, _ := newChunker()
 	_ = c.add(23, map[int]string{1: "news"})
-	b, _ := c.chunk()
+	b, _ := c.pack(&c.block)
 	r, err := NewReader(bytes.NewReader(append(minor, b...)))
 	if err != nil {
 		t.Fatal(err)
@@ -224,17 +225,19 @@
 // the next state if it is told to.
 func TestGap(t *testing.T) {
 	mod, _ := control.New(settings(), 5)
-	r := &Recorder{dir: t.TempDir(), begin: Begin{Seed: 5, Settings: settings()}, lim: limits, log: quiet, queue: make(chan any, 64), done: make(chan struct{}), create: create}
-	r.want.Store(true)
-	w, err := newWriter(r)
+	lim := limits
+	lim.Queue, lim.Chunk = 3, 1<<10
+	r, w, err := build(t.TempDir(), Begin{Seed: 5, Settings: settings()}, lim, quiet, create)
 	if err != nil {
 		t.Fatal(err)
 	}
 	drain := func() {
-		for len(r.queue) > 0 {
-			if err := w.take(<-r.queue); err != nil {
+		for len(r.full) > 0 {
+			b := <-r.full
+			if err := w.take(b); err != nil {
 				t.Fatal(err)
 			}
+			r.back(b)
 		}
 	}
 	world := newWorld(3)
@@ -244,16 +247,15 @@
 		}
 		now, in := world.turn(no)
 		if r.WantsState() {
-			r.State(mod.Snapshot(), nil, nil)
+			r.State(mod.Snapshot(), nil, nil, nil)
 		}
 		out := mod.Step(now, in, nil)
 		r.Turn(now, in, out)
+		r.Tick(time.Now())
 		world.did(out)
 	}
+	r.hand()
 	drain()
-	if err := w.flush(); err != nil {
-		t.Fatal(err)
-	}
 	text := one(t, r.dir)
 	lost := int(r.Lost.Load())
 	if lost < 30 || lost > 100 {
@@ -293,7 +295,7 @@
 func TestFullDisk(t *testing.T) {
 	dir := t.TempDir()
 	disk := &fullDisk{left: 20 << 10}
-	r, err := open(dir, Begin{Settings: settings()}, Limits{Queue: 1 << 14, Chunk: 1 << 10, Within: time.Hour, FileSize: 1 << 20, DirSize: 1 << 30}, quiet, disk.create)
+	r, err := open(dir, Begin{Settings: settings()}, Limits{Queue: 1 << 12, Chunk: 1 << 10, Within: time.Hour, FileSize: 1 << 20, DirSize: 1 << 30}, quiet, disk.create)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -303,10 +305,11 @@
 	for no := 0; no < 200000 && !full(); no++ {
 		now, in := world.turn(no)
 		if r.WantsState() {
-			r.State(mod.Snapshot(), nil, nil)
+			r.State(mod.Snapshot(), nil, nil, nil)
 		}
 		out := mod.Step(now, in, nil)
 		r.Turn(now, in, out)
+		r.Tick(time.Now())
 		world.did(out)
 	}
 	r.Close()
@@ -346,7 +349,7 @@
 	dir, _ := play(t, 6, 1000, limits, 0)
 	r, _ := NewReader(bytes.NewReader(one(t, dir)))
 	var part bytes.Buffer
-	turns, err := Window(r, &part, 5*time.Second, 9*time.Second)
+	turns, err := Window(r, &part, 5*time.Second, 9*time.Second, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -398,3 +401,100 @@
 		}
 	}
 }
+
+// TestOlder: captures by an older minor version replay: those of the corpus were written by version 1.0.
+func TestOlder(t *testing.T) {
+	files, _ := filepath.Glob("testdata/*" + Ext)
+	older := 0
+	for _, file := range files {
+		text, err := os.ReadFile(file)
+		if err != nil {
+			t.Fatal(err)
+		}
+		r, err := NewReader(bytes.NewReader(text))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if r.Minor < Minor {
+			if _, err := Replay(r, Options{}); err != nil {
+				t.Errorf("%s, of version %d.%d: %v", file, Major, r.Minor, err)
+			}
+			older++
+		}
+	}
+	if older == 0 {
+		t.Error("no capture of the corpus is older than this program")
+	}
+}
+
+// TestIndex: a message's story and a window are told from the last state before them: what stands earlier is not read,
+// and may be damaged.
+func TestIndex(t *testing.T) {
+	mod, _ := control.New(settings(), 5)
+	c, _ := newChunker()
+	var file bytes.Buffer
+	file.Write(headOfFile())
+	put := func(kind Type, record any) {
+		if err := c.add(kind, record); err != nil {
+			t.Fatal(err)
+		}
+	}
+	put(TypeBegin, &Begin{Relay: "test", Seed: 5, Settings: settings()})
+	put(TypeState, &State{mod.Snapshot()})
+	w := newWorld(9)
+	damage, start, middle := 0, time.Duration(0), time.Duration(0)
+	for no := range 600 {
+		if no == 100 {
+			_ = c.flushTo(&file)
+			damage = file.Len() + chunkHead + 200
+		}
+		now, in := w.turn(no)
+		if no == 0 {
+			start = now
+		}
+		if no == 300 {
+			_ = c.flushTo(&file)
+			middle = now - start
+			put(TypeState, &State{mod.Snapshot()})
+		}
+		for _, e := range in {
+			if e.Kind == control.Arrived {
+				put(TypeMessage, &Message{e.ID, "platform", fmt.Sprint("m-", e.ID)})
+			}
+		}
+		out := mod.Step(now, in, nil)
+		put(TypeTurn, &Turn{uint64(no + 1), now, in, out})
+		w.did(out)
+	}
+	_ = c.flushTo(&file)
+	text := file.Bytes()
+	text[damage] ^= 1
+	reader := func() *Reader {
+		r, err := NewReader(bytes.NewReader(text))
+		if err != nil {
+			t.Fatal(err)
+		}
+		return r
+	}
+	if index, err := reader().Index(); err != nil || len(index) != 3 || !index[2].State || index[1].Turns != 200 {
+		t.Fatalf("%+v, %v", index, err)
+	}
+	late := fmt.Sprint("m-", w.ref-20)
+	if lines, err := Story(reader(), late); err != nil || !strings.Contains(strings.Join(lines, "\n"), late+" arrives") {
+		t.Errorf("%v\n%s", err, strings.Join(lines, "\n"))
+	}
+	if _, err := Story(reader(), "m-3"); err != nil { // before the damage
+		t.Error(err)
+	}
+	var part bytes.Buffer
+	turns, err := Window(reader(), &part, middle+time.Second, middle+3*time.Second, nil)
+	if err != nil || turns < 20 {
+		t.Fatalf("%d turns, %v", turns, err)
+	}
+	if res, err := replayed(part.Bytes(), Options{}); err != nil || res.Turns != turns {
+		t.Errorf("%+v, %v", res, err)
+	}
+	if res, err := replayed(text, Options{}); err != nil || res.Turns != 100 || res.Torn == nil {
+		t.Errorf("all of it: %+v, %v; want it read up to the damage", res, err)
+	}
+}
--- /dev/null
+++ b/internal/capture/core.go
@@ -0,0 +1,224 @@
+package capture
+
+import (
+	"math/bits"
+	"time"
+
+	"mastusher/control"
+)
+
+// What the core is told and does, beside the module: a replay of these drives the whole core with the recording in the
+// place of its fronts, its journal and its clock. Bodies are not recorded, only how long they are. All times are on the
+// module's clock.
+
+// CoreSettings is what the core itself goes by, beside the module's settings.
+type CoreSettings struct {
+	Kinds           []string      `cbor:"1,keyasint,omitempty"`
+	Zones           []string      `cbor:"2,keyasint,omitempty"`
+	WindowMargin    time.Duration `cbor:"3,keyasint,omitempty"`
+	BusyRetry       time.Duration `cbor:"4,keyasint,omitempty"`
+	AnswerWithin    time.Duration `cbor:"5,keyasint,omitempty"`
+	BodySize        int           `cbor:"6,keyasint,omitempty"`
+	DrainSends      time.Duration `cbor:"7,keyasint,omitempty"`
+	DrainExit       time.Duration `cbor:"8,keyasint,omitempty"`
+	NoticesPerCall  int           `cbor:"9,keyasint,omitempty"`
+	NoticeTimeout   time.Duration `cbor:"10,keyasint,omitempty"`
+	NoticeRetry     time.Duration `cbor:"11,keyasint,omitempty"`
+	NoticeRetryMost time.Duration `cbor:"12,keyasint,omitempty"`
+	WatchRetry      time.Duration `cbor:"13,keyasint,omitempty"`
+}
+
+// Core is the core's whole state between two turns, beside the module's. Lists are sorted by their numbers.
+type Core struct {
+	Fronts   []FrontState    `cbor:"1,keyasint"`
+	Dests    []DestState     `cbor:"2,keyasint,omitempty"`
+	Numbers  []Name          `cbor:"3,keyasint,omitempty"` // also of destinations that stand in the journal only
+	Messages []HeldState     `cbor:"4,keyasint,omitempty"`
+	Steps    []StepState     `cbor:"5,keyasint,omitempty"` // that are out
+	Events   []control.Event `cbor:"6,keyasint,omitempty"` // the module learns of them next turn
+	LastNo   uint32          `cbor:"7,keyasint,omitempty"`
+	LastRef  uint64          `cbor:"8,keyasint,omitempty"`
+	LastStep uint64          `cbor:"9,keyasint,omitempty"`
+	Handed   uint64          `cbor:"10,keyasint,omitempty"`
+	WakeAt   time.Duration   `cbor:"11,keyasint,omitempty"` // 0: not at all, as for the next ones
+	WatchAt  time.Duration   `cbor:"12,keyasint,omitempty"`
+	DrainAt  time.Duration   `cbor:"13,keyasint,omitempty"`
+	HouseAt  time.Duration   `cbor:"14,keyasint,omitempty"`
+}
+
+// FrontState is what the core keeps for a front.
+type FrontState struct {
+	Name     string        `cbor:"1,keyasint"`
+	Tells    bool          `cbor:"2,keyasint,omitempty"` // its clients are owed a notice of a delivery too
+	List     []uint32      `cbor:"3,keyasint,omitempty"`
+	Index    int64         `cbor:"4,keyasint,omitempty"`
+	WatchNo  int           `cbor:"5,keyasint,omitempty"`
+	Watching bool          `cbor:"6,keyasint,omitempty"`
+	Owed     []uint64      `cbor:"7,keyasint,omitempty"` // refs of messages whose notices wait
+	Sending  []uint64      `cbor:"8,keyasint,omitempty"` // and of those in the call that is out
+	Calling  bool          `cbor:"9,keyasint,omitempty"`
+	Away     bool          `cbor:"10,keyasint,omitempty"` // the front has moved while that call was out
+	RetryAt  time.Duration `cbor:"11,keyasint,omitempty"`
+	Gap      time.Duration `cbor:"12,keyasint,omitempty"`
+}
+
+// DestState is a destination as listed.
+type DestState struct {
+	No      uint32        `cbor:"1,keyasint"`
+	Front   int           `cbor:"2,keyasint,omitempty"`
+	Name    string        `cbor:"3,keyasint"`
+	Zone    string        `cbor:"4,keyasint,omitempty"`
+	Kind    string        `cbor:"5,keyasint,omitempty"`
+	Partner int           `cbor:"6,keyasint,omitempty"`
+	State   control.State `cbor:"7,keyasint,omitempty"`
+	GoneAt  time.Duration `cbor:"8,keyasint,omitempty"`
+}
+
+// HeldState is a message that is not over.
+type HeldState struct {
+	Ref        uint64        `cbor:"1,keyasint"`
+	Front      int           `cbor:"2,keyasint,omitempty"`
+	ID         string        `cbor:"3,keyasint"`
+	KeySize    int           `cbor:"4,keyasint,omitempty"`
+	Partner    int           `cbor:"5,keyasint,omitempty"`
+	Class      int           `cbor:"6,keyasint,omitempty"`
+	Deadline   time.Duration `cbor:"7,keyasint,omitempty"`
+	Again      bool          `cbor:"8,keyasint,omitempty"`
+	Size       int           `cbor:"9,keyasint,omitempty"`
+	Headers    uint64        `cbor:"10,keyasint,omitempty"` // a hash: those of one call are the same
+	Attempts   int           `cbor:"11,keyasint,omitempty"`
+	Out        bool          `cbor:"12,keyasint,omitempty"`
+	Ran        bool          `cbor:"13,keyasint,omitempty"`
+	RanAt      time.Duration `cbor:"14,keyasint,omitempty"`
+	RanIn      string        `cbor:"15,keyasint,omitempty"`
+	LastAt     time.Duration `cbor:"16,keyasint,omitempty"`
+	LastIn     string        `cbor:"17,keyasint,omitempty"`
+	Owed       bool          `cbor:"18,keyasint,omitempty"`
+	Delivered  bool          `cbor:"19,keyasint,omitempty"`
+	HandedBack bool          `cbor:"20,keyasint,omitempty"`
+	Retry      time.Duration `cbor:"21,keyasint,omitempty"`
+	Step       uint64        `cbor:"22,keyasint,omitempty"` // out now; 0: none
+}
+
+// StepState is a route step that is out.
+type StepState struct {
+	No       uint64   `cbor:"1,keyasint"`
+	To       uint32   `cbor:"2,keyasint,omitempty"`
+	Refs     []uint64 `cbor:"3,keyasint,omitempty"`
+	Attempts []int    `cbor:"4,keyasint,omitempty"`
+}
+
+// Input is one turn of the core: what its queue brought, how the journal fared, and what it did.
+type Input struct {
+	No     uint64        `cbor:"1,keyasint,omitempty"` // of the module's turn in it; 0: it had none
+	Now    time.Duration `cbor:"2,keyasint"`
+	Events []CoreEvent   `cbor:"3,keyasint,omitempty"`
+	Full   []int         `cbor:"4,keyasint,omitempty"` // which of the messages to be taken on the journal had no room for
+	Failed bool          `cbor:"5,keyasint,omitempty"` // the journal could not be written
+	Sum    uint64        `cbor:"6,keyasint,omitempty"` // of what it did, see Add; 0: nothing
+	Did    []Deed        `cbor:"-"`                    // the same in full, in a replay
+}
+
+// Add takes a deed into the sum. The deeds themselves follow from the rest, and would take as much time to write as all
+// of it.
+func (in *Input) Add(d *Deed) {
+	h := in.Sum ^ uint64(d.Kind)
+	for _, v := range [...]uint64{d.No, uint64(d.To), uint64(d.For), uint64(d.Before), uint64(d.After), uint64(d.Verdict)} {
+		h = (bits.RotateLeft64(h, 23) ^ v) * 0x9e3779b97f4a7c15
+	}
+	for _, v := range d.Refs {
+		h = (bits.RotateLeft64(h, 23) ^ v) * 0x9e3779b97f4a7c15
+	}
+	in.Sum = max(h, 1)
+}
+
+// CoreKind tells what a CoreEvent is.
+type CoreKind uint8
+
+// The core's events.
+const (
+	Handed     CoreKind = iota + 1 // Front, Arrival
+	Withdrawn                      // Ref
+	Moved                          // Front
+	Drained                        // -
+	StepEnded                      // Step, Items, Outcomes
+	PoolTold                       // Front, Pool
+	WatchEnded                     // Front, Step: the number of the watch, Text
+	Notified                       // Front, Taken
+)
+
+// CoreEvent is one thing that came by the core's queue.
+type CoreEvent struct {
+	Kind     CoreKind  `cbor:"1,keyasint"`
+	Front    int       `cbor:"2,keyasint,omitempty"` // below 0: there is no such front
+	Ref      uint64    `cbor:"3,keyasint,omitempty"`
+	Step     uint64    `cbor:"4,keyasint,omitempty"`
+	Arrival  *Arrival  `cbor:"5,keyasint,omitempty"`
+	Outcomes []Outcome `cbor:"6,keyasint,omitempty"` // nil: as the module is told in the same turn
+	Pool     *Pool     `cbor:"7,keyasint,omitempty"`
+	Taken    []bool    `cbor:"8,keyasint,omitempty"`
+	Text     string    `cbor:"9,keyasint,omitempty"`
+	Items    int       `cbor:"10,keyasint,omitempty"`
+}
+
+// Arrival is a message handed in, with what an inspector (a plug-in) ruled.
+type Arrival struct {
+	ID       string        `cbor:"1,keyasint"`
+	KeySize  int           `cbor:"2,keyasint,omitempty"`
+	Partner  int           `cbor:"3,keyasint,omitempty"`
+	Class    int           `cbor:"4,keyasint,omitempty"`
+	Deadline time.Duration `cbor:"5,keyasint"`
+	Again    bool          `cbor:"6,keyasint,omitempty"`
+	Size     int           `cbor:"7,keyasint,omitempty"`
+	Headers  uint64        `cbor:"8,keyasint,omitempty"`
+	Ran      bool          `cbor:"9,keyasint,omitempty"`
+	RanAt    time.Duration `cbor:"10,keyasint,omitempty"`
+	Late     time.Duration `cbor:"11,keyasint,omitempty"` // since it was handed in
+	Verdict  uint8         `cbor:"12,keyasint,omitempty"` // of the inspector
+	Status   int           `cbor:"13,keyasint,omitempty"`
+	Why      string        `cbor:"14,keyasint,omitempty"`
+}
+
+// Outcome is how a route step ended for one of its messages.
+type Outcome struct {
+	Result   control.Result `cbor:"1,keyasint,omitempty"`
+	Wait     time.Duration  `cbor:"2,keyasint,omitempty"`
+	Over     bool           `cbor:"3,keyasint,omitempty"`
+	Reported bool           `cbor:"4,keyasint,omitempty"`
+	Share    float64        `cbor:"5,keyasint,omitempty"`
+	Limit    float64        `cbor:"6,keyasint,omitempty"`
+}
+
+// Pool is a pool config, or what has changed in it.
+type Pool struct {
+	Index int64       `cbor:"1,keyasint,omitempty"`
+	Whole bool        `cbor:"2,keyasint,omitempty"`
+	Dests []DestState `cbor:"3,keyasint,omitempty"` // without numbers
+}
+
+// DeedKind tells what a Deed is.
+type DeedKind uint8
+
+// What the core does.
+const (
+	Replied  DeedKind = iota + 1 // No: of the message handed in, Verdict, For: when to come again
+	Began                        // No: of the route step, To, Refs, For: its time-out, Before
+	Called                       // No: of the route step that is called off
+	Back                         // No: of the route step that is called back if nothing of it was written
+	Told                         // No: of the front, Refs of the notices in the call
+	Watched                      // No: of the front, To: number of the watch, After
+	Retired                      // To: the destination whose idle connections are closed
+	Finished                     // No: of the message that is over and owes nothing more
+)
+
+// Deed is one thing that the core did.
+type Deed struct {
+	Kind    DeedKind
+	No      uint64
+	To      uint32
+	Refs    []uint64
+	For     time.Duration
+	Before  time.Duration
+	After   int64
+	Verdict uint8
+}
--- a/internal/capture/format.go
+++ b/internal/capture/format.go
@@ -16,6 +16,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -28,7 +29,7 @@
 // Major changes when older readers can't read a file, Minor when they can.
 const (
 	Major = 1
-	Minor = 0
+	Minor = 1 // 1: the core's own inputs, TypeCore and TypeInput
 
 	fileMagic  = "MCAP"
 	chunkMagic = "CHNK"
@@ -60,8 +61,35 @@
 	TypeMessage Type = 5
 	TypeGap     Type = 6
 	TypeNote    Type = 7
+	TypeCore    Type = 8
+	TypeInput   Type = 9
 )
 
+// typeOf is the type of a record, given as a pointer.
+func typeOf(record any) (Type, bool) {
+	switch record.(type) {
+	case *Begin:
+		return TypeBegin, true
+	case *State:
+		return TypeState, true
+	case *Turn:
+		return TypeTurn, true
+	case *Name:
+		return TypeName, true
+	case *Message:
+		return TypeMessage, true
+	case *Gap:
+		return TypeGap, true
+	case *Note:
+		return TypeNote, true
+	case *Core:
+		return TypeCore, true
+	case *Input:
+		return TypeInput, true
+	}
+	return 0, false
+}
+
 // Begin is a file's first record: what is needed to make sense of it.
 type Begin struct {
 	Relay    string           `cbor:"1,keyasint"`
@@ -71,6 +99,7 @@
 	Build    string           `cbor:"5,keyasint"` // of the program that decided
 	Settings control.Settings `cbor:"6,keyasint"`
 	Classes  []string         `cbor:"7,keyasint,omitempty"`
+	Core     *CoreSettings    `cbor:"8,keyasint,omitempty"` // nil: only the module is recorded
 }
 
 // State is the module's whole state before the turn that follows, or the start, where Snapshot is nil.
@@ -115,214 +144,124 @@
 // ErrVersion is another major version.
 var ErrVersion = errors.New("capture: another version")
 
-// chunker gathers records and makes chunks of them.
-type chunker struct {
-	enc  *zstd.Encoder
+// block gathers records that will make a chunk.
+type block struct {
 	body bytes.Buffer
 	head Head
-	out  []byte
 }
 
-func newChunker() (*chunker, error) {
-	// The window is no larger than a chunk, and one goroutine does it all: a capture may cost the relay 2 MB.
-	enc, err := zstd.NewWriter(nil, zstd.WithEncoderLevel(zstd.SpeedFastest), zstd.WithEncoderConcurrency(1),
-		zstd.WithWindowSize(128<<10), zstd.WithLowerEncoderMem(true))
+// inPlace encodes records right into a block's buffer.
+var inPlace = func() cbor.UserBufferEncMode {
+	mode, err := cbor.EncOptions{}.UserBufferEncMode()
 	if err != nil {
-		return nil, fmt.Errorf("capture: %w", err)
+		panic(err) // the options are constant
 	}
-	return &chunker{enc: enc}, nil
-}
+	return mode
+}()
 
 // add appends a record.
-func (c *chunker) add(t Type, record any) error {
-	body, err := cbor.Marshal(record)
-	if err != nil {
+func (b *block) add(t Type, record any) error {
+	b.body.Write([]byte{0x82, byte(t)}) // an array of two; types stay under 24
+	if text, ok := fast(b.body.AvailableBuffer(), record); ok {
+		b.body.Write(text)
+	} else if err := inPlace.MarshalToBuffer(record, &b.body); err != nil {
 		return fmt.Errorf("capture: %w", err)
 	}
-	c.body.Write([]byte{0x82, byte(t)}) // an array of two; types stay under 24
-	c.body.Write(body)
 	switch r := record.(type) {
 	case *Turn:
-		if c.head.Turns == 0 {
-			c.head.First, c.head.Turn = r.Now, r.No
+		if b.head.Turns == 0 {
+			b.head.Turn = r.No
 		}
-		c.head.Last = r.Now
-		c.head.Turns++
+		b.at(r.Now)
+		b.head.Turns++
+	case *Input:
+		b.at(r.Now)
 	case *Message:
-		c.head.Messages = append(c.head.Messages, idHash(r.ID))
+		b.head.Messages = append(b.head.Messages, idHash(r.ID))
 	case *State:
-		c.head.State = true
+		b.head.State = true
 	}
 	return nil
 }
 
-func idHash(id string) uint32 { return uint32(xxhash.Sum64String(id)) }
+func (b *block) at(now time.Duration) {
+	if b.head.First == 0 {
+		b.head.First = now
+	}
+	b.head.Last = now
+}
 
-// chunk returns the chunk of all that was added since the last, good until the next call; nil: nothing was.
-func (c *chunker) chunk() ([]byte, error) {
-	if c.body.Len() == 0 {
-		return nil, nil
+// reset empties a block for other records. A buffer that a large state has grown is let go.
+func (b *block) reset(keep int) {
+	messages := b.head.Messages[:0]
+	if b.head = (Head{}); cap(messages) <= 1<<12 {
+		b.head.Messages = messages
 	}
-	c.head.Size = c.body.Len()
-	head, err := cbor.Marshal(c.head)
-	if err != nil {
-		return nil, fmt.Errorf("capture: %w", err)
+	if b.body.Reset(); b.body.Cap() > 4*keep {
+		b.body = bytes.Buffer{}
 	}
-	c.out = append(c.out[:0], make([]byte, chunkHead)...)
-	c.out = append(c.out, head...)
-	c.out = c.enc.EncodeAll(c.body.Bytes(), c.out)
-	copy(c.out, chunkMagic)
-	binary.LittleEndian.PutUint32(c.out[4:], uint32(len(head)))
-	binary.LittleEndian.PutUint32(c.out[8:], uint32(len(c.out)-chunkHead-len(head)))
-	binary.LittleEndian.PutUint64(c.out[12:], xxhash.Sum64(c.out[chunkHead:]))
-	c.body.Reset()
-	c.head = Head{}
-	return c.out, nil
 }
 
-func headOfFile() []byte {
-	return []byte{fileMagic[0], fileMagic[1], fileMagic[2], fileMagic[3], Major, Minor, 0, 0}
-}
+func idHash(id string) uint32 { return uint32(xxhash.Sum64String(id)) }
 
-// Reader reads a capture, up to the last whole chunk.
-type Reader struct {
-	r     io.ReadSeeker
-	dec   *zstd.Decoder
-	at    int64
-	size  int64
-	Minor byte
-	// Torn is why reading ended before the end of the file; nil: it did not.
-	Torn error
-	// Skipped counts records of types that this program does not know.
-	Skipped int
+// packer makes chunks of blocks.
+type packer struct {
+	enc *zstd.Encoder
+	out []byte
 }
 
-// NewReader checks the head of a file.
-func NewReader(r io.ReadSeeker) (*Reader, error) {
-	size, err := r.Seek(0, io.SeekEnd)
-	if err == nil {
-		_, err = r.Seek(0, io.SeekStart)
-	}
+func newPacker() (*packer, error) {
+	// The window is no larger than a chunk, and one goroutine does it all: a capture may cost the relay 2 MB.
+	enc, err := zstd.NewWriter(nil, zstd.WithEncoderLevel(zstd.SpeedFastest), zstd.WithEncoderConcurrency(1),
+		zstd.WithWindowSize(128<<10), zstd.WithLowerEncoderMem(true))
 	if err != nil {
 		return nil, fmt.Errorf("capture: %w", err)
 	}
-	var head [fileHead]byte
-	if _, err := io.ReadFull(r, head[:]); err != nil || string(head[:4]) != fileMagic {
-		return nil, errors.New("capture: this is no capture")
-	}
-	if head[4] != Major {
-		return nil, fmt.Errorf("%w: the file is of major version %d, this program reads %d", ErrVersion, head[4], Major)
+	return &packer{enc: enc}, nil
+}
+
+// pack returns the chunk of a block, good until the next call; nil: the block is empty.
+func (p *packer) pack(b *block) ([]byte, error) {
+	if b.body.Len() == 0 {
+		return nil, nil
 	}
-	dec, err := zstd.NewReader(nil, zstd.WithDecoderConcurrency(1), zstd.WithDecoderMaxMemory(mostChunk))
+	b.head.Size = b.body.Len()
+	slices.Sort(b.head.Messages)
+	b.head.Messages = slices.Compact(b.head.Messages)
+	head, err := cbor.Marshal(b.head)
 	if err != nil {
 		return nil, fmt.Errorf("capture: %w", err)
 	}
-	return &Reader{r: r, dec: dec, at: fileHead, size: size, Minor: head[5]}, nil
+	p.out = append(p.out[:0], make([]byte, chunkHead)...)
+	p.out = append(p.out, head...)
+	p.out = p.enc.EncodeAll(b.body.Bytes(), p.out)
+	copy(p.out, chunkMagic)
+	binary.LittleEndian.PutUint32(p.out[4:], uint32(len(head)))
+	binary.LittleEndian.PutUint32(p.out[8:], uint32(len(p.out)-chunkHead-len(head)))
+	binary.LittleEndian.PutUint64(p.out[12:], xxhash.Sum64(p.out[chunkHead:]))
+	return p.out, nil
 }
 
-// Chunk is one chunk as it stands in a file.
-type Chunk struct {
-	Head
-	At   int64 // where it stands in the file
-	body []byte
+// chunker gathers records and writes chunks of them, for tools that nothing waits for.
+type chunker struct {
+	block
+	*packer
 }
 
-// Progress is the share of the file that has been read.
-func (r *Reader) Progress() float64 { return float64(r.at) / float64(max(r.size, 1)) }
-
-// Next returns the next chunk; io.EOF after the last whole one.
-func (r *Reader) Next() (*Chunk, error) {
-	if r.Torn != nil || r.at >= r.size {
-		return nil, io.EOF
-	}
-	torn := func(why string) (*Chunk, error) {
-		r.Torn = fmt.Errorf("capture: at byte %d of %d: %s", r.at, r.size, why)
-		return nil, io.EOF
-	}
-	var h [chunkHead]byte
-	if _, err := r.r.Seek(r.at, io.SeekStart); err != nil {
-		return nil, fmt.Errorf("capture: %w", err)
-	}
-	if _, err := io.ReadFull(r.r, h[:]); err != nil {
-		return torn("the head of a chunk is cut short")
-	}
-	head, body := int64(binary.LittleEndian.Uint32(h[4:])), int64(binary.LittleEndian.Uint32(h[8:]))
-	if string(h[:4]) != chunkMagic || head > mostChunk || body > mostChunk {
-		return torn("no chunk begins here")
-	}
-	if r.at+chunkHead+head+body > r.size {
-		return torn("a chunk is cut short")
-	}
-	all := make([]byte, head+body)
-	if _, err := io.ReadFull(r.r, all); err != nil {
-		return torn("a chunk is cut short")
-	}
-	if xxhash.Sum64(all) != binary.LittleEndian.Uint64(h[12:]) {
-		return torn("a chunk is damaged")
-	}
-	c := &Chunk{At: r.at, body: all[head:]}
-	if err := cbor.Unmarshal(all[:head], &c.Head); err != nil {
-		return torn("the head of a chunk can't be read: " + err.Error())
-	}
-	r.at += chunkHead + head + body
-	return c, nil
+func newChunker() (*chunker, error) {
+	p, err := newPacker()
+	return &chunker{packer: p}, err
 }
 
-// Records hands the records of a chunk to do, as pointers to their types, until it returns an error.
-func (r *Reader) Records(c *Chunk, do func(record any) error) error {
-	text, err := r.dec.DecodeAll(c.body, make([]byte, 0, min(c.Size, mostChunk)))
-	if err != nil {
-		return fmt.Errorf("capture: the chunk at byte %d: %w", c.At, err)
-	}
-	for len(text) > 0 {
-		if len(text) < 2 || text[0] != 0x82 || text[1] >= 24 {
-			return fmt.Errorf("capture: the chunk at byte %d holds what is no record", c.At)
-		}
-		var record any
-		switch Type(text[1]) {
-		case TypeBegin:
-			record = &Begin{}
-		case TypeState:
-			record = &State{}
-		case TypeTurn:
-			record = &Turn{}
-		case TypeName:
-			record = &Name{}
-		case TypeMessage:
-			record = &Message{}
-		case TypeGap:
-			record = &Gap{}
-		case TypeNote:
-			record = &Note{}
-		default:
-			record = &cbor.RawMessage{}
-			r.Skipped++
-		}
-		if text, err = cbor.UnmarshalFirst(text[2:], record); err != nil {
-			return fmt.Errorf("capture: the chunk at byte %d: %w", c.At, err)
-		}
-		if _, unknown := record.(*cbor.RawMessage); unknown {
-			continue
-		}
-		if err := do(record); err != nil {
-			return err
-		}
+func (c *chunker) flushTo(w io.Writer) error {
+	b, err := c.pack(&c.block)
+	if err == nil && b != nil {
+		_, err = w.Write(b)
 	}
-	return nil
+	c.reset(64 << 10)
+	return err
 }
 
-// Each hands all records of a file to do, in order.
-func (r *Reader) Each(do func(record any) error) error {
-	for {
-		c, err := r.Next()
-		if errors.Is(err, io.EOF) {
-			return nil
-		}
-		if err != nil {
-			return err
-		}
-		if err := r.Records(c, do); err != nil {
-			return err
-		}
-	}
+func headOfFile() []byte {
+	return []byte{fileMagic[0], fileMagic[1], fileMagic[2], fileMagic[3], Major, Minor, 0, 0}
 }
--- a/internal/capture/recorder.go
+++ b/internal/capture/recorder.go
@@ -17,30 +17,35 @@
 
 // Limits bounds a capture.
 type Limits struct {
-	Queue    int           // records on their way to the writer
-	Chunk    int           // bytes of records that make a chunk
+	Queue    int           // batches on their way to the writer
+	Chunk    int           // bytes of records, about, that make a batch, and so a chunk
 	Within   time.Duration // after which what there is makes one
 	FileSize int64         // from which on the next file begins
 	DirSize  int64         // of all files together: the oldest go first
 }
 
-// Recorder takes turns from the core's goroutine, which never waits for it, and writes them on one of its own.
+// Recorder takes turns from the core's goroutine, which never waits for it, and gathers them in batches. Those are encoded,
+// compressed and written on a goroutine of its own.
 type Recorder struct {
 	dir   string
 	begin Begin
 	lim   Limits
 	log   *slog.Logger
 
-	queue  chan any
+	full   chan *batch // to the writer
+	mu     sync.Mutex
+	free   []*batch // the one used last comes first: as long as the writer keeps up two are all that grow
 	done   chan struct{}
 	create func(name string) (file, error)
 
 	// Of the core's goroutine:
-	turn  uint64
-	began bool   // a state has been taken
-	lost  uint64 // turns since the last that was taken
-	why   string
-	want  atomic.Bool // the writer has begun another file: a state is to come before the next turn
+	cur  *batch // nil: none was free
+	turn uint64
+	lost uint64 // turns since the last that was taken
+	gap  bool   // something was
+	ok   bool   // a state has been taken, and nothing has been lost since
+	why  string
+	want atomic.Bool // the writer has a file that is long enough: a state is to come, and another begins with it
 
 	Lost  atomic.Uint64 // turns that are in no file
 	Bytes atomic.Int64  // that were written
@@ -68,77 +73,157 @@
 }
 
 func open(dir string, begin Begin, lim Limits, log *slog.Logger, create func(string) (file, error)) (*Recorder, error) {
+	r, w, err := build(dir, begin, lim, log, create)
+	if err == nil {
+		go w.run()
+	}
+	return r, err
+}
+
+// build makes a recorder whose writer does not run yet.
+func build(dir string, begin Begin, lim Limits, log *slog.Logger, create func(string) (file, error)) (*Recorder, *writer, error) {
 	if err := os.MkdirAll(dir, 0o700); err != nil {
-		return nil, fmt.Errorf("capture: %w", err)
+		return nil, nil, fmt.Errorf("capture: %w", err)
 	}
-	r := &Recorder{dir: dir, begin: begin, lim: lim, log: log, queue: make(chan any, lim.Queue), done: make(chan struct{}), create: create}
-	r.want.Store(true)
-	w, err := newWriter(r)
-	if err != nil {
-		return nil, err
+	r := &Recorder{dir: dir, begin: begin, lim: lim, log: log, full: make(chan *batch, lim.Queue+1),
+		done: make(chan struct{}), create: create}
+	for range lim.Queue + 1 {
+		r.free = append(r.free, &batch{})
 	}
-	go w.run()
-	return r, nil
+	w, err := newWriter(r)
+	return r, w, err
 }
 
-// rotate is where the next file is to begin, if one is wanted.
-type rotate struct{}
-
 // WantsState tells whether the next turn is to come with the module's state before it, since a file begins there or
 // turns have been lost.
-func (r *Recorder) WantsState() bool { return r.want.Load() || r.lost > 0 }
+func (r *Recorder) WantsState() bool { return !r.ok || r.want.Load() }
 
-// State is handed the module's state, the names of destinations and the ids of messages, right before a turn.
-func (r *Recorder) State(x *control.Snapshot, names []Name, messages []Message) {
-	if len(r.queue) > cap(r.queue)/2 { // behind as it is: it would be lost again
+// State is handed the module's state, the core's (nil: it is not recorded), the names of destinations and the ids of
+// messages, right before a turn.
+func (r *Recorder) State(x *control.Snapshot, core *Core, names []Name, messages []Message) {
+	if r.Err() != nil {
 		return
 	}
-	if r.want.Load() {
-		r.put(&rotate{})
+	if r.cur != nil && len(r.cur.order) > 0 {
+		r.hand()
 	}
-	if r.lost > 0 {
-		r.put(&Gap{r.lost, r.why})
+	if r.cur == nil && !r.take() {
+		return // behind as it is
 	}
+	r.cur.file = r.want.Swap(false)
+	r.ok = true
+	if r.gap {
+		r.cur.gap(Gap{r.lost, r.why})
+	}
+	r.lost, r.gap = 0, false
 	for i := range names {
-		r.put(&names[i])
+		r.cur.name(names[i])
 	}
 	for i := range messages {
-		r.put(&messages[i])
-	}
-	if r.put(&State{x}) {
-		r.began, r.lost = true, 0
-		r.want.Store(false)
+		r.cur.message(messages[i])
 	}
+	r.cur.state(x, core)
 }
 
-// Turn is handed each turn. Events and actions are copied: the caller uses them again.
+// Turn is handed each turn of the module. Nothing of events and actions is kept.
 func (r *Recorder) Turn(now time.Duration, events []control.Event, actions []control.Action) {
 	r.turn++
-	if !r.began || r.lost > 0 || !r.put(&Turn{r.turn, now, slices.Clone(events), slices.Clone(actions)}) {
+	if r.room() {
+		r.cur.turn(r.turn, now, events, actions)
+	} else {
 		r.lost++
 		r.Lost.Add(1)
-		r.why = "the writer could not keep up"
 	}
 }
 
-// Name, Message and Note are handed what is to be known of a destination, a message and the relay.
-func (r *Recorder) Name(n Name)       { r.put(&n) }
-func (r *Recorder) Message(m Message) { r.put(&m) }
-func (r *Recorder) Note(n Note)       { r.put(&n) }
-
-// put hands over a record if there is room. What is lost leaves a gap: a replay could not go on past it.
-func (r *Recorder) put(record any) bool {
-	select {
-	case r.queue <- record:
-		return true
-	default:
-		if r.lost == 0 {
-			if _, turn := record.(*Turn); !turn { // a name or id: the state brings it again
-				r.lost = 1
-			}
-		}
+// Turns is the number of the module's last turn.
+func (r *Recorder) Turns() uint64 { return r.turn }
+
+// Input is handed each turn of the core, behind the module's. Nothing of it is kept but texts and lists in its events.
+func (r *Recorder) Input(in *Input) {
+	if r.room() {
+		r.cur.input(in)
+	}
+}
+
+// Name is handed each destination that becomes known.
+func (r *Recorder) Name(n Name) {
+	if r.room() {
+		r.cur.name(n)
+	}
+}
+
+// Message is handed each message that is taken up.
+func (r *Recorder) Message(m Message) {
+	if r.room() {
+		r.cur.message(m)
+	}
+}
+
+// Note is handed what happens to the relay itself.
+func (r *Recorder) Note(n Note) {
+	if r.room() {
+		r.cur.note(n)
+	}
+}
+
+// room tells whether a record can be taken. What can't leaves a gap: a replay could not go on past it.
+func (r *Recorder) room() bool {
+	if !r.ok || r.Err() != nil {
+		return false
+	}
+	if r.cur == nil && !r.take() {
+		r.ok, r.why = false, "the writer could not keep up"
+		r.gap = true
+		return false
+	}
+	return true
+}
+
+// Tick ends a turn: what has stood long enough, or is long enough, goes to the writer.
+func (r *Recorder) Tick(now time.Time) {
+	if r.cur == nil || len(r.cur.order) == 0 {
+		return
+	}
+	if r.cur.since.IsZero() {
+		r.cur.since = now
+	}
+	if r.cur.weight >= r.lim.Chunk || now.Sub(r.cur.since) >= r.lim.Within {
+		r.hand()
+	}
+}
+
+// take finds a batch to fill.
+func (r *Recorder) take() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n := len(r.free) - 1
+	if n < 0 {
 		return false
 	}
+	r.cur, r.free = r.free[n], r.free[:n]
+	return true
+}
+
+// back takes an empty batch.
+func (r *Recorder) back(b *batch) {
+	b.reset()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.free = append(r.free, b)
+}
+
+// hand gives the batch to the writer: there are no more than it has room for.
+func (r *Recorder) hand() {
+	r.full <- r.cur
+	r.cur = nil
+}
+
+// stop ends the capture at an error: what stands in the file can be read.
+func (r *Recorder) stop(err error) {
+	if r.err.CompareAndSwap(nil, &err) {
+		r.log.Error("the capture has stopped", "error", err)
+	}
 }
 
 // Err is why nothing is written any more; nil: all is well.
@@ -152,7 +237,10 @@
 // Close ends the capture; what was handed over is written. It must not be called beside the others.
 func (r *Recorder) Close() {
 	r.once.Do(func() {
-		close(r.queue)
+		if r.cur != nil {
+			r.hand()
+		}
+		close(r.full)
 		<-r.done
 		r.log.Info("the capture ends", "dir", r.dir, "bytes", r.Bytes.Load(), "turns lost", r.Lost.Load(), "error", r.Err())
 	})
@@ -161,19 +249,19 @@
 // writer is the goroutine that writes.
 type writer struct {
 	r    *Recorder
-	c    *chunker
+	p    *packer
+	b    block
 	f    file
 	no   int
 	size int64
-	wait bool // a new file is wanted, with the state that is to come
 }
 
 func newWriter(r *Recorder) (*writer, error) {
-	c, err := newChunker()
+	p, err := newPacker()
 	if err != nil {
 		return nil, err
 	}
-	w := &writer{r: r, c: c}
+	w := &writer{r: r, p: p}
 	files, err := Files(r.dir)
 	if err != nil {
 		return nil, err
@@ -202,12 +290,25 @@
 	if err != nil {
 		return fmt.Errorf("capture: %w", err)
 	}
-	w.f, w.size, w.wait = f, 0, false
+	w.f, w.size = f, 0
 	w.trim()
 	if err := w.write(headOfFile()); err != nil {
 		return err
 	}
-	return w.c.add(TypeBegin, &w.r.begin)
+	if err := w.b.add(TypeBegin, &w.r.begin); err != nil {
+		return err
+	}
+	return w.chunk()
+}
+
+// chunk writes what has been gathered.
+func (w *writer) chunk() error {
+	text, err := w.p.pack(&w.b)
+	if err == nil && text != nil {
+		err = w.write(text)
+	}
+	w.b.reset(w.r.lim.Chunk)
+	return err
 }
 
 // trim removes the oldest files until there is room for another.
@@ -238,81 +339,29 @@
 
 func (w *writer) run() {
 	defer close(w.r.done)
-	tick := time.NewTicker(w.r.lim.Within)
-	defer tick.Stop()
-	var err error
-	for err == nil {
-		select {
-		case record, ok := <-w.r.queue:
-			if !ok {
-				err = w.flush()
-				_ = w.f.Close()
-				if err != nil {
-					w.r.err.Store(&err)
-				}
-				return
+	for b := range w.r.full {
+		if w.r.Err() == nil {
+			if err := w.take(b); err != nil { // a disk that is full ends the capture and nothing else
+				w.r.stop(err)
 			}
-			err = w.take(record)
-		case <-tick.C:
-			err = w.flush()
 		}
+		w.r.back(b)
 	}
-	// A disk that is full ends the capture and nothing else: what stands in the file can be read.
-	w.r.err.Store(&err)
-	w.r.log.Error("the capture has stopped", "error", err)
 	_ = w.f.Close()
-	for range w.r.queue {
-	}
 }
 
-func (w *writer) take(record any) error {
-	t, known := typeOf(record)
-	if !known { // rotate
-		if err := w.flush(); err != nil || !w.wait {
+func (w *writer) take(b *batch) error {
+	if b.file {
+		if err := w.next(); err != nil {
 			return err
 		}
-		return w.next()
 	}
-	if err := w.c.add(t, record); err != nil {
+	if err := b.encode(&w.b); err != nil {
 		return err
 	}
-	if w.c.body.Len() >= w.r.lim.Chunk {
-		return w.flush()
+	err := w.chunk()
+	if w.size >= w.r.lim.FileSize {
+		w.r.want.Store(true) // the core brings the state for the next file
 	}
-	return nil
-}
-
-func typeOf(record any) (Type, bool) {
-	switch record.(type) {
-	case *Begin:
-		return TypeBegin, true
-	case *State:
-		return TypeState, true
-	case *Turn:
-		return TypeTurn, true
-	case *Name:
-		return TypeName, true
-	case *Message:
-		return TypeMessage, true
-	case *Gap:
-		return TypeGap, true
-	case *Note:
-		return TypeNote, true
-	}
-	return 0, false
-}
-
-func (w *writer) flush() error {
-	b, err := w.c.chunk()
-	if err != nil || b == nil {
-		return err
-	}
-	if err := w.write(b); err != nil {
-		return err
-	}
-	if w.size >= w.r.lim.FileSize && !w.wait {
-		w.wait = true // the core brings the state for the next file
-		w.r.want.Store(true)
-	}
-	return nil
+	return err
 }
--- a/internal/capture/replay.go
+++ b/internal/capture/replay.go
@@ -4,7 +4,6 @@
 	"errors"
 	"fmt"
 	"slices"
-	"strings"
 	"time"
 
 	"mastusher/control"
@@ -31,8 +30,9 @@
 	PastGap bool          // go on at the state behind a gap
 	// Settings, if not nil, takes the place of the capture's: then differences are counted and do not end the replay.
 	Settings *control.Settings
-	// Watch, if not nil, is called before each turn with the sender as it stands, and after it.
-	Watch func(t *Turn, got []control.Action, before, after *control.Snapshot)
+	// Core, if not nil, is handed each record: see relay.Rerun. Where the capture is of a whole core, the module that it
+	// drives is the one that is compared, and none is replayed beside it. Its error ends the replay.
+	Core func(record any) error
 	// Progress, if not nil, is told the share of the file that has been replayed.
 	Progress func(share float64)
 }
@@ -57,12 +57,16 @@
 // Replay feeds a capture's events to a module and compares what it decides. It returns a *Difference at the first turn
 // that differs, ErrGap where turns are missing, and otherwise nil at the end of what can be read.
 func Replay(r *Reader, o Options) (*Result, error) {
-	p := &player{o: o, res: &Result{Names: map[uint32]Name{}, Messages: map[uint64]Message{}, Outcomes: map[string]int{}}}
+	p := newPlayer()
+	p.o = o
 	err := r.Each(func(record any) error {
 		if o.Progress != nil {
 			o.Progress(r.Progress())
 		}
-		return p.record(record)
+		if err := p.record(record); err != nil || o.Core == nil {
+			return err
+		}
+		return o.Core(record)
 	})
 	if errors.Is(err, errUntil) {
 		err = nil
@@ -82,6 +86,12 @@
 	mod *control.Sender
 	out []control.Action
 	gap bool
+
+	before, after func(t *Turn) // a turn is played, if they are not nil
+}
+
+func newPlayer() *player {
+	return &player{res: &Result{Names: map[uint32]Name{}, Messages: map[uint64]Message{}, Outcomes: map[string]int{}}}
 }
 
 func (p *player) record(record any) (err error) {
@@ -128,11 +138,15 @@
 	if p.o.Until > 0 && t.Now > p.o.Until {
 		return errUntil
 	}
-	var before *control.Snapshot
-	if p.o.Watch != nil {
-		before = p.mod.Snapshot()
+	if p.before != nil {
+		p.before(t)
+	}
+	driven := p.o.Core != nil && p.res.Begin.Core != nil
+	if driven {
+		p.out = append(p.out[:0], t.Actions...)
+	} else {
+		p.out = p.mod.Step(t.Now, t.Events, p.out[:0])
 	}
-	p.out = p.mod.Step(t.Now, t.Events, p.out[:0])
 	if p.res.Turns == 0 {
 		p.res.First = t.Now
 	}
@@ -141,17 +155,17 @@
 	p.res.Events += len(t.Events)
 	p.res.Actions += len(p.out)
 	p.count(t)
-	if p.o.Watch != nil {
-		p.o.Watch(t, p.out, before, p.mod.Snapshot())
+	if p.after != nil {
+		p.after(t)
 	}
-	if slices.Equal(t.Actions, p.out) {
+	if driven || slices.Equal(t.Actions, p.out) {
 		return nil
 	}
 	if p.o.Settings != nil {
 		p.res.Differ++
 		return nil
 	}
-	return &Difference{Turn: t, Got: slices.Clone(p.out), State: Explain(p.mod.Snapshot(), p.res, concerned(t, p.out))}
+	return &Difference{Turn: t, Got: slices.Clone(p.out), State: Explain(p.mod.Snapshot(), p.res, Concerned(t, p.out))}
 }
 
 // count notes how messages end in the replay: what the destinations answered stands as recorded.
@@ -178,8 +192,8 @@
 	}
 }
 
-// concerned are the endpoints that a turn is about, in events or actions.
-func concerned(t *Turn, got []control.Action) map[uint32]bool {
+// Concerned are the endpoints that a turn is about, in events or actions.
+func Concerned(t *Turn, got []control.Action) map[uint32]bool {
 	all := map[uint32]bool{}
 	for _, e := range t.Events {
 		if e.Kind == control.Resolved {
@@ -228,138 +242,3 @@
 	}
 	return lines
 }
-
-func (res *Result) name(endpoint uint32) string {
-	if n, ok := res.Names[endpoint]; ok {
-		return n.Name
-	}
-	return fmt.Sprintf("endpoint %d", endpoint)
-}
-
-func (res *Result) message(ref uint64) string {
-	if m, ok := res.Messages[ref]; ok {
-		return m.ID
-	}
-	return fmt.Sprintf("message %d", ref)
-}
-
-var kinds = [...]string{"?", "send", "refuse", "fail", "cancel", "wake", "subscribe", "close", "recall", "log"}
-
-// Action is an action in words.
-func (res *Result) Action(a control.Action) string {
-	kind := kinds[0]
-	if int(a.Kind) < len(kinds) {
-		kind = kinds[a.Kind]
-	}
-	switch a.Kind {
-	case control.Send:
-		return fmt.Sprintf("send %s to %s within %v", res.message(a.ID), res.name(a.Endpoint), a.For)
-	case control.Refuse:
-		return fmt.Sprintf("refuse %s, come again after %v", res.message(a.ID), a.For)
-	case control.Wake:
-		return fmt.Sprintf("wake at %v", a.At)
-	case control.Close:
-		return "close idle connections to " + res.name(a.Endpoint)
-	case control.Subscribe:
-		return kind
-	case control.Log:
-		return "log: " + a.Text
-	}
-	return kind + " " + res.message(a.ID)
-}
-
-var results = [...]string{"delivered", "error", "full", "timed out", "could not connect", "reset", "called off", "moot", "refused for good", "spoilt"}
-
-// Event is an event in words.
-func (res *Result) Event(e control.Event) string {
-	switch e.Kind {
-	case control.Listed:
-		return fmt.Sprintf("list: %d endpoints, whole %t", len(e.Endpoints), e.Whole)
-	case control.ListFailed:
-		return "the list could not be had"
-	case control.Arrived:
-		s := fmt.Sprintf("%s arrives for destination %d, class %d", res.message(e.ID), e.Destination, e.Class)
-		if e.Attempt > 0 {
-			s += fmt.Sprintf(", after %d attempts", e.Attempt)
-		}
-		return s
-	case control.Resolved:
-		what := "unknown"
-		if int(e.Result) < len(results) {
-			what = results[e.Result]
-		}
-		s := fmt.Sprintf("attempt %d of %s at %s: %s", e.Attempt, res.message(e.ID), res.name(e.Endpoint), what)
-		if e.Wait > 0 {
-			s += fmt.Sprintf(", wait %v", e.Wait)
-		}
-		if e.Reported {
-			s += fmt.Sprintf(", %.0f %% of %.1f/s left", 100*e.Share, e.Limit)
-		}
-		return s
-	case control.Gone:
-		return res.message(e.ID) + " is withdrawn"
-	case control.Woken:
-		return "woken"
-	}
-	return fmt.Sprintf("event of kind %d", e.Kind)
-}
-
-// Story tells a message's way through a capture, attempt by attempt.
-func Story(r *Reader, id string) ([]string, error) {
-	var lines []string
-	var res *Result
-	refs := map[uint64]bool{}
-	var p *player
-	p = &player{res: &Result{Names: map[uint32]Name{}, Messages: map[uint64]Message{}, Outcomes: map[string]int{}}}
-	res = p.res
-	var before *control.Snapshot
-	p.o.Watch = func(t *Turn, got []control.Action, was, _ *control.Snapshot) {
-		before = was
-		at := func(s string) { lines = append(lines, fmt.Sprintf("%12v turn %d: %s", t.Now-res.First, t.No, s)) }
-		for _, e := range t.Events {
-			if (e.Kind == control.Arrived || e.Kind == control.Resolved || e.Kind == control.Gone) && refs[e.ID] {
-				at(res.Event(e))
-			}
-		}
-		for _, a := range got {
-			if a.Kind == control.Log || a.Kind == control.Wake || a.Kind == control.Subscribe || a.Kind == control.Close || !refs[a.ID] {
-				continue
-			}
-			at(res.Action(a))
-			if a.Kind == control.Send {
-				for _, why := range Explain(before, res, others(before, a.Endpoint)) {
-					lines = append(lines, strings.Repeat(" ", 14)+why)
-				}
-			}
-		}
-	}
-	err := r.Each(func(record any) error {
-		if m, ok := record.(*Message); ok && m.ID == id {
-			refs[m.Ref] = true
-		}
-		err := p.record(record)
-		if errors.Is(err, ErrGap) {
-			lines = append(lines, err.Error())
-			p.o.PastGap = true
-			err = nil
-		}
-		return err
-	})
-	if len(refs) == 0 && err == nil {
-		err = fmt.Errorf("capture: no message has the id %q", id)
-	}
-	return lines, err
-}
-
-// others are an endpoint and those that its messages might have gone to as well.
-func others(x *control.Snapshot, endpoint uint32) map[uint32]bool {
-	all := map[uint32]bool{}
-	for _, n := range x.Nodes {
-		if slices.ContainsFunc(n.Endpoints, func(e control.EndpointState) bool { return e.ID == endpoint }) {
-			for _, e := range n.Endpoints {
-				all[e.ID] = true
-			}
-		}
-	}
-	return all
-}
--- /dev/null
+++ b/internal/capture/words.go
@@ -0,0 +1,164 @@
+package capture
+
+import (
+	"fmt"
+	"strings"
+
+	"mastusher/control"
+)
+
+func (res *Result) name(endpoint uint32) string {
+	if n, ok := res.Names[endpoint]; ok {
+		return n.Name
+	}
+	return fmt.Sprintf("endpoint %d", endpoint)
+}
+
+func (res *Result) message(ref uint64) string {
+	if m, ok := res.Messages[ref]; ok {
+		return m.ID
+	}
+	return fmt.Sprintf("message %d", ref)
+}
+
+var kinds = [...]string{"?", "send", "refuse", "fail", "cancel", "wake", "subscribe", "close", "recall", "log"}
+
+// Action is an action in words.
+func (res *Result) Action(a control.Action) string {
+	kind := kinds[0]
+	if int(a.Kind) < len(kinds) {
+		kind = kinds[a.Kind]
+	}
+	switch a.Kind {
+	case control.Send:
+		return fmt.Sprintf("send %s to %s within %v", res.message(a.ID), res.name(a.Endpoint), a.For)
+	case control.Refuse:
+		return fmt.Sprintf("refuse %s, come again after %v", res.message(a.ID), a.For)
+	case control.Wake:
+		return fmt.Sprintf("wake at %v", a.At)
+	case control.Close:
+		return "close idle connections to " + res.name(a.Endpoint)
+	case control.Subscribe:
+		return kind
+	case control.Log:
+		return "log: " + a.Text
+	}
+	return kind + " " + res.message(a.ID)
+}
+
+var results = [...]string{"delivered", "error", "full", "timed out", "could not connect", "reset", "called off", "moot", "refused for good", "spoilt"}
+
+// Event is an event in words.
+func (res *Result) Event(e control.Event) string {
+	switch e.Kind {
+	case control.Listed:
+		return fmt.Sprintf("list: %d endpoints, whole %t", len(e.Endpoints), e.Whole)
+	case control.ListFailed:
+		return "the list could not be had"
+	case control.Arrived:
+		s := fmt.Sprintf("%s arrives for destination %d, class %d", res.message(e.ID), e.Destination, e.Class)
+		if e.Attempt > 0 {
+			s += fmt.Sprintf(", after %d attempts", e.Attempt)
+		}
+		return s
+	case control.Resolved:
+		what := "unknown"
+		if int(e.Result) < len(results) {
+			what = results[e.Result]
+		}
+		s := fmt.Sprintf("attempt %d of %s at %s: %s", e.Attempt, res.message(e.ID), res.name(e.Endpoint), what)
+		if e.Wait > 0 {
+			s += fmt.Sprintf(", wait %v", e.Wait)
+		}
+		if e.Reported {
+			s += fmt.Sprintf(", %.0f %% of %.1f/s left", 100*e.Share, e.Limit)
+		}
+		return s
+	case control.Gone:
+		return res.message(e.ID) + " is withdrawn"
+	case control.Woken:
+		return "woken"
+	}
+	return fmt.Sprintf("event of kind %d", e.Kind)
+}
+
+func (res *Result) messages(refs []uint64) string {
+	var all []string
+	for _, ref := range refs {
+		all = append(all, res.message(ref))
+	}
+	return strings.Join(all, ", ")
+}
+
+// CoreEvent is an event of the core in words.
+func (res *Result) CoreEvent(e *CoreEvent) string {
+	switch e.Kind {
+	case Handed:
+		s := fmt.Sprintf("%s is handed in to front %d for partner %d, class %d", e.Arrival.ID, e.Front, e.Arrival.Partner, e.Arrival.Class)
+		if e.Arrival.Verdict != 0 {
+			s += fmt.Sprintf("; a plug-in's verdict is %d (%d %s)", e.Arrival.Verdict, e.Arrival.Status, e.Arrival.Why)
+		}
+		return s
+	case Withdrawn:
+		return res.message(e.Ref) + " is withdrawn: its client never heard the answer"
+	case Moved:
+		return fmt.Sprintf("the discovery of front %d has moved", e.Front)
+	case Drained:
+		return "the relay is told to drain"
+	case StepEnded:
+		if e.Outcomes == nil {
+			return fmt.Sprintf("route step %d ends for its %d messages, as the module is told", e.Step, e.Items)
+		}
+		var ends []string
+		for _, o := range e.Outcomes {
+			what := "unknown"
+			if int(o.Result) < len(results) {
+				what = results[o.Result]
+			}
+			ends = append(ends, what)
+		}
+		return fmt.Sprintf("route step %d ends: %s", e.Step, strings.Join(ends, ", "))
+	case PoolTold:
+		return fmt.Sprintf("pool config %d of front %d: %d destinations, whole %t", e.Pool.Index, e.Front, len(e.Pool.Dests), e.Pool.Whole)
+	case WatchEnded:
+		return fmt.Sprintf("watch %d of front %d is lost: %s", e.Step, e.Front, e.Text)
+	case Notified:
+		taken := 0
+		for _, ok := range e.Taken {
+			if ok {
+				taken++
+			}
+		}
+		return fmt.Sprintf("%d of %d notices are taken from front %d", taken, len(e.Taken), e.Front)
+	}
+	return fmt.Sprintf("event of kind %d", e.Kind)
+}
+
+var verdicts = [...]string{"taken on", "busy", "given up", "rejected"}
+
+// Deed is what the core did in words.
+func (res *Result) Deed(d Deed) string {
+	switch d.Kind {
+	case Replied:
+		what := "?"
+		if int(d.Verdict) < len(verdicts) {
+			what = verdicts[d.Verdict]
+		}
+		return fmt.Sprintf("answer to message %d handed in: %s, come again after %v", d.No, what, d.For)
+	case Began:
+		return fmt.Sprintf("route step %d to %s within %v: %s", d.No, res.name(d.To), d.For, res.messages(d.Refs))
+	case Called:
+		return fmt.Sprintf("route step %d is called off", d.No)
+	case Back:
+		return fmt.Sprintf("route step %d is called back unless it has begun", d.No)
+	case Told:
+		return fmt.Sprintf("notices by front %d: %s", d.No, res.messages(d.Refs))
+	case Watched:
+		return fmt.Sprintf("watch %d of front %d, after index %d", d.To, d.No, d.After)
+	case Retired:
+		return "idle connections to " + res.name(d.To) + " are closed"
+	case Finished:
+		return res.message(d.No) + " is over"
+	}
+	return fmt.Sprintf("deed of kind %d", d.Kind)
+}
--- a/internal/capture/writer.go
+++ b/internal/capture/writer.go
@@ -4,7 +4,6 @@
 	"errors"
 	"fmt"
 	"os"
-	"slices"
 	"time"
 
 	"mastusher/control"
@@ -38,7 +37,7 @@
 // Turn records one turn.
 func (w *Writer) Turn(now time.Duration, events []control.Event, actions []control.Action) error {
 	w.turn++
-	if err := w.c.add(TypeTurn, &Turn{w.turn, now, slices.Clone(events), slices.Clone(actions)}); err != nil {
+	if err := w.c.add(TypeTurn, &Turn{w.turn, now, events, actions}); err != nil {
 		return err
 	}
 	if w.c.body.Len() < w.most {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -60,8 +60,8 @@
 	DrainExit       time.Duration // and the core ends within this
 	DrainLinger     time.Duration // clients are still answered for so long
 
-	CaptureQueue  int           // records on their way to a capture's writer
-	CaptureChunk  int           // bytes of records that make a chunk
+	CaptureQueue  int           // batches on their way to a capture's writer
+	CaptureChunk  int           // bytes of records, about, that make a chunk
 	CaptureWithin time.Duration // after which what there is makes one
 
 	PluginStart      time.Duration // for an instance's start
@@ -272,7 +272,7 @@
 		NoticeRetryMost: time.Second, NoticesAtOnce: 16, Remembered: 20000,
 		DrainSends: 2500 * time.Millisecond, DrainExit: 3200 * time.Millisecond,
 		DrainLinger: time.Second, WindowMargin: 250 * time.Millisecond,
-		CaptureQueue: 2048, CaptureChunk: 64 << 10, CaptureWithin: 2 * time.Second,
+		CaptureQueue: 8, CaptureChunk: 16 << 10, CaptureWithin: 2 * time.Second,
 		PluginStart: time.Second, PluginBudget: 60 * time.Millisecond, PluginGrace: 5 * time.Millisecond,
 		PluginStack: 128 << 10, PluginCopied: 256 << 10, PluginThreads: 16, PluginYields: true, PluginBurst: 50 * time.Millisecond, PluginStrikes: 3,
 		PluginRest: 500 * time.Millisecond, PluginMostRest: time.Minute, PluginTrials: 5, PluginPartners: 1024,
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -169,6 +169,11 @@
 	return !r.bad
 }
 
+func (e *Entry) start(at time.Time, destination string) {
+	e.Attempts++
+	e.Out, e.LastAt, e.LastIn = true, at, destination
+}
+
 func (e *Entry) settle(neverRan bool) {
 	if e.Out = false; !neverRan && !e.Ran {
 		e.Ran, e.RanAt, e.RanIn = true, e.LastAt, e.LastIn
@@ -218,8 +223,7 @@
 
 // Start notes that an attempt at destination is about to begin.
 func (l *Log) Start(e *Entry, at time.Time, destination string) {
-	e.Attempts++
-	e.Out, e.LastAt, e.LastIn = true, at, destination
+	e.start(at, destination)
 	l.started(e, e.Attempts, at, destination)
 }
 
--- a/internal/relay/core.go
+++ b/internal/relay/core.go
@@ -19,19 +19,19 @@
 const clockStart = 24 * time.Hour
 
 // Core owns the module. All but Take, Withdraw, Drain and Ready belong to the goroutine that runs Run (or
-// calls Turn, in tests).
+// calls Turn: tests and replays). It reads no clock in a turn, and walks no map in an order that counts.
 type Core struct {
 	set   *wire.Settings
 	lim   *config.Limits
 	log   *slog.Logger
 	mod   *control.Sender
-	rec   *capture.Recorder // nil: nothing is recorded
-	told  control.Settings  // what the module was told
+	rec   tape             // nil: nothing is recorded
+	told  control.Settings // what the module was told
 	seed  uint64
-	jour  *journal.Log
+	jour  Journal
+	shell Shell
 	spect Inspector // nil: none
 	queue chan event
-	ctx   context.Context // of all calls
 
 	base     time.Time // when the process started
 	fronts   map[string]*frontState
@@ -43,8 +43,10 @@
 	lastNo   uint32
 	lastRef  uint64
 	forget   time.Duration // after which nothing of a destination that is gone can be unfinished
-	stepsOut int
-	owed     int // notices
+	lastStep uint64
+	out      map[uint64]*RouteStep // by number
+	handed   uint64                // messages handed in
+	owed     int                   // notices
 
 	in      []control.Event // for the turn at hand
 	acts    []control.Action
@@ -53,6 +55,11 @@
 	wakeAt  time.Time
 	watchAt time.Time
 	drainAt time.Time // when the process was told to end; zero: it was not
+	houseAt time.Time // when what has grown old was last looked for
+	input   capture.Input
+	handeds []capture.Arrival // that its events point to
+	refs    []uint64          // for the deed at hand
+	tells   bool              // deeds are kept in full
 	ready   atomic.Bool
 }
 
@@ -61,12 +68,14 @@
 	name    string
 	no      int
 	Front   Front
-	list    map[string]uint32  // its destinations
-	index   int64              // of the newest pool config
-	watchNo int                // of the watch that was begun last
-	unwatch context.CancelFunc // ends that watch; nil: it has ended
+	list    map[string]uint32 // its destinations
+	index   int64             // of the newest pool config
+	watchNo int               // of the watch that was begun last
+	unwatch func()            // ends that watch; nil: it has ended
 	owed    []Notice
-	unsend  context.CancelFunc // ends the call with notices that is out; nil: none is
+	sending []Notice
+	unsend  func() // ends the call with those; nil: none is out
+	away    bool   // the front has moved while it was out
 	retryAt time.Time
 	gap     time.Duration // before the next try
 }
@@ -74,6 +83,7 @@
 // message is one that is not over.
 type message struct {
 	ref   uint64
+	hand  uint64 // its number among those handed in; 0: it was there at the start
 	front *frontState
 	e     *journal.Entry
 	reply chan Reply // nil once it is answered
@@ -96,7 +106,7 @@
 }
 
 // New returns a core with the journal's messages taken up again. Fronts must be added before Run.
-func New(cfg *config.Config, jour *journal.Log, log *slog.Logger, now time.Time) (*Core, error) {
+func New(cfg *config.Config, jour Journal, log *slog.Logger, now time.Time) (*Core, error) {
 	set := Told(cfg)
 	mod, err := control.New(set, cfg.Seed)
 	if err != nil {
@@ -107,9 +117,9 @@
 		forget = max(forget, k.Deadline+time.Second)
 	}
 	return &Core{told: set, seed: cfg.Seed, set: &cfg.Settings, forget: forget, lim: &cfg.Limits, log: log, mod: mod, jour: jour,
-		queue: make(chan event, cfg.Limits.Queue), ctx: context.Background(), base: now,
+		queue: make(chan event, cfg.Limits.Queue), shell: live{context.Background()}, base: now, houseAt: now,
 		fronts: map[string]*frontState{}, msgs: map[uint64]*message{}, byID: map[string]*message{},
-		dests: map[uint32]*Destination{}, names: map[string]uint32{}}, nil
+		dests: map[uint32]*Destination{}, names: map[string]uint32{}, out: map[uint64]*RouteStep{}}, nil
 }
 
 // AddFront makes a wire known under a name that stays the same across restarts, with its list as last known.
@@ -124,6 +134,9 @@
 // SetInspector sets who sees messages, answers and ends; it must be called before the fronts take messages.
 func (c *Core) SetInspector(i Inspector) { c.spect = i }
 
+// SetShell has the core's calls made otherwise than on goroutines; it must be called before Restore.
+func (c *Core) SetShell(s Shell) { c.shell = s }
+
 // Restore takes up again what the journal holds: the module is told what happened before the restart.
 func (c *Core) Restore(now time.Time) {
 	for _, e := range c.jour.Entries() {
@@ -142,7 +155,10 @@
 		}
 		c.in = append(c.in, c.arrival(m))
 	}
-	c.Turn(now, nil)
+	if !c.set.Ask {
+		c.watchAt = now
+	}
+	c.Turn(now, c.pending(nil)) // a capture that is on from the start has this turn too
 	c.ready.Store(true)
 }
 
--- a/internal/relay/core_test.go
+++ b/internal/relay/core_test.go
@@ -220,7 +220,7 @@
 					t.Errorf("notices (-want +got)\n%s", d)
 				}
 			}
-			if n := r.c.stepsOut; (n == 1) != c.sent {
+			if n := len(r.c.out); (n == 1) != c.sent {
 				t.Errorf("%d calls are out", n)
 			}
 		})
--- a/internal/relay/events.go
+++ b/internal/relay/events.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"context"
 	"maps"
 	"slices"
 	"time"
@@ -22,27 +21,28 @@
 func (a arrival) apply(c *Core, now time.Time) {
 	f, m := c.fronts[a.front], &a.msg
 	// Past AnswerWithin the client is about to leave, and would hand it in again beside this one.
+	c.handed++
 	busy := Reply{Verdict: Busy, Retry: c.lim.BusyRetry}
 	if f == nil || !c.drainAt.IsZero() || now.Sub(a.at) > c.lim.AnswerWithin {
-		a.reply <- busy
+		c.tellClient(a.reply, c.handed, busy)
 		return
 	}
 	// It is held already: the relay owes it one end, not two, whatever an inspector says of it this time.
 	if a.ruling.Verdict != Taken && c.byID[a.front+" "+m.ID] == nil {
-		a.reply <- Reply{Verdict: a.ruling.Verdict, Retry: c.lim.BusyRetry, Status: a.ruling.Status, Why: a.ruling.Why}
+		c.tellClient(a.reply, c.handed, Reply{Verdict: a.ruling.Verdict, Retry: c.lim.BusyRetry, Status: a.ruling.Status, Why: a.ruling.Why})
 		return
 	}
 	if c.set.MaxOpen > 0 && len(c.msgs)-c.owed >= c.set.MaxOpen || !c.serves(f, m.Partner) {
-		a.reply <- busy
+		c.tellClient(a.reply, c.handed, busy)
 		return
 	}
 	if c.byID[a.front+" "+m.ID] != nil {
-		a.reply <- Reply{Verdict: Taken}
+		c.tellClient(a.reply, c.handed, Reply{Verdict: Taken})
 		return
 	}
 	msg := c.add(f, &journal.Entry{ID: m.ID, Key: m.Key, Front: a.front, Destination: m.Partner, Class: m.Class,
 		Deadline: m.Deadline, Again: m.Again, Body: bytes.Clone(m.Body), Headers: m.Out, Ran: !m.RanAt.IsZero(), RanAt: m.RanAt})
-	msg.reply = a.reply
+	msg.reply, msg.hand = a.reply, c.handed
 	c.arrived = append(c.arrived, msg)
 	c.in = append(c.in, c.arrival(msg))
 }
@@ -75,6 +75,7 @@
 	c.note(now, "discovery of "+v.front+" has moved")
 	if f.unsend != nil {
 		f.unsend() // comes back as not taken
+		f.away = true
 	}
 	f.retryAt, f.gap = now, 0
 }
@@ -93,7 +94,7 @@
 
 func (s stepEnded) apply(c *Core, _ time.Time) {
 	s.step.cancel()
-	c.stepsOut--
+	delete(c.out, s.step.no)
 	for i, it := range s.step.Items {
 		o := s.outcomes[i]
 		m := c.msgs[it.ref]
@@ -151,7 +152,7 @@
 			d.goneAt = now
 		}
 		if d.State != control.Ready { // it gets nothing new, and another may come to stand at its address
-			p.front.Front.Retire(&d)
+			c.retire(&d)
 		}
 		c.dests[n], p.front.list[d.Name] = &d, n
 		ev.Endpoints = append(ev.Endpoints, c.listed(n, &d))
@@ -186,28 +187,27 @@
 
 type notified struct {
 	front *frontState
-	ctx   context.Context
-	sent  []Notice
 	taken []bool
 }
 
 func (n notified) apply(c *Core, now time.Time) {
-	moved := n.ctx.Err() == context.Canceled // while this call was out: the next goes elsewhere, and at once
+	sent, moved := n.front.sending, n.front.away // then the next goes elsewhere, and at once
 	n.front.unsend()
-	n.front.unsend = nil
+	n.front.unsend, n.front.sending, n.front.away = nil, nil, false
 	if moved || !slices.Contains(n.taken, false) {
 		n.front.gap = 0
 	} else { // twice as long each time in a row
 		n.front.gap = min(max(2*n.front.gap, c.lim.NoticeRetry), c.lim.NoticeRetryMost)
 		n.front.retryAt = now.Add(n.front.gap)
 	}
-	for i, notice := range n.sent {
+	for i, notice := range sent {
 		if m := c.msgs[notice.ref]; !n.taken[i] {
 			n.front.owed = append(n.front.owed, notice)
 		} else if m != nil {
 			c.owed--
 			c.jour.Ack(m.e)
 			c.drop(m)
+			c.didFinish(m)
 		}
 	}
 }
--- a/internal/relay/inspector_test.go
+++ b/internal/relay/inspector_test.go
@@ -101,7 +101,7 @@
 		in = append(in, a)
 	}
 	r.after(0, in...)
-	for r.c.stepsOut > 0 {
+	for n := len(r.c.out); n > 0; n-- {
 		select {
 		case s := <-r.front.steps:
 			for _, it := range s.Items {
@@ -109,7 +109,6 @@
 					t.Errorf("in one call: %s", d)
 				}
 			}
-			r.c.stepsOut--
 		case <-time.After(20 * time.Second):
 			t.Fatal("a call is missing")
 		}
--- a/internal/relay/record.go
+++ b/internal/relay/record.go
@@ -1,10 +1,12 @@
 package relay
 
 import (
-	"cmp"
+	"fmt"
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"mastusher/internal/capture"
 )
 
@@ -14,6 +16,11 @@
 	for i := range c.set.Classes {
 		b.Classes = append(b.Classes, c.set.Classes[i].Name)
 	}
+	l := c.lim
+	b.Core = &capture.CoreSettings{Kinds: c.set.KindNames, Zones: c.set.Zones, WindowMargin: l.WindowMargin, BusyRetry: l.BusyRetry,
+		AnswerWithin: l.AnswerWithin, BodySize: l.BodySize, DrainSends: l.DrainSends, DrainExit: l.DrainExit,
+		NoticesPerCall: l.NoticesPerCall, NoticeTimeout: l.NoticeTimeout, NoticeRetry: l.NoticeRetry,
+		NoticeRetryMost: l.NoticeRetryMost, WatchRetry: l.WatchRetry}
 	return b
 }
 
@@ -22,30 +29,100 @@
 
 type recording struct{ r *capture.Recorder }
 
-func (v recording) apply(c *Core, _ time.Time) {
+func (recording) apply(*Core, time.Time) {} // see recordBefore
+
+func (v recording) switchOver(c *Core) {
 	if c.rec != nil {
 		go c.rec.Close() // it writes what it has; nobody waits for that
 	}
-	c.rec = v.r
+	if c.rec = nil; v.r != nil { // no interface around a nil pointer
+		c.rec = v.r
+	}
 }
 
-// record hands over the module's state, and the names of all that it holds.
-func (c *Core) record() {
-	var names []capture.Name
-	for _, n := range c.names {
-		d := c.dests[n]
-		if d == nil {
-			continue // it stands only in the journal
+// recordBefore begins the record of a turn: with the state, where one is wanted, and then with what has happened.
+func (c *Core) recordBefore(now time.Time, events []event) {
+	for _, ev := range events {
+		if r, ok := ev.(recording); ok {
+			r.switchOver(c)
 		}
-		names = append(names, capture.Name{Number: n, Front: d.front.name, Name: d.Name})
 	}
-	slices.SortFunc(names, func(a, b capture.Name) int { return cmp.Compare(a.Number, b.Number) })
-	var messages []capture.Message
-	for _, m := range c.msgs {
-		messages = append(messages, capture.Message{Ref: m.ref, Front: m.front.name, ID: m.e.ID})
+	if c.rec == nil {
+		return
+	}
+	if c.rec.WantsState() {
+		c.recordState()
+	}
+	c.input = capture.Input{Now: c.clock(now), Events: c.input.Events[:0], Full: c.input.Full[:0], Did: c.input.Did[:0]}
+	c.handeds = slices.Grow(c.handeds[:0], len(events)) // it does not move while events point into it
+	for _, ev := range events {
+		if e, ok := c.eventOf(ev, now); ok {
+			c.input.Events = append(c.input.Events, e)
+		}
+	}
+}
+
+// recordAfter ends the record of a turn. A turn in which nothing was told and nothing done changes nothing that counts,
+// unless time alone does: what has grown old is forgotten at the next.
+func (c *Core) recordAfter(now time.Time) {
+	if c.rec == nil {
+		return
+	}
+	c.rec.Input(&c.input)
+	c.rec.Tick(now)
+}
+
+// recordState hands over the state of module and core, and the names of all that they hold.
+func (c *Core) recordState() {
+	x := c.state()
+	messages := make([]capture.Message, len(x.Messages))
+	for i, m := range x.Messages {
+		messages[i] = capture.Message{Ref: m.Ref, Front: c.order[m.Front].name, ID: m.ID}
+	}
+	c.rec.State(c.mod.Snapshot(), x, x.Numbers, messages)
+}
+
+func (c *Core) did(d capture.Deed) {
+	if c.rec == nil {
+		return
+	}
+	c.input.Add(&d)
+	if c.tells {
+		d.Refs = slices.Clone(d.Refs)
+		c.input.Did = append(c.input.Did, d)
+	}
+}
+
+func (c *Core) didBegin(s *RouteStep) {
+	if c.rec == nil {
+		return
+	}
+	c.refs = c.refs[:0]
+	for i := range s.Items {
+		c.refs = append(c.refs, s.Items[i].ref)
+	}
+	d := capture.Deed{Kind: capture.Began, No: s.no, To: s.To.no, Refs: c.refs, For: s.Timeout}
+	if !s.Before.IsZero() {
+		d.Before = c.clock(s.Before)
 	}
-	slices.SortFunc(messages, func(a, b capture.Message) int { return cmp.Compare(a.Ref, b.Ref) })
-	c.rec.State(c.mod.Snapshot(), names, messages)
+	c.did(d)
+}
+
+func (c *Core) didTell(f *frontState) {
+	if c.rec != nil {
+		c.did(capture.Deed{Kind: capture.Told, No: uint64(f.no), Refs: refs(f.sending)})
+	}
+}
+
+func (c *Core) didFinish(m *message) {
+	c.did(capture.Deed{Kind: capture.Finished, No: m.ref})
+}
+
+func refs(notices []Notice) (all []uint64) {
+	for i := range notices {
+		all = append(all, notices[i].ref)
+	}
+	return all
 }
 
 func (c *Core) note(now time.Time, text string) {
@@ -53,3 +130,57 @@
 		c.rec.Note(capture.Note{Now: c.clock(now), Text: text})
 	}
 }
+
+// eventOf is an event as a capture tells it; false: a replay has no need of it.
+func (c *Core) eventOf(ev event, now time.Time) (e capture.CoreEvent, ok bool) {
+	switch v := ev.(type) {
+	case arrival:
+		m := &v.msg
+		c.handeds = append(c.handeds, capture.Arrival{ID: m.ID, KeySize: len(m.Key), Partner: m.Partner,
+			Class: m.Class, Deadline: m.Deadline.Sub(c.base) + clockStart, Again: m.Again, Size: len(m.Body), Headers: hash(m.Out),
+			Late: now.Sub(v.at), Verdict: uint8(v.ruling.Verdict), Status: v.ruling.Status, Why: v.ruling.Why})
+		e = capture.CoreEvent{Kind: capture.Handed, Front: -1, Arrival: &c.handeds[len(c.handeds)-1]}
+		if f := c.fronts[v.front]; f != nil {
+			e.Front = f.no
+		}
+		if !m.RanAt.IsZero() {
+			e.Arrival.Ran, e.Arrival.RanAt = true, m.RanAt.Sub(c.base)+clockStart
+		}
+	case withdrawn:
+		e = capture.CoreEvent{Kind: capture.Withdrawn, Ref: v.ref}
+	case moved:
+		e = capture.CoreEvent{Kind: capture.Moved, Front: -1}
+		if f := c.fronts[v.front]; f != nil {
+			e.Front = f.no
+		}
+	case drain:
+		e.Kind = capture.Drained
+	case stepEnded:
+		e = capture.CoreEvent{Kind: capture.StepEnded, Step: v.step.no, Items: len(v.outcomes)} // the module is told the outcomes
+	case poolChanged:
+		p := &capture.Pool{Index: v.Index, Whole: v.Whole}
+		for _, d := range v.Destinations {
+			p.Dests = append(p.Dests, capture.DestState{Name: d.Name, Zone: d.Zone, Kind: d.Kind, Partner: d.Partner, State: d.State})
+		}
+		e = capture.CoreEvent{Kind: capture.PoolTold, Front: v.front.no, Pool: p}
+	case watchEnded:
+		e = capture.CoreEvent{Kind: capture.WatchEnded, Front: v.front.no, Step: uint64(v.no), Text: v.err.Error()}
+	case notified:
+		e = capture.CoreEvent{Kind: capture.Notified, Front: v.front.no, Taken: v.taken}
+	default:
+		return e, false
+	}
+	return e, true
+}
+
+func hash(headers []string) (h uint64) {
+	if len(headers) == 1 { // out of a recording
+		if _, err := fmt.Sscanf(headers[0], hashed, &h); err == nil {
+			return h
+		}
+	}
+	for _, s := range headers {
+		h = h*31 + xxhash.Sum64String(s)
+	}
+	return h
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -62,10 +62,11 @@
 	Timeout time.Duration // how long the relay waits for it in all
 	Before  time.Time     // nothing of it may be written from then on; zero: no bound
 
+	no     uint64
 	sample int   // bytes of the answer that an inspector wants to see; below 0: it wants none of it
 	seen   *Seen // what it is shown
 
-	cancel context.CancelFunc
+	cancel func()
 	begun  atomic.Int32 // 1: its first byte may have been written; 2: it was called back before that
 }
 
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -1,9 +1,10 @@
 package relay
 
 import (
-	"context"
 	"slices"
 	"time"
+
+	"mastusher/internal/capture"
 )
 
 // watch begins a watch for each front that has none.
@@ -13,15 +14,11 @@
 		if f.unwatch != nil {
 			continue
 		}
-		var ctx context.Context
-		ctx, f.unwatch = context.WithCancel(c.ctx)
 		f.watchNo++
-		no, after := f.watchNo, f.index
-		go func() {
-			if err := f.Front.Watch(ctx, after, func(p PoolConfig) { c.queue <- poolChanged{f, p} }); err != nil {
-				c.queue <- watchEnded{f, no, err}
-			}
-		}()
+		no := f.watchNo
+		f.unwatch = c.shell.Watch(f.Front, f.index, func(p PoolConfig) { c.queue <- poolChanged{f, p} },
+			func(err error) { c.queue <- watchEnded{f, no, err} })
+		c.did(capture.Deed{Kind: capture.Watched, No: uint64(f.no), To: uint32(no), After: f.index})
 	}
 }
 
@@ -34,20 +31,16 @@
 		n := min(len(f.owed), c.lim.NoticesPerCall)
 		batch := slices.Clone(f.owed[:n])
 		f.owed = slices.Delete(f.owed, 0, n)
-		var ctx context.Context
-		ctx, f.unsend = context.WithTimeout(c.ctx, c.lim.NoticeTimeout)
-		go func() { c.queue <- notified{f, ctx, batch, f.Front.Notify(ctx, batch)} }()
+		f.sending = batch
+		c.didTell(f)
+		f.unsend = c.shell.Notify(f.Front, batch, now.Add(c.lim.NoticeTimeout), func(taken []bool) { c.queue <- notified{f, taken} })
 	}
 }
 
 // Run is the one goroutine that owns the module. It steps in turns of Limits.Round, on a fixed grid, so that
 // what comes within one turn is decided together. It returns after Drain.
 func (c *Core) Run() {
-	if !c.set.Ask {
-		c.watch()
-	}
 	timer := time.NewTimer(0)
-	house := time.Now()
 	var events []event
 	for {
 		events = events[:0]
@@ -58,30 +51,33 @@
 		case <-timer.C:
 		}
 		time.Sleep(c.lim.Round - time.Since(c.base)%c.lim.Round)
-		for more := true; more; {
-			select {
-			case ev := <-c.queue:
-				events = append(events, ev)
-			default:
-				more = false
-			}
-		}
+		events = c.pending(events)
 		now := time.Now()
 		c.Turn(now, events)
-		if now.Sub(house) > time.Second {
-			house = now
-			for _, f := range c.order {
-				f.Front.Retire(nil)
-			}
-			c.forgetGone(now)
-		}
-		if !c.drainAt.IsZero() && (now.Sub(c.drainAt) > c.lim.DrainExit || len(c.msgs) == 0 && c.stepsOut == 0) {
+		if c.Done(now) {
 			go c.refuse()
 			return
 		}
 	}
 }
 
+// pending takes what stands in the queue.
+func (c *Core) pending(events []event) []event {
+	for {
+		select {
+		case ev := <-c.queue:
+			events = append(events, ev)
+		default:
+			return events
+		}
+	}
+}
+
+// Done tells whether the core was told to drain and has done so, as far as it may.
+func (c *Core) Done(now time.Time) bool {
+	return !c.drainAt.IsZero() && (now.Sub(c.drainAt) > c.lim.DrainExit || len(c.msgs) == 0 && len(c.out) == 0)
+}
+
 // refuse answers whoever passed Take's check before Drain and came to the queue after Run's last turn: with
 // nobody there it would wait for ever, and its connection would end with no answer.
 func (c *Core) refuse() {
--- /dev/null
+++ b/internal/relay/shell.go
@@ -0,0 +1,58 @@
+package relay
+
+import (
+	"context"
+	"time"
+
+	"mastusher/internal/journal"
+)
+
+// Shell makes what the core decides happen, and hands back what comes of it: the live one by goroutines and sockets, a
+// replay from a recording, a simulation in its own time. The core takes what it is handed in its next turn.
+type Shell interface {
+	// Call makes a route step that ends at until at the latest, and hands done its outcomes once, however it ends; not
+	// before it has returned. What it returns calls the step off, and may be called more than once.
+	Call(f Front, s *RouteStep, until time.Time, done func([]Outcome)) (cancel func())
+	// Notify passes on notices, under the same terms.
+	Notify(f Front, notices []Notice, until time.Time, done func(taken []bool)) (cancel func())
+	// Watch has changes of a front's pool config since the index after told until it is lost.
+	Watch(f Front, after int64, changed func(PoolConfig), lost func(error)) (cancel func())
+}
+
+// live is the shell of a relay that serves.
+type live struct{ ctx context.Context }
+
+func (l live) Call(f Front, s *RouteStep, until time.Time, done func([]Outcome)) func() {
+	ctx, cancel := context.WithDeadline(l.ctx, until)
+	go func() { done(f.Call(ctx, s)) }()
+	return cancel
+}
+
+func (l live) Notify(f Front, notices []Notice, until time.Time, done func([]bool)) func() {
+	ctx, cancel := context.WithDeadline(l.ctx, until)
+	go func() { done(f.Notify(ctx, notices)) }()
+	return cancel
+}
+
+func (l live) Watch(f Front, after int64, changed func(PoolConfig), lost func(error)) func() {
+	ctx, cancel := context.WithCancel(l.ctx)
+	go func() {
+		if err := f.Watch(ctx, after, changed); err != nil {
+			lost(err)
+		}
+	}()
+	return cancel
+}
+
+// Journal is where the core writes down what must outlast it; see journal.Log. Entries are the core's and the journal's
+// together: each call but Take changes the one it is given as it says.
+type Journal interface {
+	Entries() []*journal.Entry
+	Take(e *journal.Entry) error
+	Start(e *journal.Entry, at time.Time, destination string)
+	Outcome(e *journal.Entry, neverRan bool)
+	End(e *journal.Entry)
+	Owe(e *journal.Entry, n journal.Notice)
+	Ack(e *journal.Entry)
+	Flush() error
+}
--- a/internal/relay/turn.go
+++ b/internal/relay/turn.go
@@ -1,17 +1,18 @@
 package relay
 
 import (
-	"context"
 	"errors"
 	"slices"
 	"time"
 
 	"mastusher/control"
+	"mastusher/internal/capture"
 	"mastusher/internal/journal"
 )
 
 // Turn takes in what has happened, lets the module decide, writes that down, and then acts on it.
 func (c *Core) Turn(now time.Time, events []event) {
+	c.recordBefore(now, events)
 	for _, ev := range events {
 		ev.apply(c, now)
 	}
@@ -24,12 +25,10 @@
 		if woken {
 			c.wakeAt = time.Time{}
 		}
-		if c.rec != nil && c.rec.WantsState() {
-			c.record()
-		}
 		c.acts = c.mod.Step(c.clock(now), c.in, c.acts[:0])
 		if c.rec != nil {
 			c.rec.Turn(c.clock(now), c.in, c.acts)
+			c.input.No = c.rec.Turns()
 		}
 		c.in = c.in[:0]
 		steps = c.decided(now)
@@ -43,6 +42,14 @@
 		tell()
 	}
 	c.ended = c.ended[:0]
+	if now.Sub(c.houseAt) > time.Second {
+		c.houseAt = now
+		for _, f := range c.order {
+			f.Front.Retire(nil)
+		}
+		c.forgetGone(now)
+	}
+	c.recordAfter(now)
 }
 
 // decided carries out the module's actions, up to the route steps that it returns.
@@ -66,10 +73,12 @@
 		case control.Cancel:
 			if m != nil && m.step != nil {
 				m.step.cancel()
+				c.did(capture.Deed{Kind: capture.Called, No: m.step.no})
 			}
 		case control.Recall:
 			if m != nil && m.step != nil {
 				m.step.recall()
+				c.did(capture.Deed{Kind: capture.Back, No: m.step.no})
 			}
 		case control.Wake:
 			at := c.base.Add(a.At - clockStart)
@@ -80,7 +89,7 @@
 			c.watch()
 		case control.Close:
 			if d := c.dests[a.Endpoint]; d != nil {
-				d.front.Front.Retire(d)
+				c.retire(d)
 			}
 		case control.Log:
 			c.log.Debug("module", "says", a.Text)
@@ -100,7 +109,8 @@
 		}
 		step := open[s.a.Endpoint]
 		if step == nil || !c.joins(step, s.m) {
-			step = &RouteStep{To: *d, Timeout: s.a.For, sample: -1}
+			c.lastStep++
+			step = &RouteStep{no: c.lastStep, To: *d, Timeout: s.a.For, sample: -1}
 			steps = append(steps, step)
 			if open == nil {
 				open = map[uint32]*RouteStep{}
@@ -159,16 +169,22 @@
 func (c *Core) owe(m *message, n journal.Notice) {
 	c.owed++
 	m.e.Owed, m.e.Notice = true, n
-	notice := Notice{ID: m.e.ID, Delivered: n.Delivered, HandedBack: n.HandedBack, Retry: n.Retry,
+	m.front.owed = append(m.front.owed, m.notice())
+}
+
+// notice is what is owed of a message that has ended.
+func (m *message) notice() Notice {
+	n := Notice{ID: m.e.ID, Delivered: m.e.Notice.Delivered, HandedBack: m.e.Notice.HandedBack, Retry: m.e.Notice.Retry,
 		Class: m.e.Class, Deadline: m.e.Deadline, Body: m.e.Body, ref: m.ref}
 	if m.e.Ran {
-		notice.RanAt = m.e.RanAt
+		n.RanAt = m.e.RanAt
 	}
-	m.front.owed = append(m.front.owed, notice)
+	return n
 }
 
 // finish forgets a message that is over.
 func (c *Core) finish(m *message, how string) {
+	c.didFinish(m)
 	c.drop(m)
 	c.tell(m, how)
 }
@@ -184,13 +200,15 @@
 // answer journals the messages that were taken on in this turn, and drops those that were not. Nothing is
 // told to a client before the journal is written; see begin.
 func (c *Core) answer() {
-	for _, m := range c.arrived {
+	for i, m := range c.arrived {
 		if m.busy == nil {
-			if err := c.jour.Take(m.e); err == nil {
+			err := c.jour.Take(m.e)
+			if err == nil {
 				continue
 			} else if !errors.Is(err, journal.ErrFull) {
 				c.log.Error("journal", "error", err)
 			}
+			c.input.Full = append(c.input.Full, i)
 			m.busy = &Reply{Verdict: Busy, Retry: c.lim.BusyRetry}
 			c.in = append(c.in, control.Event{Kind: control.Gone, ID: m.ref}) // the module learns of it next turn
 		}
@@ -202,25 +220,24 @@
 func (c *Core) begin(now time.Time, steps []*RouteStep) {
 	err := c.jour.Flush()
 	if err != nil {
+		c.input.Failed = true
 		c.log.Error("journal", "error", err)
 	}
 	for _, m := range c.arrived {
 		switch {
 		case m.busy != nil:
-			m.reply <- *m.busy
+			c.tellClient(m.reply, m.hand, *m.busy)
 		case err != nil: // not on disk: not taken on
-			m.reply <- Reply{Verdict: Busy, Retry: c.lim.BusyRetry}
+			c.tellClient(m.reply, m.hand, Reply{Verdict: Busy, Retry: c.lim.BusyRetry})
 			withdrawn{m.ref}.apply(c, now)
 		default:
-			m.reply <- Reply{Verdict: Taken, ref: m.ref}
+			c.tellClient(m.reply, m.hand, Reply{Verdict: Taken, ref: m.ref})
 		}
 		m.reply = nil
 	}
 	c.arrived = c.arrived[:0]
 	for _, s := range steps {
-		var ctx context.Context
-		ctx, s.cancel = context.WithDeadline(c.ctx, now.Add(s.Timeout))
-		c.stepsOut++
+		c.out[s.no], s.cancel = s, func() {}
 		if err != nil {
 			moot := slices.Repeat([]Outcome{{Result: control.Moot}}, len(s.Items))
 			stepEnded{s, moot}.apply(c, now)
@@ -231,12 +248,24 @@
 				s.sample = max(s.sample, c.spect.Sample(s.To.front.name, s.To.Partner, s.Items[i].Class))
 			}
 		}
-		go func() {
-			outs := s.To.front.Front.Call(ctx, s)
+		c.didBegin(s)
+		s.cancel = c.shell.Call(s.To.front.Front, s, now.Add(s.Timeout), func(outs []Outcome) {
 			if s.seen != nil { // an answer that came whole
 				c.spect.Answered(s.To.front.name, s, outs)
 			}
 			c.queue <- stepEnded{s, outs}
-		}()
+		})
 	}
 }
+
+// tellClient answers a client.
+func (c *Core) tellClient(to chan<- Reply, hand uint64, r Reply) {
+	to <- r
+	c.did(capture.Deed{Kind: capture.Replied, No: hand, For: r.Retry, Verdict: uint8(r.Verdict)})
+}
+
+// retire closes the idle connections to a destination.
+func (c *Core) retire(d *Destination) {
+	d.front.Front.Retire(d)
+	c.did(capture.Deed{Kind: capture.Retired, To: d.no})
+}
