Call off safe messages that hang at a stopped destination; trials may use spare slots

Cause, found with the lab: a safe message in a call that hung stayed there until its deadline, also when its partner was long back; and no trial went to any stopped partner while calls to such held half of the slots, however many were free.

Change: at three times the age at which a call overruns (hangs) a safe one at a stopped destination is called off; trials go where a quarter of the slots is free.

--- a/control/control.go
+++ b/control/control.go
@@ -21,6 +21,7 @@
 	budgetMost  = 10.0                    // resends saved up
 	overrun     = 2.5                     // x the 90th percentile: older calls overrun
 	overrunMin  = 1.0                     // s; pauses shorter than this are no sign
+	hangs       = 3.0                     // x that age at a stopped destination: a safe call is called off
 	lingers     = 1.5                     // x that age, and newer calls answered: this one is lost
 	overrunSeen = 2500 * time.Millisecond // overrunning for so long is an outage
 	tripStreak  = 2                       // failures in a row that stop a destination
@@ -776,9 +777,16 @@
 		}
 		for _, e := range n.eps {
 			for _, m := range e.out {
-				if (s.now-m.sentAt).Seconds() > s.overrunAt(e) && m.sentAt >= e.dest.newest {
+				age, bound := (s.now - m.sentAt).Seconds(), s.overrunAt(e)
+				if age > bound && m.sentAt >= e.dest.newest {
 					e.dest.lateCalls++
 				}
+				// A safe one would wait for its deadline there, also when its destination is back.
+				if m.class.Effect == Safe && e.dest.health == stopped && age > hangs*bound && s.set.Cancel &&
+					!m.called && !m.ended && m.attempts < s.set.MaxAttempts {
+					m.called = true
+					s.do(Action{Kind: Cancel, ID: m.id, Attempt: m.attempts - 1})
+				}
 			}
 		}
 		for _, d := range n.dests {
@@ -909,7 +917,8 @@
 		}
 	}
 	if d.suspect() {
-		return s.sick < max(1, int(capSick*float64(s.set.Slots))) && s.mayTry(m, d)
+		spare := s.slots < int(capNormal*float64(s.set.Slots))
+		return (spare || s.sick < max(1, int(capSick*float64(s.set.Slots)))) && s.mayTry(m, d)
 	}
 	return d.health != returning || d.tokens >= 1
 }
