--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # The tasks of the project; `make check` is what CI runs.
-.PHONY: build test lint size check run plugins fuzz bench-plugins bench-capture bench-replay soak
+.PHONY: build test lint size check run plugins fuzz bench-plugins bench-capture bench-replay soak demo
 
 POLICY = control/control.go
 CAP = 1010
@@ -51,6 +51,10 @@
 bench-capture: build
 	bin/plugbench --mode capture
 
+# A minute on a relay with stand-ins around it: demo.html tells what became of each message.
+demo: build
+	bin/mastlab demo
+
 # Random worlds in the lab, with the rule checker, for as long as asked.
 soak: build
 	bin/mastlab soak --for $(or $(FOR),10m)
--- a/cmd/mastlab/main.go
+++ b/cmd/mastlab/main.go
@@ -34,7 +34,7 @@
 	root := &cobra.Command{Use: "mastlab", Short: "try routing, limits and retries in an emulator, in virtual time", SilenceUsage: true}
 	root.SetOut(out)
 	root.SetErr(progress)
-	root.AddCommand(runCommand(), sweepCommand(progress), compareCommand(progress), plotCommand(), shrinkCommand(), soakCommand(progress), listCommand())
+	root.AddCommand(runCommand(), sweepCommand(progress), compareCommand(progress), plotCommand(), shrinkCommand(), soakCommand(progress), listCommand(), demoCommand(progress), loadCommand(progress))
 	return root
 }
 
@@ -144,6 +144,9 @@
 		r := c.Result
 		fmt.Fprintf(w, "%12g %-12s %6d %7.3f %9d %9d %9d %9.1f %10d %s", c.Value, c.Policy, c.Seed, r.Worth, r.Messages, r.Refused, r.Calls,
 			float64(r.Took.Nanoseconds())/1000/float64(max(r.Messages, 1)), r.Turns, r.Hash)
+		if r.Memory > 0 {
+			fmt.Fprintf(w, " %8.1f MB", float64(r.Memory)/1e6)
+		}
 		for rule, n := range r.Broken {
 			fmt.Fprintf(w, " BROKEN %s ×%d", rule, n)
 			broken = true
--- /dev/null
+++ b/cmd/mastlab/main_test.go
@@ -0,0 +1,111 @@
+package main
+
+import (
+	"bytes"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+const small = `
+name = "small"
+length = "3s"
+rate = 60.0
+[[partner]]
+name = "a"
+count = 3
+workers = 2
+queue = 2
+tells = true
+[[trouble]]
+kind = "silent"
+share = 0.5
+at = "1s"
+for = "1s"
+`
+
+const sweep = `
+name = "small"
+policies = ["module", "single"]
+[sweep]
+key = "rate"
+values = [20.0, 40.0]
+[world]
+length = "2s"
+[[world.partner]]
+name = "a"
+`
+
+// TestCommands plays each command, and has each refuse what is wrong by naming it.
+func TestCommands(t *testing.T) {
+	dir := t.TempDir()
+	file := func(name, text string) string {
+		f := filepath.Join(dir, name)
+		if text != "" {
+			if err := os.WriteFile(f, []byte(text), 0o600); err != nil {
+				t.Fatal(err)
+			}
+		}
+		return f
+	}
+	world, exp, bad := file("world.toml", small), file("exp.toml", sweep), file("bad.toml", small+"colour = 3\n")
+	results, page := file("results", ""), file("page.html", "")
+	for _, c := range []struct {
+		args []string
+		ok   bool
+		want string
+	}{
+		{[]string{"run", world, "--html", page}, true, "small, seed 1, under module: worth"},
+		{[]string{"run", world, "--policy", "luck"}, false, `no policy "luck"`},
+		{[]string{"run", bad}, false, "key trouble.colour"},
+		{[]string{"run", filepath.Join(dir, "none")}, false, "no such file"},
+		{[]string{"compare", world, "--policies", "module,oracle", "--seeds", "1"}, true, "oracle"},
+		{[]string{"compare", world, "--policies", "luck"}, false, "--policies"},
+		{[]string{"sweep", exp, "-o", results, "--html", page}, true, "single"},
+		{[]string{"sweep", world}, false, "key"},
+		{[]string{"plot", results, page}, true, ""},
+		{[]string{"plot", world, page}, false, "holds no results"},
+		{[]string{"shrink", world}, false, "no such rule is broken"},
+		{[]string{"soak", "--for", "300ms"}, true, "no rule was broken"},
+		{[]string{"list"}, true, "policies: breaker, budget"},
+		{[]string{"load", "--rate", "0"}, false, "--rate"},
+		{[]string{"demo", "--quick", "0"}, false, "--quick"},
+		{[]string{"demo", "--relay", filepath.Join(dir, "none")}, false, "the relay's program"},
+	} {
+		var out bytes.Buffer
+		cmd := command(&out, &out)
+		cmd.SetArgs(c.args)
+		if err := cmd.Execute(); (err == nil) != c.ok || !strings.Contains(out.String(), c.want) {
+			t.Errorf("%v: %v; it says\n%s", c.args, err, out.String())
+		}
+	}
+	if text, err := os.ReadFile(page); err != nil || !bytes.Contains(text, []byte("<svg")) {
+		t.Errorf("the page has no plots: %v", err)
+	}
+}
+
+// TestDemo plays the demonstration: over an outage, a drain and two kills each message has one end, and the page tells it.
+func TestDemo(t *testing.T) {
+	dir := t.TempDir()
+	relay, page := filepath.Join(dir, "mastusher"), filepath.Join(dir, "demo.html")
+	if out, err := exec.Command("go", "build", "-o", relay, "../mastusher").CombinedOutput(); err != nil {
+		t.Fatalf("%v\n%s", err, out)
+	}
+	var out bytes.Buffer
+	cmd := command(&out, &out)
+	cmd.SetArgs([]string{"demo", "--quick", "10", "--relay", relay, "--html", page})
+	if err := cmd.Execute(); err != nil || !strings.Contains(out.String(), "0 lost, 0 delivered twice") {
+		t.Fatalf("%v\n%s", err, out.String())
+	}
+	text, err := os.ReadFile(page)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, want := range []string{"is killed", "which hangs", "drains", "refused for", "<svg"} {
+		if !strings.Contains(string(text), want) {
+			t.Errorf("the page says nothing of %q", want)
+		}
+	}
+}
--- a/internal/lab/experiment/experiment.go
+++ b/internal/lab/experiment/experiment.go
@@ -24,6 +24,7 @@
 	Name     string    `toml:"name"`
 	Policies []string  `toml:"policies"`
 	Seeds    []uint64  `toml:"seeds"`
+	Memory   bool      `toml:"memory"` // measure what runs hold; then they are played one by one
 	Sweep    Sweep     `toml:"sweep"`
 	World    lab.World `toml:"world"`
 }
@@ -155,6 +156,9 @@
 	var all sync.WaitGroup
 	next, done := 0, 0
 	var failed error
+	if x.Memory {
+		cores = 1
+	}
 	for range max(min(cores, len(res.Cells)), 1) {
 		all.Go(func() {
 			for {
@@ -191,29 +195,41 @@
 	if err := w.Check(); err != nil {
 		return fmt.Errorf("with %s = %v: %w", x.Sweep.Key, c.Value, err)
 	}
-	res, err := Play(&w, c.Policy)
-	c.Result = res
+	before := uint64(0)
+	if x.Memory {
+		before = held()
+	}
+	res, r, err := play(&w, c.Policy)
+	if c.Result = res; err == nil && x.Memory {
+		res.Memory = held() - min(before, held())
+		runtime.KeepAlive(r)
+	}
 	return err
 }
 
 // Play plays one world under a policy.
 func Play(w *lab.World, name string) (*lab.Result, error) {
+	res, _, err := play(w, name)
+	return res, err
+}
+
+func play(w *lab.World, name string) (*lab.Result, *lab.Run, error) {
 	maker := policy.Named[name]
 	if maker == nil {
-		return nil, fmt.Errorf("there is no policy %q", name)
+		return nil, nil, fmt.Errorf("there is no policy %q", name)
 	}
 	r, err := lab.New(w, maker)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	from := time.Now()
 	res := r.Play()
 	res.Policy, res.Took = name, time.Since(from)
-	return res, nil
+	return res, r, nil
 }
 
-// Memory is what the process holds now, after a collection.
-func Memory() uint64 {
+// held is what the process holds now, after a collection.
+func held() uint64 {
 	runtime.GC()
 	var m runtime.MemStats
 	runtime.ReadMemStats(&m)
--- a/internal/lab/experiment/experiment_test.go
+++ b/internal/lab/experiment/experiment_test.go
@@ -65,7 +65,7 @@
 	if err := report.Write(&page, again); err != nil {
 		t.Fatal(err)
 	}
-	if p := page.String(); strings.Count(p, "<svg") != 3+2*5 || strings.Contains(p, "http://") && strings.Contains(p, "<script") {
+	if p := page.String(); strings.Count(p, "<svg") != 4+2*5 || strings.Contains(p, "http://") && strings.Contains(p, "<script") {
 		t.Errorf("%d plots in a page of %d bytes", strings.Count(p, "<svg"), page.Len())
 	}
 	again.Version++
--- a/internal/lab/report/report.go
+++ b/internal/lab/report/report.go
@@ -7,6 +7,7 @@
 	"html/template"
 	"image/color"
 	"io"
+	"math"
 	"slices"
 	"time"
 
@@ -88,12 +89,20 @@
 	}
 	if res.Key != "" {
 		for _, y := range []struct {
-			name string
-			of   func(*lab.Result) float64
-		}{{"share of worth", func(r *lab.Result) float64 { return r.Worth }},
-			{"µs a message, on this machine", func(r *lab.Result) float64 { return float64(r.Took.Microseconds()) / float64(max(r.Messages, 1)) }},
-			{"calls a message", func(r *lab.Result) float64 { return float64(r.Calls) / float64(max(r.Messages, 1)) }}} {
-			if err := add(chart(y.name+" against "+res.Key, res.Key, y.name, sweep(res, y.of))); err != nil {
+			name  string
+			grows bool
+			of    func(*lab.Result) float64
+		}{{"share of worth", false, func(r *lab.Result) float64 { return r.Worth }},
+			{"µs a message, on this machine", true, func(r *lab.Result) float64 { return float64(r.Took.Microseconds()) / float64(max(r.Messages, 1)) }},
+			{"calls a message", false, func(r *lab.Result) float64 { return float64(r.Calls) / float64(max(r.Messages, 1)) }},
+			{"MB held", true, func(r *lab.Result) float64 { return float64(r.Memory) / 1e6 }}} {
+			lines := sweep(res, y.of)
+			for i := range lines {
+				if g, ok := exponent(lines[i].xy); ok && y.grows {
+					lines[i].name += fmt.Sprintf(", grows by the power %.2f", g)
+				}
+			}
+			if err := add(chart(y.name+" against "+res.Key, res.Key, y.name, lines)); err != nil {
 				return err
 			}
 		}
@@ -116,6 +125,20 @@
 	return sheet.Execute(w, p)
 }
 
+// exponent is the power by which a line grows, by least squares of logarithms; false: it has no such thing.
+func exponent(xy plotter.XYs) (float64, bool) {
+	n, sx, sy, sxx, sxy := 0.0, 0.0, 0.0, 0.0, 0.0
+	for _, p := range xy {
+		if p.X <= 0 || p.Y <= 0 {
+			return 0, false
+		}
+		x, y := math.Log(p.X), math.Log(p.Y)
+		n, sx, sy, sxx, sxy = n+1, sx+x, sy+y, sxx+x*x, sxy+x*y
+	}
+	d := n*sxx - sx*sx
+	return (n*sxy - sx*sy) / d, n >= 3 && d > 0
+}
+
 func lines(r *lab.Result, names []string) (all []series) {
 	for _, n := range names {
 		s := series{name: n}
