--- a/internal/lab/emulator.go
+++ b/internal/lab/emulator.go
@@ -19,6 +19,12 @@
 // Maker makes a relay's policy. A policy that implements Seer is shown the true state.
 type Maker func(settings control.Settings, seed uint64) (Policy, error)
 
+// Durable is a policy whose journal outlasts a crash: it knows itself what it holds.
+type Durable interface {
+	Successor() Maker         // makes the one that is started next
+	Holds(ticket uint64) bool // tells whether that will take a message up again
+}
+
 // Seer is a policy that is shown what no relay can see.
 type Seer interface {
 	See(truth func(endpoint uint32) (free int, up bool))
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -67,7 +67,7 @@
 // TestSame: one seed gives the same decisions each time, on one core and on four; another seed gives others.
 func TestSame(t *testing.T) {
 	t.Parallel()
-	x := &experiment.Experiment{Policies: []string{"module", "breaker"}, Seeds: []uint64{1, 2}, World: *parsed(t, troubled)}
+	x := &experiment.Experiment{Policies: []string{"module", "core", "breaker"}, Seeds: []uint64{1, 2}, World: *parsed(t, troubled)}
 	x.World.Length = lab.Span(5 * time.Second)
 	var first *experiment.Results
 	for n := range 10 {
@@ -94,7 +94,7 @@
 	t.Parallel()
 	for seed := uint64(1); seed <= 30; seed++ {
 		w := lab.Random(seed)
-		for _, name := range []string{"module", "two-choices"} {
+		for _, name := range []string{"module", "core", "two-choices"} {
 			res, err := experiment.Play(w, name)
 			if err != nil {
 				t.Fatal(err)
--- a/internal/lab/policy/policy.go
+++ b/internal/lab/policy/policy.go
@@ -11,6 +11,7 @@
 
 	"mastusher/control"
 	"mastusher/internal/lab"
+	"mastusher/internal/lab/whole"
 )
 
 // Pick is how a policy chooses among a destination's endpoints.
@@ -36,6 +37,7 @@
 
 // Named are the policies by name.
 var Named = map[string]lab.Maker{
+	"core":        whole.Make,
 	"module":      func(s control.Settings, seed uint64) (lab.Policy, error) { return control.New(s, seed) },
 	"single":      simple(Options{Timeout: 10 * time.Second, Tries: 1}),
 	"round-robin": simple(Options{Timeout: 2 * time.Second, Tries: 4, Backoff: 100 * time.Millisecond}),
--- a/internal/lab/trouble.go
+++ b/internal/lab/trouble.go
@@ -148,7 +148,13 @@
 		return
 	}
 	re.down = false
-	if err := r.startRelay(i); err != nil {
+	durable, knows := re.policy.(Durable)
+	maker := r.maker
+	if knows {
+		r.maker = durable.Successor()
+	}
+	err := r.startRelay(i)
+	if r.maker = maker; err != nil {
 		panic(err) // the same settings have done before
 	}
 	for id := range r.ticks {
@@ -157,6 +163,13 @@
 		if t.relay != i || t.ended || msg.over {
 			continue
 		}
+		if knows {
+			if !durable.Holds(uint64(id + 1)) { // its client never had an answer
+				t.ended = true
+				r.again(t.msg, i, 0)
+			}
+			continue
+		}
 		ev := control.Event{Kind: control.Arrived, ID: uint64(id + 1), Destination: int(msg.partner), Class: int(msg.class), Deadline: msg.deadline,
 			Again: true, Attempt: int(t.tries)}
 		if msg.mayRan {
--- /dev/null
+++ b/internal/lab/whole/whole.go
@@ -0,0 +1,206 @@
+// Package whole puts a whole relay core into the lab: the core that serve runs, in virtual time, with a journal in memory
+// that outlasts a crash. Only sockets, fronts and the disk are the lab's.
+package whole
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"strconv"
+	"time"
+
+	"mastusher/control"
+	"mastusher/internal/config"
+	"mastusher/internal/journal"
+	"mastusher/internal/lab"
+	"mastusher/internal/relay"
+	"mastusher/internal/wire"
+)
+
+// Make makes a relay's core.
+func Make(set control.Settings, seed uint64) (lab.Policy, error) {
+	return &Core{set: set, seed: seed, jour: &journal.Memory{}, told: map[uint64]bool{}}, nil
+}
+
+// Core is a relay's core as a policy of the lab.
+type Core struct {
+	set  control.Settings
+	seed uint64
+	jour *journal.Memory
+	told map[uint64]bool // ends that clients were told; they outlast a crash, as the clients do
+
+	core    *relay.Core // nil: it has not begun
+	now     time.Duration
+	out     []control.Action
+	calls   map[uint64]func([]relay.Outcome)
+	changed func(relay.PoolConfig)
+	index   int64
+	pending bool // an event stands in the core's queue
+}
+
+var epoch = time.Unix(0, 0)
+
+const round = 5 * time.Millisecond
+
+// Successor makes the relay that is started after this one has crashed, on the same journal.
+func (p *Core) Successor() lab.Maker {
+	return func(set control.Settings, seed uint64) (lab.Policy, error) {
+		return &Core{set: set, seed: seed, jour: p.jour, told: p.told}, nil
+	}
+}
+
+// Holds tells whether the journal holds a message that was handed in as a ticket.
+func (p *Core) Holds(ticket uint64) bool {
+	id := strconv.FormatUint(ticket, 10)
+	for _, e := range p.jour.Entries() {
+		if e.ID == id {
+			return true
+		}
+	}
+	return false
+}
+
+// begin starts the core: it takes up again what the journal holds.
+func (p *Core) begin() {
+	cfg := &config.Config{Seed: p.seed, Settings: wire.Settings{Settings: p.set}}
+	for i := range 64 {
+		cfg.Settings.Zones = append(cfg.Settings.Zones, zone(i))
+	}
+	for i := range p.set.Kinds {
+		cfg.Settings.KindNames = append(cfg.Settings.KindNames, kind(i))
+	}
+	cfg.Limits = config.Limits{Queue: 1 << 14, BusyRetry: 500 * time.Millisecond, AnswerWithin: 300 * time.Millisecond, BodySize: 64 << 10,
+		DrainSends: time.Second, DrainExit: 4 * time.Second, NoticesPerCall: 64, NoticeTimeout: time.Second, NoticeRetry: 250 * time.Millisecond,
+		NoticeRetryMost: 4 * time.Second, WatchRetry: 500 * time.Millisecond, Round: round}
+	core, err := relay.New(cfg, p.jour, slog.New(slog.NewTextHandler(io.Discard, nil)), p.at(p.now))
+	if err != nil {
+		panic(err) // the lab's settings have passed its own checks
+	}
+	p.core, p.calls = core, map[uint64]func([]relay.Outcome){}
+	core.SetShell(p)
+	core.AddFront(front, nobody{}, relay.PoolConfig{})
+	core.Restore(p.at(p.now))
+}
+
+const front = "lab"
+
+func zone(n int) string { return "z" + strconv.Itoa(n) }
+func kind(n int) string { return "k" + strconv.Itoa(n) }
+
+func (p *Core) at(t time.Duration) time.Time { return epoch.Add(t) }
+
+// Step hands the core what has happened, lets it take its turn, and returns what it did.
+func (p *Core) Step(now time.Duration, events []control.Event, out []control.Action) []control.Action {
+	p.now, p.out = now, out
+	if p.core == nil {
+		p.begin()
+	}
+	type handed struct {
+		id    uint64
+		reply <-chan relay.Reply
+	}
+	var arrived []handed
+	for i := range events {
+		e := &events[i]
+		switch e.Kind {
+		case control.Listed:
+			p.listed(e)
+		case control.Arrived:
+			m := relay.Message{ID: strconv.FormatUint(e.ID, 10), Key: "k", Class: e.Class, Partner: e.Destination, Deadline: p.at(e.Deadline), Again: e.Again,
+				Body: []byte("{}")}
+			if e.Ran {
+				m.RanAt = p.at(e.RanAt)
+			}
+			arrived = append(arrived, handed{e.ID, p.core.Hand(front, m, p.at(now))})
+		case control.Resolved:
+			if done := p.calls[e.ID]; done != nil {
+				delete(p.calls, e.ID)
+				done([]relay.Outcome{{Result: e.Result, Wait: e.Wait, Reported: e.Reported, Share: e.Share, Limit: e.Limit}})
+			}
+		}
+	}
+	p.pending = false
+	p.core.Step(p.at(now))
+	for _, h := range arrived {
+		select {
+		case r := <-h.reply:
+			switch r.Verdict {
+			case relay.Busy:
+				p.out = append(p.out, control.Action{Kind: control.Refuse, ID: h.id, For: r.Retry})
+			case relay.Failed, relay.Rejected:
+				p.out = append(p.out, control.Action{Kind: control.Fail, ID: h.id})
+			}
+		default:
+			panic("lab: the core has not answered in the turn of an arrival")
+		}
+	}
+	wake := p.core.Nap(p.at(now))
+	if p.pending {
+		wake = min(wake, round)
+	}
+	return append(p.out, control.Action{Kind: control.Wake, At: now + max(wake, time.Millisecond)})
+}
+
+func (p *Core) listed(e *control.Event) {
+	if p.changed == nil {
+		return
+	}
+	p.index++
+	pool := relay.PoolConfig{Index: p.index, Whole: e.Whole}
+	for _, d := range e.Endpoints {
+		pool.Destinations = append(pool.Destinations, relay.Destination{Name: fmt.Sprint("e", d.ID), Zone: zone(d.Zone), Kind: kind(d.Kind),
+			Partner: d.Destination, State: d.State})
+	}
+	p.changed(pool)
+}
+
+// Call has the lab make a call.
+func (p *Core) Call(_ relay.Front, s *relay.RouteStep, until time.Time, done func([]relay.Outcome)) func() {
+	id, _ := strconv.ParseUint(s.Items[0].ID, 10, 64)
+	endpoint, _ := strconv.ParseUint(s.To.Name[1:], 10, 32)
+	p.calls[id] = done
+	s.MayWriteAt(p.at(p.now))
+	p.out = append(p.out, control.Action{Kind: control.Send, ID: id, Endpoint: uint32(endpoint), For: until.Sub(p.at(p.now))})
+	return func() {
+		if p.calls[id] != nil {
+			p.out = append(p.out, control.Action{Kind: control.Cancel, ID: id})
+		}
+	}
+}
+
+// Notify tells the lab's clients how messages have ended. What they were told before a crash they take without a word.
+func (p *Core) Notify(_ relay.Front, notices []relay.Notice, _ time.Time, done func([]bool)) func() {
+	taken := make([]bool, len(notices))
+	for i, n := range notices {
+		taken[i] = true
+		id, _ := strconv.ParseUint(n.ID, 10, 64)
+		if p.told[id] {
+			continue
+		}
+		p.told[id] = true
+		a := control.Action{Kind: control.Fail, ID: id}
+		if n.HandedBack {
+			a.Kind, a.For = control.Refuse, n.Retry
+		}
+		p.out = append(p.out, a)
+	}
+	done(taken)
+	p.pending = true
+	return func() {}
+}
+
+// Watch has the lab tell of its list.
+func (p *Core) Watch(_ relay.Front, _ int64, changed func(relay.PoolConfig), _ func(error)) func() {
+	p.changed = changed
+	return func() {}
+}
+
+// nobody is a front without sockets: the shell does all of its work.
+type nobody struct{}
+
+func (nobody) Call(context.Context, *relay.RouteStep) []relay.Outcome     { return nil }
+func (nobody) Notify(context.Context, []relay.Notice) []bool              { return nil }
+func (nobody) Retire(*relay.Destination)                                  {}
+func (nobody) Watch(context.Context, int64, func(relay.PoolConfig)) error { return nil }
+func (nobody) TellsDeliveries() bool                                      { return false }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -88,8 +88,11 @@
 func (s *RouteStep) Seen() *Seen { return s.seen }
 
 // MayWrite is asked right before the step's first byte goes out, and promises that it does unless it is false.
-func (s *RouteStep) MayWrite() bool {
-	return (s.Before.IsZero() || time.Now().Before(s.Before)) && s.begun.CompareAndSwap(0, 1)
+func (s *RouteStep) MayWrite() bool { return s.MayWriteAt(time.Now()) }
+
+// MayWriteAt is MayWrite on a clock of one's own.
+func (s *RouteStep) MayWriteAt(now time.Time) bool {
+	return (s.Before.IsZero() || now.Before(s.Before)) && s.begun.CompareAndSwap(0, 1)
 }
 
 // recall ends the step if nothing of it has been written.
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -61,6 +61,19 @@
 	}
 }
 
+// Step takes a turn with what stands in the queue, for those who have a clock of their own in the place of Run.
+func (c *Core) Step(now time.Time) { c.Turn(now, c.pending(nil)) }
+
+// Hand is Take for them: the answer comes in the next Step.
+func (c *Core) Hand(front string, m Message, at time.Time) <-chan Reply {
+	a := arrival{front: front, msg: m, at: at, reply: make(chan Reply, 1)}
+	c.queue <- a
+	return a.reply
+}
+
+// Nap is how long nothing needs to be done unless something happens.
+func (c *Core) Nap(now time.Time) time.Duration { return c.nap(now) }
+
 // pending takes what stands in the queue.
 func (c *Core) pending(events []event) []event {
 	for {
