--- a/internal/lab/emulator.go
+++ b/internal/lab/emulator.go
@@ -46,7 +46,6 @@
 	partner        int32
 	class          int16
 	tries          int16 // at relays
-	attempts       int16 // calls made for it
 	out            int16 // copies out now
 	ran            int16 // times that it took effect
 	over           bool
@@ -105,8 +104,6 @@
 	q      queue
 	relays []relay
 	ends   []endpoint
-	of     [][]int32 // endpoints by partner
-	kindOf []int32   // group by partner
 	msgs   []message
 	ticks  []ticket
 	calls  []call
@@ -132,12 +129,10 @@
 	for g, p := range w.Partners {
 		for range p.Count {
 			total += p.Weight
-			r.pick, r.kindOf = append(r.pick, total), append(r.kindOf, int32(g))
-			var own []int32
+			r.pick = append(r.pick, total)
 			for range p.Endpoints {
-				own = append(own, r.newEndpoint(int32(len(r.pick)-1), int32(g)))
+				r.newEndpoint(int32(len(r.pick)-1), int32(g))
 			}
-			r.of = append(r.of, own)
 		}
 	}
 	r.relays = make([]relay, w.Relays)
--- a/internal/lab/endpoint.go
+++ b/internal/lab/endpoint.go
@@ -88,7 +88,6 @@
 	c := &r.calls[n]
 	*c = call{no: c.no + 1, msg: t.msg, ticket: a.ID, relay: i, endpoint: e, attempt: t.tries, state: callOut, born: r.now}
 	t.tries++
-	msg.attempts++
 	msg.out++
 	r.relays[i].calls[a.ID] = n
 	r.Stats.sent()
--- a/internal/lab/experiment/experiment.go
+++ b/internal/lab/experiment/experiment.go
@@ -201,8 +201,9 @@
 	}
 	res, r, err := play(&w, c.Policy)
 	if c.Result = res; err == nil && x.Memory {
-		res.Memory = held() - min(before, held())
+		after := held()
 		runtime.KeepAlive(r)
+		res.Memory = after - min(before, after)
 	}
 	return err
 }
--- a/internal/lab/stats.go
+++ b/internal/lab/stats.go
@@ -179,9 +179,10 @@
 	for i, h := range s.byClass {
 		ms := func(q float64) float64 { return float64(h.ValueAtPercentile(q)) / 1000 }
 		l := Latency{Class: r.W.Classes[i].Name, P50: ms(50), P90: ms(90), P99: ms(99), Max: float64(h.Max()) / 1000}
+		bars := h.Distribution()
 		for to, from := int64(1000), int64(0); from < h.Max(); from, to = to, to*3/2 { // bars that grow by half
 			n := int64(0)
-			for _, bar := range h.Distribution() {
+			for _, bar := range bars {
 				if bar.From >= from && bar.From < to {
 					n += bar.Count
 				}
--- a/internal/lab/trouble.go
+++ b/internal/lab/trouble.go
@@ -109,7 +109,6 @@
 	old := r.ends[n]
 	e := r.newEndpoint(old.partner, old.group)
 	r.ends[e].coldSince = r.now
-	r.of[old.partner] = append(r.of[old.partner], e)
 	r.list(e, control.Ready)
 }
 
--- a/internal/lab/world.go
+++ b/internal/lab/world.go
@@ -4,6 +4,7 @@
 package lab
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"math"
@@ -181,7 +182,7 @@
 		need("partner", len(w.Partners) > 0, "one group of partners at least")}
 	for i := range w.Classes {
 		c, at := &w.Classes[i], fmt.Sprintf("class[%d].", i)
-		c.Share, c.Worth = or(c.Share, 1), or(c.Worth, 1)
+		c.Share, c.Worth = cmp.Or(c.Share, 1), cmp.Or(c.Worth, 1)
 		errs = append(errs, need(at+"effect", slices.Contains([]string{"safe", "keyed", "unsafe"}, c.Effect), "safe, keyed or unsafe"),
 			need(at+"aim", c.Aim > 0, "a time above 0"), need(at+"deadline", c.Deadline >= c.Aim, "a time no shorter than the aim"),
 			need(at+"share", c.Share > 0, "a weight above 0"), need(at+"window", c.Effect != "keyed" || c.Window > 0, "a time above 0 for a keyed class"))
@@ -189,7 +190,7 @@
 	total := 0
 	for i := range w.Partners {
 		p, at := &w.Partners[i], fmt.Sprintf("partner[%d].", i)
-		p.Count, p.Endpoints, p.Weight, p.Workers = max(p.Count, 1), max(p.Endpoints, 1), or(p.Weight, 1), max(p.Workers, 1)
+		p.Count, p.Endpoints, p.Weight, p.Workers = max(p.Count, 1), max(p.Endpoints, 1), cmp.Or(p.Weight, 1), max(p.Workers, 1)
 		if p.Median == 0 {
 			p.Median = Span(80 * time.Millisecond)
 		}
@@ -201,7 +202,7 @@
 	errs = append(errs, need("partner", total <= 1_000_000, "a million endpoints in all at most"))
 	for i := range w.Troubles {
 		t, at := &w.Troubles[i], fmt.Sprintf("trouble[%d].", i)
-		t.Share = or(t.Share, 1)
+		t.Share = cmp.Or(t.Share, 1)
 		known := t.Partners == "" || slices.ContainsFunc(w.Partners, func(p Partner) bool { return p.Name == t.Partners })
 		errs = append(errs, need(at+"kind", slices.Contains(kindsOfTrouble, t.Kind), "one of "+strings.Join(kindsOfTrouble, ", ")),
 			need(at+"partners", known, "the name of a group of partners"), need(at+"for", t.For > 0, "a time above 0"), need(at+"at", t.At >= 0, "no time below 0"),
@@ -211,13 +212,6 @@
 	return errors.Join(errs...)
 }
 
-func or(v, other float64) float64 {
-	if v == 0 {
-		return other
-	}
-	return v
-}
-
 // Settings are what a module is told of the world.
 func (w *World) Settings(relay int) control.Settings {
 	s := control.Settings{Peers: w.Relays, Zone: relay % w.Net.Zones, Slots: w.Slots, MaxOpen: w.MaxOpen, MaxAttempts: w.MaxAttempts, Cancel: true,
--- a/internal/relay/record.go
+++ b/internal/relay/record.go
@@ -62,8 +62,7 @@
 	}
 }
 
-// recordAfter ends the record of a turn. A turn in which nothing was told and nothing done changes nothing that counts,
-// unless time alone does: what has grown old is forgotten at the next.
+// recordAfter ends the record of a turn, also of one in which nothing was told: time alone may have changed something.
 func (c *Core) recordAfter(now time.Time) {
 	if c.rec == nil {
 		return
--- a/internal/relay/rerun.go
+++ b/internal/relay/rerun.go
@@ -166,6 +166,7 @@
 		ev, err := c.replayed(&in.Events[i], now, &outs)
 		if err != nil {
 			d.Why = err.Error()
+			r.core = nil // it can't go on without that
 			return d
 		}
 		events = append(events, ev)
--- a/internal/relay/state.go
+++ b/internal/relay/state.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"mastusher/internal/capture"
@@ -27,7 +28,7 @@
 	}
 	for _, f := range c.order {
 		for key, n := range c.names {
-			if name, ok := cutFront(key, f.name); ok {
+			if name, ok := strings.CutPrefix(key, f.name+" "); ok {
 				x.Numbers = append(x.Numbers, capture.Name{Number: n, Front: f.name, Name: name})
 			}
 		}
@@ -55,13 +56,6 @@
 	return x
 }
 
-func cutFront(key, front string) (string, bool) {
-	if len(key) > len(front) && key[:len(front)] == front && key[len(front)] == ' ' {
-		return key[len(front)+1:], true
-	}
-	return "", false
-}
-
 // stamp is a time on the module's clock, which never stands at 0; the zero time is 0.
 func (c *Core) stamp(t time.Time) time.Duration {
 	if t.IsZero() {
