Wait for a relay and find a spare address in one place, the stand-ins' package

Found on reading the change again: plugbench, the lab's stage and the end-to-end tests each had the same loop over /up and the same way to a free address. standin.Up and standin.Spare serve all three.

--- a/cmd/mastusher/plugin_test.go
+++ b/cmd/mastusher/plugin_test.go
@@ -133,14 +133,8 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = d.Process.Kill(); _ = d.Wait() })
-	for range 400 {
-		up := 0
-		httpwire.NewPool(standin.Limits()).Do(t.Context(), httpwire.Peer{Address: d.address}, httpwire.AppendRequest(nil, "GET", "/up", d.address, nil, nil),
-			nil, func(p *httpwire.Response) { up = p.Status })
-		if up == 200 {
-			return
-		}
-		time.Sleep(25 * time.Millisecond)
+	if standin.Up(t.Context(), d.address) {
+		return
 	}
 	t.Fatal("the relay does not come up")
 }
@@ -162,12 +156,11 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { disco.Close(); ends.Close() })
-	spare, err := standin.NewEndpoints(1, nil)
+	address, err := standin.Spare()
 	if err != nil {
 		t.Fatal(err)
 	}
-	spare.Close()
-	d = &daemon{address: spare.Addresses[0], discovery: disco.Address, known: ends.Known("club-sites", "a")}
+	d = &daemon{address: address, discovery: disco.Address, known: ends.Known("club-sites", "a")}
 	text = fmt.Sprintf(`{"name": "t", "listen": %q, "discovery": %q, "state": %q, "known": %s, %s, %s}`, d.address, disco.Address,
 		filepath.Join(dir, "state"), ends.Known("club-sites", "a"), more, lanes)
 	file = filepath.Join(dir, "config.json")
--- a/cmd/plugbench/main.go
+++ b/cmd/plugbench/main.go
@@ -227,7 +227,7 @@
 		return nil, err
 	}
 	defer disco.Close()
-	address, err := free()
+	address, err := standin.Spare()
 	if err != nil {
 		return nil, err
 	}
@@ -243,9 +243,9 @@
 		return nil, err
 	}
 	defer func() { _ = relay.Process.Kill() }()
-	if err := up(address); err != nil {
+	if !standin.Up(context.Background(), address) {
 		text, _ := os.ReadFile(filepath.Join(dir, "log"))
-		return nil, fmt.Errorf("%w; its log: %s", err, text)
+		return nil, fmt.Errorf("the relay does not come up; its log: %s", text)
 	}
 	client := standin.NewClient(address)
 	defer client.Close()
@@ -374,31 +374,6 @@
 	return cmd, <-done
 }
 
-func free() (string, error) {
-	ends, err := standin.NewEndpoints(1, nil)
-	if err != nil {
-		return "", err
-	}
-	defer ends.Close()
-	return ends.Addresses[0], nil
-}
-
-func up(address string) error {
-	pool := httpwire.NewPool(standin.Limits())
-	for range 200 {
-		ok := false
-		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-		pool.Do(ctx, httpwire.Peer{Address: address}, httpwire.AppendRequest(nil, "GET", "/up", address, nil, nil), nil,
-			func(p *httpwire.Response) { ok = p.Status == 200 })
-		cancel()
-		if ok {
-			return nil
-		}
-		time.Sleep(50 * time.Millisecond)
-	}
-	return errors.New("the relay does not come up")
-}
-
 // peak is the most memory that a process has had, in MB.
 func peak(pid int) float64 {
 	text, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
--- a/internal/lab/stage/stage.go
+++ b/internal/lab/stage/stage.go
@@ -108,13 +108,10 @@
 		s.Close()
 		return nil, err
 	}
-	spare, err := standin.NewEndpoints(1, nil)
-	if err != nil {
+	if s.addr, err = standin.Spare(); err != nil {
 		s.Close()
 		return nil, err
 	}
-	s.addr = spare.Addresses[0]
-	spare.Close()
 	s.file = filepath.Join(dir, "relay.json")
 	text := fmt.Sprintf(`{"name": "demo", "listen": %q, "state": %q, "discovery": %q, "seed": "%016x", "known": %s, %s}`, s.addr, filepath.Join(dir, "state"),
 		s.disco.Address, plan.Seed, list, settings)
@@ -146,16 +143,8 @@
 	if err := s.cmd.Start(); err != nil {
 		return fmt.Errorf("the relay's program: %w", err)
 	}
-	pool := httpwire.NewPool(standin.Limits())
-	for range 200 {
-		ok := false
-		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-		pool.Do(ctx, httpwire.Peer{Address: s.addr}, httpwire.AppendRequest(nil, "GET", "/up", s.addr, nil, nil), nil, func(p *httpwire.Response) { ok = p.Status == 200 })
-		cancel()
-		if ok {
-			return nil
-		}
-		time.Sleep(25 * time.Millisecond)
+	if standin.Up(context.Background(), s.addr) {
+		return nil
 	}
 	text, _ := os.ReadFile(filepath.Join(s.dir, "relay.log"))
 	return fmt.Errorf("the relay does not come up; its log: %s", text)
--- a/internal/standin/client.go
+++ b/internal/standin/client.go
@@ -103,3 +103,29 @@
 	}
 	c.idle = nil
 }
+
+// Spare is an address on loopback that nobody listens at now.
+func Spare() (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	return l.Addr().String(), l.Close()
+}
+
+// Up waits until a relay serves at an address; false: it does not within ten seconds or so.
+func Up(ctx context.Context, address string) bool {
+	pool := httpwire.NewPool(Limits())
+	request := httpwire.AppendRequest(nil, "GET", "/up", address, nil, nil)
+	for range 400 {
+		ok := false
+		within, cancel := context.WithTimeout(ctx, time.Second)
+		pool.Do(within, httpwire.Peer{Address: address}, request, nil, func(p *httpwire.Response) { ok = p.Status == 200 })
+		cancel()
+		if ok {
+			return true
+		}
+		time.Sleep(25 * time.Millisecond)
+	}
+	return false
+}
