--- a/cmd/benchlink/main.go
+++ b/cmd/benchlink/main.go
@@ -31,6 +31,7 @@
 	id      uint16
 	sender  *control.Sender
 	reports wire.Reports
+	weight  func(float64) float64 // calls a second that a weight of the list tells
 	events  []control.Event
 	touched bool
 	rec     *capture.Writer // nil: it is not recorded
@@ -131,7 +132,7 @@
 		if err != nil {
 			return fmt.Errorf("field setup: %w", err)
 		}
-		in.sender, in.reports, in.events = sender, settings.Reports, in.events[:0]
+		in.sender, in.reports, in.weight, in.events = sender, settings.Reports, settings.Weight, in.events[:0]
 		if err := in.stop(); err != nil || l.record == "" {
 			return err
 		}
@@ -156,7 +157,8 @@
 			return fmt.Errorf("field roster_id at offset 1: no list %d", rec.Roster)
 		}
 		for _, m := range members {
-			e := control.Endpoint{ID: m.Target, Zone: int(m.Site), Kind: int(m.Kind), Destination: int(m.Destination)}
+			e := control.Endpoint{ID: m.Target, Zone: int(m.Site), Kind: int(m.Kind), Destination: int(m.Destination),
+				Weight: in.weight(float64(m.Units))}
 			switch m.Condition {
 			case 0:
 			case 3:
--- a/control/api.go
+++ b/control/api.go
@@ -59,10 +59,10 @@
 	Zone         int
 	Classes      []Class
 	Kinds        []Kind
-	Tenants      []Tenant
-	Slots        int // calls out at once
-	MaxOpen      int // messages held, sent or not; 0: no bound
-	MaxAttempts  int // for one message
+	Tenants      []Tenant // none: messages have none
+	Slots        int      // calls out at once
+	MaxOpen      int      // messages held, sent or not; 0: no bound
+	MaxAttempts  int      // for one message
 	Cancel       bool
 	ConnIdle     time.Duration // an idle connection closes by itself after this
 	OverWorth    float64       // share of worth of a message beyond its tenant's quota
@@ -171,6 +171,9 @@
 	Kind        int    `cbor:"3,keyasint,omitempty"`
 	Destination int    `cbor:"4,keyasint,omitempty"`
 	State       State  `cbor:"5,keyasint,omitempty"`
+
+	// Calls a second that its destination (or the route) takes from all senders together; 0: not told.
+	Weight float64 `cbor:"6,keyasint,omitempty"`
 }
 
 // Event is one thing that has happened; Kind names the fields that count. The numbers in the tags are those of captures:
--- a/control/control.go
+++ b/control/control.go
@@ -51,18 +51,10 @@
 	itemWeight  = 0.25                   // of a call, what one more message in it asks of a cold destination
 	wakeEvery   = 25 * time.Millisecond
 	lastMoment  = 60 * time.Millisecond // less time left than this is none
-	fewLinks    = time.Minute           // after a failed connect its kind is taken to be short of connections
 	capNormal   = 0.75                  // of the slots, for one destination
 	capSick     = 0.5                   // of them, for one that is not steady, and for all suspect ones
 )
 
-// table is an endpoint's own call times: decayed counts in log-spaced buckets.
-type table struct {
-	n           []float64
-	total, lost float64 // lost: failed, as slow as the slowest bucket but known at once
-	at          time.Duration
-}
-
 // decay ages the counts to now.
 func (t *table) decay(now time.Duration) {
 	if now > t.at {
@@ -194,12 +186,6 @@
 	}
 }
 
-// meter is a decayed rate of events.
-type meter struct {
-	n         float64
-	at, since time.Duration
-}
-
 func (m *meter) add(now time.Duration, k float64) {
 	m.n = m.n*math.Exp(-float64(now-m.at)/float64(rateSpan)) + k
 	m.at = now
@@ -210,18 +196,6 @@
 	return n / (rateSpan.Seconds() * (1 - math.Exp(-float64(now-m.since+time.Second)/float64(rateSpan))))
 }
 
-// health is what is observed of a destination.
-type health uint8
-
-const (
-	steady      health = iota
-	overrunning        // calls in flight are older than its calls usually take
-	stopped            // it fails or refuses what is sent: one trial at a time
-	returning          // it has answered a trial: slow start
-)
-
-var healthText = [...]string{"steady", "overrunning", "stopped", "returning"}
-
 // New returns a sender that knows nothing but its settings.
 func New(set Settings, seed uint64) (*Sender, error) {
 	if err := set.check(); err != nil {
@@ -241,6 +215,9 @@
 		}
 	}
 	s.all.n = make([]float64, len(s.edges))
+	for _, t := range set.Tenants {
+		s.quotas = append(s.quotas, quota{rate: t.Quota / float64(set.Peers), left: math.Inf(1)})
+	}
 	return s, nil
 }
 
@@ -307,6 +284,9 @@
 			e = s.learn(l)
 		}
 		e.state, e.node.stale = l.State, true
+		if l.Weight > 0 && e.dest.toldAt == 0 { // known before the first report
+			e.dest.total, e.dest.share = l.Weight, 1
+		}
 	}
 	s.order = slices.DeleteFunc(s.order, func(n *node) bool {
 		n.eps = slices.DeleteFunc(n.eps, s.left)
@@ -386,7 +366,11 @@
 	if s.set.MarksAgain && !ev.Again { // a client with less patience than its class is not late yet
 		m.due = max(m.due, min(s.now+m.class.Aim, m.deadline))
 	}
-	m.attempts = ev.Attempt // made by this sender's process before it was restarted
+	m.attempts = ev.Attempt                         // made by this sender's process before it was restarted
+	sent := min(s.now, m.deadline-m.class.Deadline) // what was held over a restart came long ago
+	if ev.Tenant >= 0 && ev.Tenant < len(s.quotas) && !s.quotas[ev.Tenant].takes(sent) {
+		m.worth *= s.set.OverWorth
+	}
 	if ev.Ran {
 		if m.ranAt, m.ranIn, m.resend = ev.RanAt, s.eps[ev.Endpoint], true; m.ranIn == nil {
 			m.ranIn = &endpoint{id: ev.Endpoint, zone: -1, node: n}
@@ -412,6 +396,17 @@
 	}
 }
 
+// takes tells whether a message sent at that time is within the share; clumps of a second's worth are.
+func (q *quota) takes(at time.Duration) bool {
+	at = max(at, q.at)
+	q.left, q.at = min(max(1, q.rate), q.left+q.rate*(at-q.at).Seconds()), at
+	if q.left < 1 {
+		return false
+	}
+	q.left--
+	return true
+}
+
 // shed refuses the held message that is worth least, so that the store never turns a better one away. Worth
 // counts at the deadline at the latest: a long wait would level all.
 func (s *Sender) shed() {
@@ -576,7 +571,7 @@
 
 // crowded notes a failed connect: what is idle at endpoints of that kind is closed at once.
 func (s *Sender) crowded(e *endpoint) {
-	s.kinds[e.kindNo].short = s.now + fewLinks
+	s.kinds[e.kindNo].short = s.now + 2*s.set.ConnIdle
 	s.linked = slices.DeleteFunc(s.linked, func(o *endpoint) bool {
 		if o.linked && o.kindNo == e.kindNo {
 			s.unlink(o)
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -587,6 +587,11 @@
 	if got := of(r.step(outcome(3, 1, 1, Delivered)), Close); len(got) != 1 || got[0].Endpoint != 1 {
 		t.Errorf("after the last call: %v, want one Close", got)
 	}
+	r.wait(2 * set.ConnIdle) // what was idle at that time has closed by itself: there is room again
+	r.step(r.arrive(4, 2))
+	if got := of(r.step(outcome(4, 0, 1, Delivered)), Close); len(got) != 0 {
+		t.Errorf("two idle times after the failed connect: %v", got)
+	}
 }
 
 // Where an endpoint takes few connections a failed connect is no outage: alone it does not stop a destination,
--- a/control/snapshot.go
+++ b/control/snapshot.go
@@ -39,6 +39,7 @@
 	Calls    []CallState    `cbor:"21,keyasint,omitempty"`
 	Messages []MessageState `cbor:"22,keyasint,omitempty"` // in the order in which they were taken
 	KeyLines []KeyState     `cbor:"23,keyasint,omitempty"`
+	Quotas   []QuotaState   `cbor:"24,keyasint,omitempty"` // by tenant; older snapshots have none
 }
 
 // TableState is a table of call times.
@@ -62,6 +63,12 @@
 	Gap   float64       `cbor:"2,keyasint"`
 }
 
+// QuotaState is what is left of a tenant's share.
+type QuotaState struct {
+	Left float64       `cbor:"1,keyasint"`
+	At   time.Duration `cbor:"2,keyasint"`
+}
+
 // NodeState is a destination of messages, with its endpoints and limits.
 type NodeState struct {
 	ID        int             `cbor:"1,keyasint"`
@@ -188,6 +195,9 @@
 	for _, k := range s.kinds {
 		x.Kinds = append(x.Kinds, KindState{k.short, k.gap})
 	}
+	for _, q := range s.quotas {
+		x.Quotas = append(x.Quotas, QuotaState{q.left, q.at})
+	}
 	calls, ghosts := map[*call]int{}, map[*endpoint]int64{}
 	place := func(c *call) int {
 		if c == nil {
@@ -279,6 +289,9 @@
 	for i, k := range x.Kinds {
 		s.kinds[i] = kindSeen{k.Short, k.Gap}
 	}
+	for i := range min(len(x.Quotas), len(s.quotas)) {
+		s.quotas[i].left, s.quotas[i].at = x.Quotas[i].Left, x.Quotas[i].At
+	}
 	fault := errors.New("control: a snapshot that does not hold together")
 	var calls []*call
 	for _, c := range x.Calls {
--- a/control/state.go
+++ b/control/state.go
@@ -9,6 +9,31 @@
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
+// table is an endpoint's own call times: decayed counts in log-spaced buckets.
+type table struct {
+	n           []float64
+	total, lost float64 // lost: failed, as slow as the slowest bucket but known at once
+	at          time.Duration
+}
+
+// meter is a decayed rate of events.
+type meter struct {
+	n         float64
+	at, since time.Duration
+}
+
+// health is what is observed of a destination.
+type health uint8
+
+const (
+	steady      health = iota
+	overrunning        // calls in flight are older than its calls usually take
+	stopped            // it fails or refuses what is sent: one trial at a time
+	returning          // it has answered a trial: slow start
+)
+
+var healthText = [...]string{"steady", "overrunning", "stopped", "returning"}
+
 // endpoint is one target of a destination.
 type endpoint struct {
 	id     uint32
@@ -32,6 +57,13 @@
 	gap   float64       // s before the next try after a refusal
 }
 
+// quota is a tenant's share at this sender: an equal part of what it may send through all, in messages a second, and
+// what is left of it at a time.
+type quota struct {
+	rate, left float64
+	at         time.Duration
+}
+
 // call is one slot: the messages sent to an endpoint in one turn, as far as one call carries them.
 type call struct{ left, room int }
 
@@ -122,6 +154,7 @@
 	all           table
 	kinds         []kindSeen
 	linked        []*endpoint
+	quotas        []quota // by tenant
 	wake          time.Duration
 	askAt, askGap time.Duration // when to ask for the list; 0: subscribed, or an answer is due
 	picks         []*message
--- a/internal/activitypub/front.go
+++ b/internal/activitypub/front.go
@@ -71,7 +71,7 @@
 	owners   map[string]*config.Client // by key id
 	clients  map[string]*config.Client // by actor
 	inboxes  map[string]*url.URL       // by destination's name
-	partners map[string]int            // numbers, by name
+	partners map[string]config.Partner // by name
 	classes  map[string]int            // by type of activity
 	set      []control.Class
 
@@ -96,7 +96,7 @@
 	a := cfg.ActivityPub
 	f := &Front{cfg: a, lim: &cfg.Limits, core: core, log: log, pool: httpwire.NewPool(&cfg.Limits),
 		keys: keyring{}, owners: map[string]*config.Client{}, clients: map[string]*config.Client{},
-		inboxes: map[string]*url.URL{}, partners: map[string]int{}, classes: map[string]int{},
+		inboxes: map[string]*url.URL{}, partners: map[string]config.Partner{}, classes: map[string]int{},
 		set: cfg.Settings.Classes, Now: time.Now, ended: map[string]end{}}
 	none := relay.PoolConfig{}
 	key, err := ReadKey(a.KeyFile)
@@ -129,7 +129,7 @@
 	}
 	pool := relay.PoolConfig{Whole: true}
 	for i, p := range a.Partners {
-		f.partners[p.Name] = p.Destination
+		f.partners[p.Name] = p
 		for k, inbox := range p.Inboxes {
 			u, err := url.Parse(inbox)
 			if err != nil || u.Host == "" {
@@ -205,7 +205,7 @@
 	if again {
 		return say(200, "delivered before")
 	}
-	m.Partner = partner
+	m.Partner, m.Tenant = partner.Destination, partner.Tenant
 	switch r := f.core.Take(Name, m); r.Verdict {
 	case relay.Taken:
 		return httpwire.Answer{Status: 202, Lost: func() { f.core.Withdraw(r) }}
--- a/internal/capture/core.go
+++ b/internal/capture/core.go
@@ -26,6 +26,7 @@
 	NoticeRetry     time.Duration `cbor:"11,keyasint,omitempty"`
 	NoticeRetryMost time.Duration `cbor:"12,keyasint,omitempty"`
 	WatchRetry      time.Duration `cbor:"13,keyasint,omitempty"`
+	Weights         bool          `cbor:"14,keyasint,omitempty"` // the list's weights are rates
 }
 
 // Core is the core's whole state between two turns, beside the module's. Lists are sorted by their numbers.
@@ -72,6 +73,7 @@
 	Partner int           `cbor:"6,keyasint,omitempty"`
 	State   control.State `cbor:"7,keyasint,omitempty"`
 	GoneAt  time.Duration `cbor:"8,keyasint,omitempty"`
+	Weight  float64       `cbor:"9,keyasint,omitempty"`
 }
 
 // HeldState is a message that is not over.
@@ -98,6 +100,7 @@
 	HandedBack bool          `cbor:"20,keyasint,omitempty"`
 	Retry      time.Duration `cbor:"21,keyasint,omitempty"`
 	Step       uint64        `cbor:"22,keyasint,omitempty"` // out now; 0: none
+	Tenant     int           `cbor:"23,keyasint,omitempty"`
 }
 
 // StepState is a route step that is out.
@@ -177,6 +180,7 @@
 	Verdict  uint8         `cbor:"12,keyasint,omitempty"` // of the inspector
 	Status   int           `cbor:"13,keyasint,omitempty"`
 	Why      string        `cbor:"14,keyasint,omitempty"`
+	Tenant   int           `cbor:"15,keyasint,omitempty"`
 }
 
 // Outcome is how a route step ended for one of its messages.
--- a/internal/capture/fast.go
+++ b/internal/capture/fast.go
@@ -101,6 +101,7 @@
 	f.int(3, int64(e.Kind))
 	f.int(4, int64(e.Destination))
 	f.uint(5, uint64(e.State))
+	f.float(6, e.Weight)
 	return f.b
 }
 
@@ -215,6 +216,7 @@
 	f.uint(12, uint64(a.Verdict))
 	f.int(13, int64(a.Status))
 	f.text(14, a.Why)
+	f.int(15, int64(a.Tenant))
 	return f.b
 }
 
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -131,6 +131,7 @@
 	Kind        string
 	Zone        string
 	Inboxes     []string // URLs
+	Tenant      int      // whose its messages are, by its place in the settings; -1: nobody's
 }
 
 // Client is an actor that may hand in activities.
@@ -309,7 +310,11 @@
 		seen := map[int]bool{}
 		p.each("activitypub.partners", func(at string) {
 			q := Partner{Name: p.must(at + ".name"), Destination: int(p.number(at+".dest", -1, 0, 65535)),
-				Kind: p.text(at+".kind", ""), Zone: p.text(at+".zone", "")}
+				Kind: p.text(at+".kind", ""), Zone: p.text(at+".zone", ""), Tenant: -1}
+			if name := p.text(at+".tenant", ""); name != "" {
+				q.Tenant = slices.Index(c.Settings.TenantNames, name)
+				p.need(at+".tenant", q.Tenant >= 0, "not a tenant of the settings")
+			}
 			p.each(at+".inboxes", func(in string) { q.Inboxes = append(q.Inboxes, p.url(in)) })
 			p.need(at+".inboxes", len(q.Inboxes) > 0, "no inbox")
 			if k := slices.Index(c.Settings.KindNames, q.Kind); k >= 0 && k < len(c.Settings.Kinds) {
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -20,6 +20,7 @@
 	Front       string // which front took it on
 	Destination int
 	Class       int
+	Tenant      int // below 0: nobody's
 	Deadline    time.Time
 	Again       bool
 	Body        []byte
@@ -142,6 +143,9 @@
 				e.Headers = append(e.Headers, r.text())
 			}
 		}
+		if e.Tenant = -1; len(r.b) > 0 { // nor this
+			e.Tenant = int(r.uint()) - 1
+		}
 		if !r.bad {
 			l.open[seq], l.last = e, max(l.last, seq)
 			l.live += e.cost()
@@ -211,13 +215,11 @@
 		b = text(text(text(b, e.ID), e.Key), e.Front)
 		b = binary.AppendUvarint(binary.AppendUvarint(b, uint64(e.Destination)), uint64(e.Class))
 		b = binary.AppendUvarint(stamp(b, e.Deadline), again)
-		if b = text(b, string(e.Body)); len(e.Headers) > 0 {
-			b = binary.AppendUvarint(b, uint64(len(e.Headers)))
-			for _, h := range e.Headers {
-				b = text(b, h)
-			}
+		b = binary.AppendUvarint(text(b, string(e.Body)), uint64(len(e.Headers)))
+		for _, h := range e.Headers {
+			b = text(b, h)
 		}
-		return b
+		return binary.AppendUvarint(b, uint64(max(e.Tenant, -1)+1))
 	})
 }
 
--- a/internal/journal/journal_test.go
+++ b/internal/journal/journal_test.go
@@ -1,6 +1,7 @@
 package journal
 
 import (
+	"encoding/binary"
 	"errors"
 	"os"
 	"path/filepath"
@@ -163,6 +164,32 @@
 	})
 }
 
+// TestTenant: whose a message is outlasts restarts and compaction. In a log of an older version nobody's is.
+func TestTenant(t *testing.T) {
+	dir := t.TempDir()
+	l := open(t, dir, 1<<20)
+	for _, tenant := range []int{-1, 0, 300} {
+		if err := l.Take(&Entry{ID: "m", Front: "platform", Tenant: tenant}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	old := binary.AppendUvarint(text(text(text(nil, "old"), ""), "platform"), 7) // as it was written before
+	old = binary.AppendUvarint(stamp(binary.AppendUvarint(old, 1), start), 0)
+	l.record(recTaken, 9, func(b []byte) []byte { return text(append(b, old...), "body") })
+	if err := l.Flush(); err != nil {
+		t.Fatal(err)
+	}
+	for range 2 { // the second time from a file that was compacted
+		var got []int
+		for _, e := range open(t, dir, 1<<20).Entries() {
+			got = append(got, e.Tenant)
+		}
+		if want := []int{-1, 0, 300, -1}; !slices.Equal(got, want) {
+			t.Fatalf("tenants %v, want %v", got, want)
+		}
+	}
+}
+
 // TestHeaders: headers that go out with a message outlast restarts and compaction, and count for the room it takes.
 func TestHeaders(t *testing.T) {
 	dir := t.TempDir()
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -120,6 +120,11 @@
 	case !f.plain(m.Key):
 		return m, 400, "Idempotency-Key can't be used"
 	}
+	if names := f.set.TenantNames; len(names) > 0 {
+		if m.Tenant = slices.Index(names, q.Header.Get("X-Tenant-Id")); m.Tenant < 0 {
+			return m, 400, "X-Tenant-Id names no tenant of the settings"
+		}
+	}
 	left, ok := ParseTimeout(q.Header.Get("X-Timeout"))
 	if !ok {
 		return m, 400, "X-Timeout can't be read"
@@ -349,7 +354,7 @@
 	p := relay.PoolConfig{Index: list.Get("index").Int(), Whole: list.Get("snapshot").Bool()}
 	list.Get("endpoints").ForEach(func(_, e gjson.Result) bool {
 		d := relay.Destination{Name: e.Get("name").String(), Address: e.Get("address").String(), Zone: e.Get("zone").String(),
-			Kind: e.Get("type").String(), Partner: int(e.Get("group").Int())}
+			Kind: e.Get("type").String(), Partner: int(e.Get("group").Int()), Weight: e.Get("weight").Float()}
 		switch e.Get("status").String() {
 		case "ready":
 		case "gone":
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -63,10 +63,14 @@
 		{"testdata/client-delivered.txt", "testdata/destination-delivered.txt", ""},
 		{"testdata/client-failed.txt", "testdata/destination-failed.txt", "testdata/discovery-failed.txt"},
 		{"testdata/client-refused.txt", "", ""},
+		{"testdata/client-tenant.txt", "testdata/destination-delivered.txt", ""},
 	} {
 		t.Run(c.client, func(t *testing.T) {
 			destination, discovery, clients := exchange.Listen(t), exchange.Listen(t), exchange.Listen(t)
 			cfg := configure(t, discovery.Addr().String(), destination.Addr().String())
+			if c.client == "testdata/client-tenant.txt" {
+				cfg.Settings.TenantNames, cfg.Settings.Tenants = []string{"north", "acme"}, make([]control.Tenant, 2)
+			}
 			cfg.Settings.Ask = true // and the module asks once: the watch below fails, and is let be
 			jour, err := journal.Open(cfg.State, cfg.Limits.Disk)
 			if err != nil {
--- a/internal/relay/core.go
+++ b/internal/relay/core.go
@@ -170,7 +170,7 @@
 
 func (c *Core) arrival(m *message) control.Event {
 	ev := control.Event{Kind: control.Arrived, ID: m.ref, Destination: m.front.no<<20 + m.e.Destination,
-		Class: m.e.Class, Deadline: c.clock(m.e.Deadline), Again: m.e.Again, Attempt: m.e.Attempts, Ran: m.e.Ran}
+		Class: m.e.Class, Tenant: m.e.Tenant, Deadline: c.clock(m.e.Deadline), Again: m.e.Again, Attempt: m.e.Attempts, Ran: m.e.Ran}
 	if ev.Ran {
 		ev.RanAt, ev.Endpoint = c.clock(m.e.RanAt), c.number(m.front, m.e.RanIn)
 	}
--- a/internal/relay/core_test.go
+++ b/internal/relay/core_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"math"
 	"slices"
 	"testing"
 	"time"
@@ -227,6 +228,34 @@
 	}
 }
 
+// TestTenantAndWeight: whose a message is and what the list says of a destination reach the module, the first also
+// after a restart.
+func TestTenantAndWeight(t *testing.T) {
+	r := newRig(t, t.TempDir(), time.Now())
+	r.c.set.Weights = true
+	a, _ := r.hand("m", 0, 7, time.Minute)
+	a.msg.Tenant = 2
+	a.apply(r.c, r.now)
+	poolChanged{r.c.order[0], PoolConfig{Index: 9, Destinations: []Destination{{Name: "s-1", Partner: 7, Weight: 4.5},
+		{Name: "s-2", Partner: 8, Weight: math.NaN()}}}}.apply(r.c, r.now)
+	if ev := r.c.in[0]; ev.Tenant != 2 {
+		t.Errorf("the module hears of tenant %d", ev.Tenant)
+	}
+	if eps := r.c.in[1].Endpoints; eps[0].Weight != 4.5 || eps[1].Weight != 0 {
+		t.Errorf("weights %v and %v", eps[0].Weight, eps[1].Weight)
+	}
+	r.after(time.Millisecond)
+	r = newRig(t, r.dir, r.now)
+	for _, m := range r.c.msgs {
+		if ev := r.c.arrival(m); ev.Tenant != 2 {
+			t.Errorf("after a restart the module hears of tenant %d", ev.Tenant)
+		}
+	}
+	if len(r.c.msgs) != 1 {
+		t.Errorf("%d messages after a restart", len(r.c.msgs))
+	}
+}
+
 // TestBulk: sends of one turn to one destination share a call, as in the simulator, and each item fares as
 // its own answer says.
 func TestBulk(t *testing.T) {
--- a/internal/relay/events.go
+++ b/internal/relay/events.go
@@ -41,7 +41,7 @@
 		return
 	}
 	msg := c.add(f, &journal.Entry{ID: m.ID, Key: m.Key, Front: a.front, Destination: m.Partner, Class: m.Class,
-		Deadline: m.Deadline, Again: m.Again, Body: bytes.Clone(m.Body), Headers: m.Out, Ran: !m.RanAt.IsZero(), RanAt: m.RanAt})
+		Tenant: m.Tenant, Deadline: m.Deadline, Again: m.Again, Body: bytes.Clone(m.Body), Headers: m.Out, Ran: !m.RanAt.IsZero(), RanAt: m.RanAt})
 	msg.reply, msg.hand = a.reply, c.handed
 	c.arrived = append(c.arrived, msg)
 	c.in = append(c.in, c.arrival(msg))
@@ -163,7 +163,7 @@
 
 func (c *Core) listed(n uint32, d *Destination) control.Endpoint {
 	return control.Endpoint{ID: n, Zone: slices.Index(c.set.Zones, d.Zone), Kind: slices.Index(c.set.KindNames, d.Kind),
-		Destination: d.front.no<<20 + d.Partner, State: d.State}
+		Destination: d.front.no<<20 + d.Partner, State: d.State, Weight: c.set.Weight(d.Weight)}
 }
 
 type watchEnded struct {
--- a/internal/relay/record.go
+++ b/internal/relay/record.go
@@ -20,7 +20,7 @@
 	b.Core = &capture.CoreSettings{Kinds: c.set.KindNames, Zones: c.set.Zones, WindowMargin: l.WindowMargin, BusyRetry: l.BusyRetry,
 		AnswerWithin: l.AnswerWithin, BodySize: l.BodySize, DrainSends: l.DrainSends, DrainExit: l.DrainExit,
 		NoticesPerCall: l.NoticesPerCall, NoticeTimeout: l.NoticeTimeout, NoticeRetry: l.NoticeRetry,
-		NoticeRetryMost: l.NoticeRetryMost, WatchRetry: l.WatchRetry}
+		NoticeRetryMost: l.NoticeRetryMost, WatchRetry: l.WatchRetry, Weights: c.set.Weights}
 	return b
 }
 
@@ -136,7 +136,7 @@
 	case arrival:
 		m := &v.msg
 		c.handeds = append(c.handeds, capture.Arrival{ID: m.ID, KeySize: len(m.Key), Partner: m.Partner,
-			Class: m.Class, Deadline: m.Deadline.Sub(c.base) + clockStart, Again: m.Again, Size: len(m.Body), Headers: hash(m.Out),
+			Class: m.Class, Tenant: m.Tenant, Deadline: m.Deadline.Sub(c.base) + clockStart, Again: m.Again, Size: len(m.Body), Headers: hash(m.Out),
 			Late: now.Sub(v.at), Verdict: uint8(v.ruling.Verdict), Status: v.ruling.Status, Why: v.ruling.Why})
 		e = capture.CoreEvent{Kind: capture.Handed, Front: -1, Arrival: &c.handeds[len(c.handeds)-1]}
 		if f := c.fronts[v.front]; f != nil {
@@ -159,7 +159,8 @@
 	case poolChanged:
 		p := &capture.Pool{Index: v.Index, Whole: v.Whole}
 		for _, d := range v.Destinations {
-			p.Dests = append(p.Dests, capture.DestState{Name: d.Name, Zone: d.Zone, Kind: d.Kind, Partner: d.Partner, State: d.State})
+			p.Dests = append(p.Dests, capture.DestState{Name: d.Name, Zone: d.Zone, Kind: d.Kind, Partner: d.Partner, State: d.State,
+				Weight: d.Weight})
 		}
 		e = capture.CoreEvent{Kind: capture.PoolTold, Front: v.front.no, Pool: p}
 	case watchEnded:
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -17,6 +17,7 @@
 	ID, Key  string
 	Class    int
 	Partner  int // number of the partner system that it is for
+	Tenant   int // whose it is, by its place in the settings; below 0: nobody's
 	Deadline time.Time
 	Again    bool // handed in before
 	Body     []byte
@@ -31,6 +32,7 @@
 	Zone, Kind    string
 	Partner       int
 	State         control.State
+	Weight        float64 // as the list tells it; the settings say what it means
 
 	front  *frontState
 	no     uint32    // the module's id of it
--- a/internal/relay/rerun.go
+++ b/internal/relay/rerun.go
@@ -120,7 +120,7 @@
 	if s == nil || r.snap == nil {
 		return errors.New("capture: the core's state stands there without its settings, or without the module's")
 	}
-	cfg := &config.Config{Seed: r.begin.Seed, Settings: wire.Settings{Settings: r.begin.Settings, Zones: s.Zones, KindNames: s.Kinds}}
+	cfg := &config.Config{Seed: r.begin.Seed, Settings: wire.Settings{Settings: r.begin.Settings, Zones: s.Zones, KindNames: s.Kinds, Weights: s.Weights}}
 	cfg.Limits = config.Limits{Queue: 1, WindowMargin: s.WindowMargin, BusyRetry: s.BusyRetry, AnswerWithin: s.AnswerWithin,
 		BodySize: s.BodySize, DrainSends: s.DrainSends, DrainExit: s.DrainExit, NoticesPerCall: s.NoticesPerCall,
 		NoticeTimeout: s.NoticeTimeout, NoticeRetry: s.NoticeRetry, NoticeRetryMost: s.NoticeRetryMost, WatchRetry: s.WatchRetry}
@@ -229,7 +229,7 @@
 		if a == nil {
 			return nil, errors.New("a message handed in is missing")
 		}
-		m := Message{ID: a.ID, Key: blank(a.KeySize), Class: a.Class, Partner: a.Partner, Deadline: c.base.Add(a.Deadline - clockStart),
+		m := Message{ID: a.ID, Key: blank(a.KeySize), Class: a.Class, Partner: a.Partner, Tenant: a.Tenant, Deadline: c.base.Add(a.Deadline - clockStart),
 			Again: a.Again, Body: []byte(blank(a.Size)), Out: unhash(a.Headers)}
 		if a.Ran {
 			m.RanAt = c.base.Add(a.RanAt - clockStart)
@@ -260,7 +260,8 @@
 		if e.Pool != nil {
 			p.Index, p.Whole = e.Pool.Index, e.Pool.Whole
 			for _, d := range e.Pool.Dests {
-				p.Destinations = append(p.Destinations, Destination{Name: d.Name, Zone: d.Zone, Kind: d.Kind, Partner: d.Partner, State: d.State})
+				p.Destinations = append(p.Destinations, Destination{Name: d.Name, Zone: d.Zone, Kind: d.Kind, Partner: d.Partner, State: d.State,
+					Weight: d.Weight})
 			}
 		}
 		return p, nil
--- a/internal/relay/state.go
+++ b/internal/relay/state.go
@@ -24,7 +24,7 @@
 	for _, n := range slices.Sorted(maps.Keys(c.dests)) {
 		d := c.dests[n]
 		x.Dests = append(x.Dests, capture.DestState{No: n, Front: d.front.no, Name: d.Name, Zone: d.Zone, Kind: d.Kind, Partner: d.Partner,
-			State: d.State, GoneAt: c.stamp(d.goneAt)})
+			State: d.State, Weight: d.Weight, GoneAt: c.stamp(d.goneAt)})
 	}
 	for _, f := range c.order {
 		for key, n := range c.names {
@@ -37,7 +37,7 @@
 	for _, ref := range slices.Sorted(maps.Keys(c.msgs)) {
 		m := c.msgs[ref]
 		e := m.e
-		h := capture.HeldState{Ref: ref, Front: m.front.no, ID: e.ID, KeySize: len(e.Key), Partner: e.Destination, Class: e.Class,
+		h := capture.HeldState{Ref: ref, Front: m.front.no, ID: e.ID, KeySize: len(e.Key), Partner: e.Destination, Class: e.Class, Tenant: e.Tenant,
 			Deadline: e.Deadline.Sub(c.base) + clockStart, Again: e.Again, Size: len(e.Body), Headers: hash(e.Headers), Attempts: e.Attempts,
 			Out: e.Out, Ran: e.Ran, RanAt: c.stamp(e.RanAt), RanIn: e.RanIn, LastAt: c.stamp(e.LastAt), LastIn: e.LastIn,
 			Owed: e.Owed, Delivered: e.Notice.Delivered, HandedBack: e.Notice.HandedBack, Retry: e.Notice.Retry}
@@ -96,7 +96,7 @@
 		c.names[n.Front+" "+n.Name] = n.Number
 	}
 	for _, s := range x.Dests {
-		c.dests[s.No] = &Destination{Name: s.Name, Zone: s.Zone, Kind: s.Kind, Partner: s.Partner, State: s.State,
+		c.dests[s.No] = &Destination{Name: s.Name, Zone: s.Zone, Kind: s.Kind, Partner: s.Partner, State: s.State, Weight: s.Weight,
 			front: c.order[s.Front], no: s.No, goneAt: c.at(s.GoneAt)}
 	}
 	for i, s := range x.Fronts {
@@ -117,7 +117,7 @@
 		c.out[s.No] = step
 	}
 	for _, h := range x.Messages {
-		e := &journal.Entry{ID: h.ID, Key: blank(h.KeySize), Front: c.order[h.Front].name, Destination: h.Partner, Class: h.Class,
+		e := &journal.Entry{ID: h.ID, Key: blank(h.KeySize), Front: c.order[h.Front].name, Destination: h.Partner, Class: h.Class, Tenant: h.Tenant,
 			Deadline: c.at(h.Deadline), Again: h.Again, Body: []byte(blank(h.Size)), Headers: unhash(h.Headers), Attempts: h.Attempts, Out: h.Out,
 			Ran: h.Ran, RanAt: c.at(h.RanAt), RanIn: h.RanIn, LastAt: c.at(h.LastAt), LastIn: h.LastIn,
 			Owed: h.Owed, Notice: journal.Notice{Delivered: h.Delivered, HandedBack: h.HandedBack, Retry: h.Retry}}
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -28,8 +28,10 @@
 	} `json:"lanes"`
 	MachineTypes []string `json:"machine_types"`
 	Orgs         []struct {
+		Name  string  `json:"name"`
 		Quota float64 `json:"quota_per_s"`
 	} `json:"orgs"`
+	WeightSource   string  `json:"weight_source"`
 	OverShareWorth float64 `json:"over_share_worth"`
 	Allowed        struct {
 		Cancel        bool    `json:"cancel"`
@@ -83,6 +85,16 @@
 	ConnectTimeout time.Duration
 	Zones          []string // names, by number
 	KindNames      []string
+	TenantNames    []string
+	Weights        bool // the list's weights are rates that destinations take from all relays together
+}
+
+// Weight is what a weight in the list tells: calls a second, 0 where it tells nothing or is no figure that can be.
+func (s *Settings) Weight(w float64) float64 {
+	if !s.Weights || !(w > 0 && w <= 1e6) {
+		return 0
+	}
+	return w
 }
 
 // ParseSettings reads the JSON text of the settings.
@@ -142,11 +154,13 @@
 		}
 		s.Kinds = append(s.Kinds, k)
 	}
+	var tenants []string
 	for _, o := range in.Orgs {
-		s.Tenants = append(s.Tenants, control.Tenant{Quota: o.Quota})
+		s.Tenants, tenants = append(s.Tenants, control.Tenant{Quota: o.Quota}), append(tenants, o.Name)
 	}
 	return Settings{Settings: s, Round: us(in.Round), ConnectTimeout: us(in.Allowed.ConnTimeout),
-		Zones: in.Localities, KindNames: in.MachineTypes,
+		Zones: in.Localities, KindNames: in.MachineTypes, TenantNames: tenants,
+		Weights: in.WeightSource == "nominal" || in.WeightSource == "rough",
 		Reports: Reports{Share: slices.Index(in.Report.Fields, "x0"), Limit: slices.Index(in.Report.Fields, "x1")},
 	}, nil
 }
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -3,7 +3,10 @@
 import (
 	"bytes"
 	"encoding/hex"
+	"fmt"
 	"io"
+	"math"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -176,6 +179,15 @@
 		set.MaxHoldOff != 2*time.Second || !set.Kinds[0].Apart || set.Kinds[0].PerCall != 5 {
 		t.Errorf("settings: %+v", set)
 	}
+	for source, want := range map[string]float64{"nominal": 4, "rough": 4, "off": 0, "live": 0} {
+		w, err := ParseSettings(fmt.Appendf(nil, `{"weight_source": %q, "orgs": [{"name": "north", "quota_per_s": 3}]}`, source))
+		if err != nil || w.Weight(4) != want || w.Weight(-1)+w.Weight(0)+w.Weight(math.NaN())+w.Weight(1e9) != 0 {
+			t.Errorf("weights that are %s: %v, %v", source, w.Weight(4), err)
+		}
+		if !slices.Equal(w.TenantNames, []string{"north"}) || w.Tenants[0].Quota != 3 {
+			t.Errorf("tenants %v %v", w.TenantNames, w.Tenants)
+		}
+	}
 	rep := set.Reports
 	if rep != (Reports{Share: 1, Limit: 0}) {
 		t.Errorf("reports: %+v", rep)
