--- a/control/control.go
+++ b/control/control.go
@@ -711,8 +711,9 @@
 func (d *destination) report(now time.Duration, share, limit, fair float64) {
 	d.total, d.share, d.limit = limit, share, min(limit, cmp.Or(d.limit, fair))
 	switch dt := min(1, (now - d.toldAt).Seconds()); {
-	case share > 0.5:
-		d.limit = min(limit, max(fair, d.limit*(1+min(fairMore, 0.5*dt))))
+	case share > 0.5: // traffic is uneven: those with more to send than an equal part need more
+		more := min(fairMore, 0.5*dt) + 2*fairMore*dt*float64(min(1, len(d.node.held)))
+		d.limit = min(limit, max(fair, d.limit*(1+more)))
 	case share < 0.2:
 		d.limit *= 1 - 0.2*dt
 	}
--- a/control/fleet_test.go
+++ b/control/fleet_test.go
@@ -16,6 +16,7 @@
 	told    time.Duration // the wait told with half of the refusals
 	room    float64       // calls that it would take now
 	late    []due         // answers on their way
+	hot     float64       // share of the messages that one sender gets beside its part of the rest
 	nextID  uint64
 	ok      int
 	full    int
@@ -54,6 +55,9 @@
 		for c.rng.Float64() < rate/(rate+100) { // as many a turn in the mean as come in 10 ms
 			c.nextID++
 			i := c.rng.IntN(len(c.senders))
+			if c.hot > 0 && c.rng.Float64() < c.hot {
+				i = 0
+			}
 			evs[i] = append(evs[i], Event{Kind: Arrived, ID: c.nextID, Deadline: c.now + 12*time.Second})
 		}
 		rest := c.late[:0]
@@ -104,6 +108,25 @@
 	}
 }
 
+// Traffic is uneven: a sender that gets ten times an equal part of a limit of which a third is asked must not go on
+// at that part while the others leave theirs. Nor may it take theirs: few calls are refused.
+func TestUnevenTrafficFindsRoom(t *testing.T) {
+	for seed := range uint64(3) {
+		c := newCrowd(t, 80, 60, seed+60)
+		c.hot = 0.4
+		ok, full := 0, 0
+		for i := range 20 {
+			o, f := c.second(20)
+			if i >= 14 {
+				ok, full = ok+o, full+f
+			}
+		}
+		if held := c.senders[0].open; held > 25 || full > ok/20 {
+			t.Errorf("seed %d: after 20 s the busy sender still holds %d messages; %d delivered in the last 6 s, %d refused", seed, held, ok, full)
+		}
+	}
+}
+
 // A limit that is used up refuses calls in a row, which is no outage: an outage would be followed by a slow start.
 func TestUsedUpLimitIsNoOutage(t *testing.T) {
 	for share, want := range map[float64]health{0: steady, 1: stopped} {
