--- a/cmd/mastusher/fleet_test.go
+++ b/cmd/mastusher/fleet_test.go
@@ -47,7 +47,7 @@
 		t.Fatal(err)
 	}
 	stop, ended := make(chan os.Signal, 1), make(chan error)
-	go func() { ended <- serve(cfg, slog.New(slog.NewTextHandler(io.Discard, nil)), stop, nil) }()
+	go func() { ended <- serve(cfg, slog.New(slog.NewTextHandler(io.Discard, nil)), signals{end: stop}, nil) }()
 	say := func(args ...string) (int, string) {
 		var out bytes.Buffer
 		code := run(append([]string{"--config", conf}, args...), &out, &out)
@@ -88,7 +88,7 @@
 		t.Fatal(err)
 	}
 	stop = make(chan os.Signal, 1)
-	go func() { ended <- serve(cfg, slog.New(slog.NewTextHandler(io.Discard, nil)), stop, nil) }()
+	go func() { ended <- serve(cfg, slog.New(slog.NewTextHandler(io.Discard, nil)), signals{end: stop}, nil) }()
 	for end := time.Now().Add(20 * time.Second); ; time.Sleep(20 * time.Millisecond) {
 		if code, out := say("fleet", "status"); code == 0 && strings.Contains(out, "yes") && strings.Contains(out, "policy in force  2") {
 			break
--- a/cmd/mastusher/main.go
+++ b/cmd/mastusher/main.go
@@ -8,11 +8,9 @@
 	"io"
 	"log/slog"
 	"os"
-	"os/signal"
 	"runtime"
 	"runtime/debug"
 	"strings"
-	"syscall"
 
 	"github.com/spf13/cobra"
 
@@ -78,6 +76,7 @@
 func commands() *cobra.Command {
 	o := &options{}
 	serving := func(cmd *cobra.Command, _ []string) error {
+		told := catch()
 		log, err := o.logger(cmd.ErrOrStderr())
 		if err != nil {
 			return err
@@ -86,10 +85,8 @@
 		if err != nil {
 			return errWork{err}
 		}
-		signals := make(chan os.Signal, 4)
-		signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP, syscall.SIGUSR1, syscall.SIGUSR2)
 		again := func() (*config.Config, error) { return config.Load(o.file, os.Getenv) }
-		if err := serve(cfg, log, signals, again); err != nil {
+		if err := serve(cfg, log, told, again); err != nil {
 			log.Error("the relay stops", "error", err)
 			return errWork{err}
 		}
--- a/cmd/mastusher/main_test.go
+++ b/cmd/mastusher/main_test.go
@@ -67,7 +67,7 @@
 	}
 	stop, ended, ready := make(chan os.Signal, 1), make(chan error), make(told, 9)
 	log := slog.New(slog.NewTextHandler(ready, nil))
-	go func() { ended <- serve(cfg, log, stop, nil) }()
+	go func() { ended <- serve(cfg, log, signals{end: stop}, nil) }()
 	<-ready // "the relay serves"
 	kept := exchange.Dial(t, address)
 	exchange.Play(t, kept, "testdata/up.txt")
@@ -107,19 +107,19 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	signals, ended, lines := make(chan os.Signal, 1), make(chan error), make(told, 9)
-	go func() { ended <- serve(cfg, slog.New(slog.NewTextHandler(lines, nil)), signals, again) }()
+	hup, end, ended, lines := make(chan os.Signal, 1), make(chan os.Signal, 1), make(chan error), make(told, 9)
+	go func() { ended <- serve(cfg, slog.New(slog.NewTextHandler(lines, nil)), signals{end, hup}, again) }()
 	<-lines // "the relay serves"
 	watched(before)
 	write(`7`)
-	signals <- syscall.SIGHUP
+	hup <- syscall.SIGHUP
 	if line := <-lines; !strings.Contains(line, "key discovery") {
 		t.Errorf("the log says %q and names no key", line)
 	}
 	write(`"` + after.Addr().String() + `"`)
-	signals <- syscall.SIGHUP
+	hup <- syscall.SIGHUP
 	watched(after)
-	signals <- syscall.SIGTERM
+	end <- syscall.SIGTERM
 	if err := <-ended; err != nil {
 		t.Error(err)
 	}
--- a/cmd/mastusher/serve.go
+++ b/cmd/mastusher/serve.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"net"
 	"os"
+	"os/signal"
 	"runtime"
 	"runtime/debug"
 	"syscall"
@@ -22,9 +23,22 @@
 	"mastusher/internal/vrrp"
 )
 
+// signals are those that the process has got. What ends it has a channel of its own, in which no other can take its place.
+type signals struct{ end, other <-chan os.Signal }
+
+// catch has signals kept from now on. It comes before all else: one that arrives while the relay starts waits for it to serve, and
+// SIGHUP, which ends a process that does not ask for it, is read as what it means.
+func catch() signals {
+	end, other := make(chan os.Signal, 1), make(chan os.Signal, 16)
+	signal.Notify(end, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(other, syscall.SIGHUP, syscall.SIGUSR1, syscall.SIGUSR2)
+	return signals{end, other}
+}
+
 // serve runs the relay until a signal says to end it and what it holds is finished or safe in the journal.
-// Upon SIGHUP it reads its configuration again and moves to the discovery that is named there.
-func serve(cfg *config.Config, log *slog.Logger, signals <-chan os.Signal, again func() (*config.Config, error)) error {
+// Upon SIGHUP it reads its configuration again and moves to the discovery that is named there, also while it drains. A second
+// signal to end it changes nothing.
+func serve(cfg *config.Config, log *slog.Logger, told signals, again func() (*config.Config, error)) error {
 	runtime.GOMAXPROCS(cfg.Limits.Cores)
 	debug.SetMemoryLimit(cfg.Limits.Memory * 3 / 4)
 	if os.Getenv("GOGC") == "" {
@@ -112,44 +126,46 @@
 		}
 	}()
 	go func() {
-		draining := false
-		for s := range signals {
-			switch {
-			case s == syscall.SIGHUP: // not here: to compile plug-ins takes time, and SIGTERM must not wait
+		for s := range told.other {
+			switch s {
+			case syscall.SIGHUP: // not here: to compile plug-ins takes time, and others must not wait
 				select {
 				case reloads <- struct{}{}:
 				default:
 				}
-			case s == syscall.SIGUSR1:
+			case syscall.SIGUSR1:
 				rec.start()
-			case s == syscall.SIGUSR2:
+			case syscall.SIGUSR2:
 				rec.stop()
-			case !draining:
-				draining = true
-				log.Info("the relay drains", "signal", s.String())
-				if router != nil {
-					router.Shutdown() // the others need not wait for this process to end
-				}
-				for _, s := range servers {
-					s.Retire()
-				}
-				core.Drain()
 			}
 		}
 	}()
+	go func() {
+		s := <-told.end
+		log.Info("the relay drains", "signal", s.String())
+		if router != nil {
+			router.Shutdown() // the others need not wait for this process to end
+		}
+		for _, s := range servers {
+			s.Retire()
+		}
+		linger := time.After(cfg.Limits.DrainLinger)
+		core.Drain()
+		// Clients still come for a moment after the signal: they are refused, not cut off. The core answers until the last of them
+		// is gone; then its last turn writes down what calls have come to meanwhile.
+		<-core.Drained()
+		<-linger
+		for _, l := range listeners {
+			_ = l.Close()
+		}
+		for _, s := range servers {
+			s.Close(cfg.Limits.DrainClose)
+		}
+		core.Stop()
+	}()
 	log.Info("the relay serves", "name", cfg.Name, "listen", cfg.Listen)
 	core.Run()
-	// Clients still come for a moment after the signal: they are refused, not cut off.
-	if rest := cfg.Limits.DrainLinger - core.Draining(time.Now()); rest > 0 {
-		time.Sleep(rest)
-	}
-	for _, l := range listeners {
-		_ = l.Close()
-	}
-	for _, s := range servers {
-		s.Close()
-	}
-	return jour.Close()
+	return jour.Close() // nothing begins from here on
 }
 
 // loadPlugins starts the plug-ins, or returns nil where the configuration sets up no host for them: then nothing of
--- a/internal/activitypub/activitypub_test.go
+++ b/internal/activitypub/activitypub_test.go
@@ -65,7 +65,7 @@
 	lim := &config.Limits{HeadSize: 16 << 10, BodySize: 64 << 10, FrontSockets: 400, FrontIdle: time.Minute, FrontRead: time.Minute, FrontWrite: time.Minute}
 	s := httpwire.NewServer(lim, handle)
 	go func() { _ = s.Serve(l) }()
-	t.Cleanup(func() { _ = l.Close(); s.Close() })
+	t.Cleanup(func() { _ = l.Close(); s.Close(time.Minute) })
 }
 
 // start runs a relay with this front, a partner 'herald' and a client; it returns the front and its address.
@@ -113,7 +113,7 @@
 	go func() { core.Run(); ended <- true }()
 	l := exchange.Listen(t)
 	serve(t, l, f.Handle)
-	t.Cleanup(func() { core.Drain(); <-ended })
+	t.Cleanup(func() { core.Drain(); <-core.Drained(); core.Stop(); <-ended })
 	return f, l.Addr().String()
 }
 
--- a/internal/capture/core.go
+++ b/internal/capture/core.go
@@ -29,6 +29,9 @@
 	NoticeRetryMost time.Duration `cbor:"12,keyasint,omitempty"`
 	WatchRetry      time.Duration `cbor:"13,keyasint,omitempty"`
 	Weights         bool          `cbor:"14,keyasint,omitempty"` // the list's weights are rates
+	WatchSpread     time.Duration `cbor:"15,keyasint,omitempty"`
+	EndedKept       time.Duration `cbor:"16,keyasint,omitempty"`
+	EndedMost       int           `cbor:"17,keyasint,omitempty"`
 }
 
 // Core is the core's whole state between two turns, beside the module's. Lists are sorted by their numbers.
@@ -48,6 +51,14 @@
 	DrainAt  time.Duration   `cbor:"13,keyasint,omitempty"`
 	HouseAt  time.Duration   `cbor:"14,keyasint,omitempty"`
 	Stand    *Stand          `cbor:"15,keyasint,omitempty"` // nil: the relay belongs to no fleet
+	Ended    []EndState      `cbor:"16,keyasint,omitempty"` // the oldest first
+}
+
+// EndState is a message that has ended a moment ago.
+type EndState struct {
+	Key     string        `cbor:"1,keyasint"` // its front and id
+	At      time.Duration `cbor:"2,keyasint"`
+	Verdict uint8         `cbor:"3,keyasint,omitempty"` // the answer if it comes again
 }
 
 // FrontState is what the core keeps for a front.
@@ -64,6 +75,7 @@
 	Away     bool          `cbor:"10,keyasint,omitempty"` // the front has moved while that call was out
 	RetryAt  time.Duration `cbor:"11,keyasint,omitempty"`
 	Gap      time.Duration `cbor:"12,keyasint,omitempty"`
+	ToldBy   int           `cbor:"13,keyasint,omitempty"` // number of the watch that told the newest list
 }
 
 // DestState is a destination as listed.
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -48,7 +48,10 @@
 	FrontRest       time.Duration // what follows a request that was turned away is not read before
 	FrontLinger     time.Duration // how long what follows a faulty request is still read
 	WatchSilence    time.Duration // a watch that says nothing for so long is dead
-	WatchRetry      time.Duration
+	WatchRetry      time.Duration // before a watch that did not come up is tried again
+	WatchSpread     time.Duration // over which all relays open theirs anew that fell silent together
+	EndedKept       time.Duration // how long the id of a message that is over is known
+	EndedMost       int           // and of how many
 	NoticeTimeout   time.Duration
 	NoticeRetry     time.Duration // doubles with each try in a row that fails
 	NoticeRetryMost time.Duration
@@ -59,6 +62,7 @@
 	DrainSends      time.Duration // after SIGTERM, route steps are still begun for so long
 	DrainExit       time.Duration // and the core ends within this
 	DrainLinger     time.Duration // clients are still answered for so long
+	DrainClose      time.Duration // then their connections end within this
 
 	CaptureQueue  int           // batches on their way to a capture's writer
 	CaptureChunk  int           // bytes of records, about, that make a chunk
@@ -269,11 +273,13 @@
 		FrontIdle: 2 * time.Second, FrontRead: 2500 * time.Millisecond, FrontWrite: 2 * time.Second,
 		TrustLeast: 100 * time.Millisecond, TrustDoubles: 10 * time.Second,
 		AnswerRead: 500 * time.Millisecond, Provisional: 64, FrontRest: 50 * time.Millisecond, FrontLinger: 400 * time.Millisecond,
-		WatchSilence: 5 * time.Second, WatchRetry: 250 * time.Millisecond,
+		// A watch says something every 2 s: two of those are missing. What it misses counts as told 6 s after it fell silent.
+		WatchSilence: 4400 * time.Millisecond, WatchSpread: 800 * time.Millisecond, WatchRetry: 250 * time.Millisecond,
+		EndedKept: 5 * time.Second, EndedMost: 4096,
 		NoticeTimeout: time.Second, NoticeRetry: 100 * time.Millisecond, NoticesPerCall: 200,
 		NoticeRetryMost: time.Second, NoticesAtOnce: 16, Remembered: 20000,
 		DrainSends: 2500 * time.Millisecond, DrainExit: 3200 * time.Millisecond,
-		DrainLinger: time.Second, WindowMargin: 250 * time.Millisecond,
+		DrainLinger: time.Second, DrainClose: 250 * time.Millisecond, WindowMargin: 250 * time.Millisecond,
 		CaptureQueue: 8, CaptureChunk: 16 << 10, CaptureWithin: 2 * time.Second,
 		PluginStart: time.Second, PluginBudget: 60 * time.Millisecond, PluginGrace: 5 * time.Millisecond,
 		PluginStack: 128 << 10, PluginCopied: 256 << 10, PluginThreads: 16, PluginYields: true, PluginBurst: 50 * time.Millisecond, PluginStrikes: 3,
@@ -294,10 +300,15 @@
 	if l.ConnectTimeout <= 0 {
 		l.ConnectTimeout = 1500 * time.Millisecond
 	}
-	// A tenth before the other side would close it, so that no request crosses the close.
-	if l.IdleSocket = set.ConnIdle - max(set.ConnIdle/10, time.Second); set.ConnIdle == 0 {
+	// A tenth before the other side would close it, so that no request crosses the close; a second where there is as much.
+	if l.IdleSocket = set.ConnIdle - max(set.ConnIdle/10, min(time.Second, set.ConnIdle/3)); set.ConnIdle == 0 {
 		l.IdleSocket = 10 * time.Second
 	}
+	// Where the list is pushed, what discovery has to tell at its return counts as told at once: the watch is to be back well
+	// within the grace for drains.
+	if !set.Ask && set.DrainGrace > 0 {
+		l.WatchRetry = min(l.WatchRetry, set.DrainGrace/4)
+	}
 	return l
 }
 
--- a/internal/httpwire/client.go
+++ b/internal/httpwire/client.go
@@ -219,7 +219,7 @@
 	}
 }
 
-// quiet tells whether an idle connection is still open and has nothing to read.
+// quiet tells whether an idle connection is still open and has nothing to read. It does not wait for a goroutine that reads it.
 func quiet(c net.Conn) bool {
 	sc, ok := c.(syscall.Conn)
 	if !ok {
@@ -230,11 +230,10 @@
 		return false
 	}
 	ok = false
-	err = raw.Read(func(fd uintptr) bool {
+	err = raw.Control(func(fd uintptr) {
 		var b [1]byte
 		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		ok = n < 0 && (err == syscall.EAGAIN || err == syscall.EWOULDBLOCK)
-		return true
 	})
 	return ok && err == nil
 }
@@ -243,7 +242,6 @@
 type Stream struct {
 	conn  net.Conn
 	lines *bufio.Scanner
-	quiet time.Duration
 }
 
 // OpenStream makes a call on a connection of its own. It fails unless the answer is 200.
@@ -271,14 +269,14 @@
 	if p.Header.Get("Transfer-Encoding") != "" {
 		from = httputil.NewChunkedReader(r.br)
 	}
-	s := &Stream{conn: conn, lines: bufio.NewScanner(from), quiet: lim.WatchSilence}
+	s := &Stream{conn: conn, lines: bufio.NewScanner(from)}
 	s.lines.Buffer(nil, 16*lim.BodySize)
 	return s, nil
 }
 
-// Next returns the next line, which holds until the next call. A stream that says nothing for too long ends.
-func (s *Stream) Next() ([]byte, error) {
-	_ = s.conn.SetReadDeadline(time.Now().Add(s.quiet))
+// Next returns the next line, which holds until the next call; by then it must have come whole.
+func (s *Stream) Next(by time.Time) ([]byte, error) {
+	_ = s.conn.SetReadDeadline(by)
 	if s.lines.Scan() {
 		return s.lines.Bytes(), nil
 	}
--- /dev/null
+++ b/internal/httpwire/ends_test.go
@@ -0,0 +1,135 @@
+package httpwire
+
+import (
+	"io"
+	"net"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"mastusher/internal/exchange"
+)
+
+// unread waits until bytes have come to a server's only connection that nobody has read.
+func unread(t *testing.T, s *Server) {
+	t.Helper()
+	for range 2000 {
+		come := false
+		s.each(func(f *serverConn) { come = !quiet(f.Conn) })
+		if come {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+	t.Fatal("nothing has come")
+}
+
+// TestEndOverUnread: a client's bytes come between the last byte of a request that is read and the close, every time: the handler has
+// them sent. The answer arrives whole, and after it the end, not a reset, which may take the answer along.
+func TestEndOverUnread(t *testing.T) {
+	for name, c := range map[string]struct {
+		request string
+		before  func(*Server)
+		status  string
+	}{
+		"the client asks for the end":    {"GET / HTTP/1.1\r\nConnection: close\r\n\r\n", func(*Server) {}, "200 OK"},
+		"the relay has been told to end": {"GET / HTTP/1.1\r\n\r\n", (*Server).Retire, "200 OK"},
+		"there is little room left":      {"GET / HTTP/1.1\r\n\r\n", func(s *Server) { s.lim.FrontSockets = 1 }, "200 OK"},
+		"a faulty request":               {"GET / HTTP/9\r\n\r\n" + strings.Repeat("x", 9000), func(*Server) {}, "400 Bad Request"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := exchange.Listen(t)
+			conn := exchange.Dial(t, l.Addr().String())
+			var s *Server
+			s = NewServer(limits(), func(q *Request) Answer {
+				_, _ = conn.Write([]byte("GET /next HTTP/1.1\r\n\r\n"))
+				unread(t, s)
+				return echo(q)
+			})
+			s.lim.FrontLinger = time.Minute
+			c.before(s)
+			go func() { _ = s.Serve(l) }()
+			_, _ = conn.Write([]byte(c.request))
+			got, err := io.ReadAll(conn)
+			if err != nil || !strings.HasPrefix(string(got), "HTTP/1.1 "+c.status) || strings.Count(string(got), "HTTP/1.1") != 1 {
+				t.Errorf("the client reads %q, %v", got, err)
+			}
+			_ = conn.Close()
+			_ = l.Close()
+			s.Close(time.Minute)
+		})
+	}
+}
+
+// late is a connection whose time runs out in the moment in which its first bytes come.
+type late struct {
+	*net.TCPConn
+	come func()
+}
+
+func (c *late) Read([]byte) (int, error) {
+	c.come()
+	return 0, os.ErrDeadlineExceeded
+}
+
+// TestEndOverRequest: a request comes in the very moment in which its connection, which rested, is given up. It is not handled any more,
+// and its client reads an end without an answer, not a reset: it can hand it in elsewhere.
+func TestEndOverRequest(t *testing.T) {
+	l := exchange.Listen(t)
+	conn := exchange.Dial(t, l.Addr().String())
+	raw, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := NewServer(limits(), func(*Request) Answer {
+		t.Error("a request is handled after the end was sent")
+		return Answer{Status: 200}
+	})
+	f := s.admit(&late{raw.(*net.TCPConn), func() {
+		_, _ = conn.Write([]byte("POST / HTTP/1.1\r\nContent-Length: 2\r\n\r\nhi"))
+		for range 2000 {
+			if !quiet(raw) {
+				return
+			}
+			time.Sleep(time.Millisecond)
+		}
+	}})
+	s.lim.FrontLinger = time.Minute
+	go f.serve()
+	got, err := io.ReadAll(conn)
+	if err != nil || len(got) > 0 {
+		t.Errorf("the client reads %q, %v; want an end without an answer", got, err)
+	}
+	_ = conn.Close()
+	s.Close(time.Minute)
+}
+
+// TestCrowdOfHalves: a crowd that begins its requests and never ends them has all the room there is. Whoever comes with a whole request is
+// served, and the relay ends in time all the same.
+func TestCrowdOfHalves(t *testing.T) {
+	lim := limits()
+	lim.AnswerWithin = 300 * time.Millisecond
+	l := exchange.Listen(t)
+	s := NewServer(lim, echo)
+	go func() { _ = s.Serve(l) }()
+	for range lim.FrontSockets {
+		conn := exchange.Dial(t, l.Addr().String())
+		_, _ = conn.Write([]byte("POST / HTTP/1.1\r\nX-Begun: "))
+	}
+	for begun := 0; begun < lim.FrontSockets; time.Sleep(time.Millisecond) {
+		begun = 0
+		s.each(func(f *serverConn) {
+			if f.phase == reading {
+				begun++
+				f.since = time.Now().Add(-time.Second) // they have been at it for longer than a client waits
+			}
+		})
+	}
+	exchange.Play(t, exchange.Dial(t, l.Addr().String()), "testdata/hurry/served.txt")
+	_ = l.Close()
+	s.Close(time.Millisecond) // those that have not ended by then are cut off
+	if len(s.conns) != 0 {
+		t.Errorf("%d connections are left", len(s.conns))
+	}
+}
--- a/internal/httpwire/httpwire_test.go
+++ b/internal/httpwire/httpwire_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"io"
 	"net"
 	"path/filepath"
 	"strings"
@@ -34,7 +35,7 @@
 			exchange.Play(t, conn, file)
 			_ = conn.Close()
 			_ = l.Close()
-			s.Close() // waits for every connection: none may be left behind
+			s.Close(time.Minute) // waits for every connection: none may be left behind
 		})
 	}
 }
@@ -168,7 +169,7 @@
 	defer s.Close()
 	var got []string
 	for {
-		line, err := s.Next()
+		line, err := s.Next(time.Now().Add(time.Minute))
 		if err != nil {
 			break
 		}
@@ -221,26 +222,46 @@
 	}
 }
 
-// TestRoom guards against a silent crowd that shuts out those who ask: with no room left the connection that
-// never asked goes first, then the one idle the longest, and never one whose request is being answered.
+// TestRoom guards against a crowd that shuts out those who ask: with no room left the connections go in the order of the list,
+// and never one whose request is being answered or has just begun to come.
 func TestRoom(t *testing.T) {
 	lim := limits()
-	lim.FrontSockets = 3
+	lim.AnswerWithin = 300 * time.Millisecond
 	s := NewServer(lim, echo)
-	conns := make([]net.Conn, 6)
-	socks := make([]*frontSocket, 6)
-	for i := range conns {
-		conns[i], _ = net.Pipe()
+	now := time.Now()
+	var want []*serverConn
+	add := func(p phase, served bool, ago time.Duration) {
+		conn, _ := net.Pipe()
+		f := s.admit(conn)
+		f.phase, f.served, f.since = p, served, now.Add(-ago)
+		want = append(want, f)
 	}
-	for i := range 3 {
-		socks[i] = s.admit(conns[i])
+	add(parting, true, time.Second)
+	add(parting, true, time.Millisecond)
+	add(resting, false, time.Millisecond) // has never asked for anything
+	add(resting, true, time.Hour)
+	add(resting, true, time.Minute)
+	add(reading, false, time.Second) // its client does not wait any longer
+	gone := len(want)
+	add(reading, true, 0)
+	add(answering, true, time.Hour)
+	if lim.FrontSockets != len(want) {
+		t.Fatalf("room for %d, want %d", lim.FrontSockets, len(want))
 	}
-	socks[0].mark(true) // asked, and is idle again, and longer than 2
-	socks[2].mark(true)
-	for i, want := range []int{1, 3, 4} { // those that came in their place have not asked either
-		if socks[3+i] = s.admit(conns[3+i]); s.conns[socks[want]] || socks[want].mark(false) {
-			t.Errorf("connection %d did not make room for %d", want, 3+i)
+	for i, out := range want[:gone] {
+		conn, _ := net.Pipe()
+		f := s.admit(conn)
+		if f == nil || s.conns[out] || out.enter(resting) {
+			t.Fatalf("connection %d did not make room", i)
 		}
+		f.phase = answering
+	}
+	conn, other := net.Pipe()
+	if s.admit(conn) != nil || len(s.conns) != len(want) {
+		t.Error("a connection is taken on for which there is no room")
+	}
+	if _, err := other.Read(make([]byte, 1)); err != io.EOF {
+		t.Errorf("it ends with %v", err)
 	}
 }
 
--- a/internal/httpwire/server.go
+++ b/internal/httpwire/server.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net"
+	"os"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -24,7 +25,7 @@
 // Handler answers one request, whose bytes it may use until it returns.
 type Handler func(*Request) Answer
 
-// Server serves front sockets, the clients' side.
+// Server serves clients' connections.
 type Server struct {
 	lim     *config.Limits
 	handle  Handler
@@ -32,16 +33,16 @@
 	retired atomic.Bool // every answer is its connection's last
 
 	mu    sync.Mutex
-	conns map[*frontSocket]bool
+	conns map[*serverConn]bool
 	done  sync.WaitGroup
 }
 
 // NewServer returns a server that hands requests to handle, one goroutine a connection.
 func NewServer(lim *config.Limits, handle Handler) *Server {
-	return &Server{lim: lim, handle: handle, conns: map[*frontSocket]bool{}}
+	return &Server{lim: lim, handle: handle, conns: map[*serverConn]bool{}}
 }
 
-// Serve accepts front sockets until l is closed.
+// Serve accepts connections until l is closed.
 func (s *Server) Serve(l net.Listener) error {
 	for {
 		conn, err := l.Accept()
@@ -58,17 +59,28 @@
 	}
 }
 
-// admit takes conn on. With no room left it closes the one that has stood idle the longest, first of those
-// that have never asked for anything: a crowd that says nothing must not keep out those who do. Where none is
-// idle conn itself is closed.
-func (s *Server) admit(conn net.Conn) *frontSocket {
+// phase is where a client's connection stands. With no room left those of the lowest phase go first.
+type phase uint8
+
+const (
+	parting   phase = iota // it has had its last answer
+	resting                // between requests
+	reading                // a request has begun to come
+	answering              // one is being answered
+)
+
+// admit takes conn on. With no room left one makes room: of those that part, that began to the longest ago; else of those that
+// rest, first those that have never asked for anything, the one that does so the longest; else the one whose request has been
+// coming for longer than its client can wait. A crowd that says nothing, or begins and never ends, must not keep out those who
+// ask. Where there is none conn itself is closed.
+func (s *Server) admit(conn net.Conn) *serverConn {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	now := time.Now()
 	if len(s.conns) >= s.lim.FrontSockets {
-		var out *frontSocket
+		var out *serverConn
 		for f := range s.conns {
-			if f.idle && (out == nil || f.served != out.served && !f.served ||
-				f.served == out.served && f.since.Before(out.since)) {
+			if (out == nil || f.before(out)) && f.leavable(now, s.lim.AnswerWithin) {
 				out = f
 			}
 		}
@@ -79,26 +91,57 @@
 		delete(s.conns, out)
 		_ = out.Close()
 	}
-	f := &frontSocket{Conn: conn, s: s, r: NewReader(conn, s.lim), idle: true, since: time.Now()}
+	f := &serverConn{Conn: conn, s: s, r: NewReader(conn, s.lim), phase: resting, since: now}
 	s.conns[f] = true
 	s.done.Add(1)
 	return f
 }
 
+// leavable tells whether the connection can be closed without taking an answer from a client that waits for it.
+func (f *serverConn) leavable(now time.Time, patience time.Duration) bool {
+	switch f.phase {
+	case resting: // a request may have come that nobody has read yet
+		return quiet(f.Conn)
+	case reading:
+		return now.Sub(f.since) > patience
+	}
+	return f.phase == parting
+}
+
+// before tells whether f makes room before g does.
+func (f *serverConn) before(g *serverConn) bool {
+	switch {
+	case f.phase != g.phase:
+		return f.phase < g.phase
+	case f.phase == resting && f.served != g.served:
+		return !f.served
+	}
+	return f.since.Before(g.since)
+}
+
 // Retire makes every answer the last of its connection; it goes on answering.
 func (s *Server) Retire() { s.retired.Store(true) }
 
-// Close ends the connections that stand between requests, lets the others finish theirs, and waits.
-func (s *Server) Close() {
+// Close ends the connections: those that rest at once, the others with the answer to the request that has begun to come, all of
+// them within the given time. It returns when no request is being handled any more.
+func (s *Server) Close(within time.Duration) {
 	s.closing.Store(true)
+	s.each(func(f *serverConn) {
+		if f.phase == resting {
+			_ = f.SetReadDeadline(time.Unix(1, 0)) // serve ends it
+		}
+	})
+	late := time.AfterFunc(within, func() { s.each(func(f *serverConn) { _ = f.Conn.Close() }) })
+	s.done.Wait()
+	late.Stop()
+}
+
+func (s *Server) each(do func(*serverConn)) {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	for f := range s.conns {
-		if f.idle {
-			_ = f.SetReadDeadline(time.Unix(1, 0)) // serve closes it
-		}
+		do(f)
 	}
-	s.mu.Unlock()
-	s.done.Wait()
 }
 
 // crowded tells whether there is little room left.
@@ -108,30 +151,29 @@
 	return len(s.conns) > s.lim.FrontSockets*3/4
 }
 
-// frontSocket is one client's connection.
-type frontSocket struct {
+// serverConn is one client's connection.
+type serverConn struct {
 	net.Conn
 	s   *Server
 	r   *Reader
 	out []byte
 
 	// Under the server's lock:
-	idle   bool      // between requests
+	phase  phase
 	served bool      // it has handed in a whole request
-	since  time.Time // when it was opened, or last became idle
+	since  time.Time // when it was opened, or came to that phase
 }
 
-// mark notes where the connection stands; false: it has been closed to make room.
-func (f *frontSocket) mark(idle bool) bool {
+// enter notes where the connection stands now; false: it has been closed to make room.
+func (f *serverConn) enter(to phase) bool {
 	f.s.mu.Lock()
 	defer f.s.mu.Unlock()
-	if f.idle = idle; idle {
-		f.served, f.since = true, time.Now()
-	}
+	f.served = f.served || to == answering
+	f.phase, f.since = to, time.Now()
 	return f.s.conns[f]
 }
 
-func (f *frontSocket) serve() {
+func (f *serverConn) serve() {
 	defer func() {
 		f.s.mu.Lock()
 		delete(f.s.conns, f)
@@ -141,20 +183,24 @@
 	}()
 	// The first request must be whole soon after the connection came up, however its bytes trickle in.
 	by := f.since.Add(f.s.lim.FrontRead)
-	for f.one(by) && f.mark(true) {
+	for f.one(by) && f.enter(resting) {
 		by = time.Time{}
 	}
 }
 
 // one reads and answers one request, which must be whole by then, or within FrontRead of its first byte;
 // false: the connection is at its end.
-func (f *frontSocket) one(by time.Time) bool {
+func (f *serverConn) one(by time.Time) bool {
 	lim := f.s.lim
 	_ = f.SetReadDeadline(time.Now().Add(lim.FrontIdle))
 	if f.s.closing.Load() && !f.r.buffered() {
+		f.part()
 		return false
 	}
-	if f.r.await() != nil || !f.mark(false) {
+	if err := f.r.await(); err != nil || !f.enter(reading) {
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			f.part()
+		}
 		return false
 	}
 	if by.IsZero() {
@@ -172,6 +218,8 @@
 		a = Answer{Status: fault.Status, Body: []byte(fault.Why + "\n")}
 	case err != nil:
 		return false
+	case !f.enter(answering): // it has made room for others: nobody would hear an answer
+		return false
 	default:
 		a = f.s.handle(q)
 	}
@@ -187,22 +235,22 @@
 		}
 		return false
 	}
-	if last && (fault != nil || f.r.buffered()) {
-		f.linger()
+	if last {
+		f.part()
 	} else if a.Status >= 400 && !a.Prompt { // whoever comes again at once waits, and not the relay
 		time.Sleep(lim.FrontRest)
 	}
 	return !last
 }
 
-// linger reads on for a moment after a request that could not be read: bytes left unread would turn the
-// answer into a reset.
-func (f *frontSocket) linger() {
-	c, ok := f.Conn.(*net.TCPConn)
-	if !ok {
+// part ends the connection so that what was written to it arrives: it sends the end, and reads on until the client has ended it
+// too, for a moment. Bytes left unread at the close, or that come after it, would turn an answer into a reset. What is read here
+// is never handled: its client sees the end without an answer, and hands it in elsewhere.
+func (f *serverConn) part() {
+	c, ok := f.Conn.(interface{ CloseWrite() error })
+	if !ok || !f.enter(parting) || c.CloseWrite() != nil {
 		return
 	}
-	_ = c.CloseWrite()
 	_ = f.SetReadDeadline(time.Now().Add(f.s.lim.FrontLinger))
 	_, _ = io.CopyN(io.Discard, f.Conn, int64(2*f.s.lim.BodySize))
 }
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -10,6 +10,7 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"sync"
 	"time"
 )
 
@@ -28,7 +29,7 @@
 	Policy      uint64   // version of the fleet's policy under which it was taken on; 0: none
 	Allow       int      // route steps that it may have by that; 0: what the settings allow
 
-	Attempts int       // made so far
+	Attempts int       // decided so far, and once the process has ended those that were begun
 	Out      bool      // the last of them has no outcome
 	Ran      bool      // one of them may have run
 	RanAt    time.Time // when the first such began
@@ -38,6 +39,8 @@
 
 	Owed   bool // it has ended, and the notice is still owed
 	Notice Notice
+
+	begun int // the attempt that the log tells of last; under the log's lock
 }
 
 // Notice is how a message ended that was not delivered.
@@ -70,15 +73,17 @@
 
 var table = crc32.MakeTable(crc32.Castagnoli)
 
-// Log is an open journal. It is not safe for concurrent use.
+// Log is an open journal. Begin may be called by any goroutine, all else by one at a time.
 type Log struct {
-	dir    string
-	disk   int64 // bytes that the folder may hold
-	f      *os.File
-	size   int64 // of the file
-	base   int64 // of the file when it was last compacted
-	live   int64 // what the messages that are not over may come to in a new file
-	behind bool  // the file lacks what the state holds, or ends in a torn record: only a new file will do
+	dir  string
+	disk int64 // bytes that the folder may hold
+
+	mu     sync.Mutex // over the file and what it holds
+	f      *os.File   // nil: closed
+	size   int64      // of the file
+	base   int64      // of the file when it was last compacted
+	live   int64      // what the messages that are not over may come to in a new file
+	behind bool       // the file lacks what the state holds, or ends in a torn record: only a new file will do
 	buf    []byte
 	open   map[uint64]*Entry
 	last   uint64
@@ -101,6 +106,12 @@
 
 // Entries returns what is not over, in the order in which it was taken on.
 func (l *Log) Entries() []*Entry {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.entries()
+}
+
+func (l *Log) entries() []*Entry {
 	var all []*Entry
 	for _, e := range l.open {
 		all = append(all, e)
@@ -158,7 +169,7 @@
 		}
 	case recStarted:
 		if n, at, in := r.uint(), r.time(), r.text(); e != nil && !r.bad {
-			e.Attempts, e.Out, e.LastAt, e.LastIn = int(n), true, at, in
+			e.Attempts, e.Out, e.LastAt, e.LastIn, e.begun = int(n), true, at, in, int(n)
 		}
 	case recOutcome:
 		if neverRan := r.uint() == 1; e != nil && !r.bad {
@@ -201,6 +212,8 @@
 // Take notes a message that is taken on, if there is room for it and what it will still need, also while the
 // log is compacted, when the old file and the new one both stand.
 func (l *Log) Take(e *Entry) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	if 2*(l.live+e.cost())+64*block > l.disk*8/10 {
 		return ErrFull
 	}
@@ -233,10 +246,35 @@
 	})
 }
 
-// Start notes that an attempt at destination is about to begin.
-func (l *Log) Start(e *Entry, at time.Time, destination string) {
-	e.start(at, destination)
-	l.started(e, e.Attempts, at, destination)
+// Start notes that an attempt at destination has been decided. The log has nothing of it before Begin: one whose connection is
+// still coming up when the process ends has never been.
+func (l *Log) Start(e *Entry, at time.Time, destination string) { e.start(at, destination) }
+
+// Begin writes that the attempts of these messages that were decided last begin now; false: nothing of them may be written. It
+// is the last that happens before the first byte, on the goroutine that writes it. Messages that are over are left out; where
+// all are, there is nothing to begin.
+func (l *Log) Begin(all []*Entry) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	was := len(l.buf)
+	defer func() { l.buf = l.buf[:was] }() // what the core has noted meanwhile waits for its turn's end
+	for _, e := range all {
+		if l.open[e.Seq] == e {
+			l.started(e, e.Attempts, e.LastAt, e.LastIn)
+		}
+	}
+	if len(l.buf) == was || l.f == nil || l.behind {
+		return false
+	}
+	n, err := l.f.Write(l.buf[was:])
+	l.size += int64(n)
+	if l.behind = err != nil; l.behind {
+		return false
+	}
+	for _, e := range all {
+		e.begun = e.Attempts
+	}
+	return true
 }
 
 func (l *Log) started(e *Entry, n int, at time.Time, destination string) {
@@ -248,7 +286,11 @@
 // Outcome notes how the last attempt ended, for a message that goes on.
 func (l *Log) Outcome(e *Entry, neverRan bool) {
 	e.settle(neverRan)
-	l.outcome(e, neverRan)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if e.begun == e.Attempts { // otherwise the log knows nothing of that attempt
+		l.outcome(e, neverRan)
+	}
 }
 
 func (l *Log) outcome(e *Entry, neverRan bool) {
@@ -264,6 +306,8 @@
 
 // Owe notes that a message has ended and that a notice of it is owed.
 func (l *Log) Owe(e *Entry, n Notice) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	e.Owed, e.Notice = true, n
 	l.owed(e)
 }
@@ -285,6 +329,8 @@
 func (l *Log) Ack(e *Entry) { l.over(recAcked, e) }
 
 func (l *Log) over(code byte, e *Entry) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	if l.open[e.Seq] == nil {
 		return
 	}
@@ -305,6 +351,12 @@
 // Flush writes what has been noted since the last call; nothing of it may be acted on before. It compacts
 // the log before the folder fills up.
 func (l *Log) Flush() error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.flush()
+}
+
+func (l *Log) flush() error {
 	if len(l.buf) == 0 {
 		return nil
 	}
@@ -326,15 +378,19 @@
 func (l *Log) compact() error {
 	l.behind = true
 	l.buf = l.buf[:0]
-	for _, e := range l.Entries() {
+	for _, e := range l.entries() {
 		l.taken(e)
+		out := e.Out && e.begun == e.Attempts
+		if e.begun = e.Attempts; e.Out && !out { // decided, and not begun
+			e.begun--
+		}
 		if e.Ran {
-			l.started(e, e.Attempts, e.RanAt, e.RanIn)
+			l.started(e, e.begun, e.RanAt, e.RanIn)
 			l.outcome(e, false)
 		}
-		if e.Attempts > 0 && (e.Out || !e.Ran) {
-			l.started(e, e.Attempts, e.LastAt, e.LastIn)
-			if !e.Out {
+		if e.begun > 0 && (out || !e.Ran) {
+			l.started(e, e.begun, e.LastAt, e.LastIn)
+			if !out {
 				l.outcome(e, true)
 			}
 		}
@@ -362,8 +418,17 @@
 	return nil
 }
 
-// Close writes what is left and closes the file.
-func (l *Log) Close() error { return errors.Join(l.Flush(), l.f.Close()) }
+// Close writes what is left and closes the file: nothing begins from then on.
+func (l *Log) Close() error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	err := l.flush()
+	if l.f != nil {
+		err = errors.Join(err, l.f.Close())
+		l.f = nil
+	}
+	return err
+}
 
 func text(b []byte, s string) []byte { return append(binary.AppendUvarint(b, uint64(len(s))), s...) }
 
--- a/internal/journal/journal_test.go
+++ b/internal/journal/journal_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
 )
 
 var start = time.UnixMicro(1_700_000_000_000_000)
@@ -33,16 +34,31 @@
 	return e
 }
 
+func begin(t testing.TB, l *Log, all ...*Entry) {
+	t.Helper()
+	if !l.Begin(all) {
+		t.Fatal("an attempt may not begin")
+	}
+}
+
 // history fills a log with messages in every state.
 func history(t testing.TB, l *Log) {
 	out, refused, ran, owed, over, acked := take(t, l, "out", 9), take(t, l, "refused", 9), take(t, l, "ran", 9),
 		take(t, l, "owed", 9), take(t, l, "over", 9), take(t, l, "acked", 9)
+	if err := l.Flush(); err != nil {
+		t.Fatal(err)
+	}
 	l.Start(out, start, "a")
+	begin(t, l, out)
 	l.Start(refused, start, "a")
+	begin(t, l, refused)
 	l.Outcome(refused, true)
 	l.Start(ran, start, "a")
+	begin(t, l, ran)
 	l.Outcome(ran, false)
+	_ = l.Flush()
 	l.Start(ran, start.Add(time.Second), "b")
+	begin(t, l, ran)
 	l.Owe(owed, Notice{HandedBack: true, Retry: 500 * time.Millisecond})
 	l.End(over)
 	l.Owe(acked, Notice{})
@@ -62,7 +78,7 @@
 	}
 	for _, step := range []string{"from the log as written", "from the compacted log"} {
 		l := open(t, dir, 1<<20) // as after SIGKILL: the first is not closed
-		if d := cmp.Diff(want, l.Entries()); d != "" {
+		if d := cmp.Diff(want, l.Entries(), cmpopts.IgnoreUnexported(Entry{})); d != "" {
 			t.Errorf("%s (-want +got)\n%s", step, d)
 		}
 		if e := take(t, l, "next", 0); e.Seq != 7 && step == "from the log as written" {
@@ -125,6 +141,9 @@
 		if err := l.Flush(); err != nil {
 			t.Fatal(err)
 		}
+		if n := len(held); n > 0 && held[n-1].Attempts > held[n-1].begun {
+			begin(t, l, held[n-1])
+		}
 		if most := max(before, l.size) + l.live + 2*block; l.size < before && most > disk || l.size > disk {
 			t.Fatalf("at message %d the folder may have held %d bytes of %d", i, most, disk)
 		}
@@ -256,3 +275,96 @@
 		t.Fatal(diff)
 	}
 }
+
+// TestBegin: after a kill an attempt has been made if and only if its first byte may have been written, wherever the kill falls and
+// whether or not the log was written anew meanwhile.
+func TestBegin(t *testing.T) {
+	ran := func(l *Log, e *Entry) {
+		l.Start(e, start, "a")
+		begin(t, l, e)
+		l.Outcome(e, false)
+		_ = l.Flush()
+		l.Start(e, start.Add(time.Second), "b")
+	}
+	for _, c := range []struct {
+		name string
+		do   func(l *Log, e *Entry)
+		want Entry
+	}{
+		{"decided", func(l *Log, e *Entry) { l.Start(e, start, "a") }, Entry{}},
+		{"begun", func(l *Log, e *Entry) { l.Start(e, start, "a"); begin(t, l, e) }, Entry{Attempts: 1, Out: true, LastAt: start, LastIn: "a"}},
+		{"called back before it began", func(l *Log, e *Entry) { l.Start(e, start, "a"); l.Outcome(e, true); _ = l.Flush() }, Entry{}},
+		{"decided again after one that may have run", ran, Entry{Attempts: 1, Ran: true, RanAt: start, RanIn: "a", LastAt: start, LastIn: "a"}},
+		{"begun again after one that may have run", func(l *Log, e *Entry) { ran(l, e); begin(t, l, e) },
+			Entry{Attempts: 2, Out: true, Ran: true, RanAt: start, RanIn: "a", LastAt: start.Add(time.Second), LastIn: "b"}},
+	} {
+		for _, anew := range []bool{false, true} {
+			dir := t.TempDir()
+			l := open(t, dir, 1<<20)
+			e := take(t, l, "m", 9)
+			_ = l.Flush()
+			c.do(l, e)
+			if anew {
+				if err := l.compact(); err != nil {
+					t.Fatal(err)
+				}
+			}
+			killed := open(t, dir, 1<<20).Entries()[0]
+			all := cmpopts.IgnoreFields(Entry{}, "Seq", "ID", "Key", "Front", "Destination", "Class", "Tenant", "Deadline", "Body", "begun")
+			want := c.want
+			if anew && !e.Out && !e.Ran { // one that was called back counts in the state, and so in a new file
+				want.Attempts, want.LastAt, want.LastIn = 1, start, "a"
+			}
+			if d := cmp.Diff(&want, killed, all); d != "" {
+				t.Errorf("%s, log written anew %v (-want +got)\n%s", c.name, anew, d)
+			}
+		}
+	}
+}
+
+// TestBeginRefused: nothing begins that the log can't tell of.
+func TestBeginRefused(t *testing.T) {
+	dir := t.TempDir()
+	l := open(t, dir, 1<<20)
+	m, over, other := take(t, l, "m", 9), take(t, l, "over", 9), take(t, l, "other", 9)
+	_ = l.Flush()
+	for _, e := range []*Entry{m, over, other} {
+		l.Start(e, start, "a")
+	}
+	if l.End(over); l.Begin([]*Entry{over}) {
+		t.Error("a message that is over begins an attempt")
+	}
+	begin(t, l, over, m) // one call may carry both: the one that is not over counts
+	good := l.f
+	var err error
+	if l.f, err = os.Open(filepath.Join(dir, logName)); err != nil { // can't be written to
+		t.Fatal(err)
+	}
+	if l.Begin([]*Entry{other}) {
+		t.Error("an attempt begins that is not on disk")
+	}
+	_ = l.f.Close()
+	if l.f = good; l.Begin([]*Entry{other}) {
+		t.Error("an attempt begins behind a record that may be torn")
+	}
+	take(t, l, "next", 9)
+	if err := l.Flush(); err != nil {
+		t.Fatal(err)
+	}
+	begin(t, l, other)
+	if err := l.Close(); err != nil {
+		t.Fatal(err)
+	}
+	if l.Begin([]*Entry{m}) {
+		t.Error("an attempt begins after the log was closed")
+	}
+	var out []string
+	for _, e := range open(t, dir, 1<<20).Entries() {
+		if e.Out {
+			out = append(out, e.ID)
+		}
+	}
+	if d := cmp.Diff([]string{"m", "other"}, out); d != "" {
+		t.Errorf("out when the process ended (-want +got)\n%s", d)
+	}
+}
--- a/internal/journal/memory.go
+++ b/internal/journal/memory.go
@@ -45,7 +45,8 @@
 	return nil
 }
 
-// Start, Outcome, End, Owe, Ack and Flush are those of Log.
+// Begin, Start, Outcome, End, Owe, Ack and Flush are those of Log.
+func (m *Memory) Begin([]*Entry) bool                              { return true }
 func (m *Memory) Start(e *Entry, at time.Time, destination string) { e.start(at, destination) }
 func (m *Memory) Outcome(e *Entry, neverRan bool)                  { e.settle(neverRan) }
 func (m *Memory) End(e *Entry)                                     { delete(m.open, e.Seq) }
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -6,8 +6,10 @@
 	"cmp"
 	"context"
 	"encoding/base64"
+	"errors"
 	"fmt"
 	"math"
+	"os"
 	"slices"
 	"strconv"
 	"strings"
@@ -371,7 +373,8 @@
 	return p
 }
 
-// Watch follows discovery's list of destinations until the watch is lost.
+// Watch follows discovery's list of endpoints until the watch is lost. An entry may stand over several lines. One that has begun
+// must be whole before the watch would count as silent: empty lines in its middle are no life.
 func (f *Front) Watch(ctx context.Context, after int64, changed func(relay.PoolConfig)) error {
 	discovery := *f.discovery.Load()
 	path := fmt.Sprintf("/discovery/hosts?watch=1&after=%d", after)
@@ -382,16 +385,50 @@
 	defer s.Close()
 	defer context.AfterFunc(ctx, s.Close)()
 	for {
-		line, err := s.Next()
-		if err != nil {
-			return err
+		by := time.Now().Add(f.lim.WatchSilence)
+		entry, err := s.Next(by)
+		open := nesting(entry)
+		if open > 0 {
+			entry = bytes.Clone(entry) // the next line takes its place
 		}
-		if line = bytes.TrimSpace(line); len(line) == 0 {
-			continue
+		for err == nil && open > 0 {
+			var line []byte
+			if line, err = s.Next(by); err == nil {
+				entry, open = append(append(entry, '\n'), line...), open+nesting(line)
+			}
+			if len(entry) > 16*f.lim.BodySize {
+				err = fmt.Errorf("platform: a change of over %d bytes", 16*f.lim.BodySize)
+			}
 		}
-		if !gjson.ValidBytes(line) {
-			return fmt.Errorf("platform: a change of %d bytes that is not JSON", len(line))
+		switch entry = bytes.TrimSpace(entry); {
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			return relay.ErrSilent
+		case err != nil:
+			return err
+		case len(entry) == 0:
+		case !gjson.ValidBytes(entry):
+			return fmt.Errorf("platform: a change of %d bytes that is not JSON", len(entry))
+		default:
+			changed(ParsePoolConfig(gjson.ParseBytes(entry)))
+		}
+	}
+}
+
+// nesting is how many more brackets a line of JSON opens than it closes.
+func nesting(line []byte) (open int) {
+	text := false
+	for i := 0; i < len(line); i++ {
+		switch c := line[i]; {
+		case text && c == '\\':
+			i++
+		case c == '"':
+			text = !text
+		case text:
+		case c == '{' || c == '[':
+			open++
+		case c == '}' || c == ']':
+			open--
 		}
-		changed(ParsePoolConfig(gjson.ParseBytes(line)))
 	}
+	return open
 }
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -20,6 +21,7 @@
 	"mastusher/internal/httpwire"
 	"mastusher/internal/journal"
 	"mastusher/internal/relay"
+	"mastusher/internal/standin"
 )
 
 const settings = `{"allowed": {"cancel": true, "max_attempts": 1, "max_open": 40, "max_retry_after": 3000000,
@@ -101,9 +103,11 @@
 				}
 			}
 			core.Drain()
+			<-core.Drained()
+			core.Stop()
 			<-ended
 			_ = clients.Close()
-			s.Close()
+			s.Close(time.Minute)
 			if left := jour.Entries(); len(left) != 0 {
 				t.Errorf("%d messages are left without an end", len(left))
 			}
@@ -207,19 +211,139 @@
 }
 
 func TestWatch(t *testing.T) {
-	l := exchange.Listen(t)
-	f := New(configure(t, l.Addr().String(), "-"), nil)
-	done := make(chan bool, 1)
-	go play(t, l, "testdata/watch.txt", done)
-	var got []relay.PoolConfig
-	if err := f.Watch(context.Background(), 41, func(p relay.PoolConfig) { got = append(got, p) }); err == nil {
-		t.Error("the watch ended with no error")
+	one := relay.Destination{Name: "s-1", Address: "h:1", Zone: "a", Kind: "m2", Partner: 3, State: control.Draining}
+	two := relay.Destination{Name: "s-2", State: control.Removed}
+	odd := relay.Destination{Name: `s-1 }] "{`, Address: "h:1", Zone: "a", Kind: "m2", Partner: 3}
+	for file, want := range map[string][]relay.PoolConfig{
+		"testdata/watch.txt": {{Index: 43, Destinations: []relay.Destination{one, two}}},
+		"testdata/watch-indented.txt": {{Index: 43, Whole: true, Destinations: []relay.Destination{odd}},
+			{Index: 44, Destinations: []relay.Destination{two}}},
+	} {
+		l := exchange.Listen(t)
+		f := New(configure(t, l.Addr().String(), "-"), nil)
+		done := make(chan bool, 1)
+		go play(t, l, file, done)
+		var got []relay.PoolConfig
+		if err := f.Watch(context.Background(), 41, func(p relay.PoolConfig) { got = append(got, p) }); err == nil || errors.Is(err, relay.ErrSilent) {
+			t.Errorf("%s: the watch ended with %v", file, err)
+		}
+		<-done
+		if d := cmp.Diff(want, got, cmpopts.IgnoreUnexported(relay.Destination{})); d != "" {
+			t.Errorf("%s (-want +got)\n%s", file, d)
+		}
 	}
-	<-done
-	want := []relay.PoolConfig{{Index: 43, Destinations: []relay.Destination{{Name: "s-1", Address: "h:1", Zone: "a", Kind: "m2",
-		Partner: 3, State: control.Draining}, {Name: "s-2", State: control.Removed}}}}
-	if d := cmp.Diff(want, got, cmpopts.IgnoreUnexported(relay.Destination{})); d != "" {
-		t.Errorf("(-want +got)\n%s", d)
+}
+
+// TestSilentWatch: a watch that came up and says nothing more is told apart from one that broke, also where it stops in the middle of a
+// list and only empty lines follow: those are no life.
+func TestSilentWatch(t *testing.T) {
+	for name, says := range map[string]string{"nothing": "\n", "half a line": `{"index":43,"endpo`, "half a list": "{\"index\":43,\n\n\n\n"} {
+		l := exchange.Listen(t)
+		cfg := configure(t, l.Addr().String(), "-")
+		cfg.Limits.WatchSilence = 200 * time.Millisecond
+		ended := make(chan struct{})
+		go func() {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = httpwire.NewReader(conn, &cfg.Limits).ReadRequest(nil)
+			_, _ = conn.Write([]byte("HTTP/1.1 200 OK\r\n\r\n" + says))
+			for alive := name == "half a list"; alive; time.Sleep(10 * time.Millisecond) { // empty lines for as long as somebody reads
+				_, err := conn.Write([]byte("\n"))
+				alive = err == nil
+			}
+			<-ended
+			_ = conn.Close()
+		}()
+		err := New(cfg, nil).Watch(t.Context(), 41, func(relay.PoolConfig) { t.Errorf("%s: a list is told", name) })
+		if !errors.Is(err, relay.ErrSilent) {
+			t.Errorf("%s: the watch ends with %v", name, err)
+		}
+		close(ended)
+	}
+}
+
+// TestLostAnswer: the client's connection breaks after its message was taken on and before it has its answer, every time; it hands the
+// message in once more under the same id, while the call is out or when that is over. What must not run twice has one call, and the
+// second request is not answered as if it could be handed in again.
+func TestLostAnswer(t *testing.T) {
+	for _, c := range []struct {
+		class string
+		over  bool // the call has its answer before the client comes again
+		want  int  // status
+	}{{"order", false, 500}, {"match-event", false, 500}, {"score-state", false, 429}, {"order", true, 202}} {
+		calls, answer := make(chan string, 9), make(chan struct{})
+		endpoint := exchange.Listen(t)
+		ends := httpwire.NewServer(standin.Limits(), func(q *httpwire.Request) httpwire.Answer {
+			calls <- q.Header.Get("X-Request-Id")
+			<-answer
+			return httpwire.Answer{Status: 200}
+		})
+		go func() { _ = ends.Serve(endpoint) }()
+		cfg := configure(t, "-", endpoint.Addr().String())
+		cfg.Settings.Ask = true
+		cfg.Settings.Classes = append(cfg.Settings.Classes, control.Class{Name: "order", Aim: time.Second, Deadline: time.Minute, Worth: 1})
+		jour, err := journal.Open(cfg.State, cfg.Limits.Disk)
+		if err != nil {
+			t.Fatal(err)
+		}
+		core, err := relay.New(cfg, jour, slog.New(slog.NewTextHandler(io.Discard, nil)), time.Now())
+		if err != nil {
+			t.Fatal(err)
+		}
+		f := New(cfg, core)
+		core.AddFront(Name, quiet{f}, ParsePoolConfig(cfg.Known))
+		core.Restore(time.Now())
+		ended := make(chan bool)
+		go func() { core.Run(); ended <- true }()
+		clients := exchange.Listen(t)
+		broken, lost, tries := make(chan struct{}), make(chan struct{}), 0
+		s := httpwire.NewServer(&cfg.Limits, func(q *httpwire.Request) httpwire.Answer {
+			a := f.Handle(q)
+			if tries++; tries == 1 { // it is taken on, and its answer not written yet
+				was := a.Lost
+				a.Lost = func() { was(); close(lost) }
+				<-calls
+				close(broken)
+				if c.over {
+					close(answer)
+					for len(jour.Entries()) > 0 { // until the core has heard of it
+						time.Sleep(time.Millisecond)
+					}
+				}
+				a.Body = make([]byte, 8<<20) // more than is written before a reset arrives, or fits into the buffers
+			}
+			return a
+		})
+		go func() { _ = s.Serve(clients) }()
+		request := httpwire.AppendRequest(nil, "POST", "/"+c.class, "x", []string{"X-Request-ID", "m", "Idempotency-Key", "k", "X-Timeout", "20000m",
+			"X-Envelope", "dest=7"}, []byte("hi"))
+		first := exchange.Dial(t, clients.Addr().String()).(*net.TCPConn)
+		_, _ = first.Write(request)
+		<-broken
+		_ = first.SetLinger(0)
+		_ = first.Close()
+		<-lost
+		second := exchange.Dial(t, clients.Addr().String())
+		_, _ = second.Write(request)
+		p, err := httpwire.NewReader(second, &cfg.Limits).ReadResponse()
+		if err != nil || p.Status != c.want {
+			t.Errorf("%s, its call over %v: the same id again is answered %+v, %v; want %d", c.class, c.over, p, err, c.want)
+		}
+		if !c.over {
+			close(answer)
+		}
+		core.Drain()
+		<-core.Drained()
+		core.Stop()
+		<-ended
+		if len(calls) != 0 {
+			t.Errorf("%s: it was called %d times more", c.class, len(calls))
+		}
+		_, _ = clients.Close(), endpoint.Close()
+		s.Close(time.Minute)
+		ends.Close(time.Minute)
 	}
 }
 
--- a/internal/relay/core.go
+++ b/internal/relay/core.go
@@ -51,7 +51,8 @@
 	in      []control.Event // for the turn at hand
 	acts    []control.Action
 	arrived []*message
-	ended   []func() // told to hooks once the turn is journalled
+	tellers []func() // told to hooks once the turn is journalled
+	ended   endings
 	wakeAt  time.Time
 	watchAt time.Time
 	drainAt time.Time // when the process was told to end; zero: it was not
@@ -61,6 +62,9 @@
 	refs    []uint64          // for the deed at hand
 	tells   bool              // deeds are kept in full
 	ready   atomic.Bool
+	drained chan struct{}
+	over    bool // drained is closed
+	stopped bool // this turn is the last
 
 	counts   counts         // nil: nobody asks
 	gov      *capture.Stand // what the fleet lets this relay do; nil: it belongs to none
@@ -74,8 +78,9 @@
 	no      int
 	Front   Front
 	list    map[string]uint32 // its destinations
-	index   int64             // of the newest pool config
+	index   int64             // of the newest endpoint list
 	watchNo int               // of the watch that was begun last
+	toldBy  int               // the watch that told the newest list; 0: it was known at the start
 	unwatch func()            // ends that watch; nil: it has ended
 	owed    []Notice
 	sending []Notice
@@ -124,7 +129,7 @@
 	return &Core{told: Told(cfg), seed: cfg.Seed, set: &cfg.Settings, forget: forget, lim: &cfg.Limits, log: log, mod: mod, jour: jour,
 		queue: make(chan event, cfg.Limits.Queue), shell: live{context.Background()}, base: now, houseAt: now,
 		fronts: map[string]*frontState{}, msgs: map[uint64]*message{}, byID: map[string]*message{},
-		dests: map[uint32]*Destination{}, names: map[string]uint32{}, out: map[uint64]*RouteStep{}}, nil
+		drained: make(chan struct{}), dests: map[uint32]*Destination{}, names: map[string]uint32{}, out: map[uint64]*RouteStep{}}, nil
 }
 
 // AddFront makes a wire known under a name that stays the same across restarts, with its list as last known.
@@ -133,7 +138,7 @@
 	c.fronts[name] = st
 	c.order = append(c.order, st)
 	known.Whole = true
-	poolChanged{st, known}.apply(c, c.base)
+	poolChanged{st, 0, known}.apply(c, c.base)
 }
 
 // SetInspector sets who sees messages, answers and ends; it must be called before the fronts take messages.
@@ -158,6 +163,13 @@
 		if e.Out { // it was out when the process ended: it may have run
 			c.jour.Outcome(e, false)
 		}
+		if e.Class < 0 || e.Class >= len(c.set.Classes) { // of other settings: nothing says how it may be sent
+			c.log.Warn("a message of a class that the settings no longer have is given up", "id", e.ID, "class", e.Class)
+			c.owe(m, journal.Notice{})
+			c.jour.Owe(e, e.Notice)
+			continue
+		}
+		c.narrow(e, now)
 		c.in = append(c.in, c.arrival(m))
 	}
 	if !c.set.Ask {
@@ -167,6 +179,18 @@
 	c.ready.Store(true)
 }
 
+// narrow takes what the journal tells of times for the narrower where the clock has gone back since: no message has more time than
+// its class gives, and a window that began in what is now the future is over.
+func (c *Core) narrow(e *journal.Entry, now time.Time) {
+	k := &c.set.Classes[e.Class]
+	if most := now.Add(k.Deadline); e.Deadline.After(most) {
+		e.Deadline = most
+	}
+	if e.Ran && e.RanAt.After(now) {
+		e.RanAt = now.Add(-k.Memory)
+	}
+}
+
 // Ready tells whether new messages are taken on.
 func (c *Core) Ready() bool { return c.ready.Load() && c.leased() }
 
@@ -275,11 +299,14 @@
 	}
 }
 
-// Drain refuses new messages from now on; Run returns when the others are over, or at the limit.
+// Drain refuses new messages from now on; see Drained.
 func (c *Core) Drain() {
 	c.ready.Store(false)
 	c.queue <- drain{}
 }
 
-// Draining is how long ago Run began to drain.
-func (c *Core) Draining(now time.Time) time.Duration { return now.Sub(c.drainAt) }
+// Drained is closed when all that was held at Drain is over, or at the limit.
+func (c *Core) Drained() <-chan struct{} { return c.drained }
+
+// Stop has Run return after one more turn. Whoever might still hand something in must have ended: nobody would answer.
+func (c *Core) Stop() { c.queue <- stop{} }
--- a/internal/relay/core_test.go
+++ b/internal/relay/core_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"log/slog"
 	"math"
+	"os"
 	"slices"
 	"testing"
 	"time"
@@ -161,15 +162,33 @@
 	if got := <-reply; got.Verdict != Taken {
 		t.Fatalf("got %+v", got)
 	}
-	if step := <-r.front.steps; len(step.Items) != 1 || string(step.Items[0].Body) != "body" || step.Items[0].Key != "k" {
+	step := <-r.front.steps
+	if len(step.Items) != 1 || string(step.Items[0].Body) != "body" || step.Items[0].Key != "k" {
 		t.Errorf("the call carries %+v", step.Items)
 	}
-	killed, err := journal.Open(r.dir, 3<<20)
-	if err != nil {
-		t.Fatal(err)
+	killed := func() *journal.Entry {
+		copied := t.TempDir()
+		if err := os.CopyFS(copied, os.DirFS(r.dir)); err != nil {
+			t.Fatal(err)
+		}
+		j, err := journal.Open(copied, 3<<20)
+		if err != nil {
+			t.Fatal(err)
+		}
+		e := j.Entries()
+		if len(e) != 1 || e[0].ID != "m" {
+			t.Fatalf("the journal holds %+v", e)
+		}
+		return e[0]
 	}
-	if e := killed.Entries(); len(e) != 1 || e[0].ID != "m" || e[0].Attempts != 1 || !e[0].Out || e[0].LastIn != "s-1" {
-		t.Errorf("the journal holds %+v", e)
+	if e := killed(); e.Attempts != 0 || e.Out || e.Ran {
+		t.Errorf("killed while the connection comes up, the journal holds %+v", e)
+	}
+	if !step.MayWrite() {
+		t.Fatal("the call may not be written")
+	}
+	if e := killed(); e.Attempts != 1 || !e.Out || e.LastIn != "s-1" {
+		t.Errorf("killed after the first byte, the journal holds %+v", e)
 	}
 }
 
@@ -201,8 +220,12 @@
 			}
 			e := &journal.Entry{ID: "m", Front: "platform", Destination: 7, Class: c.class, Deadline: now.Add(16 * time.Second)}
 			_ = jour.Take(e)
+			_ = jour.Flush()
 			for range c.attempts {
 				jour.Start(e, now, "s-1")
+				if !jour.Begin([]*journal.Entry{e}) {
+					t.Fatal("an attempt may not begin")
+				}
 				if !c.ran {
 					jour.Outcome(e, true)
 				}
@@ -239,7 +262,7 @@
 	a, _ := r.hand("m", 0, 7, time.Minute)
 	a.msg.Tenant = 2
 	a.apply(r.c, r.now)
-	poolChanged{r.c.order[0], PoolConfig{Index: 9, Destinations: []Destination{{Name: "s-1", Partner: 7, Weight: 4.5},
+	poolChanged{r.c.order[0], r.c.order[0].toldBy, PoolConfig{Index: 9, Destinations: []Destination{{Name: "s-1", Partner: 7, Weight: 4.5},
 		{Name: "s-2", Partner: 8, Weight: math.NaN()}}}}.apply(r.c, r.now)
 	if ev := r.c.in[0]; ev.Tenant != 2 {
 		t.Errorf("the module hears of tenant %d", ev.Tenant)
@@ -331,7 +354,7 @@
 func TestPoolConfig(t *testing.T) {
 	r := newRig(t, t.TempDir(), time.Now())
 	r.c.AddFront("other", r.front, PoolConfig{Destinations: []Destination{{Name: "s-1", Partner: 7}}})
-	r.after(0, poolChanged{r.c.order[1], PoolConfig{Whole: true}})
+	r.after(0, poolChanged{r.c.order[1], r.c.order[1].toldBy, PoolConfig{Whole: true}})
 	a, _ := r.hand("m", 1, 8, time.Second)
 	if r.after(0, a); (<-r.front.steps).To.Name != "s-2" {
 		t.Error("the first front's destination is gone")
@@ -352,13 +375,26 @@
 	if got := <-reply; got.Verdict != Busy {
 		t.Errorf("got %+v", got)
 	}
-	go func() { r.front.answers <- []Outcome{{Result: control.Delivered}} }()
-	if r.c.Run(); len(r.c.jour.Entries()) != 0 {
-		t.Error("Run ended before the call did")
+	ended := make(chan struct{})
+	go func() { r.c.Run(); close(ended) }()
+	select {
+	case <-r.c.Drained():
+		t.Error("it has drained while a call is out")
+	default:
+	}
+	r.front.answers <- []Outcome{{Result: control.Delivered}}
+	<-r.c.Drained()
+	for range 2 { // whoever passed Take's check before Drain is answered until Stop, and in the very last turn
+		late, reply := r.hand("o", 1, 8, time.Second)
+		if r.c.queue <- late; (<-reply).Verdict != Busy {
+			t.Error("a message that came after the relay had drained is not refused")
+		}
 	}
-	late, reply := r.hand("o", 1, 8, time.Second)
-	if r.c.queue <- late; (<-reply).Verdict != Busy {
-		t.Error("a message that came after the last turn is not refused")
+	late, reply := r.hand("p", 1, 8, time.Second)
+	r.c.queue <- late
+	r.c.Stop()
+	if <-ended; (<-reply).Verdict != Busy || len(r.c.jour.Entries()) != 0 {
+		t.Error("a message that came before the last turn is not refused, or one that was over is left")
 	}
 }
 
@@ -369,7 +405,7 @@
 	if got := <-r.front.watches; got != 0 {
 		t.Errorf("the first watch goes on after %d", got)
 	}
-	r.after(0, poolChanged{r.c.order[0], PoolConfig{Index: 43}})
+	r.after(0, poolChanged{r.c.order[0], r.c.order[0].toldBy, PoolConfig{Index: 43}})
 	a, _ := r.hand("m", 0, 8, 2*time.Second)
 	r.after(0, a)
 	<-r.front.steps
@@ -427,7 +463,7 @@
 			r.after(0, stepEnded{out, []Outcome{{Result: control.Full, Wait: time.Second}}})
 		},
 		"it drains": func(r *rig, _, on *RouteStep) {
-			r.after(0, poolChanged{r.c.order[0], PoolConfig{Destinations: []Destination{
+			r.after(0, poolChanged{r.c.order[0], r.c.order[0].toldBy, PoolConfig{Destinations: []Destination{
 				{Name: "s-1", Zone: "a", Kind: "news-groups", Partner: 7, State: control.Draining}}}})
 		},
 	} {
@@ -458,9 +494,9 @@
 	r := newRig(t, t.TempDir(), time.Now())
 	for i := range 50 {
 		gone := Destination{Name: fmt.Sprint("old-", i), Zone: "a", Kind: "news-groups", Partner: 7}
-		r.after(time.Second, poolChanged{r.c.order[0], PoolConfig{Index: int64(2 * i), Destinations: []Destination{gone}}})
+		r.after(time.Second, poolChanged{r.c.order[0], r.c.order[0].toldBy, PoolConfig{Index: int64(2 * i), Destinations: []Destination{gone}}})
 		gone.State = control.Removed
-		r.after(time.Second, poolChanged{r.c.order[0], PoolConfig{Index: int64(2*i + 1), Destinations: []Destination{gone}}})
+		r.after(time.Second, poolChanged{r.c.order[0], r.c.order[0].toldBy, PoolConfig{Index: int64(2*i + 1), Destinations: []Destination{gone}}})
 		r.c.forgetGone(r.now)
 	}
 	if n, names, list := len(r.c.dests), len(r.c.names), len(r.c.order[0].list); n > 20 || names != n || list != n {
@@ -469,7 +505,7 @@
 	if r.c.names["platform s-1"] != 1 || r.c.number(r.c.order[0], "new") <= 50 {
 		t.Error("the one still listed is gone, or a number is used again")
 	}
-	r.after(0, poolChanged{r.c.order[0], PoolConfig{Whole: true, Index: 999}})
+	r.after(0, poolChanged{r.c.order[0], r.c.order[0].toldBy, PoolConfig{Whole: true, Index: 999}})
 	r.c.forgetGone(r.now.Add(time.Minute))
 	if len(r.c.dests) != 0 || r.c.serves(r.c.order[0], 7) {
 		t.Errorf("%d destinations stay though the whole list is empty", len(r.c.dests))
--- /dev/null
+++ b/internal/relay/endings.go
@@ -0,0 +1,72 @@
+package relay
+
+import (
+	"time"
+
+	"mastusher/control"
+	"mastusher/internal/capture"
+	"mastusher/internal/journal"
+)
+
+// endings is the memory of messages that have ended a moment ago. A client whose connection broke before it had its answer hands
+// the same message in once more, under the same id: that must neither run it again nor be a message of its own.
+type endings struct {
+	by   map[string]Verdict // the answer to one that comes again, by front and id
+	line []ending           // the oldest first
+}
+
+type ending struct {
+	key string
+	at  time.Time
+}
+
+// remember notes how one that comes again under the id of a message that is over is to be answered. A front that tells its clients
+// of deliveries too has a memory of its own: there an id stands for what is to be done, and comes again after a refusal.
+func (c *Core) remember(m *message, v Verdict, now time.Time) {
+	if c.lim.EndedKept > 0 && !m.front.Front.TellsDeliveries() {
+		c.ended.add(m.front.name+" "+m.e.ID, v, now)
+	}
+	for n := len(c.ended.line); n > 0 && (n > c.lim.EndedMost || now.Sub(c.ended.line[0].at) > c.lim.EndedKept); n-- {
+		delete(c.ended.by, c.ended.line[0].key)
+		c.ended.line = c.ended.line[1:]
+	}
+}
+
+func (e *endings) add(key string, v Verdict, at time.Time) {
+	if _, ok := e.by[key]; !ok {
+		e.line = append(e.line, ending{key, at})
+	}
+	if e.by == nil {
+		e.by = map[string]Verdict{}
+	}
+	e.by[key] = v
+}
+
+// before tells the answer to a message that is handed in under an id that is held, or was until a moment ago.
+func (c *Core) before(front, id string) (Verdict, bool) {
+	key := front + " " + id
+	if c.byID[key] != nil {
+		return Taken, true
+	}
+	v, ok := c.ended.by[key]
+	return v, ok
+}
+
+// afterWithdrawal is the answer to a message whose client never heard that it had been taken on, and comes again. One that never
+// ran begins anew, and is not remembered; what may have run and must not run twice has failed.
+func (c *Core) afterWithdrawal(e *journal.Entry) (v Verdict, remembered bool) {
+	switch {
+	case !e.Ran && !e.Out:
+		return 0, false
+	case c.set.Classes[e.Class].Effect == control.Safe:
+		return Busy, true
+	}
+	return Failed, true
+}
+
+func (e *endings) state(c *Core) (all []capture.EndState) {
+	for _, o := range e.line {
+		all = append(all, capture.EndState{Key: o.key, At: c.stamp(o.at), Verdict: uint8(e.by[o.key])})
+	}
+	return all
+}
--- a/internal/relay/events.go
+++ b/internal/relay/events.go
@@ -2,11 +2,13 @@
 
 import (
 	"bytes"
+	"errors"
 	"maps"
 	"slices"
 	"time"
 
 	"mastusher/control"
+	"mastusher/internal/capture"
 	"mastusher/internal/journal"
 )
 
@@ -29,13 +31,17 @@
 	// Past AnswerWithin the client is about to leave, and would hand it in again beside this one.
 	c.handed++
 	busy := Reply{Verdict: Busy, Retry: c.lim.BusyRetry, halted: c.gov != nil && c.gov.Halted != 0 || a.stale(c)}
+	// It is held already, or was until a moment ago: the relay owes it one end, not two, whatever else holds now.
+	if v, again := c.before(a.front, m.ID); again {
+		c.tellClient(a.reply, c.handed, Reply{Verdict: v, Retry: c.lim.BusyRetry})
+		return
+	}
 	if f == nil || !c.drainAt.IsZero() || now.Sub(a.at) > c.lim.AnswerWithin || !c.mayAct(now) || c.gov != nil && c.gov.Closed || a.stale(c) {
 		c.count(m.Class, m.Tenant, m.Partner, countRefused)
 		c.tellClient(a.reply, c.handed, busy)
 		return
 	}
-	// It is held already: the relay owes it one end, not two, whatever an inspector says of it this time.
-	if a.ruling.Verdict != Taken && c.byID[a.front+" "+m.ID] == nil {
+	if a.ruling.Verdict != Taken {
 		c.tellClient(a.reply, c.handed, Reply{Verdict: a.ruling.Verdict, Retry: c.lim.BusyRetry, Status: a.ruling.Status, Why: a.ruling.Why})
 		return
 	}
@@ -44,10 +50,6 @@
 		c.tellClient(a.reply, c.handed, busy)
 		return
 	}
-	if c.byID[a.front+" "+m.ID] != nil {
-		c.tellClient(a.reply, c.handed, Reply{Verdict: Taken})
-		return
-	}
 	msg := c.add(f, &journal.Entry{ID: m.ID, Key: m.Key, Front: a.front, Destination: m.Partner, Class: m.Class,
 		Tenant: m.Tenant, Deadline: m.Deadline, Again: m.Again, Body: bytes.Clone(m.Body), Headers: m.Out, Ran: !m.RanAt.IsZero(), RanAt: m.RanAt})
 	c.mark(msg.e)
@@ -58,12 +60,28 @@
 
 type withdrawn struct{ ref uint64 }
 
-func (w withdrawn) apply(c *Core, _ time.Time) {
-	if m := c.msgs[w.ref]; m != nil && !m.e.Owed {
-		c.in = append(c.in, control.Event{Kind: control.Gone, ID: m.ref})
-		c.jour.End(m.e)
-		c.finish(m, "withdrawn")
+func (w withdrawn) apply(c *Core, now time.Time) {
+	m := c.msgs[w.ref]
+	if m == nil || m.e.Owed {
+		return
+	}
+	if v, ok := c.afterWithdrawal(m.e); ok {
+		c.remember(m, v, now)
 	}
+	c.withdraw(m)
+}
+
+// withdraw forgets a message whose client does not count on it, and calls off what is out.
+func (c *Core) withdraw(m *message) {
+	c.in = append(c.in, control.Event{Kind: control.Gone, ID: m.ref})
+	c.jour.End(m.e)
+	if s := m.step; s != nil && len(s.Items) == 1 { // the module can't: the message is no longer there when it decides
+		if s.recall(); c.set.Cancel {
+			s.cancel()
+		}
+		c.did(capture.Deed{Kind: capture.Called, No: s.no})
+	}
+	c.finish(m, "withdrawn")
 }
 
 // Moved tells that a front's discovery stands somewhere else now: its watch and its notices go there at once.
@@ -92,16 +110,23 @@
 type drain struct{}
 
 func (drain) apply(c *Core, now time.Time) {
+	if !c.drainAt.IsZero() {
+		return
+	}
 	c.drainAt = now
 	c.note(now, "the relay drains")
 }
 
+type stop struct{}
+
+func (stop) apply(c *Core, _ time.Time) { c.stopped = true }
+
 type stepEnded struct {
 	step     *RouteStep
 	outcomes []Outcome
 }
 
-func (s stepEnded) apply(c *Core, _ time.Time) {
+func (s stepEnded) apply(c *Core, now time.Time) {
 	s.step.cancel()
 	delete(c.out, s.step.no)
 	for i, it := range s.step.Items {
@@ -124,6 +149,7 @@
 			c.tell(m, "delivered")
 		case o.Result == control.Delivered || o.Over:
 			c.jour.End(m.e)
+			c.remember(m, Taken, now)
 			c.finish(m, "delivered")
 		default:
 			c.jour.Outcome(m.e, o.Result.NeverRan())
@@ -131,16 +157,20 @@
 	}
 }
 
+// poolChanged is what a watch tells of the endpoint list; no is that watch's, 0 that of none.
 type poolChanged struct {
 	front *frontState
+	no    int
 	PoolConfig
 }
 
 func (p poolChanged) apply(c *Core, now time.Time) {
-	if !p.Whole && p.Index < p.front.index { // from a watch that a newer one has overtaken
+	// What a watch tells after one that was begun later has spoken is older, also where it is a whole list; until then it counts:
+	// the relay has been told. A change of an older version adds nothing to what is known.
+	if p.no < p.front.toldBy || !p.Whole && p.Index < p.front.index {
 		return
 	}
-	p.front.index = p.Index
+	p.front.index, p.front.toldBy = p.Index, p.no
 	ev := control.Event{Kind: control.Listed, Whole: p.Whole}
 	if p.Whole {
 		for _, n := range p.front.list { // unless it is named again below
@@ -191,10 +221,18 @@
 	}
 	w.front.unwatch()
 	w.front.unwatch = nil
-	c.log.Info("the pool config's watch is lost", "error", w.err)
-	if c.set.Ask {
+	c.log.Info("the endpoint list's watch is lost", "error", w.err)
+	told := w.front.toldBy == w.no // it had come up: discovery may be there
+	switch {
+	case told && errors.Is(w.err, ErrSilent):
+		// Discovery is there and all watches have fallen silent together: what they miss counts as told soon, so each opens its
+		// own anew by itself, in a moment of its own.
+		c.watchAt = now.Add(c.lim.WatchSpread * time.Duration(c.set.Me) / time.Duration(max(c.set.Peers, 1)))
+	case c.set.Ask:
 		c.in = append(c.in, control.Event{Kind: control.ListFailed}) // the module says when to ask again
-	} else {
+	case told:
+		c.watchAt = now // what the agent has counts as told at once
+	default:
 		c.watchAt = now.Add(c.lim.WatchRetry)
 	}
 }
@@ -220,6 +258,7 @@
 		} else if m != nil {
 			c.owed--
 			c.jour.Ack(m.e)
+			c.remember(m, Taken, now) // its client has been told how it ended
 			c.drop(m)
 			c.didFinish(m)
 		}
--- a/internal/relay/govern.go
+++ b/internal/relay/govern.go
@@ -68,7 +68,7 @@
 		}
 	}
 	if g.done != nil {
-		c.ended = append(c.ended, g.done)
+		c.tellers = append(c.tellers, g.done)
 	}
 }
 
--- a/internal/relay/govern_test.go
+++ b/internal/relay/govern_test.go
@@ -179,6 +179,9 @@
 		r.govern(capture.Stand{Version: 1, Attempts: []int{0, c.taken}}, time.Hour)
 		a, _ := r.hand("a", 1, 8, 20*time.Second)
 		r.after(5*time.Millisecond, a)
+		if !(<-r.front.steps).MayWrite() { // its bytes are out when the process ends
+			t.Fatal("the first attempt may not begin")
+		}
 		sh := &erring{}
 		r = newRig(t, dir, r.now.Add(time.Second), func(c *Core) {
 			c.SetShell(sh)
--- /dev/null
+++ b/internal/relay/races_test.go
@@ -0,0 +1,170 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"mastusher/control"
+	"mastusher/internal/journal"
+)
+
+// watched is a front whose watches the test speaks for, each for itself.
+type watched struct {
+	*fakeFront
+	told chan func(PoolConfig)
+}
+
+func (w watched) Watch(ctx context.Context, after int64, changed func(PoolConfig)) error {
+	w.told <- changed
+	return w.fakeFront.Watch(ctx, after, changed)
+}
+
+// TestOverlap: a watch that was superseded still has a list on its way when the next one has spoken. Whole or not, it must undo nothing;
+// before the next one has spoken it counts, since the relay has been told.
+func TestOverlap(t *testing.T) {
+	list := func(index int64, whole bool, state control.State) PoolConfig {
+		return PoolConfig{Index: index, Whole: whole, Destinations: []Destination{{Name: "s-2", Zone: "a", Kind: "club-sites", Partner: 8, State: state}}}
+	}
+	for _, c := range []struct {
+		name          string
+		before, after []PoolConfig // what the old watch says before the new one speaks, and after that
+		want          control.State
+	}{
+		{"an older whole list", nil, []PoolConfig{list(42, true, control.Ready)}, control.Draining},
+		{"an older change", nil, []PoolConfig{list(42, false, control.Ready)}, control.Draining},
+		{"a later one, of a discovery that was left", nil, []PoolConfig{list(99, false, control.Ready)}, control.Draining},
+		{"a change before the new watch speaks", []PoolConfig{list(44, false, control.Ready), list(45, false, control.Draining)}, nil, control.Draining},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			front := watched{nil, make(chan func(PoolConfig), 9)}
+			r := newRig(t, t.TempDir(), time.Now(), func(core *Core) {
+				f := core.order[0]
+				front.fakeFront = f.Front.(*fakeFront)
+				f.Front = front
+			})
+			old := <-front.told
+			r.after(0, moved{"platform"})
+			next := <-front.told
+			say := func(to func(PoolConfig), all []PoolConfig) {
+				for _, p := range all {
+					to(p)
+					r.after(0, r.c.pending(nil)...)
+				}
+			}
+			say(old, c.before)
+			if len(c.after) > 0 {
+				say(next, []PoolConfig{list(43, false, control.Draining)})
+			}
+			say(old, c.after)
+			f := r.c.order[0]
+			if got := r.c.dests[f.list["s-2"]].State; got != c.want {
+				t.Errorf("s-2 is in state %v, want %v", got, c.want)
+			}
+			if say(next, []PoolConfig{list(46, false, control.Removed)}); r.c.dests[f.list["s-2"]].State != control.Removed {
+				t.Error("what the new watch tells is not heard any more")
+			}
+		})
+	}
+}
+
+// TestWatchAnew: when a watch that has ended is opened again depends on what ended it, and on nothing that the module must be asked for
+// where what the relay misses counts as told soon.
+func TestWatchAnew(t *testing.T) {
+	broke := errors.New("reset")
+	for _, c := range []struct {
+		name string
+		ask  bool
+		told bool // it had told a list
+		err  error
+		want time.Duration // below 0: the module is asked
+	}{
+		{"asked for, silent", true, true, ErrSilent, 200 * time.Millisecond},
+		{"pushed, silent", false, true, ErrSilent, 200 * time.Millisecond},
+		{"asked for, broken", true, true, broke, -1},
+		{"asked for, never up", true, false, broke, -1},
+		{"pushed, broken", false, true, broke, 0},
+		{"pushed, never up", false, false, broke, 50 * time.Millisecond},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r := newRig(t, t.TempDir(), time.Now())
+			<-r.front.watches
+			r.c.set.Ask, r.c.set.Peers, r.c.set.Me = c.ask, 4, 1
+			r.c.lim.WatchSpread, r.c.lim.WatchRetry = 800*time.Millisecond, 50*time.Millisecond
+			f := r.c.order[0]
+			if c.told {
+				r.after(0, poolChanged{f, f.watchNo, PoolConfig{Index: 43}})
+			}
+			watchEnded{f, f.watchNo, c.err}.apply(r.c, r.now)
+			asked := len(r.c.in) == 1 && r.c.in[0].Kind == control.ListFailed
+			if got := r.c.watchAt.Sub(r.now); asked != (c.want < 0) || !asked && got != c.want {
+				t.Errorf("opened again after %v, the module is asked %v", got, asked)
+			}
+		})
+	}
+}
+
+// TestClockBack: the clock was set back while the relay was down. Times in the journal that lie in what is now the future count on the
+// narrower side.
+func TestClockBack(t *testing.T) {
+	dir, now := t.TempDir(), time.Now()
+	jour, err := journal.Open(dir, 3<<20)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i, id := range []string{"keyed", "safe", "of a class that is gone"} {
+		e := &journal.Entry{ID: id, Front: "platform", Destination: 7 + i%2, Class: i + i/2*7, Deadline: now.Add(16 * time.Second)}
+		_ = jour.Take(e)
+		_ = jour.Flush()
+		if id == "keyed" {
+			jour.Start(e, now, "s-1")
+			jour.Begin([]*journal.Entry{e})
+			jour.Outcome(e, false)
+		}
+	}
+	_ = jour.Close()
+	r := newRig(t, dir, now.Add(-time.Hour))
+	// The keyed one may be handed back: its partner's endpoints all know its key, whatever the time is.
+	if n := <-r.front.notices; len(n) != 2 || n[0].ID != "of a class that is gone" || n[0].HandedBack || n[1].ID != "keyed" {
+		t.Errorf("notices %+v", n)
+	}
+	step := <-r.front.steps
+	if step.Items[0].ID != "safe" || len(r.front.steps) != 0 {
+		t.Errorf("%q goes out, and %d more: want the safe one alone", step.Items[0].ID, len(r.front.steps))
+	}
+	for _, m := range r.c.msgs {
+		if k := &r.c.set.Classes[min(m.e.Class, 1)]; m.e.Deadline.After(r.now.Add(k.Deadline)) && !m.e.Owed {
+			t.Errorf("%s has time until %v, more than its class gives", m.e.ID, m.e.Deadline)
+		}
+	}
+}
+
+// TestEndedID: an id that comes again right after its message has ended is no new message, whatever the end was; after a while it is.
+func TestEndedID(t *testing.T) {
+	for _, outcome := range []Outcome{{Result: control.Delivered}, {Result: control.Moot, Over: true}} {
+		r := newRig(t, t.TempDir(), time.Now())
+		r.c.lim.EndedKept, r.c.lim.EndedMost = 5*time.Second, 2
+		a, first := r.hand("m", 0, 8, 10*time.Second)
+		r.after(0, a)
+		<-first
+		<-r.front.steps
+		r.answered(outcome)
+		again := func(after time.Duration) bool {
+			b, second := r.hand("m", 0, 8, 10*time.Second)
+			b.at = r.now.Add(after)
+			r.after(after, b)
+			return (<-second).Verdict == Taken && len(r.c.msgs) == 0
+		}
+		if !again(time.Second) || len(r.front.steps) != 0 {
+			t.Errorf("after %v the same id is a new message", outcome)
+		}
+		r.c.remember(&message{front: r.c.order[0], e: &journal.Entry{ID: "other"}}, Taken, r.now.Add(6*time.Second))
+		if again(time.Second) {
+			t.Error("ids are kept for good")
+		}
+		if n := len(r.c.ended.line); n != 1 || len(r.c.ended.by) != 1 {
+			t.Errorf("%d ids are kept", n)
+		}
+	}
+}
--- a/internal/relay/record.go
+++ b/internal/relay/record.go
@@ -20,7 +20,8 @@
 	b.Core = &capture.CoreSettings{Kinds: c.set.KindNames, Zones: c.set.Zones, WindowMargin: l.WindowMargin, BusyRetry: l.BusyRetry,
 		AnswerWithin: l.AnswerWithin, BodySize: l.BodySize, DrainSends: l.DrainSends, DrainExit: l.DrainExit,
 		NoticesPerCall: l.NoticesPerCall, NoticeTimeout: l.NoticeTimeout, NoticeRetry: l.NoticeRetry,
-		NoticeRetryMost: l.NoticeRetryMost, WatchRetry: l.WatchRetry, Weights: c.set.Weights}
+		NoticeRetryMost: l.NoticeRetryMost, WatchRetry: l.WatchRetry, Weights: c.set.Weights, WatchSpread: l.WatchSpread,
+		EndedKept: l.EndedKept, EndedMost: l.EndedMost}
 	return b
 }
 
@@ -170,7 +171,7 @@
 			p.Dests = append(p.Dests, capture.DestState{Name: d.Name, Zone: d.Zone, Kind: d.Kind, Partner: d.Partner, State: d.State,
 				Weight: d.Weight})
 		}
-		e = capture.CoreEvent{Kind: capture.PoolTold, Front: v.front.no, Pool: p}
+		e = capture.CoreEvent{Kind: capture.PoolTold, Front: v.front.no, Step: uint64(v.no), Pool: p}
 	case watchEnded:
 		e = capture.CoreEvent{Kind: capture.WatchEnded, Front: v.front.no, Step: uint64(v.no), Text: v.err.Error()}
 	case notified:
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -5,6 +5,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"net/textproto"
 	"sync/atomic"
 	"time"
@@ -72,6 +73,7 @@
 	seen   *Seen     // what it is shown
 
 	cancel func()
+	begin  func() bool  // writes to the journal that it begins; false: it must not
 	begun  atomic.Int32 // 1: its first byte may have been written; 2: it was called back before that
 }
 
@@ -95,9 +97,10 @@
 // MayWrite is asked right before the step's first byte goes out, and promises that it does unless it is false.
 func (s *RouteStep) MayWrite() bool { return s.MayWriteAt(time.Now()) }
 
-// MayWriteAt is MayWrite on a clock of one's own.
+// MayWriteAt is MayWrite on a clock of one's own. An attempt is in the journal from here on and not before: what a kill finds
+// waiting for its connection is tried again after the restart, whatever its class.
 func (s *RouteStep) MayWriteAt(now time.Time) bool {
-	return (s.Before.IsZero() || now.Before(s.Before)) && s.begun.CompareAndSwap(0, 1)
+	return (s.Before.IsZero() || now.Before(s.Before)) && s.begun.CompareAndSwap(0, 1) && (s.begin == nil || s.begin())
 }
 
 // recall ends the step if nothing of it has been written.
@@ -133,7 +136,8 @@
 
 // Front is one wire. Its methods may block; the core calls each in a goroutine of its own, but for Retire.
 type Front interface {
-	// Call makes a route step and returns an outcome for each item. When it returns no copy is still out.
+	// Call makes a route step and returns an outcome for each item. It writes nothing unless MayWrite, asked right before the first
+	// byte, lets it. When it returns no copy is still out.
 	Call(ctx context.Context, step *RouteStep) []Outcome
 	// Notify passes on final answers and tells which of them were taken.
 	Notify(ctx context.Context, notices []Notice) []bool
@@ -146,6 +150,10 @@
 	TellsDeliveries() bool
 }
 
+// ErrSilent is what Watch returns of a watch that came up and then said nothing for too long: its connection is dead, and discovery
+// may well be there.
+var ErrSilent = errors.New("the watch has fallen silent")
+
 // Inspector shapes messages on arrival, sees answers and is told of ends. Nothing of it runs between a decision and
 // its first byte.
 type Inspector interface {
--- a/internal/relay/rerun.go
+++ b/internal/relay/rerun.go
@@ -123,7 +123,8 @@
 	cfg := &config.Config{Seed: r.begin.Seed, Settings: wire.Settings{Settings: r.begin.Settings, Zones: s.Zones, KindNames: s.Kinds, Weights: s.Weights}}
 	cfg.Limits = config.Limits{Queue: 1, WindowMargin: s.WindowMargin, BusyRetry: s.BusyRetry, AnswerWithin: s.AnswerWithin,
 		BodySize: s.BodySize, DrainSends: s.DrainSends, DrainExit: s.DrainExit, NoticesPerCall: s.NoticesPerCall,
-		NoticeTimeout: s.NoticeTimeout, NoticeRetry: s.NoticeRetry, NoticeRetryMost: s.NoticeRetryMost, WatchRetry: s.WatchRetry}
+		NoticeTimeout: s.NoticeTimeout, NoticeRetry: s.NoticeRetry, NoticeRetryMost: s.NoticeRetryMost, WatchRetry: s.WatchRetry, WatchSpread: s.WatchSpread,
+		EndedKept: s.EndedKept, EndedMost: s.EndedMost}
 	cfg.Settings.Classes = slices.Clone(cfg.Settings.Classes)
 	for i := range cfg.Settings.Classes { // see Told
 		if k := &cfg.Settings.Classes[i]; k.Memory > 0 {
@@ -269,7 +270,7 @@
 		}
 		return stepEnded{s, outs}, nil
 	case capture.PoolTold:
-		p := poolChanged{front: c.order[e.Front]}
+		p := poolChanged{front: c.order[e.Front], no: int(e.Step)}
 		if e.Pool != nil {
 			p.Index, p.Whole = e.Pool.Index, e.Pool.Whole
 			for _, d := range e.Pool.Dests {
@@ -279,7 +280,11 @@
 		}
 		return p, nil
 	case capture.WatchEnded:
-		return watchEnded{c.order[e.Front], int(e.Step), errors.New(e.Text)}, nil
+		err := errors.New(e.Text)
+		if e.Text == ErrSilent.Error() {
+			err = ErrSilent
+		}
+		return watchEnded{c.order[e.Front], int(e.Step), err}, nil
 	case capture.Notified:
 		f := c.order[e.Front]
 		if f.unsend == nil || len(f.sending) != len(e.Taken) {
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -16,7 +16,7 @@
 		}
 		f.watchNo++
 		no := f.watchNo
-		f.unwatch = c.shell.Watch(f.Front, f.index, func(p PoolConfig) { c.queue <- poolChanged{f, p} },
+		f.unwatch = c.shell.Watch(f.Front, f.index, func(p PoolConfig) { c.queue <- poolChanged{f, no, p} },
 			func(err error) { c.queue <- watchEnded{f, no, err} })
 		c.did(capture.Deed{Kind: capture.Watched, No: uint64(f.no), To: uint32(no), After: f.index})
 	}
@@ -38,7 +38,7 @@
 }
 
 // Run is the one goroutine that owns the module. It steps in turns of Limits.Round, on a fixed grid, so that
-// what comes within one turn is decided together. It returns after Drain.
+// what comes within one turn is decided together. It returns after Stop, and until then answers whatever comes.
 func (c *Core) Run() {
 	timer := time.NewTimer(0)
 	var events []event
@@ -54,8 +54,11 @@
 		events = c.pending(events)
 		now := time.Now()
 		c.Turn(now, events)
-		if c.Done(now) {
-			go c.refuse()
+		if c.Done(now) && !c.over {
+			c.over = true
+			close(c.drained)
+		}
+		if c.stopped {
 			return
 		}
 	}
@@ -91,16 +94,6 @@
 	return !c.drainAt.IsZero() && (now.Sub(c.drainAt) > c.lim.DrainExit || len(c.msgs) == 0 && len(c.out) == 0)
 }
 
-// refuse answers whoever passed Take's check before Drain and came to the queue after Run's last turn: with
-// nobody there it would wait for ever, and its connection would end with no answer.
-func (c *Core) refuse() {
-	for ev := range c.queue {
-		if a, ok := ev.(arrival); ok {
-			a.reply <- Reply{Verdict: Busy, Retry: c.lim.BusyRetry}
-		}
-	}
-}
-
 // nap is how long nothing needs to be done unless something happens.
 func (c *Core) nap(now time.Time) time.Duration {
 	d := time.Second
--- a/internal/relay/share.go
+++ b/internal/relay/share.go
@@ -61,6 +61,6 @@
 func (l lent) apply(c *Core, _ time.Time) {
 	c.in = append(c.in, control.Event{Kind: control.Others, Shared: l.on(c)})
 	if l.done != nil {
-		c.ended = append(c.ended, l.done)
+		c.tellers = append(c.tellers, l.done)
 	}
 }
--- a/internal/relay/shell.go
+++ b/internal/relay/shell.go
@@ -45,10 +45,11 @@
 }
 
 // Journal is where the core writes down what must outlast it; see journal.Log. Entries are the core's and the journal's
-// together: each call but Take changes the one it is given as it says.
+// together: each call but Take and Begin changes the one it is given as it says. Begin may come from any goroutine.
 type Journal interface {
 	Entries() []*journal.Entry
 	Take(e *journal.Entry) error
+	Begin(all []*journal.Entry) bool
 	Start(e *journal.Entry, at time.Time, destination string)
 	Outcome(e *journal.Entry, neverRan bool)
 	End(e *journal.Entry)
--- a/internal/relay/state.go
+++ b/internal/relay/state.go
@@ -15,10 +15,10 @@
 // state is the core's state as plain data, between two turns.
 func (c *Core) state() *capture.Core {
 	x := &capture.Core{Events: slices.Clone(c.in), LastNo: c.lastNo, LastRef: c.lastRef, LastStep: c.lastStep, Handed: c.handed,
-		WakeAt: c.stamp(c.wakeAt), WatchAt: c.stamp(c.watchAt), DrainAt: c.stamp(c.drainAt), HouseAt: c.stamp(c.houseAt), Stand: c.gov}
+		WakeAt: c.stamp(c.wakeAt), WatchAt: c.stamp(c.watchAt), DrainAt: c.stamp(c.drainAt), HouseAt: c.stamp(c.houseAt), Stand: c.gov, Ended: c.ended.state(c)}
 	for _, f := range c.order {
 		x.Fronts = append(x.Fronts, capture.FrontState{Name: f.name, Tells: f.Front.TellsDeliveries(), List: slices.Sorted(maps.Values(f.list)),
-			Index: f.index, WatchNo: f.watchNo, Watching: f.unwatch != nil, Owed: refs(f.owed), Sending: refs(f.sending),
+			Index: f.index, WatchNo: f.watchNo, ToldBy: f.toldBy, Watching: f.unwatch != nil, Owed: refs(f.owed), Sending: refs(f.sending),
 			Calling: f.unsend != nil, Away: f.away, RetryAt: c.stamp(f.retryAt), Gap: f.gap})
 	}
 	for _, n := range slices.Sorted(maps.Keys(c.dests)) {
@@ -86,7 +86,7 @@
 	c.lastNo, c.lastRef, c.lastStep, c.handed = x.LastNo, x.LastRef, x.LastStep, x.Handed
 	c.wakeAt, c.watchAt, c.drainAt, c.houseAt = c.at(x.WakeAt), c.at(x.WatchAt), c.at(x.DrainAt), c.at(x.HouseAt)
 	for _, s := range x.Fronts {
-		f := &frontState{name: s.Name, no: len(c.order), Front: front(s), list: map[string]uint32{}, index: s.Index, watchNo: s.WatchNo,
+		f := &frontState{name: s.Name, no: len(c.order), Front: front(s), list: map[string]uint32{}, index: s.Index, watchNo: s.WatchNo, toldBy: s.ToldBy,
 			away: s.Away, retryAt: c.at(s.RetryAt), gap: s.Gap}
 		if s.Watching {
 			f.unwatch = func() {}
@@ -134,6 +134,9 @@
 		c.stall(c.out[s.No])
 	}
 	c.gov = x.Stand
+	for _, e := range x.Ended {
+		c.ended.add(e.Key, Verdict(e.Verdict), c.at(e.At))
+	}
 	for _, h := range x.Messages {
 		e := &journal.Entry{ID: h.ID, Key: blank(h.KeySize), Front: c.order[h.Front].name, Destination: h.Partner, Class: h.Class, Tenant: h.Tenant,
 			Deadline: c.at(h.Deadline), Again: h.Again, Body: []byte(blank(h.Size)), Headers: unhash(h.Headers), Attempts: h.Attempts, Policy: h.Policy, Allow: h.Allow, Out: h.Out,
--- a/internal/relay/turn.go
+++ b/internal/relay/turn.go
@@ -38,10 +38,10 @@
 		c.watch()
 	}
 	c.notify(now)
-	for _, tell := range c.ended {
+	for _, tell := range c.tellers {
 		tell()
 	}
-	c.ended = c.ended[:0]
+	c.tellers = c.tellers[:0]
 	if now.Sub(c.houseAt) > time.Second {
 		c.houseAt = now
 		for _, f := range c.order {
@@ -113,7 +113,7 @@
 		step := open[s.a.Endpoint]
 		if step == nil || !c.joins(step, s.m) {
 			c.lastStep++
-			step = &RouteStep{no: c.lastStep, To: *d, Timeout: s.a.For, sample: -1, at: now}
+			step = &RouteStep{no: c.lastStep, To: *d, Timeout: s.a.For, sample: -1, at: now, cancel: func() {}}
 			steps = append(steps, step)
 			if open == nil {
 				open = map[uint32]*RouteStep{}
@@ -198,7 +198,7 @@
 func (c *Core) tell(m *message, how string) {
 	c.count(m.e.Class, m.e.Tenant, m.e.Destination, how)
 	if c.spect != nil {
-		c.ended = append(c.ended, func() {
+		c.tellers = append(c.tellers, func() {
 			c.spect.Ended(m.front.name, End{m.e.ID, m.e.Key, m.e.Destination, m.e.Class, how})
 		})
 	}
@@ -241,7 +241,7 @@
 			c.tellClient(m.reply, m.hand, *m.busy)
 		case err != nil: // not on disk: not taken on
 			c.tellClient(m.reply, m.hand, Reply{Verdict: Busy, Retry: c.lim.BusyRetry})
-			withdrawn{m.ref}.apply(c, now)
+			c.withdraw(m)
 		default:
 			c.tellClient(m.reply, m.hand, Reply{Verdict: Taken, ref: m.ref})
 		}
@@ -252,7 +252,7 @@
 		c.call(s)
 	}
 	for _, s := range steps {
-		c.out[s.no], s.cancel = s, func() {}
+		c.out[s.no] = s
 		if err != nil {
 			moot := slices.Repeat([]Outcome{{Result: control.Moot}}, len(s.Items))
 			stepEnded{s, moot}.apply(c, now)
@@ -274,6 +274,13 @@
 			s.sample = max(s.sample, c.spect.Sample(s.To.front.name, s.To.Partner, s.Items[i].Class))
 		}
 	}
+	var all []*journal.Entry
+	for i := range s.Items {
+		if m := c.msgs[s.Items[i].ref]; m != nil {
+			all = append(all, m.e)
+		}
+	}
+	s.begin = func() bool { return c.jour.Begin(all) }
 	c.didBegin(s)
 	s.cancel = c.shell.Call(s.To.front.Front, s, s.at.Add(s.Timeout), func(outs []Outcome) {
 		if s.seen != nil { // an answer that came whole
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -107,7 +107,7 @@
 func (e *Endpoints) Close() {
 	for i, l := range e.listeners {
 		_ = l.Close()
-		e.servers[i].Close()
+		e.servers[i].Close(10 * time.Second)
 	}
 }
 
