Take a connection turned away with 503 and its end for no connection, not for a limit

At fault: platform.go, read: it was taken for Full, so the module cut paces and stopped endpoints, and never closed what was idle (control.go, crowded, is only reached with NoConnection).

Change: 503 that is the first answer on its connection, ends it and tells no wait is NoConnection; httpwire.Response tells Fresh. Tests: TestFewConnections over real connections (fails without), TestOutcomes with four rows more, TestFresh.

--- a/internal/httpwire/client.go
+++ b/internal/httpwire/client.go
@@ -103,6 +103,7 @@
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
 	answer, stage := c.call(ctx, request)
 	if answer != nil {
+		answer.Fresh = idle == 0
 		use(answer)
 	} else if stage == Broken && idle > 0 {
 		p.doubt(idle)
--- a/internal/httpwire/ends_test.go
+++ b/internal/httpwire/ends_test.go
@@ -133,3 +133,21 @@
 		t.Errorf("%d connections are left", len(s.conns))
 	}
 }
+
+// TestFresh: the first answer on a connection is told apart from those that follow: only that one may turn the connection itself away.
+func TestFresh(t *testing.T) {
+	l := exchange.Listen(t)
+	s := NewServer(limits(), echo)
+	go func() { _ = s.Serve(l) }()
+	p, to := NewPool(limits()), Peer{"s-1", l.Addr().String()}
+	for _, want := range []bool{true, false, false} {
+		got := !want
+		stage := p.Do(t.Context(), to, AppendRequest(nil, "GET", "/", "h", nil, nil), nil, func(r *Response) { got = r.Fresh })
+		if stage != Answered || got != want {
+			t.Errorf("stage %d, fresh %v, want %v", stage, got, want)
+		}
+	}
+	p.Retire(to)
+	_ = l.Close()
+	s.Close(time.Minute)
+}
--- a/internal/httpwire/httpwire_test.go
+++ b/internal/httpwire/httpwire_test.go
@@ -143,7 +143,11 @@
 	address := l.Addr().String()
 	request := AppendRequest(nil, "GET", "/", address, nil, nil)
 	for range 2 {
-		if got := p.Do(context.Background(), Peer{Address: address}, request, nil, func(*Response) {}); got != Answered {
+		if got := p.Do(context.Background(), Peer{Address: address}, request, nil, func(r *Response) {
+			if !r.Fresh {
+				t.Error("the first answer on its connection is not told to be")
+			}
+		}); got != Answered {
 			t.Fatalf("stage %d, want an answer", got)
 		}
 		<-closed
--- a/internal/httpwire/read.go
+++ b/internal/httpwire/read.go
@@ -36,6 +36,7 @@
 	Header textproto.MIMEHeader
 	Body   []byte
 	Close  bool
+	Fresh  bool // the first on its connection; set by Pool.Do
 }
 
 // Reader reads requests or answers off one connection.
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -261,8 +261,13 @@
 	case 200:
 		all.Result = control.Delivered
 	case 429, 503:
-		if all.Result = control.Full; p.Header.Get("X-No-Slot") != "" {
+		switch all.Result = control.Full; {
+		case p.Header.Get("X-No-Slot") != "":
 			all.Result = control.Moot
+		case p.Status == 503 && p.Close && p.Fresh && all.Wait == 0:
+			// The connection itself was turned away: the endpoint holds as many as it takes, idle ones counted. That is no limit on
+			// calls; what helps is to hold none that is not in use.
+			all.Result = control.NoConnection
 		}
 	case 504, 400, 413: // has not run
 		all.Result = control.Moot
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/google/go-cmp/cmp"
 	"github.com/google/go-cmp/cmp/cmpopts"
+	"github.com/tidwall/gjson"
 
 	"mastusher/control"
 	"mastusher/internal/config"
@@ -140,34 +141,40 @@
 		header map[string][]string
 		body   string
 		want   outs
+		ends   bool // with its connection
+		again  bool // it is not the first on it
 	}{
-		{"delivered", one, 200, nil, "", outs{{Result: control.Delivered}}},
+		{"delivered", one, 200, nil, "", outs{{Result: control.Delivered}}, false, false},
 		{"with a report", one, 200, h("X-Server-Load", "TEXT x0=0.4, x1=25"), "",
-			outs{{Result: control.Delivered, Reported: true, Share: 0.4, Limit: 25}}},
-		{"with half a report", one, 200, h("X-Server-Load", "TEXT x0=0.4"), "", outs{{Result: control.Delivered, Share: 0.4}}},
-		{"error", one, 500, nil, "", outs{{Result: control.Errored}}},
-		{"told to wait", one, 429, h("Retry-After", "0.43"), "", outs{{Result: control.Full, Wait: 430 * time.Millisecond}}},
-		{"shut", one, 503, nil, "", outs{{Result: control.Full}}},
-		{"no slot", one, 503, h("X-No-Slot", "1"), "", outs{{Result: control.Moot}}},
-		{"attempts used up", one, 504, nil, "", outs{{Result: control.Moot}}},
-		{"over", one, 410, nil, "", outs{{Result: control.Moot, Over: true}}},
-		{"all alike", two, 500, nil, "", outs{{Result: control.Errored}, {Result: control.Errored}}},
+			outs{{Result: control.Delivered, Reported: true, Share: 0.4, Limit: 25}}, false, false},
+		{"with half a report", one, 200, h("X-Server-Load", "TEXT x0=0.4"), "", outs{{Result: control.Delivered, Share: 0.4}}, false, false},
+		{"error", one, 500, nil, "", outs{{Result: control.Errored}}, false, false},
+		{"told to wait", one, 429, h("Retry-After", "0.43"), "", outs{{Result: control.Full, Wait: 430 * time.Millisecond}}, false, false},
+		{"shut", one, 503, nil, "", outs{{Result: control.Full}}, false, false},
+		{"no slot", one, 503, h("X-No-Slot", "1"), "", outs{{Result: control.Moot}}, false, false},
+		{"attempts used up", one, 504, nil, "", outs{{Result: control.Moot}}, false, false},
+		{"over", one, 410, nil, "", outs{{Result: control.Moot, Over: true}}, false, false},
+		{"all alike", two, 500, nil, "", outs{{Result: control.Errored}, {Result: control.Errored}}, false, false},
 		{"each by itself", two, 200, h("Retry-After", "1"), `[{"id":"b","state":"delivered"},{"id":"a","state":"refused"}]`,
-			outs{{Result: control.Full, Wait: time.Second}, {Result: control.Delivered, Wait: time.Second}}},
+			outs{{Result: control.Full, Wait: time.Second}, {Result: control.Delivered, Wait: time.Second}}, false, false},
 		{"over and spent", two, 200, nil, `[{"id":"a","state":"over"},{"id":"b","state":"spent"}]`,
-			outs{{Result: control.Moot, Over: true}, {Result: control.Moot}}},
+			outs{{Result: control.Moot, Over: true}, {Result: control.Moot}}, false, false},
 		{"not named: may have run", two, 200, nil, `[{"id":"a","state":"failed"}]`,
-			outs{{Result: control.Errored}, {Result: control.Spoilt}}},
+			outs{{Result: control.Errored}, {Result: control.Spoilt}}, false, false},
 		{"broken JSON", two, 200, nil, `[{"id":"a","state":"delivered"},{"id":"b","sta`,
-			outs{{Result: control.Spoilt}, {Result: control.Spoilt}}},
+			outs{{Result: control.Spoilt}, {Result: control.Spoilt}}, false, false},
 		{"figures that are none", one, 429, h("Retry-After", "Inf", "X-Server-Load", "TEXT x0=NaN, x1=-5"), "",
-			outs{{Result: control.Full}}},
+			outs{{Result: control.Full}}, false, false},
 		{"a wait that nobody means", one, 503, h("Retry-After", "1e300", "X-Server-Load", "TEXT x0=0.1, x1=1e300"), "",
-			outs{{Result: control.Full, Share: 0.1}}},
+			outs{{Result: control.Full, Share: 0.1}}, false, false},
+		{"its connection is turned away", one, 503, nil, "", outs{{Result: control.NoConnection}}, true, false},
+		{"shut, on a connection that was kept", one, 503, nil, "", outs{{Result: control.Full}}, true, true},
+		{"told to wait, and the end", one, 503, h("Retry-After", "1"), "", outs{{Result: control.Full, Wait: time.Second}}, true, false},
+		{"above the limit, and the end", one, 429, nil, "", outs{{Result: control.Full}}, true, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			got := make(outs, len(c.step.Items))
-			f.read(&httpwire.Response{Status: c.status, Header: c.header, Body: []byte(c.body)}, c.step, got)
+			f.read(&httpwire.Response{Status: c.status, Header: c.header, Body: []byte(c.body), Close: c.ends, Fresh: !c.again}, c.step, got)
 			if d := cmp.Diff(c.want, got); d != "" {
 				t.Errorf("(-want +got)\n%s", d)
 			}
@@ -264,6 +271,79 @@
 	}
 }
 
+// begin has a core and its front at work on a configuration, without a watch, until end.
+func begin(t *testing.T, cfg *config.Config) (core *relay.Core, f *Front, jour *journal.Log, end func()) {
+	t.Helper()
+	jour, err := journal.Open(cfg.State, cfg.Limits.Disk)
+	if err == nil {
+		core, err = relay.New(cfg, jour, slog.New(slog.NewTextHandler(io.Discard, nil)), time.Now())
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	f = New(cfg, core)
+	core.AddFront(Name, quiet{f}, ParsePoolConfig(cfg.Known))
+	core.Restore(time.Now())
+	ended := make(chan bool)
+	go func() { core.Run(); ended <- true }()
+	return core, f, jour, func() {
+		core.Drain()
+		<-core.Drained()
+		core.Stop()
+		<-ended
+	}
+}
+
+// TestFewConnections: an endpoint that holds as many connections as it takes, idle ones counted, turns a new one away with 503 and its
+// end. The relay takes that for what it is, and gives back at once what it holds idle at endpoints of that kind: others wait for those.
+// Before, it slowed down as if a limit on calls were passed, and kept them.
+func TestFewConnections(t *testing.T) {
+	cfg := configure(t, "-", "-")
+	gave := make(chan error, 1)
+	room := exchange.Listen(t) // an endpoint with room: it keeps the connection after its answer
+	go func() {
+		conn, err := room.Accept()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		_, _ = httpwire.NewReader(conn, &cfg.Limits).ReadRequest(nil)
+		_, _ = conn.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"))
+		_ = conn.SetReadDeadline(time.Now().Add(20 * time.Second)) // well before its idle time is over
+		_, err = conn.Read(make([]byte, 1))
+		gave <- err
+	}()
+	full := exchange.Listen(t) // and one of that kind without any
+	go func() {
+		conn, err := full.Accept()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		_, _ = httpwire.NewReader(conn, &cfg.Limits).ReadRequest(nil)
+		_, _ = conn.Write([]byte("HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"))
+	}()
+	known := fmt.Sprintf(`{"index":41,"snapshot":true,"endpoints":[{"name":"s-1","address":%q,"zone":"a","type":"m2","group":7,"status":"ready"},
+		{"name":"s-2","address":%q,"zone":"a","type":"m2","group":8,"status":"ready"}]}`, room.Addr(), full.Addr())
+	cfg.Known = gjson.Parse(known)
+	cfg.Settings.Ask, cfg.Settings.ConnIdle, cfg.Limits.IdleSocket = true, time.Hour, time.Hour
+	_, f, jour, end := begin(t, cfg)
+	for i, dest := range []string{"dest=7", "dest=8"} {
+		q := &httpwire.Request{Method: "POST", Path: "/score-state", Header: map[string][]string{"X-Request-Id": {dest}, "X-Timeout": {"20000m"},
+			"X-Envelope": {dest}}}
+		if a := f.Handle(q); a.Status != 202 {
+			t.Fatalf("%s: status %d", dest, a.Status)
+		}
+		for i == 0 && len(jour.Entries()) > 0 { // until it is delivered, and its connection rests
+			time.Sleep(time.Millisecond)
+		}
+	}
+	if err := <-gave; err != io.EOF {
+		t.Errorf("the idle connection of that kind ends with %v, want its end", err)
+	}
+	end()
+}
+
 // TestLostAnswer: the client's connection breaks after its message was taken on and before it has its answer, every time; it hands the
 // message in once more under the same id, while the call is out or when that is over. What must not run twice has one call, and the
 // second request is not answered as if it could be handed in again.
@@ -284,19 +364,7 @@
 		cfg := configure(t, "-", endpoint.Addr().String())
 		cfg.Settings.Ask = true
 		cfg.Settings.Classes = append(cfg.Settings.Classes, control.Class{Name: "order", Aim: time.Second, Deadline: time.Minute, Worth: 1})
-		jour, err := journal.Open(cfg.State, cfg.Limits.Disk)
-		if err != nil {
-			t.Fatal(err)
-		}
-		core, err := relay.New(cfg, jour, slog.New(slog.NewTextHandler(io.Discard, nil)), time.Now())
-		if err != nil {
-			t.Fatal(err)
-		}
-		f := New(cfg, core)
-		core.AddFront(Name, quiet{f}, ParsePoolConfig(cfg.Known))
-		core.Restore(time.Now())
-		ended := make(chan bool)
-		go func() { core.Run(); ended <- true }()
+		_, f, jour, end := begin(t, cfg)
 		clients := exchange.Listen(t)
 		broken, lost, tries := make(chan struct{}), make(chan struct{}), 0
 		s := httpwire.NewServer(&cfg.Limits, func(q *httpwire.Request) httpwire.Answer {
@@ -334,10 +402,7 @@
 		if !c.over {
 			close(answer)
 		}
-		core.Drain()
-		<-core.Drained()
-		core.Stop()
-		<-ended
+		end()
 		if len(calls) != 0 {
 			t.Errorf("%s: it was called %d times more", c.class, len(calls))
 		}
