Write nothing to a connection that has just ended, drop requests of clients that left

A peer that ended the connection meanwhile, or wrote half a line or a whole answer left over, got the request all the same: it may have run, or was taken for delivered. It is looked at again after the question: TestEndBeforeWrite. The question was also asked for a connect that had failed, which noted an attempt that never was, and a call called off in that moment counted against its endpoint: TestCalledOffDial. - server.go, one: a request that is read after its client has left was taken on beside the one handed in elsewhere, as by a relay that was stopped or has little processor time: TestClientGone. - settings.go: a word that nobody knows fell back silently (registry_mode to pushed lists, loses_worth to a line). Refused with its key, as are two classes of one name: TestFaults. The rig's own settings said "none" where the protocol says side_effect. - control: no change; TestKeyedAfterRestart shows groups and windows after a restart whose endpoint has left the list.

--- a/control/control_test.go
+++ b/control/control_test.go
@@ -288,6 +288,23 @@
 	}
 }
 
+// Rule: after a restart too, also where the endpoint of the first attempt has left the list, so that nobody knows its zone any more, and
+// where it joins the list again later.
+func TestKeyedAfterRestart(t *testing.T) {
+	for _, c := range []struct {
+		class int
+		sends int
+	}{{0, 1}, {1, 0}, {2, 0}, {3, 1}} {
+		r := newRig(t, settings(), Endpoint{ID: 1, Zone: 0}, Endpoint{ID: 2, Zone: 1})
+		ev := r.arrive(1, c.class)
+		ev.Attempt, ev.Ran, ev.RanAt, ev.Endpoint = 1, true, r.now-100*ms, 9
+		acts := append(r.step(ev), r.step(Event{Kind: Listed, Endpoints: []Endpoint{{ID: 9, Zone: 0}}})...)
+		if acts = append(acts, r.wait(500*ms)...); len(of(acts, Send)) != c.sends {
+			t.Errorf("class %d: %v, want %d calls", c.class, of(acts, Send), c.sends)
+		}
+	}
+}
+
 // Rule: drains are kept, also with messages held; a whole list that lacks an endpoint removes it.
 func TestDrain(t *testing.T) {
 	for _, ev := range []Event{
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -3,6 +3,7 @@
 
 import (
 	"encoding/hex"
+	"errors"
 	"fmt"
 	"hash/fnv"
 	"net"
@@ -226,7 +227,10 @@
 	p.need("settings", raw.IsObject(), "missing or not an object")
 	if raw.IsObject() {
 		set, err := wire.ParseSettings([]byte(raw.Raw))
-		if err != nil {
+		var word *wire.KeyError
+		if errors.As(err, &word) {
+			p.fail("settings."+word.Key, word.Why)
+		} else if err != nil {
 			p.fail("settings", err.Error())
 		}
 		if _, err := control.New(set.Settings, 0); err == nil || len(set.Classes) == 0 || set.Slots < 1 || set.MaxAttempts < 1 {
--- a/internal/fleet/rig/rig.go
+++ b/internal/fleet/rig/rig.go
@@ -171,7 +171,7 @@
   "allowed": {"cancel": true, "max_attempts": 6, "max_open": 2000, "max_retry_after": 3000000, "retry_after": true, "conn_idle": 15000000,
     "connect_timeout": 1500000}, "report": {"fields": ["x0", "x1"], "how": "TEXT"}, "family_info": {"workers": 32, "per_call": [1], "kind_apart": [true]}, "lanes": [
     {"name": "match-event", "effect": "token", "group": "all", "memory_span": 4000000, "aim": 3000000, "deadline": 16000000, "worth": 1},
-    {"name": "transfer", "effect": "none", "aim": 3000000, "deadline": 16000000, "worth": 2}],
+    {"name": "transfer", "effect": "side_effect", "aim": 3000000, "deadline": 16000000, "worth": 2}],
   "rules": {"cold": 14000000, "drain_grace": 250000, "fall": 2000000, "overload_factor": 2, "start_capacity": 0.21}}`
 
 func (f *Fleet) configure(r *Relay, list string) error {
--- a/internal/httpwire/client.go
+++ b/internal/httpwire/client.go
@@ -82,30 +82,36 @@
 // the call is still out.
 func (p *Pool) Do(ctx context.Context, to Peer, request []byte, mayWrite func() bool, use func(*Response)) Stage {
 	c := p.take(to)
-	var idle time.Duration // of a connection that has been used before
-	if c != nil {
+	used := c != nil // before
+	var idle time.Duration
+	if used {
 		idle = time.Since(c.since)
 	} else {
 		dial := net.Dialer{Timeout: p.lim.ConnectTimeout}
 		conn, err := dial.DialContext(ctx, "tcp", to.Address)
 		switch {
-		case err != nil && mayWrite != nil && !mayWrite():
+		case errors.Is(ctx.Err(), context.Canceled): // called off, or back, before it came up: that tells nothing of the peer
+			if err == nil {
+				_ = conn.Close()
+			}
 			return Withheld
 		case err != nil:
 			return NotConnected
 		}
 		c = &clientConn{Conn: conn, r: NewReader(conn, p.lim), lim: p.lim}
 	}
-	if mayWrite != nil && !mayWrite() {
+	// To ask may take a write to a disk. On a connection that has been used before the peer may end it meanwhile, or write what is
+	// left over: then it is not used, and nothing has run.
+	if mayWrite != nil && !mayWrite() || used && !quiet(c.Conn) {
 		_ = c.Close()
 		return Withheld
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
 	answer, stage := c.call(ctx, request)
 	if answer != nil {
-		answer.Fresh = idle == 0
+		answer.Fresh = !used
 		use(answer)
-	} else if stage == Broken && idle > 0 {
+	} else if stage == Broken && used {
 		p.doubt(idle)
 	}
 	// A stop that comes too late has spoilt the connection's deadline: it is not kept.
@@ -220,23 +226,37 @@
 	}
 }
 
-// quiet tells whether an idle connection is still open and has nothing to read. It does not wait for a goroutine that reads it.
+// quiet tells whether an idle connection is still open and has nothing to read.
 func quiet(c net.Conn) bool {
+	_, err := peek(c)
+	return err == syscall.EAGAIN
+}
+
+// left tells whether the peer has ended the connection, or its sending, and nothing is left to read before that.
+func left(c net.Conn) bool {
+	n, err := peek(c)
+	return n == 0 && err != syscall.EAGAIN
+}
+
+// peek looks at what stands in a connection's buffer, and waits for nothing, not even for a goroutine that reads it. EAGAIN: there is
+// nothing, and the connection is open. One that is no socket is taken for such.
+func peek(c net.Conn) (n int, err error) {
 	sc, ok := c.(syscall.Conn)
 	if !ok {
-		return true
+		return 0, syscall.EAGAIN
 	}
 	raw, err := sc.SyscallConn()
 	if err != nil {
-		return false
+		return 0, err
+	}
+	var b [1]byte
+	var got error
+	if err = raw.Control(func(fd uintptr) {
+		n, _, got = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	}); err == nil {
+		err = got
 	}
-	ok = false
-	err = raw.Control(func(fd uintptr) {
-		var b [1]byte
-		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		ok = n < 0 && (err == syscall.EAGAIN || err == syscall.EWOULDBLOCK)
-	})
-	return ok && err == nil
+	return max(n, 0), err
 }
 
 // Stream is an answer whose body comes line by line, for as long as its connection lasts.
--- a/internal/httpwire/ends_test.go
+++ b/internal/httpwire/ends_test.go
@@ -1,6 +1,7 @@
 package httpwire
 
 import (
+	"context"
 	"io"
 	"net"
 	"os"
@@ -8,6 +9,8 @@
 	"testing"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"mastusher/internal/exchange"
 )
 
@@ -134,6 +137,125 @@
 	}
 }
 
+// TestEndBeforeWrite: the peer ends a kept connection, or writes half a line to it, between the relay's choice of it and the first byte,
+// every time: the question whether it may write does that. Nothing is written, and nothing may have run.
+func TestEndBeforeWrite(t *testing.T) {
+	for name, act := range map[string]func(net.Conn){
+		"ends it":       func(c net.Conn) { _ = c.Close() },
+		"resets it":     func(c net.Conn) { _ = c.(*net.TCPConn).SetLinger(0); _ = c.Close() },
+		"half a line":   func(c net.Conn) { _, _ = c.Write([]byte("HTTP/1.1 2")) },
+		"a late answer": func(c net.Conn) { _, _ = c.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := exchange.Listen(t)
+			came := make(chan net.Conn, 1)
+			requests := make(chan string, 9)
+			go func() {
+				conn, err := l.Accept()
+				if err != nil {
+					return
+				}
+				came <- conn
+				for r := NewReader(conn, limits()); ; {
+					q, err := r.ReadRequest(nil)
+					if err != nil {
+						return
+					}
+					requests <- q.Path
+					_, _ = conn.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"))
+				}
+			}()
+			p, to := NewPool(limits()), Peer{"s-1", l.Addr().String()}
+			if got := p.Do(t.Context(), to, []byte("GET /1 HTTP/1.1\r\n\r\n"), nil, func(*Response) {}); got != Answered {
+				t.Fatalf("stage %d", got)
+			}
+			kept := p.idle[to][0]
+			conn := <-came
+			may := func() bool {
+				act(conn)
+				for range 2000 {
+					if !quiet(kept.Conn) {
+						break
+					}
+					time.Sleep(time.Millisecond)
+				}
+				return true
+			}
+			got := p.Do(t.Context(), to, []byte("GET /2 HTTP/1.1\r\n\r\n"), may, func(r *Response) { t.Errorf("it is answered %d", r.Status) })
+			if got != Withheld || p.count != 0 {
+				t.Errorf("stage %d with %d connections kept, want %d with none", got, p.count, Withheld)
+			}
+			_ = conn.Close()
+			if first := <-requests; first != "/1" || len(requests) != 0 {
+				t.Errorf("the peer had %q and %d more", first, len(requests))
+			}
+		})
+	}
+}
+
+// TestCalledOffDial: a call that is called off while its connection comes up writes nothing, is not asked for, and leaves no connection
+// behind, also where that comes up in the same moment.
+func TestCalledOffDial(t *testing.T) {
+	l := exchange.Listen(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	p := NewPool(limits())
+	got := p.Do(ctx, Peer{Address: l.Addr().String()}, []byte("GET / HTTP/1.1\r\n\r\n"), func() bool {
+		t.Error("it is asked whether it may write")
+		return true
+	}, nil)
+	if got != Withheld || p.count != 0 {
+		t.Errorf("stage %d with %d connections kept", got, p.count)
+	}
+}
+
+// asleep is a connection that is not read before its client has gone.
+type asleep struct {
+	*net.TCPConn
+	gone <-chan struct{}
+}
+
+func (c *asleep) Read(b []byte) (int, error) {
+	<-c.gone
+	return c.TCPConn.Read(b)
+}
+
+// TestClientGone: a request is read only after its client has left, every time, as by a relay that was stopped for a while, or has little
+// processor time. Its client hands it in elsewhere: it is not handled, and nothing runs twice for it.
+func TestClientGone(t *testing.T) {
+	for name, leave := range map[string]func(*net.TCPConn){
+		"closed": func(c *net.TCPConn) { _ = c.Close() },
+		"reset":  func(c *net.TCPConn) { _ = c.SetLinger(0); _ = c.Close() },
+	} {
+		l := exchange.Listen(t)
+		conn := exchange.Dial(t, l.Addr().String()).(*net.TCPConn)
+		raw, err := l.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		s := NewServer(limits(), func(*Request) Answer {
+			t.Errorf("%s: the request of a client that has gone is handled", name)
+			return Answer{Status: 202}
+		})
+		gone, ended := make(chan struct{}), make(chan struct{})
+		f := s.admit(&asleep{raw.(*net.TCPConn), gone})
+		go func() { f.serve(); close(ended) }()
+		_, _ = conn.Write([]byte("POST / HTTP/1.1\r\nContent-Length: 2\r\n\r\nhi"))
+		leave(conn)
+		for range 2000 { // until its end has come too
+			var info *unix.TCPInfo
+			sc, _ := raw.(*net.TCPConn).SyscallConn()
+			_ = sc.Control(func(fd uintptr) { info, err = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO) })
+			if err == nil && info.State != 1 { // it is not established any more
+				break
+			}
+			time.Sleep(time.Millisecond)
+		}
+		close(gone)
+		<-ended
+	}
+}
+
 // TestFresh: the first answer on a connection is told apart from those that follow: only that one may turn the connection itself away.
 func TestFresh(t *testing.T) {
 	l := exchange.Listen(t)
--- a/internal/httpwire/server.go
+++ b/internal/httpwire/server.go
@@ -218,7 +218,7 @@
 		a = Answer{Status: fault.Status, Body: []byte(fault.Why + "\n")}
 	case err != nil:
 		return false
-	case !f.enter(answering): // it has made room for others: nobody would hear an answer
+	case left(f.Conn) || !f.enter(answering): // its client has gone, or it has made room for others: nobody would hear an answer
 		return false
 	default:
 		a = f.s.handle(q)
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"slices"
+	"strings"
 	"time"
 
 	"mastusher/control"
@@ -12,20 +13,10 @@
 
 // setup is the JSON text of the settings; keys that are not here are ignored.
 type setup struct {
-	Me         int `json:"me"`
-	PeersTotal int `json:"peers_total"`
-	Zone       int `json:"zone"`
-	Lanes      []struct {
-		Name       string  `json:"name"`
-		Aim        float64 `json:"aim"`
-		Deadline   float64 `json:"deadline"`
-		Effect     string  `json:"effect"`
-		Group      string  `json:"group"`
-		LateWorth  float64 `json:"late_worth"`
-		MemorySpan float64 `json:"memory_span"`
-		Worth      float64 `json:"worth"`
-		Sequential bool    `json:"sequential"`
-	} `json:"lanes"`
+	Me           int      `json:"me"`
+	PeersTotal   int      `json:"peers_total"`
+	Zone         int      `json:"zone"`
+	Lanes        []lane   `json:"lanes"`
 	MachineTypes []string `json:"machine_types"`
 	Orgs         []struct {
 		Name  string  `json:"name"`
@@ -73,6 +64,19 @@
 	} `json:"rules"`
 }
 
+// lane is a class of messages.
+type lane struct {
+	Name       string  `json:"name"`
+	Aim        float64 `json:"aim"`
+	Deadline   float64 `json:"deadline"`
+	Effect     string  `json:"effect"`
+	Group      string  `json:"group"`
+	LateWorth  float64 `json:"late_worth"`
+	MemorySpan float64 `json:"memory_span"`
+	Worth      float64 `json:"worth"`
+	Sequential bool    `json:"sequential"`
+}
+
 // Reports tells where the values of a load report stand; -1: nowhere.
 type Reports struct{ Share, Limit int }
 
@@ -97,6 +101,36 @@
 	return w
 }
 
+// KeyError names the key of the settings that is at fault.
+type KeyError struct{ Key, Why string }
+
+func (e *KeyError) Error() string { return "field setup: key " + e.Key + ": " + e.Why }
+
+// words are the values that a key may have. A key that is not there has the narrowest meaning; a word that nobody knows has none.
+func (in *setup) words() error {
+	type word struct {
+		key, value string
+		known      []string
+	}
+	all := []word{{"registry_mode", in.RegistryMode, []string{"automatic", "subscribe"}},
+		{"weight_source", in.WeightSource, []string{"off", "nominal", "rough", "live"}},
+		{"family_info.loses_worth", in.FamilyInfo.LosesWorth, []string{"line", "halves"}}}
+	for i, l := range in.Lanes {
+		at := fmt.Sprintf("lanes.%d.", i)
+		all = append(all, word{at + "effect", l.Effect, []string{"pure", "token", "side_effect"}},
+			word{at + "group", l.Group, []string{"all", "zone", "cell"}})
+		if slices.ContainsFunc(in.Lanes[:i], func(o lane) bool { return o.Name == l.Name }) {
+			return &KeyError{at + "name", fmt.Sprintf("%q is another class's too", l.Name)}
+		}
+	}
+	for _, w := range all {
+		if w.value != "" && !slices.Contains(w.known, w.value) {
+			return &KeyError{w.key, fmt.Sprintf("%q is none of %s", w.value, strings.Join(w.known, ", "))}
+		}
+	}
+	return nil
+}
+
 // ParseSettings reads the JSON text of the settings.
 func ParseSettings(text []byte) (Settings, error) {
 	var in setup
@@ -113,6 +147,9 @@
 		}
 		return Settings{}, err
 	}
+	if err := in.words(); err != nil {
+		return Settings{}, err
+	}
 	us := func(v float64) time.Duration { return time.Duration(v * float64(time.Microsecond)) }
 	s := control.Settings{
 		Peers: in.PeersTotal, Me: in.Me, Zone: in.Zone,
