Take only a whole first line for an answer: half of one with 200 was a delivery

Ruled out: notices (1,062 of 1,062 taken at once), discovery. Cause, from what may make a message count as delivered with no delivery: read.go, responseHead used textproto's ReadLine, which takes for a line whatever stood there when the connection ended, was reset or fell silent. An answer cut anywhere behind "HTTP/1.1 200" became Spoilt with status 200, which platform.Call takes for Delivered, since of one message the first line tells all. Change: the line must end.

--- a/internal/httpwire/read.go
+++ b/internal/httpwire/read.go
@@ -157,11 +157,12 @@
 	} else if string(b) != mark { // noise: its line may never end
 		return nil, &Error{502, "not an answer"}
 	}
-	line, err := r.tp.ReadLine()
+	// Not textproto's ReadLine: it takes for a line what the connection ended in the middle of, and half of one may say 200.
+	text, err := r.br.ReadSlice('\n')
 	if err != nil {
-		return nil, err
+		return nil, short(err)
 	}
-	proto, rest, _ := strings.Cut(line, " ")
+	proto, rest, _ := strings.Cut(strings.TrimRight(string(text), "\r\n"), " ")
 	code, _, _ := strings.Cut(rest, " ")
 	status, err := strconv.ParseUint(code, 10, 16)
 	if err != nil || len(code) != 3 || status < 100 {
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -205,6 +205,43 @@
 	}
 }
 
+// TestHalfAnswer: an endpoint's answer stops at each byte of its first line, and the connection ends, is reset, or falls silent. Only a whole
+// line is an answer: half of one that begins with "HTTP/1.1 200" was taken for a delivery, and the message was lost.
+func TestHalfAnswer(t *testing.T) {
+	const line = "HTTP/1.1 200 OK\r\n"
+	cfg := configure(t, "-", "-")
+	cfg.Limits.AnswerRead = 30 * time.Millisecond // only what falls silent waits for it
+	for n := 1; n <= len(line); n++ {
+		for _, how := range []string{"ends", "is reset", "falls silent"} {
+			l := exchange.Listen(t)
+			over := make(chan struct{})
+			go func() {
+				conn, err := l.Accept()
+				if err != nil {
+					return
+				}
+				defer conn.Close()
+				_, _ = httpwire.NewReader(conn, &cfg.Limits).ReadRequest(nil)
+				_, _ = conn.Write([]byte(line[:n]))
+				switch how {
+				case "is reset":
+					_ = conn.(*net.TCPConn).SetLinger(0)
+				case "falls silent":
+					<-over
+				}
+			}()
+			step := &relay.RouteStep{To: relay.Destination{Address: l.Addr().String()}, Items: []relay.Item{{ID: "a"}}}
+			got := New(cfg, nil).Call(t.Context(), step)[0].Result
+			close(over)
+			_ = l.Close()
+			// A reset may overtake what was written before it.
+			if whole := n == len(line); whole != (got == control.Delivered) && !(how == "is reset" && got == control.Reset) || !whole && got.NeverRan() {
+				t.Errorf("after %q the connection %s: result %d", line[:n], how, got)
+			}
+		}
+	}
+}
+
 // TestBulk: the body of a call with several messages.
 func TestBulk(t *testing.T) {
 	f := New(configure(t, "-", "-"), nil)
--- a/internal/relay/endings.go
+++ b/internal/relay/endings.go
@@ -45,13 +45,24 @@
 // before tells the answer to a message that is handed in under an id that is held, or was until a moment ago.
 func (c *Core) before(front, id string) (Verdict, bool) {
 	key := front + " " + id
-	if c.byID[key] != nil {
+	if m := c.byID[key]; m != nil && m.e.Owed && !m.front.Front.TellsDeliveries() {
+		return as(m.e.Notice), true
+	} else if m != nil {
 		return Taken, true
 	}
 	v, ok := c.ended.by[key]
 	return v, ok
 }
 
+// as is the answer to a message that has ended with a notice, and comes again: its client may not know that it was ever taken on, and
+// would wait for another end if it were told so now.
+func as(n journal.Notice) Verdict {
+	if n.HandedBack {
+		return Busy
+	}
+	return Failed
+}
+
 // afterWithdrawal is the answer to a message whose client never heard that it had been taken on, and comes again. One that never
 // ran begins anew, and is not remembered; what may have run and must not run twice has failed.
 func (c *Core) afterWithdrawal(e *journal.Entry) (v Verdict, remembered bool) {
--- a/internal/relay/events.go
+++ b/internal/relay/events.go
@@ -258,7 +258,7 @@
 		} else if m != nil {
 			c.owed--
 			c.jour.Ack(m.e)
-			c.remember(m, Taken, now) // its client has been told how it ended
+			c.remember(m, as(m.e.Notice), now)
 			c.drop(m)
 			c.didFinish(m)
 		}
--- a/internal/relay/races_test.go
+++ b/internal/relay/races_test.go
@@ -140,6 +140,29 @@
 	}
 }
 
+// TestEndedByNotice: an id that comes again when its message has ended with a notice is told that end, before the notice was taken and after:
+// its client may never have heard that it was taken on, and would wait for another.
+func TestEndedByNotice(t *testing.T) {
+	r := newRig(t, t.TempDir(), time.Now())
+	r.c.lim.EndedKept, r.c.lim.EndedMost = 5*time.Second, 9
+	a, first := r.hand("m", 0, 8, 10*time.Second)
+	r.after(0, a)
+	<-first
+	<-r.front.steps
+	r.answered(Outcome{Result: control.Rejected})
+	for _, taken := range []bool{false, true} {
+		if taken {
+			r.front.taken <- true
+			r.after(5*time.Millisecond, <-r.c.queue)
+		}
+		b, second := r.hand("m", 0, 8, 10*time.Second)
+		r.after(5*time.Millisecond, b)
+		if got := <-second; got.Verdict != Failed || len(r.front.steps) != 0 {
+			t.Errorf("given up, notice taken %v: the same id is answered %+v", taken, got)
+		}
+	}
+}
+
 // TestEndedID: an id that comes again right after its message has ended is no new message, whatever the end was; after a while it is.
 func TestEndedID(t *testing.T) {
 	for _, outcome := range []Outcome{{Result: control.Delivered}, {Result: control.Moot, Over: true}} {
