Take no status from a line that half a line runs into

Half a line that was left over on a kept connection, or comes without a cause while a call is out, runs on into the answer's: "HTTP/1.1 200 OHTTP/1.1 503 ..." was a delivery, "HTTP/1.1HTTP/1.1 503 ..." a refusal that never ran. Change: the version is as long as one, and no other answer stands in the reason. TestHalfAnswer goes on with another answer after each byte of the line: three were deliveries, two refusals. Now all may have run.

--- a/internal/httpwire/read.go
+++ b/internal/httpwire/read.go
@@ -163,9 +163,10 @@
 		return nil, short(err)
 	}
 	proto, rest, _ := strings.Cut(strings.TrimRight(string(text), "\r\n"), " ")
-	code, _, _ := strings.Cut(rest, " ")
+	code, reason, _ := strings.Cut(rest, " ")
 	status, err := strconv.ParseUint(code, 10, 16)
-	if err != nil || len(code) != 3 || status < 100 {
+	// Half a line that was left over, or came without a cause, runs on into the answer's first line: its status is not the answer's.
+	if err != nil || len(code) != 3 || status < 100 || len(proto) != len("HTTP/1.1") || strings.Contains(reason, "HTTP/") {
 		return nil, &Error{502, "malformed status line"}
 	}
 	p := &Response{Status: int(status)}
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -205,14 +205,15 @@
 	}
 }
 
-// TestHalfAnswer: an endpoint's answer stops at each byte of its first line, and the connection ends, is reset, or falls silent. Only a whole
-// line is an answer: half of one that begins with "HTTP/1.1 200" was taken for a delivery, and the message was lost.
+// TestHalfAnswer: an endpoint's answer stops at each byte of its first line, and the connection ends, is reset, falls silent, or goes on with
+// another answer, as where half a line was left over. Only a whole line is an answer: half of one that begins with "HTTP/1.1 200" was
+// taken for a delivery, and the message was lost.
 func TestHalfAnswer(t *testing.T) {
 	const line = "HTTP/1.1 200 OK\r\n"
 	cfg := configure(t, "-", "-")
 	cfg.Limits.AnswerRead = 30 * time.Millisecond // only what falls silent waits for it
 	for n := 1; n <= len(line); n++ {
-		for _, how := range []string{"ends", "is reset", "falls silent"} {
+		for _, how := range []string{"ends", "is reset", "falls silent", "goes on with another answer"} {
 			l := exchange.Listen(t)
 			over := make(chan struct{})
 			go func() {
@@ -228,6 +229,8 @@
 					_ = conn.(*net.TCPConn).SetLinger(0)
 				case "falls silent":
 					<-over
+				case "goes on with another answer":
+					_, _ = conn.Write([]byte("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"))
 				}
 			}()
 			step := &relay.RouteStep{To: relay.Destination{Address: l.Addr().String()}, Items: []relay.Item{{ID: "a"}}}
