Read no request after the end of its connection: a resting one is closed unread

The protocol lets its client hand it in again only if the relay has not read it; read and unanswered it is lost. Change: when its time is over the connection is looked at once more. What has come is answered, as a refusal at shutdown; what comes later is never read, and the close resets it. The half-close stays where it protects a last answer.

--- a/internal/httpwire/server.go
+++ b/internal/httpwire/server.go
@@ -194,18 +194,21 @@
 	lim := f.s.lim
 	_ = f.SetReadDeadline(time.Now().Add(lim.FrontIdle))
 	if f.s.closing.Load() && !f.r.buffered() {
-		f.part()
-		return false
-	}
-	if err := f.r.await(); err != nil || !f.enter(reading) {
-		if errors.Is(err, os.ErrDeadlineExceeded) {
-			f.part()
-		}
-		return false
+		_ = f.SetReadDeadline(time.Unix(1, 0))
 	}
+	err := f.r.await()
 	if by.IsZero() {
 		by = time.Now().Add(lim.FrontRead)
 	}
+	// It has rested for long enough. A request that has come in this very moment is answered; one that comes from here on is never
+	// read, so the close resets it: its client knows by that, and only by that, that it may hand it in once more.
+	if errors.Is(err, os.ErrDeadlineExceeded) && !quiet(f.Conn) {
+		_ = f.SetReadDeadline(by)
+		err = f.r.await()
+	}
+	if err != nil || !f.enter(reading) {
+		return false
+	}
 	_ = f.SetReadDeadline(by)
 	q, err := f.r.ReadRequest(func() error {
 		_, err := f.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
@@ -243,9 +246,9 @@
 	return !last
 }
 
-// part ends the connection so that what was written to it arrives: it sends the end, and reads on until the client has ended it
-// too, for a moment. Bytes left unread at the close, or that come after it, would turn an answer into a reset. What is read here
-// is never handled: its client sees the end without an answer, and hands it in elsewhere.
+// part ends the connection after its last answer so that this arrives: it sends the end, and reads on until the client has ended it
+// too, for a moment. Bytes left unread at the close, or that come after it, would turn the answer into a reset. What is read here
+// is never handled.
 func (f *serverConn) part() {
 	c, ok := f.Conn.(interface{ CloseWrite() error })
 	if !ok || !f.enter(parting) || c.CloseWrite() != nil {
