Have controllers probe all members with replicas within a second

Suspicion and death then take 2.5 to 3.5 s more, and a second loss is allowed catchUpS (4.2 to 6 s) after a successor's start. The usual round asks each member for one other a second, so that a given one may be asked by nobody for seconds.

The controllers now share these members out, each probes its own once a second beside the usual round.

--- /dev/null
+++ b/internal/system/membership/detection_test.go
@@ -0,0 +1,90 @@
+package membership
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+)
+
+// detections are the sizes of fleets, and how many deaths are measured for each.
+var detections = []struct {
+	size  int
+	seeds uint64
+}{{19, 42}, {73, 14}}
+
+// Bounds on the time until a controller suspects a member with replicas that has lost power, with 2 % of the datagrams lost.
+const (
+	usualSuspicion   = 1500 * time.Millisecond // for half of the controllers
+	longestSuspicion = 2 * time.Second         // for all but one of a hundred
+)
+
+// TestControllersSuspectReplicasSoon measures after which time the controllers suspect that a machine with replicas has lost
+// power, and take it for dead: placement counts from the suspicion where a successor runs.
+func TestControllersSuspectReplicasSoon(t *testing.T) {
+	t.Parallel()
+	for _, tc := range detections {
+		t.Run(fmt.Sprint(tc.size), func(t *testing.T) {
+			t.Parallel()
+			var suspected, died []time.Duration
+			for seed := range tc.seeds {
+				suspicion, death := deathOf(t, tc.size, seed)
+				suspected = append(suspected, suspicion...)
+				died = append(died, death...)
+			}
+			report(t, "suspected", suspected)
+			report(t, "dead", died)
+			if share(suspected, 50) > usualSuspicion || share(suspected, 99) > longestSuspicion {
+				t.Error("suspicions come too late")
+			}
+		})
+	}
+}
+
+// hostsWithReplicas is how many hosts of a network are controllers and stores; they come first.
+const hostsWithReplicas = 7
+
+// deathOf kills a host with replicas in a calm fleet, and tells when each controller suspected it and took it for dead.
+func deathOf(t *testing.T, size int, seed uint64) (suspected, died []time.Duration) {
+	t.Helper()
+	w := newNetwork(size, seed+1)
+	w.startAll()
+	w.runFor(12*time.Second + time.Duration(seed)*37*time.Millisecond)
+	victim := w.hosts[int(seed)%hostsWithReplicas]
+	killedAt := w.now
+	w.kill(victim)
+	if _, done := w.runUntil(longestDetection, w.converged); !done {
+		t.Fatalf("seed %d: the death isn't seen by all", seed)
+	}
+	for _, h := range w.running() {
+		if h.member.Role != Controller {
+			continue
+		}
+		first := time.Duration(0)
+		for _, change := range h.changes {
+			if change.After.Name != victim.member.Name || change.At < killedAt {
+				continue
+			}
+			after := change.At - killedAt
+			if first == 0 {
+				first = after
+			}
+			if change.Kind == Died {
+				suspected, died = append(suspected, first), append(died, after)
+			}
+		}
+	}
+	return suspected, died
+}
+
+// share is the value that so many of a hundred don't exceed.
+func share(times []time.Duration, percent int) time.Duration {
+	slices.Sort(times)
+	return times[(len(times)-1)*percent/100]
+}
+
+func report(t *testing.T, what string, times []time.Duration) {
+	t.Helper()
+	t.Logf("%s after: median %v, 90 %% %v, 99 %% %v, longest %v", what, share(times, 50).Round(time.Millisecond),
+		share(times, 90).Round(time.Millisecond), share(times, 99).Round(time.Millisecond), share(times, 100).Round(time.Millisecond))
+}
--- a/internal/system/membership/probe.go
+++ b/internal/system/membership/probe.go
@@ -59,10 +59,58 @@
 	if target := n.nextTarget(); target != nil {
 		n.startProbe(target)
 	}
+	n.probeReplicas()
 	n.callGone()
 	n.forget()
 }
 
+// probeReplicas has the controllers share out, and ping once an interval, all members that hold replicas of groups, since their
+// loss is to be made good before the next one: in the usual round some of them would be probed only after seconds.
+func (n *Node) probeReplicas() {
+	if n.self.Role != Controller {
+		return
+	}
+	members := n.Members()
+	controllers := runningControllers(members)
+	number := 0
+	for i := range members {
+		if members[i].Role == Agent || members[i].Gone() {
+			continue
+		}
+		number++
+		if proberOf(members[i].Name, number, controllers) == n.self.Name {
+			n.probeOnce(members[i].Name)
+		}
+	}
+}
+
+// probeOnce pings a member, unless a probe of it is under way.
+func (n *Node) probeOnce(name string) {
+	if target := n.table.entries[name]; target != nil && !n.probing(target) {
+		n.startProbe(target)
+	}
+}
+
+// proberOf is the controller that pings the member with that number: none pings itself.
+func proberOf(name string, number int, controllers []string) string {
+	prober := controllers[number%len(controllers)]
+	if prober == name {
+		prober = controllers[(number+1)%len(controllers)]
+	}
+	return prober
+}
+
+// runningControllers are the names of the controllers that run, in their order. The node itself is one of them.
+func runningControllers(members []Member) []string {
+	var names []string
+	for i := range members {
+		if members[i].Role == Controller && members[i].State == Alive {
+			names = append(names, members[i].Name)
+		}
+	}
+	return names
+}
+
 // nextTarget returns the next member of the round, and begins a new round when all have had their turn.
 func (n *Node) nextTarget() *entry {
 	if n.table.living == 0 {
