Exchange each silent voter for its successor as soon as one is ready

A group of five of which two members are gone for good gave the first successor its vote beside both: six voters need four, which is all that are left, until the other successor has caught up as well, and for ever if that one is lost. A silent voter went only once all those to come had caught up.

Each silent voter that is to go now goes as soon as one successor is ready to vote in its place, or when the group has more voters than it is to have, and never two for one successor. TestEachSuccessorVotesAsSoonAsItHasCaughtUp failed before (voters 5, 6, and nothing was committed after a third loss); now 5, 4, 5, or 5, 6, 5 where the silence is found out later. Ruled out: exchanging both in one entry, since majorities of the lists before and after may then have no member in common.

--- a/internal/system/replica/change.go
+++ b/internal/system/replica/change.go
@@ -132,14 +132,15 @@
 	return nil
 }
 
-// dropSilentVoter removes an unwanted voter that does not answer, once those that are to come have caught up: with it
-// the majority would need every other member.
+// dropSilentVoter removes an unwanted voter that does not answer, once one that is to come has caught up and can vote in its
+// place: a vote more beside the silent one would make the majority larger by one that answers. Each such pair is exchanged as
+// soon as it is ready, so that a successor that is slow, or lost too, keeps none of the others waiting.
 func (r *Replica) dropSilentVoter() []Member {
 	for _, p := range r.ownership.peers {
 		if p.learner || r.wantsVoter(p.id) || r.hears(p) {
 			continue
 		}
-		if r.wantedAreNear() {
+		if r.hasSuccessor() {
 			return r.withoutVote(p.id)
 		}
 	}
@@ -202,19 +203,20 @@
 	return wanted != nil && !wanted.Learner
 }
 
-// wantedAreNear tells whether each wanted voter has its vote or has caught up.
-func (r *Replica) wantedAreNear() bool {
-	newest := r.groups.newest()
+// hasSuccessor tells whether a voter may go without being missed: the group has more than it is to have, or just as many and
+// a wanted one has caught up and gets its vote next.
+func (r *Replica) hasSuccessor() bool {
+	wantedVoters, ready := 0, false
 	for _, wanted := range r.wanted {
-		if wanted.Learner || newest.votes(wanted.ID) {
+		if wanted.Learner {
 			continue
 		}
+		wantedVoters++
 		p := findPeer(r.ownership.peers, wanted.ID)
-		if p == nil || !r.isCaughtUp(p) {
-			return false
-		}
+		ready = ready || p != nil && p.learner && r.isCaughtUp(p)
 	}
-	return true
+	voters := r.groups.newest().voters
+	return voters > wantedVoters || voters == wantedVoters && ready
 }
 
 // isCaughtUp tells whether a peer answers and has all but the newest entries. It must have the newest list of members,
--- /dev/null
+++ b/internal/system/replica/successor_test.go
@@ -0,0 +1,54 @@
+package replica
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// TestEachSuccessorVotesAsSoonAsItHasCaughtUp has two of five members gone for good, and one of their successors out of reach.
+func TestEachSuccessorVotesAsSoonAsItHasCaughtUp(t *testing.T) {
+	t.Run("their silence is known", func(t *testing.T) { exchangeOneOfTwo(t, 2*testElection, []int{5, 4, 5}) })
+	t.Run("their silence is found out later", func(t *testing.T) { exchangeOneOfTwo(t, 0, []int{5, 6, 5}) })
+}
+
+func exchangeOneOfTwo(t *testing.T, silent time.Duration, want []int) {
+	t.Helper()
+	s := newSimulation(21, 5, 2, calm)
+	s.startAll()
+	s.runUntil(time.Second, func() bool { return s.owner() != nil })
+	first := s.owner()
+	others := s.others(first)
+	gone, staying, spares := others[:2], append([]*node{first}, others[2:4]...), others[4:]
+	for _, n := range gone {
+		s.kill(n)
+	}
+	s.kill(spares[1])
+	s.runFor(silent)
+
+	// When the two are to be replaced, the group takes in the one that can be reached, in place of one that is gone.
+	s.setWanted(append(membersOf(staying...), membersOf(spares...)...))
+	var voters []int
+	for range 1000 {
+		s.runFor(time.Millisecond)
+		if now := newGroup(0, s.checker.group).voters; len(voters) == 0 || voters[len(voters)-1] != now {
+			voters = append(voters, now)
+		}
+	}
+	if difference := cmp.Diff(want, voters); difference != "" {
+		t.Errorf("number of voters (-want +got):\n%s", difference)
+	}
+
+	// Then it bears that one more of those that are left is lost.
+	s.kill(staying[1])
+	if !s.whenDone(2 * time.Second) {
+		t.Error("nothing is committed any more")
+	}
+	s.thenHolds(t)
+
+	// And it becomes whole once the other successor can be reached.
+	s.start(staying[1])
+	s.start(spares[1])
+	s.thenGroupIs(t, 2*time.Second, append(membersOf(staying...), membersOf(spares...)...))
+}
