Replace a lost controller as soon as a lost store, from the suspicion on

Stores counted 1 s, but from the death as well.

A controller that is in no group now counts like a store that holds nothing: 1 s. And where such a member has come within the last 10 s, which a successor has, the second counts from the suspicion. Others that wait for long still wait for the death, so that a short standstill moves nothing.

--- a/internal/system/controller/plan.go
+++ b/internal/system/controller/plan.go
@@ -93,10 +93,11 @@
 // own keeps the configuration shard's group on the controllers: members that are gone for good are replaced by controllers
 // that run. Without anything to put in its place a member that is gone stays.
 func (p *Planner) own(now time.Time, status replica.Status) []replica.Member {
+	isLost := p.watch.LostHolders(now, membership.Controller, holdersOf(status.Members))
 	var kept, lost []replica.Member
 	for _, m := range status.Members {
 		m.Learner = false
-		if m.ID != status.ID && p.watch.IsLost(now, m.ID, m.Address) {
+		if m.ID != status.ID && isLost[m.ID] {
 			lost = append(lost, m)
 			continue
 		}
@@ -112,6 +113,14 @@
 	return append(kept, lost[:min(missing, len(lost))]...)
 }
 
+func holdersOf(members []replica.Member) []placement.Holder {
+	holders := make([]placement.Holder, len(members))
+	for i, m := range members {
+		holders[i] = placement.Holder{ID: m.ID, Address: m.Address}
+	}
+	return holders
+}
+
 // place makes the first placement, or the next one where replicas are lost, missing or to leave their machines.
 func (p *Planner) place(now time.Time, agreed *Machine) *Place {
 	place := &Place{Base: agreed.placementIndex, Retirements: agreed.retirementsIndex}
--- a/internal/system/placement/watch.go
+++ b/internal/system/placement/watch.go
@@ -14,24 +14,29 @@
 const (
 	gatherAfter    = 1500 * time.Millisecond // from owning the group until the first placement, so that all stores are seen
 	goneAfter      = 4 * time.Second         // dead for so long, or never seen since the watch began: gone for good
-	succeededAfter = time.Second             // the same, while a store without any replica runs: likely its successor
+	succeededAfter = time.Second             // the same, while a member without any replica runs: it may be its successor
+	newcomerAge    = 10 * time.Second        // of such a member that is likely the successor: then a suspicion counts like a death
 	longestPause   = time.Second             // between two observations; after a longer one the watch begins anew
 )
 
 // Watch remembers since when members have been dead, and since when this process has owned the configuration shard's group.
 // It is told the time, which must not go back.
 type Watch struct {
-	members []membership.Member // by name
-	dead    map[string]time.Time
-	names   map[string]string // by identity, as last seen
-	last    time.Time         // observation
-	since   time.Time         // the watch has gone on without a pause
-	owning  time.Time         // zero: it doesn't own the group
-	epoch   uint64            // that it owns
+	members []membership.Member  // by name
+	dead    map[string]time.Time // by name
+	absent  map[string]time.Time // by name; those that are suspected, dead or have left
+	met     map[string]time.Time // by identity, when it was first seen
+	names   map[string]string    // by identity, as last seen
+	last    time.Time            // observation
+	since   time.Time            // the watch has gone on without a pause
+	owning  time.Time            // zero: it doesn't own the group
+	epoch   uint64               // that it owns
 }
 
 // NewWatch returns a watch that has seen nothing.
-func NewWatch() *Watch { return &Watch{dead: map[string]time.Time{}, names: map[string]string{}} }
+func NewWatch() *Watch {
+	return &Watch{dead: map[string]time.Time{}, absent: map[string]time.Time{}, met: map[string]time.Time{}, names: map[string]string{}}
+}
 
 // Observe takes in the members that are known now, and the epoch in which this process owns the group; 0 if it doesn't.
 func (w *Watch) Observe(now time.Time, members []membership.Member, ownedEpoch uint64) {
@@ -52,17 +57,25 @@
 	if w.last.IsZero() || now.Sub(w.last) > longestPause {
 		w.since, w.owning = now, now
 		clear(w.dead)
+		clear(w.absent)
 	}
 	w.last = now
 }
 
 func (w *Watch) observe(now time.Time, m membership.Member) {
 	w.names[m.ID] = m.Name
-	switch _, known := w.dead[m.Name]; {
-	case !m.Gone():
-		delete(w.dead, m.Name)
+	noteSince(w.met, m.ID, now, true)
+	noteSince(w.dead, m.Name, now, m.Gone())
+	noteSince(w.absent, m.Name, now, m.State != membership.Alive)
+}
+
+// noteSince keeps since when something has held of a member.
+func noteSince(since map[string]time.Time, key string, now time.Time, holds bool) {
+	switch _, known := since[key]; {
+	case !holds:
+		delete(since, key)
 	case !known:
-		w.dead[m.Name] = now
+		since[key] = now
 	}
 }
 
@@ -71,19 +84,54 @@
 	return w.epoch != 0 && now.Sub(w.owning) >= gatherAfter
 }
 
-// IsLost tells whether the holder of an identity is gone for good: its disk was wiped, since its machine runs with another
-// identity, or nothing has been heard of it for long.
-func (w *Watch) IsLost(now time.Time, id, address string) bool {
-	return w.isLost(now, id, w.names[id], address, goneAfter)
+// Holder is a member that holds replicas, as its group or a placement names it.
+type Holder struct {
+	ID      string
+	Name    string // as a member; empty: as it was last seen
+	Address string
 }
 
-func (w *Watch) isLost(now time.Time, id, name, address string, patience time.Duration) bool {
-	if m := w.find(func(m *membership.Member) bool { return m.ID == id }); m != nil {
-		since, dead := w.dead[m.Name]
-		return dead && now.Sub(since) >= patience
+// LostHolders tells which holders of that role are gone for good: their disk was wiped, since their machine runs with another
+// identity, or nothing has been heard of them for long. That takes less long while a member of the role runs that holds nothing,
+// and still less while one does that has come lately: it is to have what it needs before the next loss.
+func (w *Watch) LostHolders(now time.Time, role membership.Role, holders []Holder) map[string]bool {
+	isMissing := w.patience(now, role, holders)
+	lost := map[string]bool{}
+	for _, holder := range holders {
+		if holder.Name == "" {
+			holder.Name = w.names[holder.ID]
+		}
+		if w.isLost(now, holder, isMissing) {
+			lost[holder.ID] = true
+		}
+	}
+	return lost
+}
+
+// patience returns what tells whether the member of a name has been missing for too long.
+func (w *Watch) patience(now time.Time, role membership.Role, holders []Holder) (isMissing func(name string) bool) {
+	since, longest := w.dead, goneAfter
+	for _, m := range w.Running(role) {
+		if slices.ContainsFunc(holders, func(h Holder) bool { return h.ID == m.ID }) {
+			continue
+		}
+		longest = succeededAfter
+		if now.Sub(w.met[m.ID]) < newcomerAge {
+			since = w.absent
+		}
+	}
+	return func(name string) bool {
+		begun, missing := since[name]
+		return missing && now.Sub(begun) >= longest
+	}
+}
+
+func (w *Watch) isLost(now time.Time, holder Holder, isMissing func(name string) bool) bool {
+	if m := w.find(func(m *membership.Member) bool { return m.ID == holder.ID }); m != nil {
+		return isMissing(m.Name)
 	}
 	replaced := w.find(func(m *membership.Member) bool {
-		return m.Name == name || m.Address == address && !m.Gone()
+		return m.Name == holder.Name || m.Address == holder.Address && !m.Gone()
 	})
 	return replaced != nil || now.Sub(w.since) >= goneAfter
 }
@@ -144,25 +192,13 @@
 
 // Lost tells which of the placement's replicas are gone for good.
 func (w *Watch) Lost(now time.Time, shards []view.ShardPlacement) map[string]bool {
-	patience := goneAfter
-	if w.hasEmptyStore(shards) {
-		patience = succeededAfter
-	}
-	lost := map[string]bool{}
+	var holders []Holder
 	for _, shard := range shards {
 		for _, r := range shard.Replicas {
-			if w.isLost(now, r.ID, storeName(r.Node), r.Address, patience) {
-				lost[r.ID] = true
-			}
+			holders = append(holders, Holder{ID: r.ID, Name: storeName(r.Node), Address: r.Address})
 		}
 	}
-	return lost
-}
-
-// hasEmptyStore tells whether a store runs that holds no replica.
-func (w *Watch) hasEmptyStore(shards []view.ShardPlacement) bool {
-	load := loadOf(shards)
-	return slices.ContainsFunc(w.Stores(), func(s Store) bool { return load[s.ID] == 0 })
+	return w.LostHolders(now, membership.Store, holders)
 }
 
 // storeSuffix ends the names that stores have as members.
--- a/internal/system/placement/watch_test.go
+++ b/internal/system/placement/watch_test.go
@@ -45,6 +45,11 @@
 	return o.Lost(o.now, placed)[machine(1, "zone", 1).ID]
 }
 
+// lostController tells whether the only member of the controllers' group is lost.
+func (o *observer) lostController(id, address string) bool {
+	return o.LostHolders(o.now, membership.Controller, []placement.Holder{{ID: id, Address: address}})[id]
+}
+
 func TestWatchTellsWhatIsLost(t *testing.T) {
 	alive, dead := member(1, 1, membership.Alive), member(1, 1, membership.Dead)
 	second := member(2, 1, membership.Alive)
@@ -71,6 +76,23 @@
 			o.see(time.Second, alive, second)
 			o.see(1500*time.Millisecond, dead, second, member(3, 1, membership.Alive))
 		}, true},
+		{"suspected while a store without replicas has just come", func(o *observer) {
+			o.see(time.Second, alive, second)
+			o.see(1500*time.Millisecond, member(1, 1, membership.Suspect), second, member(3, 1, membership.Alive))
+		}, true},
+		{"suspected for a short while", func(o *observer) {
+			o.see(time.Second, alive, second)
+			o.see(750*time.Millisecond, member(1, 1, membership.Suspect), second, member(3, 1, membership.Alive))
+		}, false},
+		{"suspected while a store without replicas has run for long", func(o *observer) {
+			o.see(12*time.Second, alive, second, member(3, 1, membership.Alive))
+			o.see(1500*time.Millisecond, member(1, 1, membership.Suspect), second, member(3, 1, membership.Alive))
+		}, false},
+		{"suspected, then dead, while a store without replicas has just come", func(o *observer) {
+			o.see(time.Second, alive, second)
+			o.see(500*time.Millisecond, member(1, 1, membership.Suspect), second, member(3, 1, membership.Alive))
+			o.see(500*time.Millisecond, dead, second, member(3, 1, membership.Alive))
+		}, true},
 		{"never seen, shortly after the start", func(o *observer) { o.see(3*time.Second, second) }, false},
 		{"never seen, shortly after the start, while a store without replicas runs", func(o *observer) {
 			o.see(3*time.Second, second, member(3, 1, membership.Alive))
@@ -109,18 +131,49 @@
 	after.ID, after.Address = "new", "10.0.0.9:7000"
 	o := newObserver()
 	o.see(time.Second, before)
-	if o.IsLost(o.now, "old", "10.0.0.1:7000") {
+	if o.lostController("old", "10.0.0.1:7000") {
 		t.Error("a controller that runs is lost")
 	}
 	o.see(0, after)
-	if !o.IsLost(o.now, "old", "10.0.0.1:7000") {
+	if !o.lostController("old", "10.0.0.1:7000") {
 		t.Error("a controller that came back with another identity isn't lost")
 	}
-	if o.IsLost(o.now, "new", "10.0.0.9:7000") {
+	if o.lostController("new", "10.0.0.9:7000") {
 		t.Error("its new identity is lost")
 	}
 }
 
+// TestWatchTellsLostControllers checks that a controller that holds nothing counts as a successor, as a store does.
+func TestWatchTellsLostControllers(t *testing.T) {
+	running := membership.Member{Name: "core-1/controller", ID: "first", Role: membership.Controller, Address: "10.0.0.1:7000"}
+	dead, left, spare := running, running, running
+	dead.State, left.State = membership.Dead, membership.Left
+	spare.Name, spare.ID, spare.Address = "core-4/controller", "spare", "10.0.0.4:7000"
+	tests := []struct {
+		name    string
+		missing time.Duration
+		members []membership.Member
+		want    bool
+	}{
+		{"dead for a while", 3 * time.Second, []membership.Member{dead}, false},
+		{"dead for long", 4500 * time.Millisecond, []membership.Member{dead}, true},
+		{"dead for a short while, and another runs", 500 * time.Millisecond, []membership.Member{dead, spare}, false},
+		{"dead for a while, and another runs", 1500 * time.Millisecond, []membership.Member{dead, spare}, true},
+		{"left a while ago, and another runs", 1500 * time.Millisecond, []membership.Member{left, spare}, true},
+		{"dead for a while, and a store runs", 1500 * time.Millisecond, []membership.Member{dead, member(1, 1, membership.Alive)}, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			o := newObserver()
+			o.see(time.Second, running)
+			o.see(test.missing, test.members...)
+			if got := o.lostController("first", "10.0.0.1:7000"); got != test.want {
+				t.Errorf("lost: %v, want %v", got, test.want)
+			}
+		})
+	}
+}
+
 func TestWatchBeginsOnceStoresAreKnown(t *testing.T) {
 	o := newObserver()
 	o.epoch = 0
