Keep a lost store lost, and play every pair of a repair and a next loss

It found that with two stores gone at once the first successors took one replica of each shard; then no store was empty any more, and the second loss waited for 4 s after the death again. A holder that was found to be lost now stays so until it is back.

A store's retry after a failed note of a placement takes its timer from the options, since it ran on the real clock in tests.

--- a/internal/system/controller/cluster_test.go
+++ b/internal/system/controller/cluster_test.go
@@ -30,9 +30,10 @@
 	deathDelay  = time.Second // from a kill until membership takes the machine for dead
 )
 
-// cluster is three controllers and some stores in virtual time, with one goroutine for all.
+// cluster is some controllers and stores in virtual time, with one goroutine for all.
 type cluster struct {
 	t        testing.TB
+	around   surroundings
 	now      time.Duration
 	machines map[string]*machineUnderTest // by address
 	queue    []sent
@@ -43,6 +44,7 @@
 
 type sent struct {
 	due      time.Duration
+	from     *machineUnderTest
 	address  string
 	envelope group.Envelope
 }
@@ -59,6 +61,15 @@
 	disk       *memorydisk.Disk
 	starts     int
 	running    bool
+	frozen     bool
+	cutAt      time.Duration     // when it was cut off from all others; 0: it isn't
+	shown      membership.Member // as the others know it
+	known      bool              // to the others
+	absences   int
+	diskFree   time.Duration // when its disk has done what it was asked for
+	linkFree   time.Duration // when its link has taken what was sent
+	inboxFree  time.Duration // when its link has brought what was sent to it
+	busy       map[*group.Group]time.Duration
 	stale      *view.Piece // the placement that it hears in place of the newest
 	controller *Controller
 	placeDue   time.Duration
@@ -67,8 +78,12 @@
 }
 
 func newCluster(t testing.TB, stores int) *cluster {
-	c := &cluster{t: t, machines: map[string]*machineUnderTest{}, pieces: map[view.Section]view.Piece{}}
-	for number := range 3 {
+	return newClusterIn(t, stores, surroundings{survive: 1, death: deathDelay})
+}
+
+func newClusterIn(t testing.TB, stores int, around surroundings) *cluster {
+	c := &cluster{t: t, around: around, machines: map[string]*machineUnderTest{}, pieces: map[view.Section]view.Piece{}}
+	for number := range 2*around.survive + 1 {
 		name := fmt.Sprintf("core-%d", number+1)
 		member := controllerMember(name, name+"-id", fmt.Sprintf("10.0.0.%d:7000", number+1), fmt.Sprintf("10.0.0.%d:8144", number+1))
 		c.add(member)
@@ -105,16 +120,7 @@
 // time is the time of day.
 func (c *cluster) time() time.Time { return time.UnixMilli(1_700_000_000_000).Add(c.now) }
 
-// Members implements Fleet: everyone knows all machines alike.
-func (c *cluster) Members() []membership.Member {
-	var members []membership.Member
-	for _, m := range c.sorted() {
-		members = append(members, m.member)
-	}
-	return members
-}
-
-// Publish implements Fleet.
+// Publish spreads a piece.
 func (c *cluster) Publish(piece view.Piece) {
 	if held, ok := c.pieces[piece.Section]; ok && !held.Stamp.Less(piece.Stamp) {
 		return
@@ -131,7 +137,7 @@
 	if m.stale != nil {
 		piece = *m.stale
 	}
-	if known && m.running && m.store != nil {
+	if known && m.isReachable() && m.store != nil {
 		m.store.Take(piece)
 	}
 }
@@ -146,17 +152,23 @@
 	c.starts++
 	m.starts++
 	m.running, m.groups, m.controller, m.store = true, nil, nil, nil
-	m.member.State, m.member.Incarnation = membership.Alive, uint64(m.starts)
+	m.busy, m.diskFree = map[*group.Group]time.Duration{}, 0
+	m.member.Incarnation = uint64(m.starts)
+	m.appear()
 	generation := m.starts
 	send := func(address string, envelope group.Envelope) {
 		if m.running && m.starts == generation {
-			c.queue = append(c.queue, sent{due: c.now + clusterStep, address: address, envelope: envelope})
+			m.send(address, envelope)
 		}
 	}
 	clock := func() time.Duration { return c.now }
 	if m.member.Role == membership.Store {
 		m.store = store.New(c.t.Context(), store.Options{ID: m.member.ID, Address: m.member.Address, Disk: m.disk, Logger: log.NewNopLogger(),
-			Seed: uint64(c.starts), Now: c.time, Send: send, Clock: clock, Run: func(opened *group.Group) { m.groups = append(m.groups, opened) }})
+			Seed: uint64(c.starts), Now: c.time, Send: send, Clock: clock, Run: func(opened *group.Group) { m.groups = append(m.groups, opened) },
+			After: c.after})
+		if err := m.store.Recover(); err != nil {
+			c.t.Fatal(err)
+		}
 		c.after(spreadDelay, m.take)
 		return
 	}
@@ -166,10 +178,10 @@
 			initial = append(initial, replica.Member{ID: other.member.ID, Address: other.member.Address})
 		}
 	}
-	opened, err := Open(Options{ID: m.member.ID, Address: m.member.Address, Settings: &settings.Settings{Survive: settings.Survive{Machines: 1}},
-		Initial: initial, Disk: m.disk, Fleet: c, Reader: &list{}, Logger: log.NewNopLogger(), Seed: uint64(c.starts), Send: send, Clock: clock,
+	opened, err := Open(Options{ID: m.member.ID, Address: m.member.Address, Settings: &settings.Settings{Survive: settings.Survive{Machines: c.around.survive}},
+		Initial: initial, Disk: m.disk, Fleet: surroundingsOf{m}, Reader: &list{}, Logger: log.NewNopLogger(), Seed: uint64(c.starts), Send: send, Clock: clock,
 		Ask: func(address string, done func(wire.ShardMembersAnswer, error)) {
-			if asked := c.machines[address]; asked.running && asked.store != nil {
+			if asked := c.machines[address]; asked != nil && asked.isReachable() && !asked.frozen && asked.store != nil && m.isReachable() {
 				asked.store.Report(func(answer wire.ShardMembersAnswer) { done(answer, nil) })
 			}
 		}})
@@ -182,14 +194,9 @@
 
 // kill ends the machine's process; membership notices later.
 func (m *machineUnderTest) kill() {
-	m.running = false
+	m.running, m.frozen = false, false
 	m.disk.Kill()
-	generation := m.starts
-	m.cluster.after(deathDelay, func() {
-		if !m.running && m.starts == generation {
-			m.member.State = membership.Dead
-		}
-	})
+	m.vanish()
 }
 
 // wipe kills the machine and starts it with an empty disk and a new identity.
@@ -225,7 +232,7 @@
 	c.doDue()
 	c.deliver()
 	for _, m := range c.sorted() {
-		if m.running {
+		if m.running && !m.frozen {
 			m.turn()
 		}
 	}
@@ -255,7 +262,7 @@
 		}
 		to := c.machines[message.address]
 		switch {
-		case to == nil || !to.running:
+		case to == nil || !to.isReachable() || !message.from.isReachable():
 		case to.store != nil:
 			to.store.Deliver(message.envelope)
 		case message.envelope.Group == GroupName:
@@ -266,7 +273,7 @@
 
 func (m *machineUnderTest) turn() {
 	for _, running := range m.groups {
-		if _, err := running.Turn(); err != nil {
+		if err := m.turnOf(running); err != nil {
 			m.cluster.t.Fatalf("%s: %v", m.member.Name, err)
 		}
 	}
@@ -280,7 +287,7 @@
 func (c *cluster) owner() *machineUnderTest {
 	var owner *machineUnderTest
 	for _, m := range c.sorted() {
-		if m.running && m.controller != nil && m.controller.Group().Status().IsOwner {
+		if m.isReachable() && m.controller != nil && m.controller.Group().Status().IsOwner {
 			if owner == nil || owner.controller.Group().Status().Epoch < m.controller.Group().Status().Epoch {
 				owner = m
 			}
@@ -342,7 +349,7 @@
 	var owner *group.Group
 	for _, m := range c.sorted() {
 		for _, g := range m.groups {
-			if m.running && g.Name() == fmt.Sprintf("shard-%d", shard) && g.Status().IsOwner {
+			if m.isReachable() && g.Name() == fmt.Sprintf("shard-%d", shard) && g.Status().IsOwner {
 				if owner == nil || owner.Status().Epoch < g.Status().Epoch {
 					at, owner = m, g
 				}
--- a/internal/system/placement/watch.go
+++ b/internal/system/placement/watch.go
@@ -26,6 +26,7 @@
 	dead    map[string]time.Time // by name
 	absent  map[string]time.Time // by name; those that are suspected, dead or have left
 	met     map[string]time.Time // by identity, when it was first seen
+	lost    map[string]bool      // by identity; those that were found to be lost and haven't come back
 	names   map[string]string    // by identity, as last seen
 	last    time.Time            // observation
 	since   time.Time            // the watch has gone on without a pause
@@ -35,7 +36,8 @@
 
 // NewWatch returns a watch that has seen nothing.
 func NewWatch() *Watch {
-	return &Watch{dead: map[string]time.Time{}, absent: map[string]time.Time{}, met: map[string]time.Time{}, names: map[string]string{}}
+	return &Watch{dead: map[string]time.Time{}, absent: map[string]time.Time{}, met: map[string]time.Time{},
+		lost: map[string]bool{}, names: map[string]string{}}
 }
 
 // Observe takes in the members that are known now, and the epoch in which this process owns the group; 0 if it doesn't.
@@ -58,6 +60,7 @@
 		w.since, w.owning = now, now
 		clear(w.dead)
 		clear(w.absent)
+		clear(w.lost)
 	}
 	w.last = now
 }
@@ -67,6 +70,9 @@
 	noteSince(w.met, m.ID, now, true)
 	noteSince(w.dead, m.Name, now, m.Gone())
 	noteSince(w.absent, m.Name, now, m.State != membership.Alive)
+	if m.State == membership.Alive {
+		delete(w.lost, m.ID)
+	}
 }
 
 // noteSince keeps since when something has held of a member.
@@ -93,7 +99,8 @@
 
 // LostHolders tells which holders of that role are gone for good: their disk was wiped, since their machine runs with another
 // identity, or nothing has been heard of them for long. That takes less long while a member of the role runs that holds nothing,
-// and still less while one does that has come lately: it is to have what it needs before the next loss.
+// and still less while one does that has come lately: it is to have what it needs before the next loss. Who was lost stays so
+// until it is back, also when the member that held nothing now holds something.
 func (w *Watch) LostHolders(now time.Time, role membership.Role, holders []Holder) map[string]bool {
 	isMissing := w.patience(now, role, holders)
 	lost := map[string]bool{}
@@ -101,8 +108,8 @@
 		if holder.Name == "" {
 			holder.Name = w.names[holder.ID]
 		}
-		if w.isLost(now, holder, isMissing) {
-			lost[holder.ID] = true
+		if w.lost[holder.ID] || w.isLost(now, holder, isMissing) {
+			lost[holder.ID], w.lost[holder.ID] = true, true
 		}
 	}
 	return lost
--- a/internal/system/store/shard.go
+++ b/internal/system/store/shard.go
@@ -23,6 +23,7 @@
 	logger  log.Logger
 	group   *group.Group
 	machine *machine
+	after   func(delay time.Duration, run func())
 
 	mutex     sync.Mutex       // orders what the group is told of its members
 	index     uint64           // of the newest placement that this store knows; 0: none
@@ -85,7 +86,7 @@
 	s.recording = false
 	s.mutex.Unlock()
 	if err != nil {
-		time.AfterFunc(recordPause, s.steer)
+		s.after(recordPause, s.steer)
 		return
 	}
 	s.steer()
--- a/internal/system/store/store.go
+++ b/internal/system/store/store.go
@@ -45,7 +45,8 @@
 	// In place of the pool, the process's own clock and goroutines, where a test runs the store in memory; nil: those.
 	Send  func(address string, envelope group.Envelope) // must not block
 	Clock func() time.Duration
-	Run   func(opened *group.Group) // drives a group; must not block
+	Run   func(opened *group.Group)             // drives a group; must not block
+	After func(delay time.Duration, run func()) // calls run after a while
 }
 
 // Store holds the replicas of one machine.
@@ -64,6 +65,9 @@
 		options.Send = sendByLink(options.Pool)
 	}
 	s := &Store{options: options, shards: map[int]*shard{}, failures: make(chan error, 1)}
+	if options.After == nil {
+		s.options.After = func(delay time.Duration, run func()) { time.AfterFunc(delay, run) }
+	}
 	if options.Run == nil {
 		s.options.Run = func(opened *group.Group) { go s.run(ctx, opened) }
 	}
@@ -125,7 +129,7 @@
 	if s.shards[number] != nil {
 		return nil
 	}
-	opening := &shard{number: number, logger: s.options.Logger, machine: newMachine()}
+	opening := &shard{number: number, logger: s.options.Logger, machine: newMachine(), after: s.options.After}
 	options := replica.Options{ID: s.options.ID, Address: s.options.Address, Heartbeat: heartbeat, Election: election, Eager: eager,
 		Seed: s.options.Seed + uint64(number)}
 	if contains(placement.Initial, s.options.ID) {
