Read a program's help whole before the deploy check looks for a role in it

Ruled out: dropping pipefail, which lets a producer that fails pass. Change: the help is read whole and searched afterwards.

--- a/.ci/deploy.sh
+++ b/.ci/deploy.sh
@@ -10,8 +10,9 @@
 grep -q '^libc\.so' <<<"$needed" || { echo "$binary: not linked dynamically against the C library" >&2; exit 1; }
 
 node=$(sed -n 's/^node = \[\(.*\)\]$/\1/p' "$file" | tr -d '" ' | tr ',' '\n')
+linked=$(go list -deps ./cmd/mastusher | sed -n 's|^mastusher/||p')
 status=0
-for pkg in $(go list -deps ./cmd/mastusher | sed -n 's|^mastusher/||p'); do
+for pkg in $linked; do
 	found=
 	for n in $node; do
 		case $pkg/ in "$n"/*) found=1 ;; esac
--- a/.ci/system.sh
+++ b/.ci/system.sh
@@ -11,6 +11,8 @@
 	test -z "$rest" || { echo "$file: '$binary $role $rest' has more than a role" >&2; status=1; }
 	needed=$(go run ./internal/tools/needed "$binary")
 	grep -q '^libc\.so' <<<"$needed" || { echo "$binary: not linked dynamically against the C library" >&2; status=1; }
-	"$binary" help 2>&1 | grep -qE "^[[:space:]]+$role[[:space:]]" || { echo "$file: $binary knows no role $role" >&2; status=1; }
+	# Read whole first: in a pipe, grep -q ends at its line, and what `help` still writes would fail the pipe by SIGPIPE.
+	help=$("$binary" help 2>&1)
+	grep -qE "^[[:space:]]+$role[[:space:]]" <<<"$help" || { echo "$file: $binary knows no role $role" >&2; status=1; }
 done < <(sed -n 's/^run = "\(.*\)"$/\1/p' "$file")
 exit $status
