Hand the network, the disk and the clock to the tier's roles

Cause: the roles opened their sockets, their disk and their signals themselves, so that no test could run a controller, a store, an agent or a proxy as it runs, over a network and a disk in memory. fleettest drives copies of their flow instead.

Change: package network names the three calls by which sockets are opened; link, proxy, upstream, controller and platformlist take one and use the system's where none is given.

--- a/internal/system/command/agent.go
+++ b/internal/system/command/agent.go
@@ -40,6 +40,16 @@
 	if err != nil {
 		return fail(standardLogger("agent"), err)
 	}
+	stopping, stop := terminated(ctx)
+	defer stop()
+	if err := p.runAgent(stopping); err != nil {
+		return fail(p.logger, err)
+	}
+	return subcommands.ExitSuccess
+}
+
+// runAgent runs the role until stopping ends, and then for as long as its proxy may need it.
+func (p *process) runAgent(stopping context.Context) error {
 	address := p.address(wire.AgentPort)
 	id := strconv.FormatUint(p.seed, 16)
 	member := p.newNode(p.member(membership.Agent, id, address), nil)
@@ -49,18 +59,16 @@
 	link.Handle(handlers, wire.MethodProxies, func(context.Context, string, wire.ProxiesRequest) (wire.ProxiesAnswer, error) {
 		return wire.ProxiesAnswer{Count: countProxies(member.Members())}, nil
 	})
-	stopping, stop := terminated(ctx)
-	defer stop()
 	server, err := p.listen(stopping, address, handlers)
 	if err != nil {
-		return fail(p.logger, err)
+		return err
 	}
 	defer server.Close()
 	leave := p.join(stopping, member, server)
 	defer leave()
 	<-stopping.Done()
 	time.Sleep(part(p.settings.Bounds.Grace(), agentLinger))
-	return subcommands.ExitSuccess
+	return nil
 }
 
 // countProxies tells how many proxies run: one beside each agent.
--- a/internal/system/command/controller.go
+++ b/internal/system/command/controller.go
@@ -57,7 +57,8 @@
 	if err != nil {
 		return err
 	}
-	reader, err := platformlist.NewReader(platformlist.Options{Address: p.settings.CloudAPI.Address, RatePerS: p.settings.CloudAPI.RatePerS, Seed: p.seed})
+	reader, err := platformlist.NewReader(platformlist.Options{Address: p.settings.CloudAPI.Address, RatePerS: p.settings.CloudAPI.RatePerS, Seed: p.seed,
+		Network: p.around.Network})
 	if err != nil {
 		return err
 	}
@@ -66,7 +67,8 @@
 	var running *controller.Controller
 	err = p.persist(ctx, "configuration on the disk", func() error {
 		running, err = controller.Open(controller.Options{ID: id, Address: address, Settings: p.settings, Initial: p.firstMembers(id), Disk: disk,
-			Pool: p.pool, Fleet: member, Reader: reader, Logger: p.logger, Seed: p.seed})
+			Pool: p.pool, Fleet: member, Reader: reader, Logger: p.logger, Seed: p.seed,
+			Network: p.around.Network})
 		return err
 	})
 	if err != nil {
--- a/internal/system/command/disk.go
+++ b/internal/system/command/disk.go
@@ -8,8 +8,8 @@
 )
 
 // openDisk opens the machine's disk and reads the identity on it, or makes one; a disk in trouble is tried again.
-func (p *process) openDisk(ctx context.Context, address string) (disk *storage.OS, id string, err error) {
-	disk, err = storage.NewOS(p.settings.DataFolder)
+func (p *process) openDisk(ctx context.Context, address string) (disk storage.Disk, id string, err error) {
+	disk, err = p.around.OpenDisk(p.settings.DataFolder)
 	if err != nil {
 		return nil, "", err
 	}
--- a/internal/system/command/process.go
+++ b/internal/system/command/process.go
@@ -40,26 +40,30 @@
 	logger   log.Logger
 	pool     *link.Pool
 	seed     uint64
-	hangups  chan os.Signal // SIGHUP, from the start on: it must not end a process that is still starting
+	around   Surroundings
 }
 
 // newProcess reads the settings and sets the limits of the runtime.
 func newProcess(role string) (*process, error) {
-	logger := log.NewLogfmtLogger(log.NewSyncWriter(os.Stderr))
-	logger = level.NewFilter(logger, level.AllowInfo())
-	logger = log.With(logger, "role", role)
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
-	loaded, err := settings.Load(os.Getenv(settingsVariable))
+	p, err := newProcessIn(systemSurroundings(), role)
 	if err != nil {
 		return nil, err
 	}
-	if loaded.Limits.MemoryMb > 0 {
-		debug.SetMemoryLimit(int64(memoryShare * float64(loaded.Limits.MemoryMb<<20)))
+	if limits := p.settings.Limits; limits.MemoryMb > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(limits.MemoryMb<<20)))
 	}
 	debug.SetGCPercent(growthPercent)
-	logger = log.With(logger, "node", loaded.NodeName)
-	return &process{settings: loaded, logger: logger, pool: link.NewPool(), seed: seedOf(loaded.NodeName, role), hangups: hangups}, nil
+	return p, nil
+}
+
+// newProcessIn reads the settings.
+func newProcessIn(around Surroundings, role string) (*process, error) {
+	loaded, err := settings.Load(around.SettingsPath)
+	if err != nil {
+		return nil, err
+	}
+	logger := log.With(around.Logger, "role", role, "node", loaded.NodeName)
+	return &process{settings: loaded, logger: logger, pool: link.NewPoolOn(around.Network), seed: seedOf(loaded.NodeName, role), around: around}, nil
 }
 
 // seedOf returns a seed that differs from process to process and from start to start.
@@ -101,7 +105,7 @@
 		Zone:        p.settings.Zone,
 		Address:     address,
 		Control:     p.settings.ListenOn.Control,
-		Incarnation: uint64(max(time.Now().UnixMilli(), 1)),
+		Incarnation: uint64(max(p.around.TimeOfDay().UnixMilli(), 1)),
 	}
 }
 
--- a/internal/system/command/reload.go
+++ b/internal/system/command/reload.go
@@ -16,7 +16,7 @@
 
 // onReload calls reload with the settings read anew at each SIGHUP and whenever their file has changed, until ctx ends.
 func (p *process) onReload(ctx context.Context, reload func(*settings.Settings)) {
-	watched := newWatchedFile(os.Getenv(settingsVariable), p.logger, reload)
+	watched := newWatchedFile(p.around.SettingsPath, p.logger, reload)
 	go func() {
 		ticker := time.NewTicker(settingsInterval)
 		defer ticker.Stop()
@@ -24,7 +24,7 @@
 			select {
 			case <-ctx.Done():
 				return
-			case <-p.hangups:
+			case <-p.around.Hangups:
 				watched.read()
 			case <-ticker.C:
 				watched.check()
--- a/internal/system/command/store.go
+++ b/internal/system/command/store.go
@@ -4,7 +4,6 @@
 	"context"
 	"flag"
 	"sync"
-	"time"
 
 	"github.com/google/subcommands"
 
@@ -54,7 +53,7 @@
 		return err
 	}
 	groups := newReplicas(ctx)
-	shards := store.New(ctx, store.Options{ID: id, Address: address, Disk: disk, Pool: p.pool, Logger: p.logger, Seed: p.seed, Now: time.Now,
+	shards := store.New(ctx, store.Options{ID: id, Address: address, Disk: disk, Pool: p.pool, Logger: p.logger, Seed: p.seed, Now: p.around.TimeOfDay,
 		Run: groups.run})
 	member := p.newNode(p.member(membership.Store, id, address), shards.Take)
 	if err := p.persist(ctx, "shards on the disk", shards.Recover); err != nil {
--- a/internal/system/controller/api.go
+++ b/internal/system/controller/api.go
@@ -14,6 +14,7 @@
 	"mastusher/internal/system/fault"
 	"mastusher/internal/system/group"
 	"mastusher/internal/system/membership"
+	"mastusher/internal/system/network"
 	"mastusher/internal/system/replica"
 )
 
@@ -46,7 +47,7 @@
 // Serve answers the operator until ctx ends.
 func (c *Controller) Serve(ctx context.Context, address string) error {
 	server := &http.Server{Handler: c.Handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: apiIdleTimeout, MaxHeaderBytes: mostHeaderBytes}
-	listener, err := net.Listen("tcp", address)
+	listener, err := network.OrSystem(c.options.Network).Listen(context.Background(), new(net.ListenConfig), "tcp", address)
 	if err != nil {
 		return err
 	}
--- a/internal/system/controller/controller.go
+++ b/internal/system/controller/controller.go
@@ -16,6 +16,7 @@
 	"mastusher/internal/system/link"
 	"mastusher/internal/system/membership"
 	"mastusher/internal/system/model"
+	"mastusher/internal/system/network"
 	"mastusher/internal/system/replica"
 	"mastusher/internal/system/settings"
 	"mastusher/internal/system/storage"
@@ -63,6 +64,8 @@
 	Send  func(address string, envelope group.Envelope)                              // must not block
 	Ask   func(address string, done func(answer wire.ShardMembersAnswer, err error)) // must not block
 	Clock func() time.Duration
+
+	Network network.Network // where the operator's calls come in; nil: the system's
 }
 
 // Controller is a running member of the configuration shard.
--- a/internal/system/link/clientconnection.go
+++ b/internal/system/link/clientconnection.go
@@ -44,7 +44,7 @@
 
 // run dials and reads until the connection breaks.
 func (c *clientConnection) run() {
-	socket, err := newDialer().DialContext(c.dialCtx, "tcp4", c.peer.address)
+	socket, err := c.peer.pool.network.Dial(c.dialCtx, newDialer(), "tcp4", c.peer.address)
 	if err != nil {
 		c.fail(err)
 		return
--- a/internal/system/link/pool.go
+++ b/internal/system/link/pool.go
@@ -6,11 +6,14 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"mastusher/internal/system/network"
 )
 
 // Pool keeps one connection for each address, dialled when it is first needed.
 type Pool struct {
 	limits   limits
+	network  network.Network
 	lastID   atomic.Uint64
 	lifetime context.Context // ends with Close
 	end      context.CancelFunc
@@ -25,8 +28,15 @@
 	return newPool(defaultLimits())
 }
 
+// NewPoolOn is NewPool for a network in place of the system's.
+func NewPoolOn(on network.Network) *Pool {
+	pool := NewPool()
+	pool.network = on
+	return pool
+}
+
 func newPool(bounds limits) *Pool {
-	pool := &Pool{limits: bounds, peers: map[string]*peer{}}
+	pool := &Pool{limits: bounds, network: network.System{}, peers: map[string]*peer{}}
 	pool.lifetime, pool.end = context.WithCancel(context.Background())
 	return pool
 }
--- a/internal/system/link/server.go
+++ b/internal/system/link/server.go
@@ -1,14 +1,18 @@
 package link
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
+
+	"mastusher/internal/system/network"
 )
 
 // Server takes lines and datagrams at one address.
@@ -16,8 +20,8 @@
 	handlers *Handlers
 	logger   log.Logger
 	limits   limits
-	listener *net.TCPListener
-	packets  *net.UDPConn
+	listener net.Listener
+	packets  network.PacketConn
 	done     chan struct{}
 	running  sync.WaitGroup
 
@@ -28,11 +32,20 @@
 
 // Listen opens the address for TCP and, on the same port, for UDP. Port 0 picks one.
 func Listen(address string, handlers *Handlers, logger log.Logger) (*Server, error) {
-	return listen(address, handlers, logger, defaultLimits())
+	return ListenOn(network.System{}, address, handlers, logger)
+}
+
+// ListenOn is Listen for a network in place of the system's.
+func ListenOn(on network.Network, address string, handlers *Handlers, logger log.Logger) (*Server, error) {
+	return listenOn(on, address, handlers, logger, defaultLimits())
 }
 
 func listen(address string, handlers *Handlers, logger log.Logger, bounds limits) (*Server, error) {
-	listener, packets, err := openBoth(address)
+	return listenOn(network.System{}, address, handlers, logger, bounds)
+}
+
+func listenOn(on network.Network, address string, handlers *Handlers, logger log.Logger, bounds limits) (*Server, error) {
+	listener, packets, err := openBoth(on, address)
 	if err != nil {
 		return nil, err
 	}
@@ -57,18 +70,18 @@
 // portTries bounds the search for a port that is free for both protocols.
 const portTries = 16
 
-func openBoth(address string) (*net.TCPListener, *net.UDPConn, error) {
+func openBoth(on network.Network, address string) (net.Listener, network.PacketConn, error) {
 	wanted, err := net.ResolveTCPAddr("tcp4", address)
 	if err != nil {
 		return nil, nil, err
 	}
 	for try := 1; ; try++ {
-		listener, err := net.ListenTCP("tcp4", wanted)
+		listener, err := on.Listen(context.Background(), plainTCP(), "tcp4", wanted.String())
 		if err != nil {
 			return nil, nil, err
 		}
 		chosen := listener.Addr().(*net.TCPAddr)
-		packets, err := net.ListenUDP("udp4", &net.UDPAddr{IP: chosen.IP, Port: chosen.Port})
+		packets, err := on.ListenPacket(&net.UDPAddr{IP: chosen.IP, Port: chosen.Port})
 		if err == nil {
 			return listener, packets, nil
 		}
@@ -79,6 +92,13 @@
 	}
 }
 
+// plainTCP listens without multipath TCP.
+func plainTCP() *net.ListenConfig {
+	config := new(net.ListenConfig)
+	config.SetMultipathTCP(false)
+	return config
+}
+
 // Address gives the address with its port.
 func (s *Server) Address() string {
 	return s.listener.Addr().String()
@@ -105,7 +125,7 @@
 func (s *Server) accept() {
 	defer s.running.Done()
 	for {
-		socket, err := s.listener.AcceptTCP()
+		socket, err := s.listener.Accept()
 		if err == nil {
 			s.admit(socket)
 			continue
@@ -122,7 +142,7 @@
 	}
 }
 
-func (s *Server) admit(socket *net.TCPConn) {
+func (s *Server) admit(socket net.Conn) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if s.closed || len(s.connections) >= maxConnections {
@@ -137,13 +157,21 @@
 }
 
 // prepare sets what the connection needs to notice a silent peer.
-func (s *Server) prepare(socket *net.TCPConn) {
-	err := socket.SetKeepAliveConfig(keepAlive)
-	raw, rawErr := socket.SyscallConn()
-	if rawErr == nil {
-		rawErr = setSilenceTimeout(raw)
+func (s *Server) prepare(socket net.Conn) {
+	var err error
+	if probed, ok := socket.(interface {
+		SetKeepAliveConfig(config net.KeepAliveConfig) error
+	}); ok {
+		err = probed.SetKeepAliveConfig(keepAlive)
 	}
-	if err = errors.Join(err, rawErr); err != nil {
+	if system, ok := socket.(syscall.Conn); ok {
+		raw, rawErr := system.SyscallConn()
+		if rawErr == nil {
+			rawErr = setSilenceTimeout(raw)
+		}
+		err = errors.Join(err, rawErr)
+	}
+	if err != nil {
 		level.Warn(s.logger).Log("msg", "can't set how a silent peer is noticed", "err", err)
 	}
 }
--- a/internal/system/link/stream.go
+++ b/internal/system/link/stream.go
@@ -44,7 +44,7 @@
 		return failed(false, err)
 	}
 	defer releaseLine(encoded)
-	socket, err := newDialer().DialContext(ctx, "tcp4", address)
+	socket, err := p.network.Dial(ctx, newDialer(), "tcp4", address)
 	if err != nil {
 		return failed(false, err)
 	}
--- a/internal/system/platformlist/fetch.go
+++ b/internal/system/platformlist/fetch.go
@@ -6,10 +6,13 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"strconv"
 	"time"
+
+	"mastusher/internal/system/network"
 )
 
 // StatusError is an answer of the platform other than 200.
@@ -34,12 +37,15 @@
 	current   *http.ClientConn
 }
 
-func newConnection(address string) *connection {
+func newConnection(address string, on network.Network) *connection {
 	return &connection{
 		address: address,
 		transport: http.Transport{
 			MaxResponseHeaderBytes: maxHeaderBytes,
 			DisableCompression:     true,
+			DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+				return on.Dial(ctx, new(net.Dialer), network, address)
+			},
 		},
 	}
 }
--- a/internal/system/platformlist/reader.go
+++ b/internal/system/platformlist/reader.go
@@ -9,15 +9,17 @@
 	"time"
 
 	"mastusher/internal/system/model"
+	"mastusher/internal/system/network"
 )
 
 // Options says where the list is and how fast it may be read.
 type Options struct {
-	Address  string  // host and port of the platform
-	RatePerS float64 // this reader's part of the calls that the platform accepts in a second
-	Zone     string  // only this zone; empty for all
-	Clock    Clock   // SystemClock if nil
-	Seed     uint64  // of the jitter
+	Address  string          // host and port of the platform
+	RatePerS float64         // this reader's part of the calls that the platform accepts in a second
+	Zone     string          // only this zone; empty for all
+	Clock    Clock           // SystemClock if nil
+	Seed     uint64          // of the jitter
+	Network  network.Network // nil: the system's
 }
 
 // Reader reads the whole list. It is used by one goroutine at a time.
@@ -41,7 +43,7 @@
 	}
 	return &Reader{
 		options:    options,
-		connection: newConnection(options.Address),
+		connection: newConnection(options.Address, network.OrSystem(options.Network)),
 		clock:      clock,
 		bucket:     newBucket(options.RatePerS, clock.Now()),
 		random:     rand.New(rand.NewPCG(options.Seed, 0)),
--- a/internal/system/proxy/clientconnection.go
+++ b/internal/system/proxy/clientconnection.go
@@ -5,12 +5,14 @@
 	"net"
 	"net/http"
 	"sync"
+
+	"mastusher/internal/system/network"
 )
 
 // clientConnection is a connection of a client. It knows whether a request has begun on it, so that a shutdown closes it
 // only while none of a request's bytes have been read.
 type clientConnection struct {
-	*net.TCPConn
+	network.TCPConn
 
 	mutex   sync.Mutex
 	idle    bool // no byte of a next request has been read
--- a/internal/system/proxy/front.go
+++ b/internal/system/proxy/front.go
@@ -17,6 +17,7 @@
 	"github.com/go-kit/log/level"
 
 	"mastusher/internal/system/model"
+	"mastusher/internal/system/network"
 )
 
 const (
@@ -105,7 +106,7 @@
 			}
 			return err
 		}
-		f.hand(&clientConnection{TCPConn: connection.(*net.TCPConn), idle: true})
+		f.hand(&clientConnection{TCPConn: connection.(network.TCPConn), idle: true})
 	}
 }
 
--- a/internal/system/proxy/options.go
+++ b/internal/system/proxy/options.go
@@ -5,6 +5,7 @@
 
 	"github.com/go-kit/log"
 
+	"mastusher/internal/system/network"
 	"mastusher/internal/system/upstream"
 )
 
@@ -16,6 +17,7 @@
 	Programs         Programs
 	Chooser          Chooser
 	Upstream         upstream.Options
+	Network          network.Network  // nil: the system's
 	MaxClients       int              // connections of clients at once; 0: no bound
 	Logger           log.Logger       // of faults in the library or a handler; nil: none
 	Now              func() time.Time // nil: the system's clock
--- a/internal/system/proxy/server.go
+++ b/internal/system/proxy/server.go
@@ -10,6 +10,7 @@
 
 	"github.com/labstack/echo/v4"
 
+	"mastusher/internal/system/network"
 	"mastusher/internal/system/upstream"
 )
 
@@ -32,12 +33,14 @@
 	if options.Now == nil {
 		options.Now = time.Now
 	}
+	options.Network = network.OrSystem(options.Network)
+	options.Upstream.Network = options.Network
 	p := &Proxy{options: options, pool: upstream.NewPool(options.Upstream), settler: newSettler(options.Programs)}
-	frontListener, err := net.Listen("tcp4", options.FrontAddress)
+	frontListener, err := options.Network.Listen(context.Background(), new(net.ListenConfig), "tcp4", options.FrontAddress)
 	if err != nil {
 		return nil, err
 	}
-	p.readyAt, err = net.Listen("tcp4", options.ReadinessAddress)
+	p.readyAt, err = options.Network.Listen(context.Background(), new(net.ListenConfig), "tcp4", options.ReadinessAddress)
 	if err != nil {
 		frontListener.Close()
 		return nil, err
--- a/internal/system/upstream/connection.go
+++ b/internal/system/upstream/connection.go
@@ -7,6 +7,8 @@
 	"net"
 	"syscall"
 	"time"
+
+	"mastusher/internal/system/network"
 )
 
 // readBufferBytes is the size of a connection's read buffer: an answer's head and a small body in one call.
@@ -58,6 +60,9 @@
 	if !now.Before(c.idleUntil) || c.reader.Buffered() > 0 {
 		return false
 	}
+	if prober, ok := c.socket.(network.Prober); ok {
+		return prober.Quiet()
+	}
 	return c.raw == nil || quiet(c.raw)
 }
 
--- a/internal/system/upstream/dial.go
+++ b/internal/system/upstream/dial.go
@@ -27,7 +27,7 @@
 		},
 	}
 	return func(ctx context.Context, address string) (net.Conn, error) {
-		return dialer.DialContext(ctx, "tcp4", address)
+		return options.Network.Dial(ctx, dialer, "tcp4", address)
 	}
 }
 
--- a/internal/system/upstream/options.go
+++ b/internal/system/upstream/options.go
@@ -1,6 +1,10 @@
 package upstream
 
-import "time"
+import (
+	"time"
+
+	"mastusher/internal/system/network"
+)
 
 // Options are the settings of a Pool. A zero field takes its default.
 type Options struct {
@@ -13,6 +17,7 @@
 	IdleMargin        time.Duration // how long before the endpoint's own time an idle connection is closed
 	MaxHeaderBytes    int64         // in the head of an answer
 	Now               func() time.Time
+	Network           network.Network // nil: the system's
 }
 
 // The defaults.
@@ -43,6 +48,7 @@
 	if o.MaxHeaderBytes == 0 {
 		o.MaxHeaderBytes = DefaultMaxHeaderBytes
 	}
+	o.Network = network.OrSystem(o.Network)
 	if o.Now == nil {
 		o.Now = time.Now
 	}
