Take no answer for a request's own where its connection can't tell

Reviewed for answers that go to the wrong caller. Four ways were open, each narrow: - After a HEAD on a connection, a late answer may or may not have a body. It was passed over by the method of the present request, so a body could be read as an answer (a test brings that about: the body holds an answer with the right id). Such a late answer now ends the exchange: it may have run. - An answer that names two ids was judged by the first. - A request without an id took any answer without an id, also on a connection that had carried others. It now has a connection of its own; only on a connection's first request is an answer without an id believed. - A caller that left while a connection was being made: the abort runs beside the write, which could still go out. The context is looked at last before the write.

Ruled out: never passing over a late answer (the protocol says that the id shows which it is, and the own answer follows), and refusing answers without an id altogether (a 421 or 503 on a fresh connection can only be its request's).

--- a/internal/system/upstream/answer.go
+++ b/internal/system/upstream/answer.go
@@ -90,7 +90,7 @@
 // reusable tells whether nothing of this exchange is left on the connection.
 func (a *Answer) reusable() bool {
 	e := a.exchange
-	if !a.whole || e.tainted || a.response.Close || a.UntilClose {
+	if !a.whole || e.tainted || a.response.Close || a.UntilClose || e.request.AttemptID == "" {
 		return false
 	}
 	if a.Status == http.StatusSwitchingProtocols || e.connection.reader.Buffered() > 0 {
--- a/internal/system/upstream/connection.go
+++ b/internal/system/upstream/connection.go
@@ -26,6 +26,8 @@
 	readLeft  int64 // bytes that may still be read before the limit on an answer's head is reached
 	used      int   // requests that were written to it
 	idleUntil time.Time
+
+	carriedHead bool // one of those was a HEAD, whose answer has no body whatever its head says
 }
 
 func newConnection(host *host, socket net.Conn) *connection {
--- a/internal/system/upstream/exchange.go
+++ b/internal/system/upstream/exchange.go
@@ -40,7 +40,7 @@
 	if err := ctx.Err(); err != nil {
 		return nil, &Error{Kind: NeverSent, Reason: Cancelled, Err: context.Cause(ctx)}
 	}
-	c, failure := p.acquire(ctx, endpoint)
+	c, failure := p.acquire(ctx, endpoint, request.AttemptID == "")
 	if failure != nil {
 		if ctx.Err() != nil {
 			failure.Reason = Cancelled
@@ -51,6 +51,10 @@
 		p.discard(c)
 		return nil, &Error{Kind: NeverSent, Reason: Recalled}
 	}
+	if ctx.Err() != nil {
+		p.discard(c)
+		return nil, &Error{Kind: NeverSent, Reason: Cancelled, Err: context.Cause(ctx)}
+	}
 	exchange := &exchange{pool: p, connection: c, request: request, ctx: ctx}
 	answer, failure := exchange.run()
 	if failure != nil {
@@ -83,6 +87,7 @@
 func (e *exchange) run() (*Answer, *Error) {
 	e.stop = e.connection.abortOn(e.ctx)
 	e.connection.used++
+	e.connection.carriedHead = e.connection.carriedHead || e.request.Method == http.MethodHead
 	if e.request.bodyLength() > directWriteBytes {
 		e.written = make(chan writeResult, 1)
 		go func() { e.written <- e.write() }()
@@ -159,7 +164,8 @@
 	return writeResult{n, err}
 }
 
-// readHead reads the head of this request's answer, past informational ones and past late answers to others.
+// readHead reads the head of this request's answer, past informational ones and past late answers to others. Where one of
+// those may belong to a HEAD request, nothing tells whether a body follows it, and so where the next answer begins.
 func (e *exchange) readHead() (*http.Response, error) {
 	c := e.connection
 	libraryRequest := &http.Request{Method: e.request.Method}
@@ -182,19 +188,20 @@
 		}
 		e.tainted = true
 		foreign++
-		if foreign > maxForeign || !passOver(response) {
+		if foreign > maxForeign || c.carriedHead || !passOver(response) {
 			return nil, errForeign
 		}
 	}
 }
 
 // belongs tells whether an answer is this request's. One without an id is, if the connection has carried no other request.
+// One that names several ids is nobody's.
 func (e *exchange) belongs(response *http.Response) bool {
-	id := response.Header.Get(AttemptIDHeader)
-	if id == "" {
-		return e.request.AttemptID == "" || e.connection.used == 1
+	ids := response.Header[AttemptIDHeader]
+	if len(ids) == 0 {
+		return e.connection.used == 1
 	}
-	return id == e.request.AttemptID
+	return len(ids) == 1 && ids[0] == e.request.AttemptID
 }
 
 // passOver reads the body of a late answer to another request. It returns false when no answer can follow it.
--- a/internal/system/upstream/pool.go
+++ b/internal/system/upstream/pool.go
@@ -55,25 +55,26 @@
 	}
 }
 
-// acquire returns an idle connection to the endpoint, or a new one.
-func (p *Pool) acquire(ctx context.Context, endpoint Endpoint) (*connection, *Error) {
+// acquire returns an idle connection to the endpoint, or a new one. A fresh one carries no other request before.
+func (p *Pool) acquire(ctx context.Context, endpoint Endpoint, fresh bool) (*connection, *Error) {
 	for {
-		idle, reserved, failure := p.takeIdle(endpoint)
+		idle, reserved, failure := p.takeIdle(endpoint, fresh)
 		if failure != nil {
 			return nil, failure
 		}
 		if reserved != nil {
 			return p.connect(ctx, endpoint, reserved)
 		}
-		if idle.reusable(p.options.Now()) {
+		if !fresh && idle.reusable(p.options.Now()) {
 			return idle, nil
 		}
 		p.discard(idle)
 	}
 }
 
-// takeIdle takes the idle connection that was used last. If there is none, it reserves the place of a new one.
-func (p *Pool) takeIdle(endpoint Endpoint) (idle *connection, reserved *host, failure *Error) {
+// takeIdle takes the idle connection that was used last. If there is none, it reserves the place of a new one. For a fresh
+// connection it takes an idle one, which is to make room, only where the endpoint has no more places.
+func (p *Pool) takeIdle(endpoint Endpoint, fresh bool) (idle *connection, reserved *host, failure *Error) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	if p.closed {
@@ -84,14 +85,15 @@
 		h = &host{id: endpoint.ID}
 		p.hosts[endpoint.ID] = h
 	}
-	if last := len(h.idle) - 1; last >= 0 {
+	full := endpoint.MaxConnections > 0 && h.total >= endpoint.MaxConnections
+	if last := len(h.idle) - 1; last >= 0 && (full || !fresh) {
 		idle = h.idle[last]
 		h.idle[last] = nil
 		h.idle = h.idle[:last]
 		p.inUse[idle] = struct{}{}
 		return idle, nil, nil
 	}
-	if endpoint.MaxConnections > 0 && h.total >= endpoint.MaxConnections {
+	if full {
 		return nil, nil, &Error{Kind: NeverSent, Reason: Busy}
 	}
 	h.total++
--- a/internal/system/upstream/pool_test.go
+++ b/internal/system/upstream/pool_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -443,3 +444,96 @@
 	defer c.mutex.Unlock()
 	c.time = c.time.Add(by)
 }
+
+// leaving is a Permit that ends a request's context as it is asked, the last thing before the request is written.
+type leaving struct{ leave context.CancelFunc }
+
+func (l leaving) Granted() bool {
+	l.leave()
+	return true
+}
+
+func TestNothingIsSentForACallerThatLeftWhileAConnectionWasMade(t *testing.T) {
+	e := newEndpoint(t, answerShortly)
+	pool := newPool(t, upstream.Options{})
+	for _, kept := range []bool{false, true} {
+		if kept {
+			if _, err := exchange(t, pool, e.target("e"), newRequest("GET", "/", "first")); err != nil {
+				t.Fatal(err)
+			}
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		target := e.target("e")
+		target.Permit = leaving{cancel}
+		_, err := pool.Do(ctx, target, newRequest("GET", "/", "left"))
+		expectError(t, err, upstream.NeverSent, upstream.Cancelled)
+		<-e.closed
+	}
+	if requests, _ := e.seen(); len(requests) != 1 {
+		t.Errorf("%d requests, want 1", len(requests))
+	}
+}
+
+func TestNoBodyIsTakenForAnAnswerAfterAHeadRequest(t *testing.T) {
+	// The late answer to a HEAD request tells a length and has no body: whoever skipped one would skip the own answer, and
+	// go on in its middle. The late answer to a GET has one: whoever reads no body after a HEAD would take it for an answer.
+	for name, methods := range map[string][2]string{"a late answer to a HEAD": {"HEAD", "GET"}, "a late answer to a GET": {"GET", "HEAD"}} {
+		t.Run(name, func(t *testing.T) {
+			inner := "HTTP/1.1 200 OK\r\nX-Attempt-Id: 2\r\nContent-Length: 0\r\n\r\n"
+			late := "HTTP/1.1 200 OK\r\nX-Attempt-Id: 1\r\nContent-Length: " + strconv.Itoa(len(inner)) + "\r\n\r\n"
+			e := newEndpoint(t, func(socket net.Conn, request received) bool {
+				if request.header.Get("X-Attempt-Id") == "2" {
+					io.WriteString(socket, late+inner+inner)
+					return true
+				}
+				io.WriteString(socket, "HTTP/1.1 204 No Content\r\nX-Attempt-Id: 1\r\nKeep-Alive: timeout=30\r\n\r\n")
+				return true
+			})
+			pool := newPool(t, upstream.Options{})
+			if _, err := exchange(t, pool, e.target("e"), newRequest(methods[0], "/", "1")); err != nil {
+				t.Fatal(err)
+			}
+			_, err := exchange(t, pool, e.target("e"), newRequest(methods[1], "/", "2"))
+			expectError(t, err, upstream.MayHaveRun, upstream.Foreign)
+		})
+	}
+}
+
+func TestAnswerWithSeveralIDsIsNobodys(t *testing.T) {
+	e := newEndpoint(t, func(socket net.Conn, request received) bool {
+		respond(socket, request, "x", "X-Attempt-Id: other", "Connection: close")
+		return false
+	})
+	pool := newPool(t, upstream.Options{})
+	_, err := exchange(t, pool, e.target("e"), newRequest("GET", "/", "1"))
+	expectError(t, err, upstream.MayHaveRun, upstream.Foreign)
+}
+
+func TestRequestWithoutIDHasItsOwnConnection(t *testing.T) {
+	e := newEndpoint(t, func(socket net.Conn, request received) bool {
+		if request.header.Get("X-Attempt-Id") == "" {
+			io.WriteString(socket, "HTTP/1.1 400 Bad Request\r\nX-Not-Run: 1\r\nKeep-Alive: timeout=30\r\nContent-Length: 0\r\n\r\n")
+			return true
+		}
+		return answerShortly(socket, request)
+	})
+	for _, most := range []int{0, 1} {
+		pool := newPool(t, upstream.Options{})
+		target := e.target("e")
+		target.MaxConnections = most
+		without := &upstream.Request{Method: "GET", Target: "/", Host: "service.example"}
+		for _, request := range []*upstream.Request{newRequest("GET", "/", "1"), without, newRequest("GET", "/", "2"), without} {
+			if _, err := exchange(t, pool, target, request); err != nil {
+				t.Fatalf("at most %d connections: %v", most, err)
+			}
+		}
+	}
+	var used []int
+	requests, _ := e.seen()
+	for _, request := range requests {
+		used = append(used, request.connection)
+	}
+	if diff := cmp.Diff([]int{1, 2, 1, 3, 4, 5, 6, 7}, used); diff != "" {
+		t.Errorf("connections used (-want +got):\n%s", diff)
+	}
+}
--- a/internal/system/upstream/request.go
+++ b/internal/system/upstream/request.go
@@ -20,7 +20,7 @@
 	Extra     []Field  // header fields of this attempt only
 	Body      [][]byte // the parts of the body, in order
 	HasBody   bool     // a length is told, also when the body is empty
-	AttemptID string   // the X-Attempt-Id among Fields; empty: none
+	AttemptID string   // the X-Attempt-Id among Fields; empty: none, and the request gets a connection of its own
 }
 
 // AppendField appends a header line to a buffer for Request.Fields.
