Frame every answer, take a broken refusal for no success, and join streams by id only

Found in a review of what a client may take for a whole answer: - An endpoint's 400 with X-Not-Run whose body broke off was to be asked for again, but the loop ended there, and the library answered 200 with no body in its place. The loop goes on, and a request that nobody answered is broken off. - An answer whose end only its connection tells went on in the same way. Where this process ended or gave the client up in the middle, the kernel's orderly close made it look whole. It now goes on in chunks: only an HTTP/1.0 client is left to a reset. It also keeps the client's connection, and where it is reset it can be asked for again, or taken up, like others. - A stream was taken up at another endpoint by the last id also where an event without an id had followed it, or where the other endpoint's events had none, or where an old event ended without a blank line: an event could come twice. Such a stream ends cut.

Each test fails on the code before.

--- a/internal/system/proxy/attempt.go
+++ b/internal/system/proxy/attempt.go
@@ -280,8 +280,7 @@
 	}
 	c.refusal, c.retryIn = fault.EndpointRefused, a.outcome.RetryIn
 	if a.answer.Status == http.StatusBadRequest && !c.committed {
-		c.deliver(a)
-		return false
+		return c.deliver(a)
 	}
 	drain(a.answer)
 	if c.context.Err() == nil && c.notRun < mostNotRun {
--- a/internal/system/proxy/call.go
+++ b/internal/system/proxy/call.go
@@ -45,7 +45,7 @@
 	mayHaveRun bool       // nothing promises that no endpoint ran the request
 	refusal    fault.Kind // why no endpoint took it, as far as nothing was sent
 	committed  bool       // the head of the answer has gone to the client
-	untilClose bool       // the answer ends with the connection
+	failed     bool       // an answer of the proxy's own has gone to the client
 	retryIn    time.Duration
 }
 
@@ -187,6 +187,9 @@
 	defer c.settle()
 	for c.attempt() {
 	}
+	if !c.committed && !c.failed {
+		abort() // the library would answer 200 by itself
+	}
 }
 
 // beginTurn has the stores take a turn. It returns false when the request has been answered.
--- a/internal/system/proxy/deliver.go
+++ b/internal/system/proxy/deliver.go
@@ -28,7 +28,7 @@
 	if a.answer.Whole() || length >= 0 && length <= wholeBytes {
 		return c.deliverWhole(a, buffer)
 	}
-	if length < 0 && !a.answer.UntilClose && repeatable(c.facts.Route) {
+	if length < 0 && repeatable(c.facts.Route) {
 		return c.deliverGathered(a, buffer)
 	}
 	return c.deliverParts(a, (*buffer)[:cap(*buffer)])
@@ -65,7 +65,8 @@
 	return c.deliverParts(a, data[:cap(data)])
 }
 
-// commit passes on the head of an answer.
+// commit passes on the head of an answer. An answer whose end only its connection tells goes on in chunks: so it can't look
+// complete when it was broken off, also where this process ends in the middle.
 func (c *call) commit(a *attempt) {
 	if c.committed {
 		return
@@ -77,10 +78,6 @@
 	if a.answer.ContentLength >= 0 && first(a.answer.Header, "Content-Length") != "" {
 		header["Content-Length"] = []string{strconv.FormatInt(a.answer.ContentLength, 10)}
 	}
-	if a.answer.UntilClose {
-		c.untilClose = true
-		header["Transfer-Encoding"] = []string{"identity"}
-	}
 	c.writer.WriteHeader(a.answer.Status)
 }
 
@@ -188,5 +185,5 @@
 // lost ends a call whose client has gone.
 func (c *call) lost(a *attempt) {
 	a.outcome.Result = ClientGone
-	abort()
+	c.abortAnswer()
 }
--- a/internal/system/proxy/events.go
+++ b/internal/system/proxy/events.go
@@ -11,12 +11,13 @@
 // eventScanner follows a text/event-stream as its bytes come. It holds back the bytes of an event until that is complete,
 // counts the events, keeps the last id, and collects their data if asked to.
 type eventScanner struct {
-	collect bool
-	output  []byte // the data of each complete event with a line feed behind
-	count   int64  // complete events that have data or an id
-	lastID  string
-	resumed bool // the stream was taken up at another endpoint, and its events are to have higher ids than the last one
-	spoiled bool // what comes can't be passed on: an event that came before, or one without end
+	collect    bool
+	output     []byte // the data of each complete event with a line feed behind
+	count      int64  // complete events that have data or an id
+	lastID     string
+	unnumbered bool // the last event with data had no id: nothing tells where the stream could be taken up
+	resumed    bool // the stream was taken up at another endpoint, and its events are to have higher ids than the last one
+	spoiled    bool // what comes can't be passed on: an event that may have come before, or one without end
 
 	held    []byte // bytes not yet passed on
 	scanned int    // bytes of held that belong to lines already seen
@@ -76,9 +77,12 @@
 	s.held = append(make([]byte, 0, len(rest)+256), rest...)
 }
 
-// repeats tells whether the event that has just been read is one that the client has had before the stream was taken up.
+// repeats tells whether the event that has just been read may be one that the client has had before the stream was taken up.
 func (s *eventScanner) repeats() bool {
-	return s.resumed && s.hasID && !higher(s.id, s.lastID)
+	if !s.resumed || !s.hasID && !s.hasData {
+		return false
+	}
+	return !s.hasID || !higher(s.id, s.lastID)
 }
 
 // higher tells whether an id is above another one. Of ids that aren't both numbers it is known only that equal ones aren't.
@@ -119,7 +123,9 @@
 		s.count++
 	}
 	if s.hasID {
-		s.lastID = s.id
+		s.lastID, s.unnumbered = s.id, false
+	} else if s.hasData {
+		s.unnumbered = true
 	}
 	s.hasData, s.hasID = false, false
 	s.data = len(s.output)
@@ -128,7 +134,8 @@
 // insideEvent tells whether an event has begun and not ended.
 func (s *eventScanner) insideEvent() bool { return len(s.held) > 0 || s.hasData || s.hasID }
 
-// finish takes the end of a whole stream: an event that no blank line ends is complete too. It returns the bytes held.
+// finish takes the end of a whole stream: an event that no blank line ends is complete too. It returns the bytes held; none
+// where the stream is spoiled.
 func (s *eventScanner) finish() []byte {
 	if !s.insideEvent() {
 		return nil
@@ -137,6 +144,10 @@
 	if line := bytes.TrimSuffix(rest[s.scanned:], []byte{'\r'}); len(line) > 0 {
 		s.line(line)
 	}
+	if s.repeats() {
+		s.spoiled = true
+		return nil
+	}
 	s.endEvent()
 	s.held, s.scanned = nil, 0
 	return rest
@@ -144,16 +155,19 @@
 
 // progress is how much of a stream has gone to the client.
 type progress struct {
-	count  int64
-	lastID string
-	data   int
+	count      int64
+	lastID     string
+	unnumbered bool
+	data       int
 }
 
-func (s *eventScanner) progress() progress { return progress{s.count, s.lastID, s.data} }
+func (s *eventScanner) progress() progress {
+	return progress{s.count, s.lastID, s.unnumbered, s.data}
+}
 
 // rewind forgets the events since then, which were not passed on, and the one being read.
 func (s *eventScanner) rewind(to progress) {
-	s.count, s.lastID, s.data = to.count, to.lastID, to.data
+	s.count, s.lastID, s.unnumbered, s.data = to.count, to.lastID, to.unnumbered, to.data
 	s.restart()
 }
 
--- a/internal/system/proxy/failure.go
+++ b/internal/system/proxy/failure.go
@@ -51,6 +51,7 @@
 
 // fail answers the call, as fail does.
 func (c *call) fail(kind fault.Kind, wait time.Duration) {
+	c.failed = true
 	c.proxy.closeIfDraining(c.writer.Header())
 	fail(c.writer, kind, wait)
 }
@@ -60,10 +61,10 @@
 	panic(http.ErrAbortHandler)
 }
 
-// abortAnswer breaks off an answer that has begun, so that it doesn't look complete. Where only the end of the connection
-// tells the end of the answer, the connection is reset.
+// abortAnswer breaks off an answer that has begun, so that it doesn't look complete. To a client of HTTP/1.0 only the end of
+// the connection may tell the end of the answer: it is reset.
 func (c *call) abortAnswer() {
-	if c.untilClose || !c.request.ProtoAtLeast(1, 1) {
+	if !c.request.ProtoAtLeast(1, 1) {
 		resetConnection(c.writer)
 	}
 	abort()
--- a/internal/system/proxy/plain_test.go
+++ b/internal/system/proxy/plain_test.go
@@ -405,3 +405,67 @@
 		}
 	}
 }
+
+func TestRefusalWhoseBodyBreaksOffIsNoSuccess(t *testing.T) {
+	// given an endpoint that says that it didn't run a request, and breaks off
+	broken := func(socket net.Conn, request received) bool {
+		io.WriteString(socket, sealed(400, request, "X-Not-Run: 1", "Content-Length: 10")+"12345")
+		return false
+	}
+	for route, want := range map[string]int{"safe": 200, "once": 502} {
+		t.Run(route, func(t *testing.T) {
+			second := newEndpoint(t, answerWith(200, "good"))
+			f := newFixture(t, newEndpoint(t, broken), second)
+			c := f.dial()
+			c.ask("GET", "/"+route+"/x", "id", "")
+			// then the client never gets an empty success in its place
+			got := c.read("GET")
+			if got.status != want || want == 200 && got.body != "good" {
+				t.Errorf("got %+v", got)
+			}
+		})
+	}
+}
+
+func TestUnframedAnswerThatIsResetIsAskedForAgain(t *testing.T) {
+	bad := newEndpoint(t, func(socket net.Conn, request received) bool {
+		io.WriteString(socket, sealed(200, request)+"the first part")
+		return resetAtOnce(socket, request)
+	})
+	good := newEndpoint(t, func(socket net.Conn, request received) bool {
+		io.WriteString(socket, sealed(200, request)+"whole")
+		return false
+	})
+	f := newFixture(t, bad, good)
+	c := f.dial()
+	c.ask("GET", "/safe/x", "id", "")
+	if got := c.read("GET"); got.err != nil || got.status != 200 || got.body != "whole" {
+		t.Errorf("got %+v", got)
+	}
+	c.ask("GET", "/safe/x", "next", "")
+	if got := c.read("GET"); got.status != 200 {
+		t.Errorf("the next answer on the client's connection: %+v", got)
+	}
+}
+
+func TestUnframedAnswerGoesOnInAFramedOne(t *testing.T) {
+	// given an answer whose end only its connection tells
+	end := make(chan struct{})
+	e := newEndpoint(t, func(socket net.Conn, request received) bool {
+		io.WriteString(socket, sealed(200, request)+"some bytes")
+		<-end
+		return false
+	})
+	f := newFixture(t, e)
+	c := f.dial()
+	c.ask("GET", "/once/x", "id", "")
+	response := c.head("GET")
+	// then the client's has an end of its own, so that it can't look complete when this process ends in its middle
+	if len(response.TransferEncoding) != 1 || response.TransferEncoding[0] != "chunked" || response.Close {
+		t.Errorf("framed by %v, close %v", response.TransferEncoding, response.Close)
+	}
+	close(end)
+	if body, err := io.ReadAll(response.Body); err != nil || string(body) != "some bytes" {
+		t.Errorf("%q, %v", body, err)
+	}
+}
--- a/internal/system/proxy/stream.go
+++ b/internal/system/proxy/stream.go
@@ -13,8 +13,7 @@
 		if n > 0 && !c.takeEvents(a, buffer[:n]) {
 			return c.streamCut(a)
 		}
-		if err == io.EOF && !c.cutAtClose(a) {
-			c.finishStream(a)
+		if err == io.EOF && c.endsWhole(a) {
 			return false
 		}
 		if err != nil {
@@ -36,6 +35,19 @@
 	return !c.scanner.spoiled
 }
 
+// endsWhole takes the end of an answer's body. It returns false where that is no end of the stream.
+func (c *call) endsWhole(a *attempt) bool {
+	if c.cutAtClose(a) {
+		return false
+	}
+	rest := c.scanner.finish()
+	if c.scanner.spoiled {
+		return false
+	}
+	c.finishStream(a, rest)
+	return true
+}
+
 // cutAtClose tells whether a stream whose end only the connection tells was closed inside an event.
 func (c *call) cutAtClose(a *attempt) bool {
 	return a.answer.UntilClose && c.scanner.insideEvent()
@@ -68,9 +80,9 @@
 	return c.turn != nil && c.turn.remembered && a.answer.ContentLength > 0
 }
 
-// finishStream ends a stream whose last byte has come. A remembered turn is made safe before the client has all of it.
-func (c *call) finishStream(a *attempt) {
-	rest := c.scanner.finish()
+// finishStream ends a stream whose last byte has come, with an event that no blank line ended. A remembered turn is made safe
+// before the client has all of it.
+func (c *call) finishStream(a *attempt, rest []byte) {
 	c.passEvents(a, rest)
 	c.finished(a)
 	c.commit(a)
@@ -115,5 +127,5 @@
 
 // resumable tells whether another endpoint can go on where an answer broke off: each event has an id, and no length was told.
 func (c *call) resumable(answer *upstream.Answer) bool {
-	return c.facts.Route.CanResume && c.scanner.lastID != "" && answer.ContentLength < 0 && !answer.UntilClose
+	return c.facts.Route.CanResume && c.scanner.lastID != "" && !c.scanner.unnumbered && answer.ContentLength < 0
 }
--- a/internal/system/proxy/stream_test.go
+++ b/internal/system/proxy/stream_test.go
@@ -220,3 +220,61 @@
 		t.Errorf("passed on %q, output %q", got, scanner.output)
 	}
 }
+
+func TestUnframedStreamThatIsResetIsTakenUp(t *testing.T) {
+	read := make(chan struct{})
+	first := newEndpoint(t, func(socket net.Conn, request received) bool {
+		io.WriteString(socket, sealed(200, request, "Content-Type: text/event-stream", "X-First: 1")+event(1, "one")+"id: 2\nda")
+		<-read
+		return resetAtOnce(socket, request)
+	})
+	second := newEndpoint(t, stream(event(2, "two")))
+	f := newFixture(t, first, second)
+	c := f.dial()
+	c.ask("GET", "/resume/x", "id", "")
+	response := c.head("GET")
+	got := make([]byte, len(event(1, "one")))
+	io.ReadFull(response.Body, got)
+	close(read)
+	rest, err := io.ReadAll(response.Body)
+	if body := string(got) + string(rest); err != nil || body != event(1, "one")+event(2, "two") || response.Header.Get("X-First") != "1" {
+		t.Errorf("%q, %v", body, err)
+	}
+}
+
+func TestStreamWithoutIDsIsNotTakenUp(t *testing.T) {
+	unnumbered := "data: none\n\n"
+	cases := map[string]struct {
+		first, second []string
+		want          string
+	}{
+		"broken off after an event without an id": {
+			[]string{event(1, "one"), unnumbered}, []string{unnumbered, event(2, "two")}, event(1, "one") + unnumbered},
+		"taken up with an event without an id": {
+			[]string{event(1, "one")}, []string{unnumbered, event(2, "two")}, event(1, "one")},
+		"taken up with an old event that no blank line ends": {
+			[]string{event(1, "one")}, []string{"id: 1\ndata: one"}, event(1, "one")},
+		"taken up after comments and fields": {
+			[]string{event(1, "one"), ": c\n\n"}, []string{": d\n\n", "versions: 4\nid: 2\ndata: two\n\n"},
+			event(1, "one") + ": c\n\n: d\n\nversions: 4\nid: 2\ndata: two\n\n"},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			first := newEndpoint(t, func(socket net.Conn, request received) bool {
+				text := sealed(200, request, streamHead)
+				for _, one := range test.first {
+					text += chunk(one)
+				}
+				io.WriteString(socket, text)
+				return false
+			})
+			f := newFixture(t, first, newEndpoint(t, stream(test.second...)))
+			c := f.dial()
+			c.ask("GET", "/resume/x", "id", "")
+			got := c.read("GET")
+			if cut := got.err != nil; got.body != test.want || cut == strings.HasSuffix(name, "fields") {
+				t.Errorf("got %q, %v", got.body, got.err)
+			}
+		})
+	}
+}
