Reset the connection of a request that is given up, so that no more of it arrives

Cause: when a client leaves, or an attempt's time is over, the connection to the endpoint was closed in good order: what a link held up of the request was still sent once the link was well again, up to 2.5 s later, and the endpoint began to work for a client that had gone. Ruled out: a shorter time for unacknowledged bytes (it also ends requests that are wanted). Change: such a connection ends with a reset, which drops what hasn't arrived. Whole exchanges end as before.

--- a/internal/system/upstream/connection.go
+++ b/internal/system/upstream/connection.go
@@ -65,6 +65,15 @@
 // it returns false if the context has ended already.
 func (c *connection) abortOn(ctx context.Context) (stop func() bool) {
 	return context.AfterFunc(ctx, func() {
+		c.resetOnClose()
 		c.socket.SetDeadline(time.Unix(1, 0))
 	})
 }
+
+// resetOnClose makes the connection end with a reset when it is closed: bytes of a request that haven't arrived yet, as a link
+// holds them up, are then dropped. After an orderly close they would still be sent, for a caller that has gone.
+func (c *connection) resetOnClose() {
+	if socket, ok := c.socket.(interface{ SetLinger(seconds int) error }); ok {
+		socket.SetLinger(0)
+	}
+}
