Test that requests end with their client and at their route's give-up time

Cause: nothing showed that an endpoint's work ends, and that nothing is begun, once a client has left, but for one stream in its middle; nor that a request ends at giveUpMs where the client would wait longer. Ruled out: a fault. Each state of a request was looked at: waiting for a place, for the stores, for an answer, its first event, in the middle, for the end of a turn to be safe. Change: tests for all of these, on connections to stand-ins that work on for ever; and that X-Time-Left-Ms is always told, and never longer than the client's and the route's, also when a request is sent again. No change of what ships.

--- a/internal/system/proxy/fixture_test.go
+++ b/internal/system/proxy/fixture_test.go
@@ -31,9 +31,11 @@
 
 // programs is a Programs that records what it is told.
 type programs struct {
-	begin func(program.BeginTurn) (program.Result, error) // nil: every turn is taken
-	end   func(program.EndTurn) error                     // nil: every end is safe
-	lost  func(program.EndTurn) bool                      // nil: every turn is known
+	hold   func(context.Context)                           // nil: a beginning is answered at once
+	begin  func(program.BeginTurn) (program.Result, error) // nil: every turn is taken
+	end    func(program.EndTurn) error                     // nil: every end is safe
+	settle func(context.Context) error                     // nil: an end is answered at once
+	lost   func(program.EndTurn) bool                      // nil: every turn is known
 
 	mutex  sync.Mutex
 	begins []program.BeginTurn
@@ -41,7 +43,10 @@
 	ended  chan program.EndTurn
 }
 
-func (p *programs) Begin(_ context.Context, key string, turn program.BeginTurn) (program.Result, error) {
+func (p *programs) Begin(ctx context.Context, key string, turn program.BeginTurn) (program.Result, error) {
+	if p.hold != nil {
+		p.hold(ctx)
+	}
 	p.mutex.Lock()
 	turn.Input = bytes.Clone(turn.Input)
 	p.begins = append(p.begins, turn)
@@ -53,7 +58,12 @@
 	return p.begin(turn)
 }
 
-func (p *programs) End(_ context.Context, _ string, turn program.EndTurn) (program.Result, error) {
+func (p *programs) End(ctx context.Context, _ string, turn program.EndTurn) (program.Result, error) {
+	if p.settle != nil {
+		if err := p.settle(ctx); err != nil {
+			return program.Result{}, err
+		}
+	}
 	if p.end != nil {
 		if err := p.end(turn); err != nil {
 			return program.Result{}, err
@@ -143,9 +153,7 @@
 	served := make(chan error, 1)
 	go func() { served <- f.proxy.Serve() }()
 	t.Cleanup(func() {
-		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
-		defer cancel()
-		f.proxy.Shutdown(ctx)
+		f.stop()
 		if err := <-served; err != nil {
 			t.Errorf("serve: %v", err)
 		}
@@ -153,6 +161,13 @@
 	return f
 }
 
+// stop shuts the proxy down. Its requests have ended when it returns, but for those that take five seconds.
+func (f *fixture) stop() {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	f.proxy.Shutdown(ctx)
+}
+
 // newConfiguration has a route of each kind.
 func newConfiguration() *model.Configuration {
 	route := func(name string, kind model.RouteKind, change func(*model.Route)) model.Route {
--- /dev/null
+++ b/internal/system/proxy/giveup_test.go
@@ -0,0 +1,191 @@
+package proxy
+
+import (
+	"context"
+	"errors"
+	"net"
+	"strconv"
+	"testing"
+
+	"mastusher/internal/system/model"
+	"mastusher/internal/system/program"
+)
+
+// shortGiveUpMs is a time for which routes hold requests that a test can wait for, and in which an endpoint surely answers.
+const shortGiveUpMs = 1000
+
+// giveUpAfter makes every route hold its requests so long, and let them wait for a place all that time.
+func (f *fixture) giveUpAfter(milliseconds int64) {
+	config := newConfiguration()
+	for i := range config.Routes {
+		config.Routes[i].GiveUpMs = milliseconds
+		config.Routes[i].TargetMs = 1000 * milliseconds
+	}
+	f.views.routes.Store(NewRoutes(config))
+}
+
+func TestEveryRequestEndsAtItsRoutesGiveUpTime(t *testing.T) {
+	t.Parallel()
+	nothing := func(received) string { return "" }
+	head := func(request received) string { return sealed(200, request, streamHead) }
+	events := func(request received) string { return head(request) + chunk(event(1, "one")) + chunk("id: 2\nda") }
+	half := func(request received) string { return sealed(200, request, "Content-Length: 100000") + "half" }
+	const cut = 0
+	cases := []struct {
+		name   string
+		route  string
+		part   func(received) string
+		status int // cut: the answer has begun, and breaks off
+	}{
+		{"a silent endpoint, safe", "safe", nothing, 504},
+		{"a silent endpoint, once", "once", nothing, 504},
+		{"a silent endpoint, stream", "stream", nothing, 504},
+		{"a silent endpoint, turn", "turn", nothing, 504},
+		{"a head without an event, stream", "stream", head, 504},
+		{"a head without an event, resumable", "resume", head, 504},
+		{"a head without an event, turn", "turn", head, 504},
+		{"a stream under way", "stream", events, cut},
+		{"a resumable stream under way", "resume", events, cut},
+		{"a turn under way", "turn", events, cut},
+		{"half a long answer, once", "once", half, cut},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			// given an endpoint that goes on for ever, and a client with all the time in the world
+			e := newEndpoint(t, workOn(make(chan struct{}, 1), test.part))
+			f := newFixture(t, e)
+			f.giveUpAfter(shortGiveUpMs)
+			c := f.dial()
+			c.ask("POST", "/"+test.route+"/x", "id", "body", append(turnFields, "X-Time-Left-Ms: 60000")...)
+			// when the route's time is over, then the request ends, at the client as at the endpoint
+			got := c.read("POST")
+			if test.status == cut && got.err == nil {
+				t.Errorf("looks complete: %+v", got)
+			}
+			if test.status != cut && (got.status != test.status || got.err != nil) {
+				t.Errorf("got %+v", got)
+			}
+			<-e.closed
+			if outcome := <-f.chooser.outcomes; outcome.Result != DeadlineHit {
+				t.Errorf("outcome %+v", outcome)
+			}
+		})
+	}
+}
+
+func TestRequestThatWasNotSentByItsGiveUpTimeIsRefused(t *testing.T) {
+	t.Parallel()
+	t.Run("it waits for a place", func(t *testing.T) {
+		t.Parallel()
+		s, _ := newFullScheduler(t)
+		f := newFixtureWith(t, func(options *Options) { options.Chooser = s })
+		f.giveUpAfter(shortGiveUpMs)
+		c := f.dial()
+		c.ask("POST", "/once/x", "id", "body", "X-Time-Left-Ms: 60000")
+		if got := c.read("POST"); got.status != 503 {
+			t.Errorf("got %+v", got)
+		}
+	})
+	t.Run("it waits for the stores", func(t *testing.T) {
+		t.Parallel()
+		e := newEndpoint(t, stream(event(1, "one")))
+		f := newFixture(t, e)
+		f.giveUpAfter(shortGiveUpMs)
+		f.programs.hold = func(ctx context.Context) { <-ctx.Done() }
+		f.programs.begin = func(program.BeginTurn) (program.Result, error) { return program.Result{}, errors.New("no owner") }
+		c := f.dial()
+		c.ask("POST", "/turn/x", "id", "body", append(turnFields, "X-Time-Left-Ms: 60000")...)
+		if got := c.read("POST"); got.status != 503 || e.count.Load() != 0 {
+			t.Errorf("got %+v", got)
+		}
+	})
+}
+
+func TestTurnWhoseEndIsNotSafeByItsGiveUpTimeIsCut(t *testing.T) {
+	t.Parallel()
+	// given stores that don't answer the end of a turn that came whole
+	f := newFixture(t, newEndpoint(t, stream(event(1, "one"))))
+	f.giveUpAfter(shortGiveUpMs)
+	release := make(chan struct{})
+	f.programs.settle = func(ctx context.Context) error {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-release:
+			return nil
+		}
+	}
+	c := f.dial()
+	c.ask("POST", "/turn/x", "id", "body", append(turnFields, "X-Time-Left-Ms: 60000")...)
+	// when the route's time is over, then the client sees the turn cut, and its tokens are settled later
+	if got := c.read("POST"); got.err == nil {
+		t.Errorf("looks complete: %+v", got)
+	}
+	close(release)
+	if end := <-f.programs.ended; end.Whole || end.Tokens != 3 {
+		t.Errorf("settled with %+v", end)
+	}
+}
+
+func TestTimeLeftIsNeverLongerThanTheClientsAndItsRoutes(t *testing.T) {
+	cases := []struct {
+		name   string
+		told   string // by the client; empty: nothing
+		giveUp int64
+		most   int
+	}{
+		{"the client has less", "20000", 50000, 20000},
+		{"the route has less", "90000", 50000, 50000},
+		{"the client tells none", "", 50000, 50000},
+		{"the client tells what is no number", "soon", 50000, 50000},
+	}
+	for _, test := range cases {
+		for _, route := range newConfiguration().Routes {
+			t.Run(test.name+", "+route.Name, func(t *testing.T) {
+				script := answerWith(200, "good")
+				if route.Kind == model.Streaming {
+					script = stream(event(1, "one"))
+				}
+				first, second := newEndpoint(t, firstFails(route)), newEndpoint(t, script)
+				f := newFixture(t, first, second)
+				f.giveUpAfter(test.giveUp)
+				c := f.dial()
+				fields := turnFields
+				if test.told != "" {
+					fields = append(fields, "X-Time-Left-Ms: "+test.told)
+				}
+				c.ask("POST", "/"+route.Name+"/x", "id", "body", fields...)
+				if got := c.read("POST"); got.status != 200 || got.err != nil {
+					t.Fatalf("got %+v", got)
+				}
+				before, after := timeLeftOf(t, <-first.requests), timeLeftOf(t, <-second.requests)
+				if before > test.most || after > before || after < test.most/2 {
+					t.Errorf("told %d, then %d, at most %d", before, after, test.most)
+				}
+			})
+		}
+	}
+}
+
+// firstFails is a failure after which a request of the route goes to another endpoint.
+func firstFails(route model.Route) func(net.Conn, received) bool {
+	if repeatable(&route) {
+		return resetAtOnce
+	}
+	return turnAway
+}
+
+// timeLeftOf returns the milliseconds that an endpoint was told.
+func timeLeftOf(t *testing.T, request received) int {
+	t.Helper()
+	told := request.header["X-Time-Left-Ms"]
+	if len(told) != 1 {
+		t.Fatalf("told %q", told)
+	}
+	milliseconds, err := strconv.Atoi(told[0])
+	if err != nil || milliseconds < 1 {
+		t.Fatalf("told %q", told[0])
+	}
+	return milliseconds
+}
--- /dev/null
+++ b/internal/system/proxy/gone_test.go
@@ -0,0 +1,135 @@
+package proxy
+
+import (
+	"context"
+	"io"
+	"net"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"mastusher/internal/system/program"
+)
+
+// workOn answers with a part and then works until its caller goes.
+func workOn(started chan<- struct{}, part func(received) string) func(net.Conn, received) bool {
+	return func(socket net.Conn, request received) bool {
+		io.WriteString(socket, part(request))
+		started <- struct{}{}
+		socket.Read(make([]byte, 1))
+		return false
+	}
+}
+
+func TestNothingGoesOnForAClientThatHasGone(t *testing.T) {
+	nothing := func(received) string { return "" }
+	head := func(request received) string { return sealed(200, request, streamHead) }
+	events := func(request received) string { return head(request) + chunk(event(1, "one")) + chunk("id: 2\nda") }
+	half := func(request received) string { return sealed(200, request, "Content-Length: 100000") + "half" }
+	cases := []struct {
+		name  string
+		route string
+		part  func(received) string
+	}{
+		{"given a request that may run again when no answer has come", "safe", nothing},
+		{"given a request that may run again when half an answer has come", "safe", half},
+		{"given a request that runs once when no answer has come", "once", nothing},
+		{"given a request that runs once when half an answer has come", "once", half},
+		{"given a stream when no answer has come", "stream", nothing},
+		{"given a stream when its first event hasn't come", "stream", head},
+		{"given a stream when its second event is on its way", "stream", events},
+		{"given a stream that may be resumed when its first event hasn't come", "resume", head},
+		{"given a stream that may be resumed when its second event is on its way", "resume", events},
+		{"given a turn when its first event hasn't come", "turn", head},
+		{"given a turn when its second event is on its way", "turn", events},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			// given an endpoint at work, and another one that could take the request
+			started := make(chan struct{}, 1)
+			first, second := newEndpoint(t, workOn(started, test.part)), newEndpoint(t, answerWith(200, "good"))
+			f := newFixture(t, first, second)
+			c := f.dial()
+			c.ask("POST", "/"+test.route+"/x", "id", "body", turnFields...)
+			<-started
+			// when the client goes
+			c.socket.Close()
+			// then the endpoint's work ends, and nothing is begun anew
+			<-first.closed
+			if outcome := <-f.chooser.outcomes; outcome.Result != ClientGone {
+				t.Errorf("outcome %+v", outcome)
+			}
+			f.stop()
+			if first.count.Load() != 1 || second.count.Load() != 0 {
+				t.Errorf("%d sends to the first endpoint and %d to the second", first.count.Load(), second.count.Load())
+			}
+		})
+	}
+}
+
+func TestWaitingRequestLeavesWithItsClient(t *testing.T) {
+	// given an endpoint whose only place is taken, and a request that waits for it
+	s, held := newFullScheduler(t)
+	f := newFixtureWith(t, func(options *Options) { options.Chooser = s })
+	config := newConfiguration()
+	for i := range config.Routes {
+		config.Routes[i].TargetMs = 100_000
+	}
+	f.views.routes.Store(NewRoutes(config))
+	c := f.dial()
+	c.ask("POST", "/once/x", "id", "body")
+	awaitWaiters(s, 1)
+	// when its client goes, then it waits no more, and gets no place when there is one
+	c.socket.Close()
+	awaitWaiters(s, 0)
+	s.Done(held, Outcome{Result: Succeeded})
+	f.stop()
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if left := s.queue("plain").Len(); left != 0 {
+		t.Errorf("%d in the queue", left)
+	}
+}
+
+func TestTurnWhoseClientGoesWhileItIsBegunIsNotSent(t *testing.T) {
+	// given stores that take a turn just after its client has gone
+	e := newEndpoint(t, stream(event(1, "one")))
+	f := newFixture(t, e)
+	asked := make(chan struct{})
+	f.programs.hold = func(ctx context.Context) {
+		close(asked)
+		<-ctx.Done()
+	}
+	c := f.dial()
+	c.ask("POST", "/turn/x", "id", "body", turnFields...)
+	<-asked
+	// when the client goes, then the turn isn't sent, and what it reserved is given back
+	c.socket.Close()
+	if diff := cmp.Diff(program.EndTurn{Turn: "id"}, <-f.programs.ended); diff != "" {
+		t.Errorf("end (-want +got):\n%s", diff)
+	}
+	f.stop()
+	if e.count.Load() != 0 {
+		t.Error("the turn was sent")
+	}
+}
+
+func TestTurnOfAClientThatWentBeforeItsLastByteIsSettled(t *testing.T) {
+	// given a turn whose answer has come whole but for its last byte, which waits for the stores
+	f := newFixture(t, newEndpoint(t, stream(event(1, "one"))))
+	asked, release := make(chan struct{}, 2), make(chan struct{})
+	f.programs.end = func(program.EndTurn) error {
+		asked <- struct{}{}
+		<-release
+		return nil
+	}
+	c := f.dial()
+	c.ask("POST", "/turn/x", "id", "body", turnFields...)
+	<-asked
+	// when the client goes and the stores answer, then its tokens count
+	c.socket.Close()
+	close(release)
+	if end := <-f.programs.ended; end.Turn != "id" || end.Tokens != 3 {
+		t.Errorf("settled with %+v", end)
+	}
+}
