Answer the requests that a proxy gives up as it ends

Cause: when the grace time was nearly over, a proxy closed its connections to endpoints and ended. Whether the requests left got an answer, and what they had reserved was given back, was a race with the end of the process; requests that waited for a place got none. Ruled out: waiting longer (SIGKILL comes); ending sooner (an endpoint's silence is no reason to end an answer). Change: at the end of its time a proxy ends the requests that are left by itself: 504 where an endpoint was at work, 503 where none got it, a cut where the answer had begun. 150 ms are kept for these answers, and as much for what turns reserved.

--- a/internal/system/proxy/front.go
+++ b/internal/system/proxy/front.go
@@ -26,6 +26,8 @@
 	acceptPause = 10 * time.Millisecond
 	// ownWriteTime bounds the writing of an answer that has no deadline of its own.
 	ownWriteTime = 10 * time.Second
+	// lastAnswersTime is for the answers to requests that are given up as the proxy ends.
+	lastAnswersTime = 150 * time.Millisecond
 )
 
 // limits bounds what clients may send and how long they may take.
@@ -61,6 +63,8 @@
 	limits   func() limits
 	most     int
 	errors   *log.Logger
+	requests context.Context    // of which each request's context is a part
+	giveUp   context.CancelFunc // ends it: each request is answered at once, or its answer broken off
 
 	mutex   sync.Mutex
 	current *generation
@@ -88,6 +92,7 @@
 		clients:  make(map[*clientConnection]struct{}),
 		empty:    make(chan struct{}),
 	}
+	f.requests, f.giveUp = context.WithCancel(context.Background())
 	if options.Logger != nil {
 		f.errors = log.New(kitlog.NewStdlibAdapter(level.Error(options.Logger)), "", 0)
 	}
@@ -174,6 +179,7 @@
 		WriteTimeout:      ownWriteTime,
 		MaxHeaderBytes:    max(wanted.headerBytes-libraryHeaderSlop, 1),
 		ErrorLog:          f.errors,
+		BaseContext:       func(net.Listener) context.Context { return f.requests },
 		ConnContext:       withClient,
 		ConnState: func(connection net.Conn, state http.ConnState) {
 			f.follow(g, connection, state)
@@ -195,19 +201,21 @@
 }
 
 // shutdown closes the listener and the connections without a request, and waits until the requests under way have been
-// answered and their connections have ended. The library's own Shutdown isn't used: it takes a kept connection for idle
-// until the whole head of its next request has been read, and closes it in the middle.
+// answered and their connections have ended. What is left when the context ends is given up, and told so. The library's own
+// Shutdown isn't used: it takes a kept connection for idle until the whole head of its next request has been read, and closes
+// it in the middle.
 func (f *front) shutdown(ctx context.Context) error {
 	f.listener.Close()
 	generations, clients := f.close()
 	for _, client := range clients {
 		client.closeUnread()
 	}
-	var failure error
-	select {
-	case <-f.empty:
-	case <-ctx.Done():
-		failure = ctx.Err()
+	failure := f.awaitEmpty(ctx)
+	f.giveUp()
+	if failure != nil {
+		bounded, cancel := context.WithTimeout(context.Background(), lastAnswersTime)
+		defer cancel()
+		f.awaitEmpty(bounded)
 	}
 	for _, g := range generations {
 		g.feed.Close()
@@ -215,6 +223,16 @@
 	return failure
 }
 
+// awaitEmpty returns nil once no connection is left and none will come, or the context's error.
+func (f *front) awaitEmpty(ctx context.Context) error {
+	select {
+	case <-f.empty:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 // close takes no more connections, and returns what there is.
 func (f *front) close() ([]*generation, []*clientConnection) {
 	f.mutex.Lock()
--- a/internal/system/proxy/server.go
+++ b/internal/system/proxy/server.go
@@ -76,8 +76,9 @@
 	}
 }
 
-// Shutdown takes no more connections, and returns when the requests under way and the turns being settled have ended, or
-// when the context ends.
+// Shutdown takes no more connections, and returns when the requests under way and the turns being settled have ended. When
+// the context ends before, the requests that are left are answered at once that they were given up, and what can be settled
+// in a moment is.
 func (p *Proxy) Shutdown(ctx context.Context) error {
 	p.Drain()
 	err := p.front.shutdown(ctx)
--- a/internal/system/proxy/settle.go
+++ b/internal/system/proxy/settle.go
@@ -20,6 +20,8 @@
 	settleLongestWait = 2 * time.Second
 	// mostUnknown bounds the offers that the stores answer by not knowing the turn: about three seconds with the pauses.
 	mostUnknown = 7
+	// lastSettlesTime is for the ends of turns whose requests were given up as the proxy ends.
+	lastSettlesTime = 150 * time.Millisecond
 	// settlesAtOnce bounds the turns that are being settled beside their requests.
 	settlesAtOnce = 4096
 )
@@ -56,7 +58,7 @@
 	}()
 }
 
-// wait returns when all settles are done, or when the context ends; the rest is then given up.
+// wait returns when all settles are done, or some time after the context has ended; the rest is then given up.
 func (s *settler) wait(ctx context.Context) {
 	done := make(chan struct{})
 	go func() {
@@ -66,11 +68,22 @@
 	select {
 	case <-done:
 	case <-ctx.Done():
+		awaitFor(done, lastSettlesTime)
 	}
 	s.cancel()
 	<-done
 }
 
+// awaitFor returns when done is closed, or after so long.
+func awaitFor(done <-chan struct{}, bound time.Duration) {
+	timer := time.NewTimer(bound)
+	defer timer.Stop()
+	select {
+	case <-done:
+	case <-timer.C:
+	}
+}
+
 // errUnknownTurn says that the stores don't hold a turn as one that is under way.
 var errUnknownTurn = errors.New("the stores don't know the turn")
 
--- /dev/null
+++ b/internal/system/proxy/shutdown_test.go
@@ -0,0 +1,97 @@
+package proxy
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+)
+
+func TestRequestsThatAShutdownGivesUpAreAnswered(t *testing.T) {
+	nothing := func(received) string { return "" }
+	head := func(request received) string { return sealed(200, request, streamHead) }
+	events := func(request received) string { return head(request) + chunk(event(1, "one")) }
+	const cut = 0
+	cases := []struct {
+		name   string
+		route  string
+		part   func(received) string
+		status int // cut: the answer has begun, and breaks off
+	}{
+		{"a request that may run again", "safe", nothing, 504},
+		{"a request that runs once", "once", nothing, 504},
+		{"a stream before its first event", "stream", head, 504},
+		{"a turn before its first event", "turn", head, 504},
+		{"a stream under way", "stream", events, cut},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			// given an endpoint at work
+			started := make(chan struct{}, 1)
+			f := newFixture(t, newEndpoint(t, workOn(started, test.part)))
+			c := f.dial()
+			c.ask("POST", "/"+test.route+"/x", "id", "body", turnFields...)
+			<-started
+			var begun *http.Response
+			if test.status == cut {
+				begun = c.head("POST")
+			}
+			// when a shutdown comes to the end of its time
+			ended := f.shutDownUntil(f.closedToClients)
+			// then the client is told, and the connection ends
+			if test.status == cut {
+				if body, err := io.ReadAll(begun.Body); err == nil {
+					t.Errorf("looks complete: %q", body)
+				}
+			} else if got := c.read("POST"); got.status != test.status || got.err != nil || !got.close {
+				t.Errorf("got %+v", got)
+			}
+			if err := <-ended; err == nil {
+				t.Error("the shutdown says that all requests have ended by themselves")
+			}
+			if test.route == "turn" {
+				if end := <-f.programs.ended; end.Whole || end.Turn != "id" {
+					t.Errorf("settled with %+v", end)
+				}
+			}
+		})
+	}
+}
+
+func TestWaitingRequestThatAShutdownGivesUpIsRefused(t *testing.T) {
+	// given a request that waits for a place
+	s, _ := newFullScheduler(t)
+	f := newFixtureWith(t, func(options *Options) { options.Chooser = s })
+	f.giveUpAfter(60_000)
+	c := f.dial()
+	c.ask("POST", "/once/x", "id", "body")
+	awaitWaiters(s, 1)
+	// when a shutdown comes to the end of its time, then the client is told that it has not run
+	ended := f.shutDownUntil(f.closedToClients)
+	if got := c.read("POST"); got.status != 503 || !got.close {
+		t.Errorf("got %+v", got)
+	}
+	<-ended
+}
+
+// shutDownUntil shuts the proxy down, and ends the time for that once a condition holds.
+func (f *fixture) shutDownUntil(holds func() bool) <-chan error {
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- f.proxy.Shutdown(ctx) }()
+	for !holds() {
+	}
+	cancel()
+	return ended
+}
+
+// closedToClients tells whether the proxy takes no more connections.
+func (f *fixture) closedToClients() bool {
+	socket, err := net.Dial("tcp4", f.proxy.FrontAddress().String())
+	if err != nil {
+		return true
+	}
+	socket.Close()
+	return false
+}
