Never refuse an old order that was taken, nor take one that was refused

A repeat of an older one was refused by 412, though it had been taken. An order on a version that had not come was refused by 412; a copy of it that was still on its way would have been taken once that version came. Ruled out: a shorter history (a repeat has no last moment), keeping it without bound. Change: the orders taken are a chain, since each version has one successor: its number and 16 bytes of a hash. An order on a version older than the chain gets no clear answer (504). Refusals on versions to come are remembered until these have been replaced, 64 at most. More than one If-Match is a bad request.

--- a/internal/system/configuration/register.go
+++ b/internal/system/configuration/register.go
@@ -3,14 +3,12 @@
 package configuration
 
 import (
-	"crypto/sha256"
-	"encoding/hex"
 	"encoding/json"
-	"strconv"
+	"slices"
 )
 
-// historyBound is the number of orders taken of which a repeat is recognised.
-const historyBound = 32768
+// refusalBound is the number of refused orders on versions still to come that are remembered.
+const refusalBound = 64
 
 // Order asks for a configuration to be taken.
 type Order struct {
@@ -27,6 +25,8 @@
 	Taken    Verdict = "taken"    // now, or before: exactly this order
 	Conflict Verdict = "conflict" // another version is current
 	NotNewer Verdict = "not_newer"
+	// Forgotten says that the order builds on a version so old that nobody knows any more whether it was taken.
+	Forgotten Verdict = "forgotten"
 )
 
 // Current is the configuration in force.
@@ -36,71 +36,107 @@
 	Raw    json.RawMessage `json:"raw,omitempty"`
 }
 
-// Register holds the current configuration and which orders have been taken.
+// Register holds the current configuration, which orders have been taken, and which were refused though they may still
+// become fit to be taken.
 type Register struct {
 	current Current
-	taken   map[string]bool
-	history []string // the oldest first
+	taken   chain
+	refused []refusal // the oldest first
+}
+
+// refusal is an order that was refused.
+type refusal struct {
+	base uint64
+	sum  fingerprint
 }
 
 // New returns an empty register.
-func New() *Register { return &Register{taken: map[string]bool{}} }
+func New() *Register { return &Register{} }
 
 // Current returns the configuration in force.
 func (r *Register) Current() Current { return r.current }
 
-// Apply judges an order. An order that is the very same as one taken before is acknowledged again, whatever came since.
+// Apply judges an order. An order that is the very same as one taken before is acknowledged again, whatever came since; one
+// that is the same as one refused before stays refused, also where a version has come since that it fits.
 func (r *Register) Apply(index uint64, order *Order) Verdict {
-	name := fingerprint(order)
-	if r.taken[name] {
+	sum := fingerprintOf(order)
+	switch r.taken.find(order.Base, sum) {
+	case same:
 		return Taken
+	case tooOld:
+		return Forgotten
 	}
 	if order.Base != r.current.Number {
+		r.refuse(order.Base, sum)
 		return Conflict
 	}
 	if order.Number <= r.current.Number {
 		return NotNewer
 	}
+	if slices.Contains(r.refused, refusal{order.Base, sum}) {
+		return Conflict
+	}
 	r.current = Current{Number: order.Number, Index: index, Raw: order.Raw}
-	r.remember(name)
+	r.taken.add(order.Number, sum)
+	r.forgetRefusals()
 	return Taken
 }
 
 // WasTaken tells whether exactly this order has been taken, now or before. Once it was, it stays so.
-func (r *Register) WasTaken(order *Order) bool { return r.taken[fingerprint(order)] }
-
-func (r *Register) remember(name string) {
-	r.taken[name] = true
-	r.history = append(r.history, name)
-	if len(r.history) > historyBound {
-		delete(r.taken, r.history[0])
-		r.history = r.history[1:]
+func (r *Register) WasTaken(order *Order) bool {
+	return r.taken.find(order.Base, fingerprintOf(order)) == same
+}
+
+// refuse remembers that an order was refused if it could still be taken later: a copy of it may be on its way.
+func (r *Register) refuse(base uint64, sum fingerprint) {
+	if base < r.current.Number || slices.Contains(r.refused, refusal{base, sum}) {
+		return
+	}
+	r.refused = append(r.refused, refusal{base, sum})
+	if len(r.refused) > refusalBound {
+		r.refused = slices.Delete(r.refused, 0, 1)
 	}
 }
 
-// fingerprint names an order by its whole content.
-func fingerprint(order *Order) string {
-	sum := sha256.New()
-	sum.Write([]byte(strconv.FormatUint(order.Base, 10)))
-	sum.Write([]byte{'\n'})
-	sum.Write(order.Raw)
-	return hex.EncodeToString(sum.Sum(nil)[:16])
+// forgetRefusals drops the orders that can't be taken any more, since their version has been replaced.
+func (r *Register) forgetRefusals() {
+	r.refused = slices.DeleteFunc(r.refused, func(refused refusal) bool { return refused.base < r.current.Number })
 }
 
 // State is the register as a snapshot holds it.
 type State struct {
-	Current Current  `json:"current"`
-	History []string `json:"history"`
+	Current Current   `json:"current"`
+	Oldest  uint64    `json:"oldest,omitempty"` // number on which the first order of History builds
+	History []byte    `json:"history"`          // the orders taken, the oldest first, as records of a number and a fingerprint
+	Refused []Refusal `json:"refused,omitempty"`
+}
+
+// Refusal is a refused order as a snapshot holds it.
+type Refusal struct {
+	Base        uint64 `json:"base"`
+	Fingerprint []byte `json:"fingerprint"`
 }
 
 // State returns the whole register.
-func (r *Register) State() State { return State{Current: r.current, History: r.history} }
+func (r *Register) State() State {
+	state := State{Current: r.current, Oldest: r.taken.oldest, History: r.taken.encode()}
+	for _, refused := range r.refused {
+		state.Refused = append(state.Refused, Refusal{Base: refused.base, Fingerprint: refused.sum[:]})
+	}
+	return state
+}
 
 // Restore returns the register that a snapshot holds.
-func Restore(state State) *Register {
-	r := &Register{current: state.Current, taken: make(map[string]bool, len(state.History)), history: state.History}
-	for _, name := range state.History {
-		r.taken[name] = true
+func Restore(state State) (*Register, error) {
+	r := &Register{current: state.Current}
+	var err error
+	if r.taken, err = decodeChain(state.Oldest, state.History); err != nil {
+		return nil, err
+	}
+	for _, refused := range state.Refused {
+		restored := refusal{base: refused.Base}
+		copy(restored.sum[:], refused.Fingerprint)
+		r.refused = append(r.refused, restored)
 	}
-	return r
+	return r, nil
 }
--- a/internal/system/configuration/register_test.go
+++ b/internal/system/configuration/register_test.go
@@ -32,6 +32,9 @@
 		{"the same content on another version", []*configuration.Order{first}, order(3, 3, "first"), configuration.NotNewer, 3},
 		{"on an older version", []*configuration.Order{first, second}, order(3, 9, "late"), configuration.Conflict, 7},
 		{"on a version that never was", []*configuration.Order{first}, order(4, 9, "lost"), configuration.Conflict, 3},
+		{"refused before its version came", []*configuration.Order{order(3, 7, "early"), first}, order(3, 7, "early"), configuration.Conflict, 3},
+		{"another than the one refused before its version came", []*configuration.Order{order(3, 7, "early"), first}, second, configuration.Taken, 7},
+		{"the same number on another base", []*configuration.Order{first, second}, order(3, 7, "other"), configuration.Conflict, 7},
 		{"with a lower number", []*configuration.Order{first, second}, order(7, 5, "back"), configuration.NotNewer, 7},
 		{"the first one, with number 0", nil, order(0, 0, "nothing"), configuration.NotNewer, 0},
 	}
@@ -56,6 +59,7 @@
 	current *configuration.Order
 	index   uint64
 	taken   []*configuration.Order
+	refused []*configuration.Order // on a version that had not come
 }
 
 func (r *reference) number() uint64 {
@@ -65,8 +69,10 @@
 	return r.current.Number
 }
 
-func (r *reference) wasTaken(o *configuration.Order) bool {
-	for _, t := range r.taken {
+func (r *reference) wasTaken(o *configuration.Order) bool { return contains(r.taken, o) }
+
+func contains(list []*configuration.Order, o *configuration.Order) bool {
+	for _, t := range list {
 		if cmp.Equal(t, o) {
 			return true
 		}
@@ -79,9 +85,14 @@
 	case r.wasTaken(o):
 		return configuration.Taken
 	case o.Base != r.number():
+		if o.Base > r.number() {
+			r.refused = append(r.refused, o)
+		}
 		return configuration.Conflict
 	case o.Number <= r.number():
 		return configuration.NotNewer
+	case contains(r.refused, o):
+		return configuration.Conflict
 	}
 	r.current, r.index = o, index
 	r.taken = append(r.taken, o)
@@ -138,22 +149,109 @@
 	if err := json.Unmarshal(raw, &state); err != nil {
 		t.Fatal(err)
 	}
-	return configuration.Restore(state)
+	restored, err := configuration.Restore(state)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return restored
 }
 
-// TestHistoryIsBounded checks that only the oldest orders are forgotten.
+// TestHistoryIsBounded checks that only the oldest orders are forgotten, that none of them is refused for it, and how much
+// the rest takes.
 func TestHistoryIsBounded(t *testing.T) {
-	const bound = 32768
+	const (
+		bound       = 32768
+		recordBytes = 17 // with the numbers in steps of one
+	)
 	r := configuration.New()
 	for number := uint64(1); number <= bound+1; number++ {
 		if got := r.Apply(number, order(number-1, number, "x")); got != configuration.Taken {
 			t.Fatalf("order %d was %s", number, got)
 		}
 	}
-	if !r.WasTaken(order(1, 2, "x")) || r.WasTaken(order(0, 1, "x")) {
-		t.Error("not the oldest order was forgotten")
+	for _, known := range []*configuration.Register{r, restored(t, r)} {
+		if !known.WasTaken(order(1, 2, "x")) || known.WasTaken(order(0, 1, "x")) {
+			t.Error("not the oldest order was forgotten")
+		}
+		if got := known.Apply(bound+2, order(0, 1, "x")); got != configuration.Forgotten {
+			t.Errorf("an order that may have been taken was %s", got)
+		}
+		if got := known.Apply(bound+3, order(1, 2, "y")); got != configuration.Conflict {
+			t.Errorf("an order on a version that another one replaced was %s", got)
+		}
+	}
+	if got := len(r.State().History); got != bound*recordBytes {
+		t.Errorf("the history takes %d bytes, want %d", got, bound*recordBytes)
+	}
+}
+
+// TestRepeatsAfterHundredsOfChanges repeats each of 1,000 orders after all of them, in uneven steps and over snapshots.
+func TestRepeatsAfterHundredsOfChanges(t *testing.T) {
+	const changes = 1000
+	r := configuration.New()
+	var sent []*configuration.Order
+	for i := range uint64(changes) {
+		o := order(r.Current().Number, r.Current().Number+1+i*i%97, fmt.Sprint(i))
+		if got := r.Apply(i+1, o); got != configuration.Taken {
+			t.Fatalf("order %d was %s", i, got)
+		}
+		sent = append(sent, o)
+	}
+	r = restored(t, r)
+	now := r.Current()
+	for i, o := range sent {
+		if got := r.Apply(changes+1, o); got != configuration.Taken {
+			t.Errorf("order %d was %s when it came again", i, got)
+		}
+		other := *o
+		other.Raw = json.RawMessage(`"other"`)
+		if got := r.Apply(changes+1, &other); got != configuration.Conflict {
+			t.Errorf("another order with the base and the number of order %d was %s", i, got)
+		}
 	}
-	if got := len(r.State().History); got != bound {
-		t.Errorf("%d orders are kept, want %d", got, bound)
+	if diff := cmp.Diff(now, r.Current()); diff != "" {
+		t.Errorf("repeats changed the configuration (-before +after):\n%s", diff)
+	}
+	raw, err := json.Marshal(r.State())
+	if err != nil {
+		t.Fatal(err)
+	}
+	const mostBytes = 32 << 10
+	if len(raw) > mostBytes {
+		t.Errorf("a snapshot after %d changes takes %d bytes, more than %d", changes, len(raw), mostBytes)
+	}
+	t.Logf("a snapshot after %d changes takes %d bytes", changes, len(raw))
+}
+
+// TestRefusalsAreBounded has many orders come before their version; those that still can be taken are remembered.
+func TestRefusalsAreBounded(t *testing.T) {
+	const bound = 64
+	r := configuration.New()
+	for i := range uint64(3 * bound) {
+		r.Apply(i+1, order(5+i%2, 90, fmt.Sprint(i)))
+	}
+	if got := len(r.State().Refused); got != bound {
+		t.Errorf("%d refusals are kept, want %d", got, bound)
+	}
+	last := order(5+(3*bound-1)%2, 90, fmt.Sprint(3*bound-1))
+	r.Apply(500, order(0, last.Base, "now"))
+	if got := restored(t, r).Apply(501, last); got != configuration.Conflict {
+		t.Errorf("an order that was refused is %s", got)
+	}
+	r.Apply(502, order(last.Base, 91, "next"))
+	if got := r.State().Refused; len(got) > 0 {
+		t.Errorf("%d refusals are kept of versions that have been replaced", len(got))
+	}
+}
+
+// TestDamagedHistoryIsNoHistory checks that a history that was cut short is told.
+func TestDamagedHistoryIsNoHistory(t *testing.T) {
+	r := configuration.New()
+	r.Apply(1, order(0, 3, "x"))
+	state := r.State()
+	for size := 1; size < len(state.History); size++ {
+		if _, err := configuration.Restore(configuration.State{History: state.History[:size]}); err == nil {
+			t.Errorf("a history cut after %d bytes is read", size)
+		}
 	}
 }
--- a/internal/system/controller/configure.go
+++ b/internal/system/controller/configure.go
@@ -51,6 +51,8 @@
 		return fault.New(fault.VersionConflict, "another version than %d is current", order.Base)
 	case configuration.NotNewer:
 		return fault.New(fault.InvalidConfiguration, "number: %d is not higher than the current one", order.Number)
+	case configuration.Forgotten:
+		return fault.New(fault.Unconfirmed, "version %d is so old that the orders on it are forgotten", order.Base)
 	}
 	return fault.New(fault.Internal, "the order has no outcome")
 }
@@ -64,9 +66,9 @@
 // readOrder reads an order, whose configuration may still be invalid.
 func readOrder(e echo.Context) (*configuration.Order, error) {
 	request := e.Request()
-	base, err := strconv.ParseUint(strings.Trim(request.Header.Get("If-Match"), `" `), 10, 64)
+	base, err := readBase(request.Header)
 	if err != nil {
-		return nil, fault.New(fault.InvalidConfiguration, "If-Match: no number of a version: %w", err)
+		return nil, err
 	}
 	if request.ContentLength > mostOrderBytes {
 		return nil, fault.New(fault.BodyTooLarge, "the body is over %d bytes", mostOrderBytes)
@@ -83,6 +85,19 @@
 	return &configuration.Order{Base: base, Raw: compact}, nil
 }
 
+// readBase reads the number of the version that an order builds on, with quotes or without. Of several, none would be meant.
+func readBase(header http.Header) (uint64, error) {
+	values := header.Values("If-Match")
+	if len(values) != 1 {
+		return 0, fault.New(fault.InvalidConfiguration, "If-Match: %d versions are named, not one", len(values))
+	}
+	base, err := strconv.ParseUint(strings.Trim(values[0], `" `), 10, 64)
+	if err != nil {
+		return 0, fault.New(fault.InvalidConfiguration, "If-Match: no number of a version: %w", err)
+	}
+	return base, nil
+}
+
 // check tells what is wrong with an order's configuration, and notes its number. One is checked at a time, for the memory
 // that it takes.
 func (c *Controller) check(ctx context.Context, order *configuration.Order) error {
--- a/internal/system/controller/state.go
+++ b/internal/system/controller/state.go
@@ -136,7 +136,11 @@
 	if err := json.Unmarshal(raw, &from); err != nil {
 		return err
 	}
-	s.register = configuration.Restore(from.Register)
+	register, err := configuration.Restore(from.Register)
+	if err != nil {
+		return err
+	}
+	s.register = register
 	s.placement, s.placementIndex = from.Placement, from.PlacementIndex
 	s.rollouts, s.rolloutsIndex = rollout.Restore(from.Rollouts), from.RolloutsIndex
 	s.retirements, s.retirementsIndex = retire.Restore(from.Retirements), from.RetirementsIndex
