Tell a late repeat of a roll-out from a new order, and try a reverted target again

Cause: only the newest order of a service was remembered. v2 taken, v3 taken, v2 repeated late: back to v2. An order for a target that had been reverted was acknowledged and did nothing, for ever. A repeat of a retire order whose machine had come back with another disk was refused when too few machines would remain. A second trial of a version would have been judged by the answers that the first had counted. An order that a majority took long after it had been sent (the power was off) was older than its term at once, and finished untried. Ruled out: a clock in the state machine (one machine's wrong time of day would hold for all, for good); the newest order alone with a time; keeping all orders for ever (no version could be ordered twice). Change: an order is its service, target and time. It is a repeat while it is under way, and for confirmMs + stretchMs after it was taken; after that a new order. The owner tells by its steady clock how long it has known of an order, by the time of day only for what is older than its process, less 5 s; its order carries the index up to which none is repeated any more, so that all members judge alike. Proxies count by order, and tell for how long they have known of it: that is the time in service, not the time of day. Decisions name the order's entry. An order without outcome is a 500, not a 409.

--- a/internal/system/controller/api_test.go
+++ b/internal/system/controller/api_test.go
@@ -145,6 +145,42 @@
 	}
 }
 
+func TestFormsOfIfMatch(t *testing.T) {
+	tests := []struct {
+		values []string
+		want   int
+	}{
+		{[]string{"7"}, http.StatusOK},
+		{[]string{`"7"`}, http.StatusOK},
+		{[]string{` "7" `}, http.StatusOK},
+		{[]string{"07"}, http.StatusOK},
+		{[]string{"6"}, http.StatusPreconditionFailed},
+		{[]string{"8"}, http.StatusPreconditionFailed},
+		{[]string{"18446744073709551615"}, http.StatusPreconditionFailed},
+		{nil, http.StatusBadRequest},
+		{[]string{""}, http.StatusBadRequest},
+		{[]string{"*"}, http.StatusBadRequest},
+		{[]string{`W/"7"`}, http.StatusBadRequest},
+		{[]string{"+7"}, http.StatusBadRequest},
+		{[]string{"7.0"}, http.StatusBadRequest},
+		{[]string{"0x7"}, http.StatusBadRequest},
+		{[]string{"18446744073709551616"}, http.StatusBadRequest},
+		{[]string{`"7", "8"`}, http.StatusBadRequest},
+		{[]string{"7", "8"}, http.StatusBadRequest},
+	}
+	for _, test := range tests {
+		t.Run(fmt.Sprintf("%q", test.values), func(t *testing.T) {
+			b := startBed(t, memorydisk.New())
+			wantStatus(t, b.put("0", document(7)), http.StatusOK)
+			request := httptest.NewRequest(http.MethodPut, settingsPath, strings.NewReader(document(9)))
+			request.Header["If-Match"] = test.values
+			recorder := httptest.NewRecorder()
+			b.Handler().ServeHTTP(recorder, request)
+			wantStatus(t, recorder, test.want)
+		})
+	}
+}
+
 func TestOneOfTwoChangesOnAVersionWins(t *testing.T) {
 	b := startBed(t, memorydisk.New())
 	wantStatus(t, b.put("0", document(1)), http.StatusOK)
@@ -162,6 +198,14 @@
 	}
 }
 
+// roll is the newest order of a service, as this member knows it.
+func (b *bed) roll(service string) rollout.Roll {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	roll, _ := b.agree.rollouts.Roll(service)
+	return roll
+}
+
 func TestRolloutAnswers(t *testing.T) {
 	b := startBed(t, memorydisk.New())
 	const path = "/mastusher/rollouts"
@@ -198,7 +242,8 @@
 	wantState(rollout.InService)
 	ctx, cancel := context.WithTimeout(t.Context(), patience)
 	defer cancel()
-	if _, err := b.group.Propose(ctx, Command{Decide: &rollout.Decision{Service: "lm", Target: "v2", State: rollout.Finished}}); err != nil {
+	decision := &rollout.Decision{Service: "lm", Target: "v2", Order: b.roll("lm").Index, State: rollout.Finished}
+	if _, err := b.group.Propose(ctx, Command{Decide: decision}); err != nil {
 		t.Fatal(err)
 	}
 	wantState(rollout.Finished)
--- a/internal/system/controller/controller.go
+++ b/internal/system/controller/controller.go
@@ -16,6 +16,7 @@
 	"mastusher/internal/system/link"
 	"mastusher/internal/system/membership"
 	"mastusher/internal/system/model"
+	"mastusher/internal/system/repeat"
 	"mastusher/internal/system/replica"
 	"mastusher/internal/system/settings"
 	"mastusher/internal/system/storage"
@@ -63,6 +64,7 @@
 	Send  func(address string, envelope group.Envelope)                              // must not block
 	Ask   func(address string, done func(answer wire.ShardMembersAnswer, err error)) // must not block
 	Clock func() time.Duration
+	Now   func() time.Time // time of day
 }
 
 // Controller is a running member of the configuration shard.
@@ -70,10 +72,11 @@
 	options Options
 	group   *group.Group
 
-	mutex sync.Mutex // guards what is agreed on
-	agree *Machine
-	dirty chan struct{}
-	told  view.Digest // what has been published; the publisher's own
+	mutex   sync.Mutex // guards what is agreed on
+	agree   *Machine
+	repeats *repeat.Window // guarded by mutex like that
+	dirty   chan struct{}
+	told    view.Digest // what has been published; the publisher's own
 
 	changeMutex sync.Mutex // orders what the group is told of its members
 	planMutex   sync.Mutex // guards the planner; taken before mutex
@@ -95,10 +98,18 @@
 	if options.Ask == nil {
 		options.Ask = askByLink(options.Pool)
 	}
+	if options.Clock == nil {
+		start := time.Now()
+		options.Clock = func() time.Duration { return time.Since(start) }
+	}
+	if options.Now == nil {
+		options.Now = time.Now
+	}
 	c := &Controller{options: options, dirty: make(chan struct{}, 1), told: view.Digest{}, placeSoon: make(chan struct{}, 1),
 		bodyTimeout: bodyTimeout,
 		checking:    make(chan struct{}, 1), evidence: newEvidence()}
 	c.agree = NewMachine(c.markDirty)
+	c.repeats = repeat.NewWindow(repeatWindow(options.Settings.Bounds))
 	c.planner = NewPlanner(c.copies())
 	opened, err := group.Open(group.Options{Name: GroupName, Disk: options.Disk, Machine: lockedMachine{c}, Logger: options.Logger,
 		Send: options.Send, Clock: options.Clock,
@@ -131,7 +142,7 @@
 			c.group.Deliver(envelope.Message)
 		}
 	})
-	link.HandleNotice(handlers, wire.MethodTallies, func(_ string, tallies wire.Tallies) { c.evidence.take(tallies) })
+	link.HandleNotice(handlers, wire.MethodTallies, func(_ string, tallies wire.Tallies) { c.evidence.take(c.options.Clock(), tallies) })
 }
 
 // Run drives the member until ctx ends or its disk fails.
@@ -172,7 +183,9 @@
 func (m lockedMachine) Apply(index uint64, command json.RawMessage) any {
 	m.controller.mutex.Lock()
 	defer m.controller.mutex.Unlock()
-	return m.controller.agree.Apply(index, command)
+	result := m.controller.agree.Apply(index, command)
+	m.controller.noteOrders()
+	return result
 }
 
 // Snapshot implements group.Machine.
@@ -186,5 +199,7 @@
 func (m lockedMachine) Restore(state json.RawMessage) error {
 	m.controller.mutex.Lock()
 	defer m.controller.mutex.Unlock()
-	return m.controller.agree.Restore(state)
+	err := m.controller.agree.Restore(state)
+	m.controller.noteOrders()
+	return err
 }
--- a/internal/system/controller/retirements.go
+++ b/internal/system/controller/retirements.go
@@ -42,12 +42,15 @@
 	if err != nil {
 		return c.unagreed(err)
 	}
-	if result != retire.Taken {
+	switch result {
+	case retire.Taken:
+		level.Info(c.options.Logger).Log("msg", "machine is to be emptied", "machine", order.Node, "id", order.ID)
+		c.hurryPlace()
+		return e.NoContent(http.StatusOK)
+	case retire.TooFew:
 		return c.refuseRetirement(time.Now(), order)
 	}
-	level.Info(c.options.Logger).Log("msg", "machine is to be emptied", "machine", order.Node, "id", order.ID)
-	c.hurryPlace()
-	return e.NoContent(http.StatusOK)
+	return fault.New(fault.Internal, "the order has no outcome")
 }
 
 func readRetireOrder(e echo.Context) error {
@@ -79,7 +82,8 @@
 	if !known {
 		return nil, fault.New(fault.UnknownNode, "no storage machine is named %s", node)
 	}
-	order := &retire.Order{Machine: retire.Machine{Node: node, ID: store.ID}, Least: c.copies()}
+	order := &retire.Order{Machine: retire.Machine{Node: node, ID: store.ID}, Least: c.copies(),
+		AtMs: c.options.Now().UnixMilli(), Settled: c.settled()}
 	for _, running := range watch.Stores() {
 		order.Running = append(order.Running, retire.Machine{Node: running.Node, ID: running.ID})
 	}
--- a/internal/system/controller/rollouts.go
+++ b/internal/system/controller/rollouts.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"math"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -23,84 +25,122 @@
 	judgeInterval = 150 * time.Millisecond
 	decideTimeout = time.Second
 	mostOverS     = 86400.0 // longest time that an order may take, s
+
+	orderLag       = 100 * time.Millisecond // from when an order is sent until members see it, about
+	reportPatience = 2 * time.Second        // in which proxies that know of an order report
 )
 
 // evidence holds what the proxies have reported.
 type evidence struct {
 	mutex   sync.Mutex
-	sources map[string][]wire.VersionTally // by the proxy's start; each report replaces the one before
+	sources map[string]proxyReport // by the proxy's start; each report replaces the one before
+}
+
+// proxyReport is what one proxy has reported.
+type proxyReport struct {
+	at       time.Duration // when it came, by the steady clock
+	versions []wire.VersionTally
 }
 
-func newEvidence() *evidence { return &evidence{sources: map[string][]wire.VersionTally{}} }
+func newEvidence() *evidence { return &evidence{sources: map[string]proxyReport{}} }
 
-func (e *evidence) take(tallies wire.Tallies) {
+func (e *evidence) take(now time.Duration, tallies wire.Tallies) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	e.sources[tallies.Source] = tallies.Versions
+	e.sources[tallies.Source] = proxyReport{at: now, versions: tallies.Versions}
 }
 
-// of sums up what was seen of a service's version, by route.
-func (e *evidence) of(service, version string) rollout.Evidence {
+// each calls take with what each proxy has reported of a service's version. It holds the mutex meanwhile.
+func (e *evidence) each(service, version string, take func(at time.Duration, tally *wire.VersionTally)) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	sums := rollout.Evidence{}
-	for _, versions := range e.sources {
-		for i := range versions {
-			if versions[i].Service == service && versions[i].Version == version {
-				sum := sums[versions[i].Route]
-				sum.Add(versions[i].Tally)
-				sums[versions[i].Route] = sum
+	for _, source := range e.sources {
+		for i := range source.versions {
+			if source.versions[i].Service == service && source.versions[i].Version == version {
+				take(source.at, &source.versions[i])
 			}
 		}
 	}
+}
+
+// of sums up all that was seen of a service's version, by route.
+func (e *evidence) of(service, version string) rollout.Evidence {
+	sums := rollout.Evidence{}
+	e.each(service, version, func(_ time.Duration, tally *wire.VersionTally) { sums.Add(tally.Route, tally.Tally) })
 	return sums
 }
 
+// during sums up what was seen of the target during one roll-out, by route, and for how long the proxy has known of that
+// which has known of it for the longest time.
+func (e *evidence) during(roll *rollout.Roll, now time.Duration) (rollout.Evidence, time.Duration) {
+	sums := rollout.Evidence{}
+	var known time.Duration
+	e.each(roll.Service, roll.Target, func(at time.Duration, tally *wire.VersionTally) {
+		if tally.Order == roll.Index {
+			sums.Add(tally.Route, tally.Tally)
+			known = max(known, now-at+time.Duration(tally.AgeMs)*time.Millisecond)
+		}
+	})
+	return sums, known
+}
+
 // judgeLoop decides on the orders in service while this member owns the group.
 func (c *Controller) judgeLoop(ctx context.Context) {
-	trials := map[rollout.Order]*trial{}
+	trials := map[uint64]*rollout.Trial{}
 	ticker := time.NewTicker(judgeInterval)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case now := <-ticker.C:
-			c.judgeAll(ctx, now, trials)
+		case <-ticker.C:
+			c.judgeAll(ctx, trials)
 		}
 	}
 }
 
-// trial is an order that is being judged.
-type trial struct {
-	seenAt time.Time // when this member first saw it
-	judge  *rollout.Trial
-}
-
-func (c *Controller) judgeAll(ctx context.Context, now time.Time, trials map[rollout.Order]*trial) {
+// judgeAll judges the orders in service. The trials are named by the index of their order.
+func (c *Controller) judgeAll(ctx context.Context, trials map[uint64]*rollout.Trial) {
+	now := c.options.Clock()
 	c.mutex.Lock()
 	open := c.agree.rollouts.Open()
 	c.mutex.Unlock()
+	maps.DeleteFunc(trials, func(index uint64, _ *rollout.Trial) bool {
+		return !slices.ContainsFunc(open, func(roll rollout.Roll) bool { return roll.Index == index })
+	})
 	for _, roll := range open {
-		if trials[roll.Order] == nil {
-			trials[roll.Order] = &trial{seenAt: now, judge: rollout.NewTrial()}
+		if trials[roll.Index] == nil {
+			trials[roll.Index] = rollout.NewTrial()
 		}
 		if !c.group.Status().IsOwner {
 			continue
 		}
-		// The time of day may have been set since; the steady clock has begun late where this process is younger than the order.
-		elapsed := max(now.Sub(trials[roll.Order].seenAt), time.Duration(now.UnixMilli()-roll.AtMs)*time.Millisecond)
-		target, baseline := c.evidence.of(roll.Service, roll.Target), c.evidence.of(roll.Service, roll.From)
-		if state := trials[roll.Order].judge.Judge(roll, elapsed, target, baseline); state != rollout.InService {
+		target, known := c.evidence.during(&roll, now)
+		baseline := c.evidence.of(roll.Service, roll.From)
+		if state := trials[roll.Index].Judge(roll, c.elapsed(&roll, now, known), target, baseline); state != rollout.InService {
 			c.decide(ctx, roll, state, target.Total(), baseline.Total())
 		}
 	}
 }
 
+// elapsed is how long an order has been in service: since this process has known of it, or since a proxy has, which may be
+// longer. An order that was agreed on long after it was sent has been in service only since then. Where no proxy has had to
+// send a request to the target, the time of day tells, once there was time to hear of that.
+func (c *Controller) elapsed(roll *rollout.Roll, now, known time.Duration) time.Duration {
+	c.mutex.Lock()
+	seen := c.repeats.SeenFor(now, roll.Index)
+	c.mutex.Unlock()
+	elapsed := orderLag + max(seen, known)
+	if known == 0 && seen >= reportPatience {
+		return max(elapsed, c.options.Now().Sub(time.UnixMilli(roll.AtMs)))
+	}
+	return elapsed
+}
+
 func (c *Controller) decide(ctx context.Context, roll rollout.Roll, state rollout.State, target, baseline rollout.Tally) {
 	bounded, cancel := context.WithTimeout(ctx, decideTimeout)
 	defer cancel()
-	decision := &rollout.Decision{Service: roll.Service, Target: roll.Target, State: state}
+	decision := &rollout.Decision{Service: roll.Service, Target: roll.Target, Order: roll.Index, State: state}
 	_, err := c.group.Propose(bounded, Command{Decide: decision})
 	level.Info(c.options.Logger).Log("msg", "roll-out decided", "service", roll.Service, "target", roll.Target, "state", state,
 		"good", target.Good, "bad", target.Bad, "baselineGood", baseline.Good, "baselineBad", baseline.Bad, "err", err)
@@ -163,18 +203,30 @@
 	if err := body.check(); err != nil {
 		return err
 	}
-	order := rollout.Order{Service: body.Service, Target: body.Target, OverMs: int64(math.Round(1000 * body.OverS)), AtMs: time.Now().UnixMilli()}
-	order = order.Within(rollout.Bounds{Share: c.options.Settings.Bounds.BadShare(), Slack: c.options.Settings.Bounds.BadSlack()}, c.proxies())
+	order := c.rolloutOrderOf(&body)
 	ctx, cancel := context.WithTimeout(e.Request().Context(), agreeTimeout)
 	defer cancel()
-	result, err := c.group.Propose(ctx, Command{Rollout: &order})
+	result, err := c.group.Propose(ctx, Command{Rollout: order})
 	if err != nil {
 		return c.unagreed(err)
 	}
-	if result != rollout.Taken {
-		return fault.New(fault.OrderUnderWay, "another version of %s is being rolled out", body.Service)
+	switch result {
+	case rollout.Taken:
+		level.Info(c.options.Logger).Log("msg", "roll-out ordered", "service", order.Service, "target", order.Target, "overMs", order.OverMs)
+		return e.NoContent(http.StatusOK)
+	case rollout.UnderWay:
+		return fault.New(fault.OrderUnderWay, "another version of %s is being rolled out", order.Service)
 	}
-	return e.NoContent(http.StatusOK)
+	return fault.New(fault.Internal, "the order has no outcome")
+}
+
+// rolloutOrderOf is the order as it is to be agreed on.
+func (c *Controller) rolloutOrderOf(body *rolloutOrder) *rollout.Order {
+	order := rollout.Order{Service: body.Service, Target: body.Target, OverMs: int64(math.Round(1000 * body.OverS)),
+		AtMs: c.options.Now().UnixMilli(), Settled: c.settled()}
+	bounds := rollout.Bounds{Share: c.options.Settings.Bounds.BadShare(), Slack: c.options.Settings.Bounds.BadSlack()}
+	order = order.Within(bounds, c.proxies())
+	return &order
 }
 
 // proxies counts the edge machines that are known, each of which has an agent.
--- a/internal/system/controller/state.go
+++ b/internal/system/controller/state.go
@@ -59,7 +59,7 @@
 		s.place(index, command.Place)
 	case command.Rollout != nil:
 		s.rolloutsIndex = index
-		return s.rollouts.Order(*command.Rollout)
+		return s.rollouts.Order(index, *command.Rollout)
 	case command.Seen != nil:
 		s.rolloutsIndex = index
 		s.rollouts.See(*command.Seen)
@@ -68,7 +68,7 @@
 		s.rollouts.Decide(*command.Decide)
 	case command.Retire != nil:
 		s.retirementsIndex = index
-		return s.retirements.Order(*command.Retire)
+		return s.retirements.Order(index, *command.Retire)
 	case command.Retired != nil && command.Retired.Placement == s.placementIndex:
 		s.retirementsIndex = index
 		s.retirements.Decide(*command.Retired)
--- a/internal/system/fleettest/controller.go
+++ b/internal/system/fleettest/controller.go
@@ -303,7 +303,7 @@
 		if roll.State != rollout.InService || c.process.machine.nowMs()-roll.AtMs < roll.OverMs {
 			continue
 		}
-		decision := &rollout.Decision{Service: service, Target: roll.Target, State: rollout.Finished}
+		decision := &rollout.Decision{Service: service, Target: roll.Target, Order: roll.Index, State: rollout.Finished}
 		c.replica.propose(core.Command{Decide: decision}, placeTimeout, func(any, error) {})
 	}
 }
--- a/internal/system/retire/register.go
+++ b/internal/system/retire/register.go
@@ -27,6 +27,10 @@
 	Machine
 	Running []Machine `json:"running"` // storage machines that ran when the order came
 	Least   int       `json:"least"`   // how many of them must remain
+	AtMs    int64     `json:"atMs"`    // time of day at which the owner took it
+
+	// Settled is the index up to which orders taken are no longer repeated by anyone, as the owner knows by its clocks.
+	Settled uint64 `json:"settled,omitempty"`
 }
 
 // Decision ends an order.
@@ -50,6 +54,8 @@
 	Node  string   `json:"node"`
 	IDs   []string `json:"ids"` // identities that never get replicas again, sorted
 	State State    `json:"state"`
+	Index uint64   `json:"index"` // of the order's entry
+	AtMs  int64    `json:"atMs"`  // time of day at which the owner took it
 }
 
 // has tells whether the identity is one of the machine's.
@@ -76,16 +82,21 @@
 func New() *Register { return &Register{retirements: map[string]Retirement{}} }
 
 // Order takes an order. The same one again changes nothing, also after its end; a machine that has come back with an
-// identity that wasn't retired may be retired anew.
-func (r *Register) Order(order Order) Verdict {
+// identity that wasn't retired is retired anew. Where too few machines would remain for that, an order that may be the repeat
+// of one that was taken is acknowledged all the same: that one has been carried out.
+func (r *Register) Order(index uint64, order Order) Verdict {
 	known, asked := r.retirements[order.Node]
 	if asked && (known.State == InService || order.ID == "" || known.has(order.ID)) {
 		return Taken
 	}
 	if r.Remaining(order) < order.Least {
+		if asked && known.Index > order.Settled {
+			return Taken
+		}
 		return TooFew
 	}
 	known.Node, known.State = order.Node, InService
+	known.Index, known.AtMs = index, order.AtMs
 	known.add(order.ID)
 	r.retirements[order.Node] = known
 	return Taken
@@ -132,6 +143,13 @@
 	return known, asked
 }
 
+// All lists the newest order about each machine, by machine.
+func (r *Register) All() []Retirement {
+	list := slices.Collect(maps.Values(r.retirements))
+	sortByNode(list)
+	return list
+}
+
 // Open lists the orders in service, by machine.
 func (r *Register) Open() []Retirement {
 	var open []Retirement
@@ -154,11 +172,7 @@
 }
 
 // Saved returns the whole register.
-func (r *Register) Saved() Saved {
-	list := slices.Collect(maps.Values(r.retirements))
-	sortByNode(list)
-	return Saved{Retirements: list}
-}
+func (r *Register) Saved() Saved { return Saved{Retirements: r.All()} }
 
 // Restore returns the register that a snapshot holds.
 func Restore(saved Saved) *Register {
--- a/internal/system/retire/register_test.go
+++ b/internal/system/retire/register_test.go
@@ -38,15 +38,15 @@
 		{"two remain", nil, order("a", "a", "b", "c"), retire.TooFew},
 		{"the machine is down and three remain", nil, order("a", "b", "c", "d"), retire.Taken},
 		{"the machine is down and two remain", nil, order("a", "b", "c"), retire.TooFew},
-		{"another is being emptied", func(r *retire.Register) { r.Order(order("b", "a", "b", "c", "d")) },
+		{"another is being emptied", func(r *retire.Register) { r.Order(1, order("b", "a", "b", "c", "d")) },
 			order("a", "a", "b", "c", "d"), retire.TooFew},
-		{"another was emptied and still runs", func(r *retire.Register) { r.Order(order("b", "a", "b", "c", "d")); r.Decide(finish("b")) },
+		{"another was emptied and still runs", func(r *retire.Register) { r.Order(1, order("b", "a", "b", "c", "d")); r.Decide(finish("b")) },
 			order("a", "a", "b", "c", "d"), retire.TooFew},
-		{"two at once and three remain", func(r *retire.Register) { r.Order(order("b", "a", "b", "c", "d", "e")) },
+		{"two at once and three remain", func(r *retire.Register) { r.Order(1, order("b", "a", "b", "c", "d", "e")) },
 			order("a", "a", "b", "c", "d", "e"), retire.Taken},
-		{"the same again, though now too few would remain", func(r *retire.Register) { r.Order(order("a", "a", "b", "c", "d")) },
+		{"the same again, though now too few would remain", func(r *retire.Register) { r.Order(1, order("a", "a", "b", "c", "d")) },
 			order("a", "a", "b"), retire.Taken},
-		{"the same again after its end", func(r *retire.Register) { r.Order(order("a", "a", "b", "c", "d")); r.Decide(finish("a")) },
+		{"the same again after its end", func(r *retire.Register) { r.Order(1, order("a", "a", "b", "c", "d")); r.Decide(finish("a")) },
 			order("a", "b", "c"), retire.Taken},
 	}
 	for _, test := range tests {
@@ -55,7 +55,7 @@
 			if test.given != nil {
 				test.given(r)
 			}
-			if got := r.Order(test.order); got != test.want {
+			if got := r.Order(1, test.order); got != test.want {
 				t.Errorf("order was %s, want %s", got, test.want)
 			}
 		})
@@ -65,7 +65,7 @@
 func TestRetiredIdentitiesNeverComeBack(t *testing.T) {
 	// Given a machine that was emptied after its disk had been replaced on the way.
 	r := retire.New()
-	r.Order(order("a", "a", "b", "c", "d"))
+	r.Order(1, order("a", "a", "b", "c", "d"))
 	if !r.Excludes(retire.Machine{Node: "a", ID: "a-2"}) {
 		t.Error("a machine that is being emptied may take replicas under a new identity")
 	}
@@ -80,24 +80,66 @@
 
 	// And the machine can be emptied again under the third.
 	again := order("a", "a", "b", "c", "d")
-	again.ID = "a-3"
-	if got := r.Order(again); got != retire.Taken {
+	again.ID, again.AtMs = "a-3", 70
+	if got := r.Order(9, again); got != retire.Taken {
 		t.Fatalf("order about the new identity was %s", got)
 	}
-	want := retire.Retirement{Node: "a", IDs: []string{"a-1", "a-2", "a-3"}, State: retire.InService}
+	want := retire.Retirement{Node: "a", IDs: []string{"a-1", "a-2", "a-3"}, State: retire.InService, Index: 9, AtMs: 70}
 	got, _ := r.Retirement("a")
 	if diff := cmp.Diff(want, got); diff != "" {
 		t.Errorf("retirement (-want +got):\n%s", diff)
 	}
 }
 
+// TestRepeatsAreNeverRefused has an order come again when the machine has come back with another disk, and too few machines
+// would remain without it.
+func TestRepeatsAreNeverRefused(t *testing.T) {
+	const index = 7
+	tests := []struct {
+		name  string
+		order func(order *retire.Order)
+		want  retire.Verdict
+		state retire.State
+	}{
+		{"the same machine", func(*retire.Order) {}, retire.Taken, retire.Finished},
+		{"the same machine, long after", func(o *retire.Order) { o.Settled = index }, retire.Taken, retire.Finished},
+		{"a machine that is away", func(o *retire.Order) { o.ID, o.Settled = "", index }, retire.Taken, retire.Finished},
+		{"another disk, and enough remain", func(o *retire.Order) { o.ID, o.Running = "a-2", running("b", "c", "d") }, retire.Taken, retire.InService},
+		{"another disk, and too few remain", func(o *retire.Order) { o.ID = "a-2" }, retire.Taken, retire.Finished},
+		{"another disk, and too few remain, long after", func(o *retire.Order) { o.ID, o.Settled = "a-2", index }, retire.TooFew, retire.Finished},
+		{"another machine, and too few remain", func(o *retire.Order) { o.Machine = retire.Machine{Node: "b", ID: "b-1"} }, retire.TooFew, ""},
+	}
+	for _, test := range tests {
+		for _, snapshot := range []bool{false, true} {
+			t.Run(fmt.Sprint(test.name, ", after a snapshot: ", snapshot), func(t *testing.T) {
+				// Given a machine that was emptied, and of the others two that run.
+				r := retire.New()
+				r.Order(index, order("a", "a", "b", "c", "d"))
+				r.Decide(finish("a"))
+				if snapshot {
+					r = retire.Restore(r.Saved())
+				}
+				// When an order comes.
+				asked := order("a", "b", "c")
+				test.order(&asked)
+				got := r.Order(index+5, asked)
+				// Then a repeat is acknowledged.
+				known, _ := r.Retirement(asked.Node)
+				if got != test.want || known.State != test.state {
+					t.Errorf("the order is %s and the machine %q, want %s and %q", got, known.State, test.want, test.state)
+				}
+			})
+		}
+	}
+}
+
 func TestDecisionsCountOnce(t *testing.T) {
 	r := retire.New()
 	r.Decide(finish("a"))
 	if _, asked := r.Retirement("a"); asked {
 		t.Error("a decision without an order made one")
 	}
-	r.Order(order("a", "a", "b", "c", "d"))
+	r.Order(1, order("a", "a", "b", "c", "d"))
 	r.Decide(finish("a"))
 	r.Decide(retire.Decision{Node: "a", IDs: []string{"late"}})
 	if r.Excludes(retire.Machine{Node: "z", ID: "late"}) {
@@ -119,7 +161,7 @@
 				asked := retire.Order{Machine: machine, Least: 3,
 					Running: rapid.Permutation(running("a", "b", "c", "d", "e")).Draw(t, "running")[:rapid.IntRange(0, 5).Draw(t, "count")]}
 				before := r.Saved()
-				verdict := r.Order(asked)
+				verdict := r.Order(1, asked)
 				if verdict == retire.TooFew && !cmp.Equal(before, r.Saved()) {
 					t.Fatal("a refused order changed something")
 				}
--- a/internal/system/rollout/judge.go
+++ b/internal/system/rollout/judge.go
@@ -31,6 +31,13 @@
 // Evidence is what was seen of one version, by route.
 type Evidence map[string]Tally
 
+// Add takes in what was seen on a route.
+func (e Evidence) Add(route string, tally Tally) {
+	sum := e[route]
+	sum.Add(tally)
+	e[route] = sum
+}
+
 // Total sums up all routes.
 func (e Evidence) Total() Tally {
 	var sum Tally
--- a/internal/system/rollout/register.go
+++ b/internal/system/rollout/register.go
@@ -27,6 +27,9 @@
 	OverMs  int64  `json:"overMs"` // time in which it is to be done
 	AtMs    int64  `json:"atMs"`   // time of day at which the owner took it
 
+	// Settled is the index up to which orders taken are no longer repeated by anyone, as the owner knows by its clocks.
+	Settled uint64 `json:"settled,omitempty"`
+
 	Share float64 `json:"share"` // of the service's requests that the target gets until it is judged
 	Extra float64 `json:"extra"` // requests above that which each proxy may send it at first, so that they soon tell enough
 }
@@ -69,6 +72,7 @@
 type Decision struct {
 	Service string `json:"service"`
 	Target  string `json:"target"`
+	Order   uint64 `json:"order"` // index of the order's entry: the same target may be ordered again
 	State   State  `json:"state"`
 }
 
@@ -77,39 +81,79 @@
 
 // The verdicts.
 const (
-	Taken    Verdict = "taken"     // now, or before: the same service and target
-	UnderWay Verdict = "under_way" // another target of the service is being rolled out
+	Taken    Verdict = "taken"     // now, or before: exactly this order
+	UnderWay Verdict = "under_way" // another order of the service is being carried out
 )
 
 // Roll is the newest order of a service.
 type Roll struct {
 	Order
-	From  string `json:"from"` // version in service when the order came
+	Index uint64 `json:"index"` // of the order's entry
+	From  string `json:"from"`  // version in service when the order came
 	State State  `json:"state"`
 }
 
+// isRepeat tells whether an order is the same as the one that this roll-out began with.
+func (r *Roll) isRepeat(order *Order) bool {
+	return r.Target == order.Target && r.OverMs == order.OverMs
+}
+
+// Recent is an order that was taken so recently that it may come again.
+type Recent struct {
+	Index   uint64 `json:"index"` // of its entry
+	AtMs    int64  `json:"atMs"`  // time of day at which the owner took it
+	Service string `json:"service"`
+	Target  string `json:"target"`
+	OverMs  int64  `json:"overMs"`
+}
+
 // Register is the state machine.
 type Register struct {
 	current map[string]string // version in service
 	rolls   map[string]Roll
+	recent  []Recent // the oldest first
 }
 
 // New returns a register that knows no service.
 func New() *Register { return &Register{current: map[string]string{}, rolls: map[string]Roll{}} }
 
-// Order takes an order. The same one again changes nothing, also after its end.
-func (r *Register) Order(order Order) Verdict {
+// Order takes an order. What makes an order is its service, its target and its time. The same one again changes nothing as
+// long as it is under way, and as long as it may be a repeat of one that has ended, whatever was ordered since; after that
+// it begins a new roll-out. A target that is in service already is finished at once.
+func (r *Register) Order(index uint64, order Order) Verdict {
+	r.settle(order.Settled)
 	roll, known := r.rolls[order.Service]
-	if known && roll.Target == order.Target {
+	isUnderWay := known && roll.State == InService
+	if isUnderWay && roll.isRepeat(&order) || r.wasTaken(&order) {
 		return Taken
 	}
-	if known && roll.State == InService {
+	if isUnderWay {
 		return UnderWay
 	}
-	r.rolls[order.Service] = Roll{Order: order, From: r.current[order.Service], State: InService}
+	begun := Roll{Order: order, Index: index, From: r.current[order.Service], State: InService}
+	if begun.From == order.Target {
+		begun.State = Finished
+	}
+	r.rolls[order.Service] = begun
+	r.recent = append(r.recent, Recent{Index: index, AtMs: order.AtMs, Service: order.Service, Target: order.Target, OverMs: order.OverMs})
 	return Taken
 }
 
+// settle forgets the orders that don't come again.
+func (r *Register) settle(settled uint64) {
+	r.recent = slices.DeleteFunc(r.recent, func(taken Recent) bool { return taken.Index <= settled })
+}
+
+// wasTaken tells whether an order may be the repeat of one that was taken.
+func (r *Register) wasTaken(order *Order) bool {
+	return slices.ContainsFunc(r.recent, func(taken Recent) bool {
+		return taken.Service == order.Service && taken.Target == order.Target && taken.OverMs == order.OverMs
+	})
+}
+
+// Recent lists the orders that may come again, the oldest first.
+func (r *Register) Recent() []Recent { return r.recent }
+
 // See records a service's version, unless one is known.
 func (r *Register) See(seen Seen) {
 	if r.current[seen.Service] == "" {
@@ -120,7 +164,7 @@
 // Decide ends an order that is in service; a later decision on it changes nothing.
 func (r *Register) Decide(decision Decision) {
 	roll, known := r.rolls[decision.Service]
-	if !known || roll.State != InService || roll.Target != decision.Target {
+	if !known || roll.State != InService || roll.Index != decision.Order {
 		return
 	}
 	roll.State = decision.State
@@ -158,7 +202,7 @@
 	for _, service := range slices.Sorted(maps.Keys(r.current)) {
 		versions := view.ServiceVersions{Service: service, Current: r.current[service]}
 		if roll, known := r.rolls[service]; known && roll.State == InService && roll.Target != versions.Current {
-			versions.Target, versions.Share, versions.Extra = roll.Target, roll.Share, roll.Extra
+			versions.Target, versions.Order, versions.Share, versions.Extra = roll.Target, roll.Index, roll.Share, roll.Extra
 		}
 		list.Services = append(list.Services, versions)
 	}
@@ -169,15 +213,17 @@
 type Saved struct {
 	Current map[string]string `json:"current"`
 	Rolls   map[string]Roll   `json:"rolls"`
+	Recent  []Recent          `json:"recent,omitempty"`
 }
 
 // Saved returns the whole register.
-func (r *Register) Saved() Saved { return Saved{Current: r.current, Rolls: r.rolls} }
+func (r *Register) Saved() Saved { return Saved{Current: r.current, Rolls: r.rolls, Recent: r.recent} }
 
 // Restore returns the register that a snapshot holds.
 func Restore(saved Saved) *Register {
 	r := New()
 	maps.Copy(r.current, saved.Current)
 	maps.Copy(r.rolls, saved.Rolls)
+	r.recent = slices.Clone(saved.Recent)
 	return r
 }
--- a/internal/system/rollout/register_test.go
+++ b/internal/system/rollout/register_test.go
@@ -1,22 +1,28 @@
 package rollout_test
 
 import (
+	"encoding/json"
+	"fmt"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
 	"github.com/google/go-cmp/cmp/cmpopts"
+	"pgregory.net/rapid"
 
 	"mastusher/internal/system/rollout"
 	"mastusher/internal/system/view"
 )
 
+// firstOrder is the index of the order that register takes.
+const firstOrder = 7
+
 // register is one that has seen a service's version and taken an order for another one.
 func register(t *testing.T) *rollout.Register {
 	t.Helper()
 	r := rollout.New()
 	r.See(rollout.Seen{Service: "s", Version: "v1"})
 	order := rollout.Order{Service: "s", Target: "v2", OverMs: 9000}.Within(rollout.Bounds{Share: 0.1, Slack: 50}, 10)
-	if verdict := r.Order(order); verdict != rollout.Taken {
+	if verdict := r.Order(firstOrder, order); verdict != rollout.Taken {
 		t.Fatalf("the order is %s", verdict)
 	}
 	return r
@@ -26,11 +32,11 @@
 	for _, end := range []rollout.State{rollout.Finished, rollout.Reverted} {
 		// Given an order that has ended,
 		r := register(t)
-		r.Decide(rollout.Decision{Service: "s", Target: "v2", State: end})
+		r.Decide(rollout.Decision{Service: "s", Target: "v2", Order: firstOrder, State: end})
 		// when it comes again, and when it is decided on again in another way,
-		verdict := r.Order(rollout.Order{Service: "s", Target: "v2", OverMs: 9000, AtMs: 5})
-		r.Decide(rollout.Decision{Service: "s", Target: "v2", State: rollout.Finished})
-		r.Decide(rollout.Decision{Service: "s", Target: "v2", State: rollout.Reverted})
+		verdict := r.Order(8, rollout.Order{Service: "s", Target: "v2", OverMs: 9000, AtMs: 5})
+		r.Decide(rollout.Decision{Service: "s", Target: "v2", Order: firstOrder, State: rollout.Finished})
+		r.Decide(rollout.Decision{Service: "s", Target: "v2", Order: firstOrder, State: rollout.Reverted})
 		// then it stays as it ended, also after a snapshot.
 		roll, known := rollout.Restore(r.Saved()).Roll("s")
 		if verdict != rollout.Taken || !known || roll.State != end {
@@ -40,15 +46,15 @@
 }
 
 func TestOneOrderOfAServiceIsUnderWay(t *testing.T) {
-	// Given an order that is under way, when one for a third version comes,
+	// Given an order that is under way, when one for a third version comes, and one for the same in another time,
 	r := register(t)
-	verdict := r.Order(rollout.Order{Service: "s", Target: "v3"})
-	// then it has to wait for the end of the first, and goes on from there.
-	if verdict != rollout.UnderWay {
-		t.Errorf("it is answered by %s", verdict)
+	verdicts := []rollout.Verdict{r.Order(8, rollout.Order{Service: "s", Target: "v3"}), r.Order(8, rollout.Order{Service: "s", Target: "v2", OverMs: 1})}
+	// then they have to wait for the end of the first, and go on from there.
+	if diff := cmp.Diff([]rollout.Verdict{rollout.UnderWay, rollout.UnderWay}, verdicts); diff != "" {
+		t.Error(diff)
 	}
-	r.Decide(rollout.Decision{Service: "s", Target: "v2", State: rollout.Finished})
-	if verdict := r.Order(rollout.Order{Service: "s", Target: "v3"}); verdict != rollout.Taken {
+	r.Decide(rollout.Decision{Service: "s", Target: "v2", Order: firstOrder, State: rollout.Finished})
+	if verdict := r.Order(9, rollout.Order{Service: "s", Target: "v3"}); verdict != rollout.Taken {
 		t.Errorf("after the end it is answered by %s", verdict)
 	}
 	if roll, _ := r.Roll("s"); roll.From != "v2" {
@@ -56,16 +62,201 @@
 	}
 }
 
+// TestLateRepeats has an order come again after others.
+func TestLateRepeats(t *testing.T) {
+	const second = 20 // index of the order for v3
+	type outcome struct {
+		Verdict rollout.Verdict
+		Target  string
+		State   rollout.State
+		From    string
+	}
+	again := rollout.Order{Service: "s", Target: "v2", OverMs: 9000}
+	in := func(settled uint64, change func(o *rollout.Order)) rollout.Order {
+		o := again
+		o.Settled = settled
+		if change != nil {
+			change(&o)
+		}
+		return o
+	}
+	tests := []struct {
+		name   string
+		first  rollout.State // how the order for v2 ends
+		second rollout.State // how the order for v3 after it ends
+		order  rollout.Order
+		want   outcome
+	}{
+		{"finished, another under way, within its window", rollout.Finished, rollout.InService, again,
+			outcome{rollout.Taken, "v3", rollout.InService, "v2"}},
+		{"finished, another finished, within its window", rollout.Finished, rollout.Finished, again,
+			outcome{rollout.Taken, "v3", rollout.Finished, "v2"}},
+		{"reverted, another finished, within its window", rollout.Reverted, rollout.Finished, again,
+			outcome{rollout.Taken, "v3", rollout.Finished, "v1"}},
+		{"another time, within its window: another order", rollout.Finished, rollout.Finished, in(0, func(o *rollout.Order) { o.OverMs = 8000 }),
+			outcome{rollout.Taken, "v2", rollout.InService, "v3"}},
+		{"another service, within its window: another order", rollout.Finished, rollout.Finished, in(0, func(o *rollout.Order) { o.Service = "other" }),
+			outcome{rollout.Taken, "v3", rollout.Finished, "v2"}},
+		{"finished, another under way, after its window", rollout.Finished, rollout.InService, in(firstOrder, nil),
+			outcome{rollout.UnderWay, "v3", rollout.InService, "v2"}},
+		{"finished, another finished, after its window: back", rollout.Finished, rollout.Finished, in(firstOrder, nil),
+			outcome{rollout.Taken, "v2", rollout.InService, "v3"}},
+		{"reverted, another finished, after its window: another try", rollout.Reverted, rollout.Finished, in(second, nil),
+			outcome{rollout.Taken, "v2", rollout.InService, "v3"}},
+		{"finished, another reverted, after its window: it is in service", rollout.Finished, rollout.Reverted, in(second, nil),
+			outcome{rollout.Taken, "v2", rollout.Finished, "v2"}},
+	}
+	for _, test := range tests {
+		for _, snapshot := range []bool{false, true} {
+			t.Run(fmt.Sprint(test.name, ", after a snapshot: ", snapshot), func(t *testing.T) {
+				// Given an order for v2 that has ended, and one for v3 after it,
+				r := register(t)
+				r.Decide(rollout.Decision{Service: "s", Target: "v2", Order: firstOrder, State: test.first})
+				if verdict := r.Order(second, rollout.Order{Service: "s", Target: "v3", OverMs: 9000}); verdict != rollout.Taken {
+					t.Fatalf("the second order is %s", verdict)
+				}
+				if test.second != rollout.InService {
+					r.Decide(rollout.Decision{Service: "s", Target: "v3", Order: second, State: test.second})
+				}
+				if snapshot {
+					r = restored(t, r)
+				}
+				// when an order like the first comes,
+				verdict := r.Order(second+1, test.order)
+				// then it is a repeat of the first, or a new one, by what it says and when it comes.
+				roll, _ := r.Roll("s")
+				if diff := cmp.Diff(test.want, outcome{verdict, roll.Target, roll.State, roll.From}); diff != "" {
+					t.Errorf("outcome (-want +got):\n%s", diff)
+				}
+			})
+		}
+	}
+}
+
+func TestARevertedTargetIsTriedAgain(t *testing.T) {
+	// Given an order that was reverted,
+	r := register(t)
+	r.Decide(rollout.Decision{Service: "s", Target: "v2", Order: firstOrder, State: rollout.Reverted})
+	// when it comes after its window, and a late decision on the first try,
+	verdict := r.Order(12, rollout.Order{Service: "s", Target: "v2", OverMs: 9000, Settled: firstOrder})
+	r.Decide(rollout.Decision{Service: "s", Target: "v2", Order: firstOrder, State: rollout.Reverted})
+	// then it is a new try, on which the late one has no effect.
+	roll, _ := r.Roll("s")
+	if verdict != rollout.Taken || roll.State != rollout.InService || roll.Index != 12 {
+		t.Errorf("the order is answered by %s, and is %s, of entry %d", verdict, roll.State, roll.Index)
+	}
+	// And its repeat is that order's.
+	if verdict := r.Order(13, rollout.Order{Service: "s", Target: "v2", OverMs: 9000, Settled: 12}); verdict != rollout.Taken {
+		t.Errorf("its repeat is answered by %s", verdict)
+	}
+	if roll, _ := r.Roll("s"); roll.Index != 12 {
+		t.Errorf("its repeat began roll-out %d", roll.Index)
+	}
+}
+
+// restored is the register after its snapshot has been written and read.
+func restored(t rapid.TB, r *rollout.Register) *rollout.Register {
+	raw, err := json.Marshal(r.Saved())
+	if err != nil {
+		t.Fatal(err)
+	}
+	var saved rollout.Saved
+	if err := json.Unmarshal(raw, &saved); err != nil {
+		t.Fatal(err)
+	}
+	return rollout.Restore(saved)
+}
+
+// taken is an order that was taken, as the reference keeps it: all of them, for ever.
+type taken struct {
+	index uint64
+	order rollout.Order
+	state rollout.State
+}
+
+// reference judges orders by the whole history.
+type reference struct {
+	history []taken // of one service
+	settled uint64
+	current string
+}
+
+func (m *reference) newest() *taken {
+	if len(m.history) == 0 {
+		return &taken{state: rollout.Finished}
+	}
+	return &m.history[len(m.history)-1]
+}
+
+func (m *reference) take(index uint64, o rollout.Order) rollout.Verdict {
+	m.settled = max(m.settled, o.Settled)
+	for i := range m.history {
+		t := &m.history[i]
+		isSame := t.order.Target == o.Target && t.order.OverMs == o.OverMs
+		if isSame && (t.index > m.settled || t.state == rollout.InService) {
+			return rollout.Taken
+		}
+	}
+	if m.newest().state == rollout.InService {
+		return rollout.UnderWay
+	}
+	state := rollout.InService
+	if o.Target == m.current {
+		state = rollout.Finished
+	}
+	m.history = append(m.history, taken{index: index, order: o, state: state})
+	return rollout.Taken
+}
+
+func (m *reference) decide(d rollout.Decision) {
+	if newest := m.newest(); newest.state == rollout.InService && newest.index == d.Order {
+		newest.state = d.State
+		if d.State == rollout.Finished {
+			m.current = newest.order.Target
+		}
+	}
+}
+
+// TestRegisterAgreesWithReference applies any orders and decisions, repeats among them, with snapshots in between.
+func TestRegisterAgreesWithReference(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r, want := rollout.New(), &reference{current: "v1"}
+		r.See(rollout.Seen{Service: "s", Version: "v1"})
+		for index := range uint64(rapid.IntRange(1, 40).Draw(t, "steps")) {
+			index++
+			switch rapid.IntRange(0, 4).Draw(t, "kind") {
+			case 0, 1, 2:
+				o := rollout.Order{Service: "s", Target: rapid.SampledFrom([]string{"v1", "v2", "v3"}).Draw(t, "target"),
+					OverMs: rapid.Int64Range(1, 2).Draw(t, "over"), Settled: rapid.Uint64Range(0, index-1).Draw(t, "settled")}
+				if got, wanted := r.Order(index, o), want.take(index, o); got != wanted {
+					t.Fatalf("order %+v was %s, want %s", o, got, wanted)
+				}
+			case 3:
+				d := rollout.Decision{Service: "s", Order: rapid.Uint64Range(want.newest().index, index).Draw(t, "order"),
+					State: rapid.SampledFrom([]rollout.State{rollout.Finished, rollout.Reverted}).Draw(t, "end")}
+				r.Decide(d)
+				want.decide(d)
+			case 4:
+				r = restored(t, r)
+			}
+			roll, _ := r.Roll("s")
+			if newest := want.newest(); roll.Index != newest.index || newest.index > 0 && roll.State != newest.state || r.Current("s") != want.current {
+				t.Fatalf("roll-out %d is %s and %s in service, want %d, %s, %s", roll.Index, roll.State, r.Current("s"), newest.index, newest.state, want.current)
+			}
+		}
+	})
+}
+
 func TestProxiesAreToldWhatATargetMayGet(t *testing.T) {
 	versions := func(r *rollout.Register) []view.ServiceVersions { return r.Versions().Services }
 	// Given an order under way, then the target may get a part of the bounds, split among the proxies;
 	r := register(t)
-	want := []view.ServiceVersions{{Service: "s", Current: "v1", Target: "v2", Share: 0.08, Extra: 3.5}}
+	want := []view.ServiceVersions{{Service: "s", Current: "v1", Target: "v2", Order: firstOrder, Share: 0.08, Extra: 3.5}}
 	if diff := cmp.Diff(want, versions(r), cmpopts.EquateApprox(1e-9, 0)); diff != "" {
 		t.Error(diff)
 	}
 	// when the order ends, then there is one version.
-	r.Decide(rollout.Decision{Service: "s", Target: "v2", State: rollout.Finished})
+	r.Decide(rollout.Decision{Service: "s", Target: "v2", Order: firstOrder, State: rollout.Finished})
 	if diff := cmp.Diff([]view.ServiceVersions{{Service: "s", Current: "v2"}}, versions(r)); diff != "" {
 		t.Error(diff)
 	}
--- a/internal/system/schedule/service.go
+++ b/internal/system/schedule/service.go
@@ -54,7 +54,7 @@
 }
 
 func (svc *service) setVersions(v view.ServiceVersions) {
-	if v.Target != svc.versions.Target {
+	if v.Target != svc.versions.Target || v.Order != svc.versions.Order {
 		svc.credit, svc.extra = 0, v.Extra
 	}
 	svc.versions = v
--- a/internal/system/tally/tally.go
+++ b/internal/system/tally/tally.go
@@ -33,6 +33,13 @@
 type key struct {
 	version
 	route string
+	order uint64 // that rolls the version out; 0: none
+}
+
+// trial is an order to roll a version out.
+type trial struct {
+	order uint64
+	since time.Time // when this proxy first heard of it
 }
 
 // listed is what the list tells of an endpoint.
@@ -58,13 +65,14 @@
 	mutex    sync.Mutex
 	versions map[string]listed // by endpoint
 	tallies  map[key]*rollout.Tally
-	rolling  bool // an order is in service
-	changed  bool // since the last report
+	trials   map[version]trial // the orders in service
+	changed  bool              // since the last report
 }
 
 // New returns a counter without counts. The source names this start of the proxy.
 func New(scheduler Scheduler, source string) *Counter {
-	return &Counter{scheduler: scheduler, source: source, versions: map[string]listed{}, tallies: map[key]*rollout.Tally{}, now: time.Now}
+	return &Counter{scheduler: scheduler, source: source, versions: map[string]listed{}, tallies: map[key]*rollout.Tally{},
+		trials: map[version]trial{}, now: time.Now}
 }
 
 // SetEndpoints takes over the list of endpoints.
@@ -84,12 +92,35 @@
 // SetVersions takes over which versions may take requests.
 func (c *Counter) SetVersions(versions []view.ServiceVersions) {
 	c.mutex.Lock()
-	c.rolling = slices.ContainsFunc(versions, func(v view.ServiceVersions) bool { return v.Target != "" })
+	trials := map[version]trial{}
+	for i := range versions {
+		if target := (version{versions[i].Service, versions[i].Target}); target.number != "" {
+			trials[target] = trial{order: versions[i].Order, since: c.now()}
+			if known, ok := c.trials[target]; ok && known.order == versions[i].Order {
+				trials[target] = known
+			}
+		}
+	}
+	c.trials = trials
+	c.foldEnded()
 	c.changed = true
 	c.mutex.Unlock()
 	c.scheduler.SetVersions(versions)
 }
 
+// foldEnded adds what was counted for orders that have ended to what is counted outside of any, so that a version that is
+// rolled out again is judged by what comes from then on. The caller holds the mutex.
+func (c *Counter) foldEnded() {
+	for of, counted := range c.tallies {
+		if of.order == c.trials[of.version].order || of.order == 0 {
+			continue
+		}
+		delete(c.tallies, of)
+		of.order = 0
+		c.tally(of).Add(*counted)
+	}
+}
+
 // Choose implements proxy.Chooser.
 func (c *Counter) Choose(ctx context.Context, facts *proxy.Facts) (proxy.Choice, error) {
 	choice, err := c.scheduler.Choose(ctx, facts)
@@ -99,7 +130,8 @@
 	t := &ticket{inner: choice.Ticket}
 	c.mutex.Lock()
 	if e, known := c.versions[choice.ID]; known {
-		t.key, t.counted, t.cold = key{e.version, facts.Route.Name}, true, c.now().Before(e.coldUntil)
+		t.key = key{version: e.version, route: facts.Route.Name, order: c.trials[e.version].order}
+		t.counted, t.cold = true, c.now().Before(e.coldUntil)
 		c.tally(t.key).Sent++
 	}
 	c.mutex.Unlock()
@@ -168,16 +200,20 @@
 func (c *Counter) Report() (wire.Tallies, bool) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if !c.rolling || !c.changed {
+	if len(c.trials) == 0 || !c.changed {
 		return wire.Tallies{}, false
 	}
 	c.changed = false
 	report := wire.Tallies{Source: c.source, Versions: make([]wire.VersionTally, 0, len(c.tallies))}
 	for of, t := range c.tallies {
-		report.Versions = append(report.Versions, wire.VersionTally{Service: of.service, Route: of.route, Version: of.number, Tally: *t})
+		counted := wire.VersionTally{Service: of.service, Route: of.route, Version: of.number, Order: of.order, Tally: *t}
+		if under := c.trials[of.version]; of.order != 0 && under.order == of.order {
+			counted.AgeMs = c.now().Sub(under.since).Milliseconds()
+		}
+		report.Versions = append(report.Versions, counted)
 	}
 	slices.SortFunc(report.Versions, func(a, b wire.VersionTally) int {
-		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Route, b.Route), cmp.Compare(a.Version, b.Version))
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Route, b.Route), cmp.Compare(a.Version, b.Version), cmp.Compare(a.Order, b.Order))
 	})
 	return report, true
 }
--- a/internal/system/tally/tally_test.go
+++ b/internal/system/tally/tally_test.go
@@ -92,3 +92,42 @@
 		}
 	}
 }
+
+func TestARepeatedRolloutIsCountedAnew(t *testing.T) {
+	// Given a version that answered badly while it was rolled out, and had a request under way when that was called off,
+	now := time.Unix(1000, 0)
+	c := New(&scheduler{}, "p")
+	c.now = func() time.Time { return now }
+	c.SetEndpoints([]model.Endpoint{{ID: "b", Service: "s", Number: "v2"}})
+	send := func() proxy.Choice {
+		choice, err := c.Choose(t.Context(), &proxy.Facts{AttemptID: "b", Route: &model.Route{Name: "r"}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return choice
+	}
+	c.SetVersions([]view.ServiceVersions{{Service: "s", Current: "v1", Target: "v2", Order: 7}})
+	c.Done(send(), proxy.Outcome{Result: proxy.Broken})
+	late := send()
+	c.SetVersions([]view.ServiceVersions{{Service: "s", Current: "v1"}})
+	// when it is rolled out again, and the versions are told twice,
+	again := []view.ServiceVersions{{Service: "s", Current: "v1", Target: "v2", Order: 9}}
+	c.SetVersions(again)
+	c.Done(late, proxy.Outcome{Result: proxy.Broken})
+	now = now.Add(300 * time.Millisecond)
+	c.SetVersions(again)
+	c.Done(send(), proxy.Outcome{Result: proxy.NotRun})
+	now = now.Add(200 * time.Millisecond)
+	// then what was counted before isn't counted for the second order.
+	report, due := c.Report()
+	if !due {
+		t.Fatal("no report is due")
+	}
+	want := []wire.VersionTally{
+		{Service: "s", Route: "r", Version: "v2", Tally: rollout.Tally{Sent: 2, Bad: 2}},
+		{Service: "s", Route: "r", Version: "v2", Order: 9, AgeMs: 500, Tally: rollout.Tally{Sent: 1}},
+	}
+	if diff := cmp.Diff(want, report.Versions); diff != "" {
+		t.Error(diff)
+	}
+}
--- a/internal/system/view/view.go
+++ b/internal/system/view/view.go
@@ -60,6 +60,7 @@
 	Service string  `json:"service"`
 	Current string  `json:"current"`          // version in service
 	Target  string  `json:"target,omitempty"` // version being rolled out; empty: none
+	Order   uint64  `json:"order,omitempty"`  // names the order to roll Target out: the same version may be ordered again
 	Share   float64 `json:"share,omitempty"`  // of requests that Target may get, 0 to 1
 	Extra   float64 `json:"extra,omitempty"`  // requests above Share that each proxy may send to Target at first
 }
--- a/internal/system/wire/wire.go
+++ b/internal/system/wire/wire.go
@@ -39,11 +39,13 @@
 	Versions []VersionTally `json:"versions"`
 }
 
-// VersionTally is what was seen of one version on one route.
+// VersionTally is what was seen of one version on one route, during one roll-out or outside of any.
 type VersionTally struct {
 	Service string        `json:"service"`
 	Route   string        `json:"route"`
 	Version string        `json:"version"`
+	Order   uint64        `json:"order,omitempty"` // the order that rolls the version out; 0: none, or one that has ended
+	AgeMs   int64         `json:"ageMs,omitempty"` // time since the proxy first heard of the order, ms
 	Tally   rollout.Tally `json:"tally"`
 }
 
