Check histories of the configuration for linearizability

An order without a clear answer may take effect at any time after its call, or never; one that was refused never does. The checker is checked by tables of histories and by services with six faults, each of which it finds.

--- /dev/null
+++ b/internal/system/history/check_test.go
@@ -0,0 +1,185 @@
+package history_test
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+
+	"mastusher/internal/system/history"
+)
+
+// put is an order, answered.
+func put(call, answer int64, base, number uint64, content string, outcome history.Outcome) history.Operation {
+	return history.Operation{Kind: history.Put, Order: history.Order{Base: base, Number: number, Content: content}, Outcome: outcome, Call: call, Return: answer}
+}
+
+func get(call, answer int64, number uint64, content string) history.Operation {
+	return history.Operation{Kind: history.Get, Outcome: history.Read, Version: history.Version{Number: number, Content: content}, Call: call, Return: answer}
+}
+
+func TestCheck(t *testing.T) {
+	const taken, conflict, notNewer, unclear = history.Taken, history.Conflict, history.NotNewer, history.Unclear
+	tests := []struct {
+		name       string
+		operations []history.Operation
+		want       bool
+	}{
+		{"nothing", nil, true},
+		{"one after the other", []history.Operation{put(0, 1, 0, 3, "a", taken), get(2, 3, 3, "a"), put(4, 5, 3, 4, "b", taken), get(6, 7, 4, "b")}, true},
+		{"nothing yet", []history.Operation{get(0, 1, 0, ""), put(0, 1, 0, 3, "a", taken)}, true},
+		{"a lost update", []history.Operation{put(0, 1, 0, 3, "a", taken), put(2, 3, 3, 4, "b", taken), get(4, 5, 3, "a")}, false},
+		{"a stale read", []history.Operation{put(0, 1, 0, 3, "a", taken), put(2, 9, 3, 4, "b", taken), get(3, 4, 4, "b"), get(5, 6, 3, "a")}, false},
+		{"reads on both sides of a change", []history.Operation{put(0, 1, 0, 3, "a", taken), put(2, 9, 3, 4, "b", taken), get(3, 4, 3, "a"), get(5, 6, 4, "b")}, true},
+		{"two confirmed under one number", []history.Operation{put(0, 9, 0, 3, "a", taken), put(0, 9, 0, 3, "b", taken)}, false},
+		{"two confirmed on one version", []history.Operation{put(0, 9, 0, 3, "a", taken), put(0, 9, 0, 4, "b", taken)}, false},
+		{"one of two wins", []history.Operation{put(0, 9, 0, 3, "a", conflict), put(0, 9, 0, 3, "b", taken), get(10, 11, 3, "b")}, true},
+		{"none of two wins", []history.Operation{put(0, 9, 0, 3, "a", conflict), put(0, 9, 0, 3, "b", conflict)}, false},
+		{"two operators send the same", []history.Operation{put(0, 9, 0, 3, "a", taken), put(0, 9, 0, 3, "a", taken)}, true},
+		{"a repeat", []history.Operation{put(0, 1, 0, 3, "a", taken), put(2, 3, 3, 4, "b", taken), put(4, 5, 0, 3, "a", taken), get(6, 7, 4, "b")}, true},
+		{"a refused repeat", []history.Operation{put(0, 1, 0, 3, "a", taken), put(2, 3, 0, 3, "a", conflict)}, false},
+		{"a refused repeat after another change", []history.Operation{put(0, 1, 0, 3, "a", taken), put(2, 3, 3, 4, "b", taken), put(4, 5, 0, 3, "a", conflict)}, false},
+		{"a repeat takes effect again", []history.Operation{put(0, 1, 0, 3, "a", taken), put(2, 3, 3, 4, "b", taken), put(4, 5, 0, 3, "a", taken), get(6, 7, 3, "a")}, false},
+		{"a refused repeat after an unclear answer that was in force", []history.Operation{put(0, 0, 0, 3, "a", unclear), get(2, 3, 3, "a"), put(4, 5, 0, 3, "a", conflict)}, false},
+		{"an unclear order never takes effect", []history.Operation{put(0, 0, 0, 3, "a", unclear), put(2, 3, 0, 4, "b", taken), get(4, 5, 4, "b")}, true},
+		{"an unclear order takes effect late", []history.Operation{put(0, 0, 0, 3, "a", unclear), get(2, 3, 0, ""), get(50, 51, 3, "a")}, true},
+		{"an unclear order takes effect twice", []history.Operation{put(0, 0, 0, 3, "a", unclear), get(2, 3, 3, "a"), put(4, 5, 3, 4, "b", taken), get(50, 51, 3, "a")}, false},
+		{"an effect before the call", []history.Operation{get(0, 1, 3, "a"), put(2, 3, 0, 3, "a", taken)}, false},
+		{"a number that isn't higher", []history.Operation{put(0, 1, 0, 3, "a", taken), put(2, 3, 3, 3, "b", notNewer), put(4, 5, 3, 4, "b", taken)}, true},
+		{"a number that isn't higher is confirmed", []history.Operation{put(0, 1, 0, 3, "a", taken), put(2, 3, 3, 3, "b", taken)}, false},
+		{"refused before its version came, then in force", []history.Operation{put(0, 1, 3, 4, "b", conflict), put(2, 3, 0, 3, "a", taken), get(4, 5, 4, "b"), put(0, 0, 3, 4, "b", unclear)}, false},
+		{"refused, then taken", []history.Operation{put(0, 1, 3, 4, "b", conflict), put(2, 3, 0, 3, "a", taken), put(4, 5, 3, 4, "b", taken)}, false},
+		{"read with other content", []history.Operation{put(0, 1, 0, 3, "a", taken), get(2, 3, 3, "b")}, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			err := history.Check(test.operations)
+			var violation *history.ViolationError
+			if errors.As(err, &violation) == test.want {
+				t.Errorf("linearizable: %v, want %v: %v", err == nil, test.want, err)
+			}
+			if err != nil && !strings.Contains(err.Error(), "operator 0") {
+				t.Errorf("the error doesn't list the history: %v", err)
+			}
+		})
+	}
+}
+
+// service is a register that answers at once, with a fault or without.
+type service struct {
+	number  uint64
+	content string
+	taken   map[history.Order]bool
+	before  history.Version
+	fault   string
+	random  *rand.Rand
+}
+
+// The faults of a service.
+const (
+	forgetsOrders  = "it forgets the orders taken"
+	losesUpdates   = "it loses an update now and then"
+	readsStale     = "it reads the version before now and then"
+	ignoresBase    = "it takes an order on any version"
+	comparesNumber = "it acknowledges the number, whatever the content"
+	repeatsAgain   = "a repeat takes effect again"
+)
+
+func (s *service) put(o history.Order) history.Outcome {
+	switch {
+	case s.fault == comparesNumber && o.Number == s.number:
+		return history.Taken
+	case s.taken[o] && s.fault == repeatsAgain:
+		s.number, s.content = o.Number, o.Content
+		return history.Taken
+	case s.taken[o] && s.fault != forgetsOrders:
+		return history.Taken
+	case o.Base != s.number && s.fault != ignoresBase:
+		return history.Conflict
+	case o.Number <= s.number:
+		return history.NotNewer
+	}
+	s.taken[o] = true
+	if s.fault == losesUpdates && s.random.IntN(8) == 0 {
+		return history.Taken
+	}
+	s.before = history.Version{Number: s.number, Content: s.content}
+	s.number, s.content = o.Number, o.Content
+	return history.Taken
+}
+
+func (s *service) get() history.Version {
+	if s.fault == readsStale && s.random.IntN(8) == 0 {
+		return s.before
+	}
+	return history.Version{Number: s.number, Content: s.content}
+}
+
+// record has some operators call a service at once; each call takes effect at a random time between its call and its answer.
+func record(seed uint64, fault string) []history.Operation {
+	const calls, operators = 60, 4
+	random := rand.New(rand.NewPCG(seed, 1))
+	s := &service{taken: map[history.Order]bool{}, fault: fault, random: random}
+	var list []history.Operation
+	var sent []history.Order
+	free := make([]int64, operators) // when each operator has its answer
+	now := int64(0)
+	for range calls {
+		now += int64(random.IntN(4))
+		operator := random.IntN(operators)
+		o := history.Operation{Operator: operator, Call: max(free[operator]+1, now-int64(random.IntN(20)))}
+		now = max(now, o.Call) // effects come in this order
+		o.Return = now + int64(random.IntN(20))
+		free[operator] = o.Return
+		switch random.IntN(4) {
+		case 0:
+			o.Kind, o.Outcome, o.Version = history.Get, history.Read, s.get()
+		case 1:
+			if len(sent) > 0 {
+				o.Order = sent[random.IntN(len(sent))]
+				o.Outcome = s.put(o.Order)
+				break
+			}
+			fallthrough
+		default:
+			o.Order = history.Order{Base: s.number, Number: s.number + 1 + uint64(random.IntN(2)), Content: fmt.Sprint(random.IntN(2))}
+			if random.IntN(4) == 0 && s.number > 0 {
+				o.Order.Base--
+			}
+			sent = append(sent, o.Order)
+			if random.IntN(6) == 0 {
+				o.Outcome = history.Unclear
+				if random.IntN(2) == 0 {
+					s.put(o.Order)
+				}
+				break
+			}
+			o.Outcome = s.put(o.Order)
+		}
+		list = append(list, o)
+	}
+	return list
+}
+
+// TestRecordedHistories checks histories of a service that is right, and that one with a fault is found out.
+func TestRecordedHistories(t *testing.T) {
+	const histories = 300
+	for seed := range uint64(histories) {
+		if err := history.Check(record(seed, "")); err != nil {
+			t.Fatalf("seed %d: %v", seed, err)
+		}
+	}
+	const mostSeeds = 10
+	for _, fault := range []string{forgetsOrders, losesUpdates, readsStale, ignoresBase, comparesNumber, repeatsAgain} {
+		t.Run(fault, func(t *testing.T) {
+			for seed := range uint64(mostSeeds) {
+				if history.Check(record(seed, fault)) != nil {
+					t.Logf("found with seed %d", seed)
+					return
+				}
+			}
+			t.Errorf("not found with %d seeds", mostSeeds)
+		})
+	}
+}
