Refuse orders on the control port only from state that a majority has confirmed

An owner that had just been cut off answered 404 to an order to empty a machine that it hadn't heard of, and a member that was elected right after a cut 404 or 409 from what it had seen of machines on its own side: membership was the only source, and nobody was asked. Now an order to empty a machine begins with a confirmed read, and 404 and 409 also need 12 s of ownership, within which the members on both sides of a cut find each other (they try each 10 s); 503 until then. Two cases of the tests that got such an answer 3 and 8 s after the election therefore get it after 13 s, and 503 is asked for at the old times.

The state of a roll-out answered 504 where its read was not confirmed; it is a read, so 503.

A member went on naming an owner until its own election was due, up to 1 s, or for as long as it stood still, and sent callers to a machine that was cut off. A status names no owner that wasn't heard for an election time-out; callers get 503 and go on.

Controllers outside the group sent every caller to the oldest other controller, so that two of them could send a caller back and forth. They name the others in turn.

--- a/internal/system/controller/api.go
+++ b/internal/system/controller/api.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -109,17 +110,22 @@
 	return slices.ContainsFunc(status.Members, func(m replica.Member) bool { return m.ID == status.ID })
 }
 
-// controlOfAnother is where the operator reaches the controller that has run for the longest time, other than this one: it
-// most likely is in the group. Empty if there is none.
+// controlOfAnother is where the operator reaches a controller other than this one that runs. All are named in turn, so that
+// two that aren't in the group don't go on sending callers to each other; the one that has run for the longest time comes
+// first, since it most likely is in the group. Empty if there is none.
 func (c *Controller) controlOfAnother() string {
-	var oldest membership.Member
+	var others []membership.Member
 	for _, m := range c.options.Fleet.Members() {
-		mayBe := m.Role == membership.Controller && m.State == membership.Alive && m.ID != c.options.ID
-		if mayBe && (oldest.Control == "" || m.Incarnation < oldest.Incarnation) {
-			oldest = m
+		if m.Role == membership.Controller && m.State == membership.Alive && m.ID != c.options.ID {
+			others = append(others, m)
 		}
 	}
-	return oldest.Control
+	if len(others) == 0 {
+		return ""
+	}
+	slices.SortStableFunc(others, func(a, b membership.Member) int { return cmp.Compare(a.Incarnation, b.Incarnation) })
+	turn := c.redirects.Add(1) - 1
+	return others[turn%uint64(len(others))].Control
 }
 
 // unagreed turns a group's error about an order into one that makes the operator ask again.
--- a/internal/system/controller/api_test.go
+++ b/internal/system/controller/api_test.go
@@ -345,6 +345,12 @@
 	if got, want := answer.Header().Get("Location"), "http://10.0.0.3:8144"+settingsPath; got != want {
 		t.Errorf("sent to %s, want %s", got, want)
 	}
+	// The next callers are sent to the others in turn: that one may not be in the group either, and send them back here.
+	for _, want := range []string{"10.0.0.4", "10.0.0.3"} {
+		if got := b.send(http.MethodGet, settingsPath, "").Header().Get("Location"); !strings.Contains(got, want) {
+			t.Errorf("sent to %s, want %s", got, want)
+		}
+	}
 }
 
 func TestGroupErrorsKeepTheirCause(t *testing.T) {
--- a/internal/system/controller/controller.go
+++ b/internal/system/controller/controller.go
@@ -82,6 +82,7 @@
 	placeSoon   chan struct{}
 
 	bodyTimeout time.Duration
+	redirects   atomic.Uint64 // so many callers have been sent on while this controller wasn't in the group
 
 	checking chan struct{} // holds a token while a configuration is being checked
 	evidence *evidence
--- a/internal/system/controller/retirements.go
+++ b/internal/system/controller/retirements.go
@@ -32,12 +32,16 @@
 	if err := readRetireOrder(e); err != nil {
 		return err
 	}
+	ctx, cancel := context.WithTimeout(e.Request().Context(), agreeTimeout)
+	defer cancel()
+	// What is known of machines may refuse the order only while a majority still takes this member for the owner.
+	if err := c.group.Read(ctx, func() {}); err != nil {
+		return unread(err)
+	}
 	order, err := c.retireOrderOf(time.Now(), e.Param("node"))
 	if err != nil {
 		return err
 	}
-	ctx, cancel := context.WithTimeout(e.Request().Context(), agreeTimeout)
-	defer cancel()
 	result, err := c.group.Propose(ctx, Command{Retire: order})
 	if err != nil {
 		return c.unagreed(err)
@@ -73,7 +77,7 @@
 	if !known {
 		store, known = c.placedOrAsked(node)
 	}
-	if !known && !watch.HasGathered(now) {
+	if !known && !c.isSure(now) {
 		return nil, fault.New(fault.NotReady, "not all machines have been heard of yet")
 	}
 	if !known {
@@ -86,6 +90,12 @@
 	return order, nil
 }
 
+// isSure tells whether what this member knows of machines may refuse an order for good. An owner that was cut off before its
+// election may lack some machines, or take them for dead. The caller holds planMutex.
+func (c *Controller) isSure(now time.Time) bool {
+	return c.planner.Watch().IsSure(now, c.group.Status().Epoch)
+}
+
 // placedOrAsked finds a machine of which membership knows nothing any more: by its replicas, or by an earlier order.
 func (c *Controller) placedOrAsked(node string) (placement.Store, bool) {
 	c.mutex.Lock()
@@ -114,7 +124,7 @@
 	}
 	final := c.agree.retirements.Remaining(hopeful) < order.Least
 	c.mutex.Unlock()
-	if !watch.HasGathered(now) || !final {
+	if !c.isSure(now) || !final {
 		return fault.New(fault.NotReady, "too few storage machines run now")
 	}
 	return fault.New(fault.TooFewStores, "fewer than %d storage machines would remain without %s", order.Least, order.Node)
--- a/internal/system/controller/retirements_test.go
+++ b/internal/system/controller/retirements_test.go
@@ -1,7 +1,9 @@
 package controller
 
 import (
+	"context"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -11,9 +13,8 @@
 )
 
 // watchFor has the planner see the members for longer than it takes to gather them.
-func (b *bed) watchFor(d time.Duration) {
+func (b *bed) watchFor(now time.Time, d time.Duration) {
 	const step = 500 * time.Millisecond
-	now := time.Now()
 	for passed := time.Duration(0); passed <= d; passed += step {
 		b.planner.Watch().Observe(now.Add(passed-d), b.fleet.Members(), b.group.Status().Epoch)
 	}
@@ -22,6 +23,7 @@
 func TestRetirementAnswers(t *testing.T) {
 	down := func(m membership.Member) membership.Member { m.State = membership.Dead; return m }
 	const path = "/mastusher/retire/storage-1"
+	const sure = 13 * time.Second // as owner, with all members in sight
 	tests := []struct {
 		name    string
 		members []membership.Member
@@ -35,19 +37,22 @@
 		{"no JSON", storeMembers(4), 3 * time.Second, `{"overS`, http.StatusBadRequest},
 		{"a time below 0", storeMembers(4), 3 * time.Second, `{"overS":-1}`, http.StatusBadRequest},
 		{"too large", storeMembers(4), 3 * time.Second, `{"x":"` + strings.Repeat("x", mostSmallOrderBytes) + `"}`, http.StatusRequestEntityTooLarge},
-		{"unknown machine", storeMembers(0), 3 * time.Second, `{"overS":10}`, http.StatusNotFound},
+		{"unknown machine", storeMembers(0), sure, `{"overS":10}`, http.StatusNotFound},
+		{"unknown machine, soon after the election", storeMembers(0), 3 * time.Second, `{"overS":10}`, http.StatusServiceUnavailable},
 		{"unknown machine, shortly after the start", storeMembers(0), 0, `{"overS":10}`, http.StatusServiceUnavailable},
-		{"two remain", storeMembers(3), 3 * time.Second, `{"overS":10}`, http.StatusConflict},
+		{"two remain", storeMembers(3), sure, `{"overS":10}`, http.StatusConflict},
+		{"two remain, soon after the election", storeMembers(3), 3 * time.Second, `{"overS":10}`, http.StatusServiceUnavailable},
 		{"two remain, shortly after the start", storeMembers(3), 0, `{"overS":10}`, http.StatusServiceUnavailable},
 		{"the machine is down", append(storeMembers(4)[1:], down(storeMember(1))), 3 * time.Second, `{"overS":10}`, http.StatusOK},
 		{"another has just gone down", append(storeMembers(3), down(storeMember(4))), 3 * time.Second, `{"overS":10}`, http.StatusServiceUnavailable},
-		{"another has long been down", append(storeMembers(3), down(storeMember(4))), 8 * time.Second, `{"overS":10}`, http.StatusConflict},
+		{"another was down when this one was elected", append(storeMembers(3), down(storeMember(4))), 8 * time.Second, `{"overS":10}`, http.StatusServiceUnavailable},
+		{"another has long been down", append(storeMembers(3), down(storeMember(4))), sure, `{"overS":10}`, http.StatusConflict},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			b := startBed(t, memorydisk.New())
 			b.fleet.set(test.members...)
-			b.watchFor(test.watched)
+			b.watchFor(time.Now(), test.watched)
 			wantStatus(t, b.send(http.MethodPost, path, test.body), test.want)
 			state := b.send(http.MethodGet, path, "")
 			if test.want != http.StatusOK {
@@ -62,3 +67,51 @@
 		})
 	}
 }
+
+// TestAMachineThatHasJustGoneDownMayComeBack asks an owner that has long seen all machines run.
+func TestAMachineThatHasJustGoneDownMayComeBack(t *testing.T) {
+	const path = "/mastusher/retire/storage-1"
+	for down, want := range map[time.Duration]int{3 * time.Second: http.StatusServiceUnavailable, 8 * time.Second: http.StatusConflict} {
+		b := startBed(t, memorydisk.New())
+		b.fleet.set(storeMembers(4)...)
+		now := time.Now()
+		b.watchFor(now.Add(-down), 13*time.Second)
+		gone := storeMember(4)
+		gone.State = membership.Dead
+		b.fleet.set(append(storeMembers(3), gone)...)
+		b.watchFor(now, down)
+		wantStatus(t, b.send(http.MethodPost, path, `{"overS":10}`), want)
+	}
+}
+
+// TestAnOwnerWithoutItsMajorityRefusesNothing asks an owner that has just been cut off, when it doesn't know it yet, for a
+// machine that it doesn't know and for one too many.
+func TestAnOwnerWithoutItsMajorityRefusesNothing(t *testing.T) {
+	c := newCluster(t, 3)
+	c.settle()
+	c.run(13 * time.Second)
+	owner := c.owner()
+	for _, m := range c.sorted() {
+		if m.controller != nil && m != owner {
+			m.kill()
+		}
+	}
+	for _, asked := range []struct{ method, path string }{
+		{http.MethodPost, "/mastusher/retire/storage-1"},
+		{http.MethodPost, "/mastusher/retire/storage-9"},
+		{http.MethodGet, "/mastusher/retire/storage-1"},
+		{http.MethodGet, "/mastusher/rollouts/lm"},
+		{http.MethodGet, settingsPath},
+	} {
+		if !owner.controller.Group().Status().IsOwner {
+			t.Fatal("the owner knows already that it is cut off")
+		}
+		// Its group has no turn while it answers, as if no message came any more.
+		ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+		request := httptest.NewRequestWithContext(ctx, asked.method, asked.path, strings.NewReader(`{"overS":10}`))
+		recorder := httptest.NewRecorder()
+		owner.controller.Handler().ServeHTTP(recorder, request)
+		cancel()
+		wantStatus(t, recorder, http.StatusServiceUnavailable)
+	}
+}
--- a/internal/system/controller/rollouts.go
+++ b/internal/system/controller/rollouts.go
@@ -210,7 +210,7 @@
 		roll, known = c.agree.rollouts.Roll(service)
 	})
 	if err != nil {
-		return c.unagreed(err)
+		return unread(err)
 	}
 	if !known {
 		return fault.New(fault.UnknownService, "no version of %s has been rolled out", service)
--- a/internal/system/group/group.go
+++ b/internal/system/group/group.go
@@ -74,11 +74,16 @@
 }
 
 // Status returns the member's last view of the group. A member that hasn't had its turn for an election time-out says that it
-// owns nothing, also before it has found that out: its process or its disk stands still, or did until now.
+// owns nothing, also before it has found that out: its process or its disk stands still, or did until now. Nor does it name
+// an owner of which it hasn't heard for an election time-out: that one, or this member, is cut off.
 func (g *Group) Status() replica.Status {
 	status := *g.status.Load()
-	if status.IsOwner && g.options.Clock()-time.Duration(g.due.Load()) > g.options.Replica.Election {
+	now := g.options.Clock()
+	switch {
+	case status.IsOwner && now-time.Duration(g.due.Load()) > g.options.Replica.Election:
 		status.Owner, status.IsOwner, status.CaughtUp = "", false, nil
+	case status.Owner != status.ID && now-status.Heard > g.options.Replica.Election:
+		status.Owner = ""
 	}
 	return status
 }
--- a/internal/system/group/standstill_test.go
+++ b/internal/system/group/standstill_test.go
@@ -21,6 +21,32 @@
 	s.own()
 }
 
+func TestAMemberNamesNoOwnerOfWhichItHearsNothing(t *testing.T) {
+	// Given a member that has an owner,
+	s := newSingle(t, 1<<30, "a", "b", "c")
+	heard := appended(1, 0, 0, 0)
+	heard.To = member("a").ID
+	s.turn(heard)
+	if got := s.group.Status().Owner; got != member("b").ID {
+		t.Fatalf("its owner is %q", got)
+	}
+	// when it hears nothing of that one for an election time-out, whether it has its turns meanwhile or stands still,
+	s.now += election
+	if got := s.group.Status().Owner; got != member("b").ID {
+		t.Errorf("it names %q within the time-out", got)
+	}
+	s.now += step
+	// then it names none, also before it stands for election itself,
+	if got := s.group.Status().Owner; got != "" {
+		t.Errorf("it still names %q", got)
+	}
+	// until it hears of one again.
+	s.turn(heard)
+	if got := s.group.Status().Owner; got != member("b").ID {
+		t.Errorf("its owner is %q", got)
+	}
+}
+
 func TestMessagesThatWaitForATurnAreBounded(t *testing.T) {
 	// Given a member that has no turn while its owner goes on sending,
 	s := newSingle(t, 1<<30, "a", "b", "c")
--- a/internal/system/placement/watch.go
+++ b/internal/system/placement/watch.go
@@ -13,6 +13,7 @@
 // Patience with members that are missing.
 const (
 	gatherAfter    = 1500 * time.Millisecond // from owning the group until the first placement, so that all stores are seen
+	sureAfter      = 12 * time.Second        // the same, until the members on both sides of a cut have found each other again
 	goneAfter      = 4 * time.Second         // dead for so long, or never seen since the watch began: gone for good
 	succeededAfter = time.Second             // the same, while a store without any replica runs: likely its successor
 	longestPause   = time.Second             // between two observations; after a longer one the watch begins anew
@@ -139,8 +140,11 @@
 	return Store{ID: m.ID, Node: node, Address: m.Address, Zone: m.Zone}, true
 }
 
-// HasGathered tells whether the watch has gone on for long enough to have heard of all members that run.
-func (w *Watch) HasGathered(now time.Time) bool { return now.Sub(w.since) >= gatherAfter }
+// IsSure tells whether this process has owned the group in that epoch, and watched without a pause, for so long that it has
+// heard of all members that run, also of those from which it was cut off before.
+func (w *Watch) IsSure(now time.Time, epoch uint64) bool {
+	return epoch != 0 && w.epoch == epoch && now.Sub(w.owning) >= sureAfter
+}
 
 // Lost tells which of the placement's replicas are gone for good.
 func (w *Watch) Lost(now time.Time, shards []view.ShardPlacement) map[string]bool {
--- a/internal/system/placement/watch_test.go
+++ b/internal/system/placement/watch_test.go
@@ -121,6 +121,38 @@
 	}
 }
 
+func TestWatchIsSureLongAfterTheElection(t *testing.T) {
+	alive := member(1, 1, membership.Alive)
+	o := newObserver()
+	o.epoch = 0
+	o.see(20*time.Second, alive)
+	if o.IsSure(o.now, 0) || o.IsSure(o.now, 4) {
+		t.Error("a member that doesn't own the group is sure")
+	}
+	// An owner is sure once the members on both sides of a cut have found each other, in the epoch that it owns.
+	o.epoch = 4
+	o.see(9*time.Second, alive)
+	if o.IsSure(o.now, 4) {
+		t.Error("it is sure 9 s after its election")
+	}
+	o.see(4*time.Second, alive)
+	if !o.IsSure(o.now, 4) || o.IsSure(o.now, 5) {
+		t.Error("it isn't sure in its own epoch alone")
+	}
+	// One that stood still, or was elected anew, begins anew.
+	o.now = o.now.Add(3 * time.Second)
+	o.see(time.Second, alive)
+	if o.IsSure(o.now, 4) {
+		t.Error("it is sure after it stood still")
+	}
+	o.see(13*time.Second, alive)
+	o.epoch = 6
+	o.see(time.Second, alive)
+	if o.IsSure(o.now, 6) {
+		t.Error("it is sure after another election")
+	}
+}
+
 func TestWatchBeginsOnceStoresAreKnown(t *testing.T) {
 	o := newObserver()
 	o.epoch = 0
--- a/internal/system/replica/api.go
+++ b/internal/system/replica/api.go
@@ -138,8 +138,9 @@
 type Status struct {
 	ID       string
 	Epoch    uint64
-	Owner    string // identity of the owner; empty: not known
-	IsOwner  bool   // and it has committed an entry of its own epoch
+	Owner    string        // identity of the owner; empty: not known
+	IsOwner  bool          // and it has committed an entry of its own epoch
+	Heard    time.Duration // when Owner, another member, was last heard, by the clock that Step is given
 	Members  []Member
 	Commit   uint64
 	Last     uint64
--- a/internal/system/replica/replica.go
+++ b/internal/system/replica/replica.go
@@ -323,6 +323,7 @@
 		ID:      r.options.ID,
 		Epoch:   r.promise.Epoch,
 		Owner:   r.owner.id,
+		Heard:   r.owner.heard,
 		IsOwner: r.IsOwner(),
 		Members: slices.Clone(r.groups.newest().members),
 		Commit:  r.commit,
