Have another controller read the list of endpoints where the owner does not reach the platform

An owner that was cut off from the platform alone kept the role of the reader, and the list stayed as it was until the owner changed. Ruled out: resigning (round and round while the platform is down for all), a lease for a second publisher. The owner goes on folding and publishing alone, so that stamps and the pace of reads stay as they were.

A member that became the owner again folded its first read into what it knew from its earlier epoch, so that an endpoint that had gone long ago was published once more for 0.7 s. The reader now remembers nothing; what is known belongs to an epoch, and its first list is two reads. Adopt goes with that, and its test: nobody called it. A read that ends after the ownership isn't published.

--- a/internal/system/controller/controller.go
+++ b/internal/system/controller/controller.go
@@ -43,6 +43,7 @@
 
 // EndpointReader reads the platform's whole list.
 type EndpointReader interface {
+	// ReadAll returns the list as it is now. An *platformlist.UnreachableError says that the platform gave no answer.
 	ReadAll(ctx context.Context) ([]model.Endpoint, error)
 }
 
@@ -63,6 +64,8 @@
 	Send  func(address string, envelope group.Envelope)                              // must not block
 	Ask   func(address string, done func(answer wire.ShardMembersAnswer, err error)) // must not block
 	Clock func() time.Duration
+	// AskList has the controller at an address read the platform's list.
+	AskList func(ctx context.Context, address string) ([]model.Endpoint, error)
 }
 
 // Controller is a running member of the configuration shard.
@@ -85,6 +88,7 @@
 	redirects   atomic.Uint64 // so many callers have been sent on while this controller wasn't in the group
 
 	checking chan struct{} // holds a token while a configuration is being checked
+	reading  chan struct{} // holds a token while the platform's list is being read
 	evidence *evidence
 }
 
@@ -96,9 +100,12 @@
 	if options.Ask == nil {
 		options.Ask = askByLink(options.Pool)
 	}
+	if options.AskList == nil {
+		options.AskList = askListByLink(options.Pool)
+	}
 	c := &Controller{options: options, dirty: make(chan struct{}, 1), told: view.Digest{}, placeSoon: make(chan struct{}, 1),
 		bodyTimeout: bodyTimeout,
-		checking:    make(chan struct{}, 1), evidence: newEvidence()}
+		checking:    make(chan struct{}, 1), reading: make(chan struct{}, 1), evidence: newEvidence()}
 	c.agree = NewMachine(c.markDirty)
 	c.planner = NewPlanner(c.copies())
 	opened, err := group.Open(group.Options{Name: GroupName, Disk: options.Disk, Machine: lockedMachine{c}, Logger: options.Logger,
@@ -132,6 +139,7 @@
 			c.group.Deliver(envelope.Message)
 		}
 	})
+	link.Handle(handlers, wire.MethodEndpoints, c.answerList)
 	link.HandleNotice(handlers, wire.MethodTallies, func(_ string, tallies wire.Tallies) { c.evidence.take(tallies) })
 }
 
--- a/internal/system/controller/endpoints.go
+++ b/internal/system/controller/endpoints.go
@@ -9,6 +9,7 @@
 	"github.com/go-kit/log/level"
 
 	"mastusher/internal/system/model"
+	"mastusher/internal/system/platformlist"
 	"mastusher/internal/system/view"
 )
 
@@ -17,6 +18,7 @@
 	readInterval = 700 * time.Millisecond
 	readTimeout  = 2500 * time.Millisecond
 	ownerCheck   = 100 * time.Millisecond // how often a member that isn't the owner looks whether it has become it
+	firstReads   = 2                      // of an owner, before it publishes: a single one may miss an endpoint that moved between pages
 )
 
 // readLoop reads the platform's list while this member owns the group, and publishes each change.
@@ -34,10 +36,14 @@
 	}
 }
 
-// EndpointPublisher remembers what has been published of the endpoints, so that an unchanged list isn't spread again.
+// EndpointPublisher remembers what has been read and published of the endpoints in the owner's epoch, so that an unchanged list
+// isn't spread again.
 type EndpointPublisher struct {
-	stamp view.Stamp
-	last  []model.Endpoint
+	stamp  view.Stamp
+	last   []model.Endpoint
+	source listSource
+	known  platformlist.Roll
+	epoch  uint64 // in which known was read
 }
 
 // ReadEndpoints reads the platform's list once, if this member owns the group, and tells when the next read is due.
@@ -46,18 +52,37 @@
 	if !status.IsOwner {
 		return ownerCheck
 	}
-	bounded, cancel := context.WithTimeout(ctx, readTimeout)
-	defer cancel()
-	endpoints, err := c.options.Reader.ReadAll(bounded)
+	endpoints, err := c.readKnown(ctx, publisher, status.Epoch)
 	if err != nil {
 		level.Warn(c.options.Logger).Log("msg", "list of endpoints cannot be read", "err", err)
 		return readInterval
 	}
+	if now := c.group.Status(); !now.IsOwner || now.Epoch != status.Epoch {
+		return ownerCheck
+	}
 	c.recordVersions(ctx, endpoints)
 	c.publishEndpoints(publisher, endpoints, status.Epoch)
 	return readInterval
 }
 
+// readKnown reads the list and returns all endpoints that are there. What was known in an earlier epoch isn't taken over: it
+// may be as old as that epoch, and would bring back endpoints that have gone since.
+func (c *Controller) readKnown(ctx context.Context, publisher *EndpointPublisher, epoch uint64) ([]model.Endpoint, error) {
+	reads := 1
+	if publisher.epoch != epoch {
+		publisher.known, reads = platformlist.Roll{}, firstReads
+	}
+	for range reads {
+		found, err := c.readList(ctx, &publisher.source)
+		if err != nil {
+			return nil, err
+		}
+		publisher.known.Observe(found)
+	}
+	publisher.epoch = epoch
+	return publisher.known.Endpoints(), nil
+}
+
 func (c *Controller) publishEndpoints(publisher *EndpointPublisher, endpoints []model.Endpoint, epoch uint64) {
 	piece, changed, err := publisher.next(endpoints, epoch)
 	if err != nil {
--- a/internal/system/platformlist/fetch.go
+++ b/internal/system/platformlist/fetch.go
@@ -23,6 +23,19 @@
 	return fmt.Sprintf("list of endpoints: the platform answered %d", e.Status)
 }
 
+// UnreachableError says that a call to the platform brought no answer in time.
+type UnreachableError struct {
+	Cause error
+}
+
+// Error names the cause.
+func (e *UnreachableError) Error() string {
+	return fmt.Sprintf("list of endpoints: the platform isn't reached: %v", e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *UnreachableError) Unwrap() error { return e.Cause }
+
 // errPageTooLong means that a page is over its bound.
 var errPageTooLong = errors.New("list of endpoints: a page is too long")
 
@@ -88,7 +101,7 @@
 	}
 	response, err := r.connection.send(request)
 	if err != nil {
-		return page{}, err
+		return page{}, &UnreachableError{Cause: err}
 	}
 	defer response.Body.Close()
 	if response.StatusCode != http.StatusOK {
--- a/internal/system/platformlist/pure_test.go
+++ b/internal/system/platformlist/pure_test.go
@@ -52,11 +52,11 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			var held roll
+			var held Roll
 			for _, found := range c.reads {
 				held.observe(found)
 			}
-			if diff := cmp.Diff(c.want, held.endpoints()); diff != "" {
+			if diff := cmp.Diff(c.want, held.Endpoints()); diff != "" {
 				t.Error(diff)
 			}
 		})
@@ -66,7 +66,7 @@
 func TestRollHoldsWhatTheLastTwoReadsFound(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		ids := rapid.SliceOfDistinct(rapid.SampledFrom([]string{"1", "2", "3", "4"}), rapid.ID)
-		var held roll
+		var held Roll
 		var last, before map[string]model.Endpoint
 		for range rapid.IntRange(1, 8).Draw(t, "reads") {
 			before, last = last, map[string]model.Endpoint{}
@@ -78,7 +78,7 @@
 		want := maps.Clone(last)
 		maps.Copy(want, before)
 		var got []string
-		for _, e := range held.endpoints() {
+		for _, e := range held.Endpoints() {
 			got = append(got, e.ID)
 		}
 		if !slices.Equal(got, slices.Sorted(maps.Keys(want))) {
@@ -87,20 +87,6 @@
 	})
 }
 
-func TestAdopt(t *testing.T) {
-	// Given a reader that knows one endpoint as draining and is told of two as ready
-	held := roll{}
-	held.observe(read(endpoint("1", model.Draining)))
-	held.adopt([]model.Endpoint{endpoint("1", model.Ready), endpoint("2", model.Ready)})
-	// When a read finds neither
-	held.observe(read())
-	// Then both are kept, as they were known
-	want := []model.Endpoint{endpoint("1", model.Draining), endpoint("2", model.Ready)}
-	if diff := cmp.Diff(want, held.endpoints()); diff != "" {
-		t.Error(diff)
-	}
-}
-
 func TestPager(t *testing.T) {
 	second, first := "p-2", ""
 	cases := []struct {
--- a/internal/system/platformlist/reader.go
+++ b/internal/system/platformlist/reader.go
@@ -4,8 +4,12 @@
 	"context"
 	"errors"
 	"fmt"
+	"iter"
+	"maps"
 	"math/rand/v2"
 	"net/http"
+	"slices"
+	"strings"
 	"time"
 
 	"mastusher/internal/system/model"
@@ -20,17 +24,16 @@
 	Seed     uint64  // of the jitter
 }
 
-// Reader reads the whole list. It is used by one goroutine at a time.
+// Reader reads the whole list. It is used by one goroutine at a time, and remembers nothing from one read to the next.
 type Reader struct {
 	options    Options
 	connection *connection
 	clock      Clock
 	bucket     *bucket
 	random     *rand.Rand
-	roll       roll
 }
 
-// NewReader gives a reader that knows no endpoint yet.
+// NewReader gives a reader that has no connection yet.
 func NewReader(options Options) (*Reader, error) {
 	if !(options.RatePerS > 0) {
 		return nil, fmt.Errorf("list of endpoints: a rate of %v calls a second reads nothing", options.RatePerS)
@@ -48,18 +51,13 @@
 	}, nil
 }
 
-// Adopt tells a new reader what the one before it knew, so that one read that misses an endpoint does not remove it.
-func (r *Reader) Adopt(endpoints []model.Endpoint) {
-	r.roll.adopt(endpoints)
-}
-
 // Close closes the connection.
 func (r *Reader) Close() {
 	r.connection.close()
 }
 
-// ReadAll reads all pages and gives every endpoint that is there, in the order of their ids. Pages that fail are asked
-// for again, with growing pauses, until ctx ends; then the error is the last failure, and what was known stays.
+// ReadAll reads all pages and gives every endpoint on them, in the order of their ids. Pages that fail are asked for again,
+// with growing pauses, until ctx ends; then the error wraps the last failure.
 func (r *Reader) ReadAll(ctx context.Context) ([]model.Endpoint, error) {
 	pager := newPager()
 	restarts := 0
@@ -76,21 +74,28 @@
 			return nil, err
 		}
 	}
-	r.roll.observe(pager.found)
-	return r.roll.endpoints(), nil
+	return inOrder(maps.Values(pager.found)), nil
+}
+
+// inOrder sorts endpoints by their ids.
+func inOrder(endpoints iter.Seq[model.Endpoint]) []model.Endpoint {
+	all := slices.AppendSeq([]model.Endpoint{}, endpoints)
+	slices.SortFunc(all, func(a, b model.Endpoint) int { return strings.Compare(a.ID, b.ID) })
+	return all
 }
 
 // page asks for one page until it comes, the platform refuses it for good or ctx ends.
 func (r *Reader) page(ctx context.Context, token string) (page, error) {
+	if err := r.wait(ctx, r.bucket.take(r.clock.Now())); err != nil {
+		return page{}, err
+	}
 	for failures := 1; ; failures++ {
-		if err := r.wait(ctx, r.bucket.take(r.clock.Now())); err != nil {
-			return page{}, err
-		}
 		answer, err := r.fetch(ctx, token)
 		if err == nil || unknownPage(err, token) {
 			return answer, err
 		}
-		if stopped := r.wait(ctx, r.pause(failures, err)); stopped != nil {
+		pause := max(r.pause(failures, err), r.bucket.take(r.clock.Now()))
+		if stopped := r.wait(ctx, pause); stopped != nil {
 			return page{}, fmt.Errorf("%w after %w", stopped, err)
 		}
 	}
--- a/internal/system/platformlist/reader_test.go
+++ b/internal/system/platformlist/reader_test.go
@@ -217,9 +217,12 @@
 	stand := startPlatform(t, 5, want...)
 	clock := &steppingClock{}
 	reader := newTestReader(t, stand, clock, 47)
-	if _, err := reader.ReadAll(t.Context()); err != nil {
+	first, err := reader.ReadAll(t.Context())
+	if err != nil {
 		t.Fatal(err)
 	}
+	var known Roll
+	known.Observe(first)
 	stand.answers = []func(http.ResponseWriter){status(503), status(503), status(503)}
 	// When the context ends during the third pause
 	ctx, cancel := context.WithCancel(t.Context())
@@ -231,7 +234,7 @@
 			cancel()
 		}
 	}
-	_, err := reader.ReadAll(ctx)
+	_, err = reader.ReadAll(ctx)
 	// Then the error says both why and after what
 	var last *StatusError
 	if !errors.Is(err, context.Canceled) || !errors.As(err, &last) || last.Status != 503 {
@@ -244,7 +247,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if diff := cmp.Diff(want, got); diff != "" {
+	if diff := cmp.Diff(want[:1], got); diff != "" {
+		t.Error(diff)
+	}
+	known.Observe(got)
+	if diff := cmp.Diff(want, known.Endpoints()); diff != "" {
 		t.Error(diff)
 	}
 }
--- a/internal/system/platformlist/roll.go
+++ b/internal/system/platformlist/roll.go
@@ -1,19 +1,17 @@
 package platformlist
 
 import (
-	"maps"
 	"slices"
-	"strings"
 
 	"mastusher/internal/system/model"
 )
 
-// roll folds whole reads into what is held to be there. It is pure.
+// Roll folds whole reads, one after the other, into what is held to be there. It is pure. The zero value knows nothing.
 //
 // A single read may miss an endpoint that moved between pages. An endpoint that one read misses is kept as it was last
 // seen; a second miss in a row removes it. It goes at once when its address belongs to another by then. One seen as
 // draining is never ready again.
-type roll struct {
+type Roll struct {
 	known map[string]entry
 }
 
@@ -22,8 +20,16 @@
 	misses   int
 }
 
-// observe takes one whole read.
-func (r *roll) observe(found map[string]model.Endpoint) {
+// Observe takes one whole read.
+func (r *Roll) Observe(read []model.Endpoint) {
+	found := make(map[string]model.Endpoint, len(read))
+	for _, endpoint := range read {
+		found[endpoint.ID] = endpoint
+	}
+	r.observe(found)
+}
+
+func (r *Roll) observe(found map[string]model.Endpoint) {
 	next := make(map[string]entry, len(found))
 	taken := make(map[string]bool, len(found))
 	for id, endpoint := range found {
@@ -45,24 +51,11 @@
 	r.known = next
 }
 
-// adopt takes over what an earlier reader knew, and leaves what is known already.
-func (r *roll) adopt(endpoints []model.Endpoint) {
-	if r.known == nil {
-		r.known = make(map[string]entry, len(endpoints))
-	}
-	for _, endpoint := range endpoints {
-		if _, known := r.known[endpoint.ID]; !known {
-			r.known[endpoint.ID] = entry{endpoint: endpoint}
-		}
-	}
-}
-
-// endpoints gives all of them in the order of their ids.
-func (r *roll) endpoints() []model.Endpoint {
+// Endpoints gives all of them in the order of their ids.
+func (r *Roll) Endpoints() []model.Endpoint {
 	all := make([]model.Endpoint, 0, len(r.known))
-	for known := range maps.Values(r.known) {
+	for _, known := range r.known {
 		all = append(all, known.endpoint)
 	}
-	slices.SortFunc(all, func(a, b model.Endpoint) int { return strings.Compare(a.ID, b.ID) })
-	return all
+	return inOrder(slices.Values(all))
 }
--- a/internal/system/wire/wire.go
+++ b/internal/system/wire/wire.go
@@ -2,6 +2,7 @@
 package wire
 
 import (
+	"mastusher/internal/system/model"
 	"mastusher/internal/system/program"
 	"mastusher/internal/system/rollout"
 	"mastusher/internal/system/view"
@@ -19,6 +20,17 @@
 	MethodShardMembers = "shard.members" // ShardMembersRequest, answered by a ShardMembersAnswer
 )
 
+// MethodEndpoints has a controller read the platform's list of endpoints: an EndpointsRequest, answered by an EndpointsAnswer.
+const MethodEndpoints = "endpoints"
+
+// EndpointsRequest asks for the platform's list as it is now.
+type EndpointsRequest struct{}
+
+// EndpointsAnswer holds the whole list.
+type EndpointsAnswer struct {
+	Endpoints []model.Endpoint `json:"endpoints"`
+}
+
 // MethodProxies asks an agent how many proxies there are: a ProxiesRequest, answered by a ProxiesAnswer.
 const MethodProxies = "proxies"
 
