--- a/internal/system/controller/controller.go
+++ b/internal/system/controller/controller.go
@@ -45,6 +45,7 @@
 
 // EndpointReader reads the platform's whole list.
 type EndpointReader interface {
+	// ReadAll returns the list as it is now. An *platformlist.UnreachableError says that the platform gave no answer.
 	ReadAll(ctx context.Context) ([]model.Endpoint, error)
 }
 
@@ -65,6 +66,8 @@
 	Send  func(address string, envelope group.Envelope)                              // must not block
 	Ask   func(address string, done func(answer wire.ShardMembersAnswer, err error)) // must not block
 	Clock func() time.Duration
+	// AskList has the controller at an address read the platform's list.
+	AskList func(ctx context.Context, address string) ([]model.Endpoint, error)
 
 	Network network.Network  // where the operator's calls come in; nil: the system's
 	Now     func() time.Time // time of day
@@ -88,8 +91,10 @@
 	placeSoon   chan struct{}
 
 	bodyTimeout time.Duration
+	redirects   atomic.Uint64 // so many callers have been sent on while this controller wasn't in the group
 
 	checking chan struct{} // holds a token while a configuration is being checked
+	reading  chan struct{} // holds a token while the platform's list is being read
 	evidence *evidence
 }
 
@@ -108,9 +113,12 @@
 	if options.Now == nil {
 		options.Now = time.Now
 	}
+	if options.AskList == nil {
+		options.AskList = askListByLink(options.Pool)
+	}
 	c := &Controller{options: options, dirty: make(chan struct{}, 1), told: view.Digest{}, placeSoon: make(chan struct{}, 1),
 		bodyTimeout: bodyTimeout,
-		checking:    make(chan struct{}, 1), evidence: newEvidence()}
+		checking:    make(chan struct{}, 1), reading: make(chan struct{}, 1), evidence: newEvidence()}
 	c.agree = NewMachine(c.markDirty)
 	c.repeats = repeat.NewWindow(repeatWindow(options.Settings.Bounds))
 	c.planner = NewPlanner(c.copies())
@@ -145,6 +153,7 @@
 			c.group.Deliver(envelope.Message)
 		}
 	})
+	link.Handle(handlers, wire.MethodEndpoints, c.answerList)
 	link.HandleNotice(handlers, wire.MethodTallies, func(_ string, tallies wire.Tallies) { c.evidence.take(c.options.Clock(), tallies) })
 }
 
