Replace one lost member for each newcomer, and the silent one before its successor votes

Three faults made it: - one newcomer made every missing member count as lost, also one that is back a moment later; - a successor that had been taken in was no newcomer any more, so that the member it came for counted as kept again, and four were wanted; - a new owner took a silent voter for one that answers until an election time-out had passed, and gave the successor its vote beside it. Ruled out: the order of steps itself (silent voters go first), and the timing of suspicion. Change: each newcomer stands for the one member that has been missing for the longest time; of more members than copies the missing ones go, then learners; a successor waits for its vote until the owner knows whether the one that leaves still answers.

--- a/internal/system/controller/plan.go
+++ b/internal/system/controller/plan.go
@@ -96,21 +96,65 @@
 	isLost := p.watch.LostHolders(now, membership.Controller, holdersOf(status.Members))
 	var kept, lost []replica.Member
 	for _, m := range status.Members {
-		m.Learner = false
 		if m.ID != status.ID && isLost[m.ID] {
 			lost = append(lost, m)
 			continue
 		}
 		kept = append(kept, m)
 	}
+	kept = p.withoutExcess(kept, status.ID)
 	for _, m := range p.watch.Running(membership.Controller) {
 		known := slices.ContainsFunc(kept, func(o replica.Member) bool { return o.ID == m.ID })
 		if len(kept) < p.copies && !known {
 			kept = append(kept, replica.Member{ID: m.ID, Address: m.Address})
 		}
 	}
+	// Those that stay are the ones that were last seen to run: they most likely come back.
+	slices.SortStableFunc(lost, func(a, b replica.Member) int {
+		sinceA, _ := p.watch.AbsentSince(a.ID)
+		sinceB, _ := p.watch.AbsentSince(b.ID)
+		return sinceB.Compare(sinceA)
+	})
 	missing := max(0, min(p.copies, len(status.Members))-len(kept))
-	return append(kept, lost[:min(missing, len(lost))]...)
+	return voters(append(kept, lost[:min(missing, len(lost))]...))
+}
+
+// withoutExcess drops members beyond the copies: a successor that has been taken in stands for the member that has been
+// missing for the longest time, and isn't needed any more where none is.
+func (p *Planner) withoutExcess(kept []replica.Member, self string) []replica.Member {
+	for len(kept) > p.copies {
+		at := p.dispensable(kept, self)
+		if at < 0 {
+			return kept
+		}
+		kept = slices.Delete(kept, at, at+1)
+	}
+	return kept
+}
+
+// dispensable finds the member to be dropped first, other than this one: the one that has been missing for the longest time,
+// else one that has no vote yet. It returns -1 if there is neither.
+func (p *Planner) dispensable(members []replica.Member, self string) int {
+	at := -1
+	var longest time.Time
+	for i, m := range members {
+		since, missing := p.watch.AbsentSince(m.ID)
+		if missing && m.ID != self && (at < 0 || since.Before(longest)) {
+			at, longest = i, since
+		}
+	}
+	if at >= 0 {
+		return at
+	}
+	return slices.IndexFunc(members, func(m replica.Member) bool { return m.Learner && m.ID != self })
+}
+
+// voters returns the members as those that are all to have a vote.
+func voters(members []replica.Member) []replica.Member {
+	for i := range members {
+		members[i].Learner = false
+	}
+	return members
 }
 
 func holdersOf(members []replica.Member) []placement.Holder {
--- /dev/null
+++ b/internal/system/controller/plan_own_test.go
@@ -0,0 +1,68 @@
+package controller
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"mastusher/internal/system/membership"
+	"mastusher/internal/system/replica"
+)
+
+// TestMembersOfTheOwnGroup checks which members the configuration shard's group is to have, step by step of a replacement.
+func TestMembersOfTheOwnGroup(t *testing.T) {
+	running := func(name string) membership.Member {
+		return controllerMember(name, name, name+":7000", name+":8144")
+	}
+	in := func(state membership.State, m membership.Member) membership.Member {
+		m.State = state
+		return m
+	}
+	voter := func(name string) replica.Member { return replica.Member{ID: name, Address: name + ":7000"} }
+	learner := voter("new")
+	learner.Learner = true
+	first, second, third, added := running("first"), running("second"), running("third"), running("new")
+	missing := in(membership.Suspect, third)
+	tests := []struct {
+		name    string
+		group   []replica.Member
+		members []membership.Member
+		passed  time.Duration // since the members are as they are
+		want    []replica.Member
+	}{
+		{"all run", []replica.Member{voter("first"), voter("second"), voter("third")},
+			[]membership.Member{first, second, third, added}, 3 * time.Second,
+			[]replica.Member{voter("first"), voter("second"), voter("third")}},
+		{"one is missing and another has come", []replica.Member{voter("first"), voter("second"), voter("third")},
+			[]membership.Member{first, second, missing, added}, 2 * time.Second,
+			[]replica.Member{voter("first"), voter("second"), voter("new")}},
+		{"its successor has been taken in", []replica.Member{voter("first"), voter("second"), voter("third"), learner},
+			[]membership.Member{first, second, missing, added}, 2 * time.Second,
+			[]replica.Member{voter("first"), voter("second"), voter("new")}},
+		{"its successor votes already", []replica.Member{voter("first"), voter("second"), voter("third"), voter("new")},
+			[]membership.Member{first, second, missing, added}, 2 * time.Second,
+			[]replica.Member{voter("first"), voter("second"), voter("new")}},
+		{"it is back before its successor votes", []replica.Member{voter("first"), voter("second"), voter("third"), learner},
+			[]membership.Member{first, second, third, added}, 2 * time.Second,
+			[]replica.Member{voter("first"), voter("second"), voter("third")}},
+		{"two are missing and one has come", []replica.Member{voter("first"), voter("second"), voter("third")},
+			[]membership.Member{first, in(membership.Suspect, second), in(membership.Dead, third), added}, 9 * time.Second,
+			[]replica.Member{voter("first"), voter("second"), voter("new")}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			planner := NewPlanner(3)
+			now := time.UnixMilli(1_700_000_000_000)
+			planner.Watch().Observe(now, []membership.Member{first, second, third}, 1)
+			for passed := time.Duration(0); passed <= test.passed; passed += 500 * time.Millisecond {
+				now = now.Add(500 * time.Millisecond)
+				planner.Watch().Observe(now, test.members, 1)
+			}
+			got := planner.own(now, replica.Status{ID: "first", Members: test.group})
+			if diff := cmp.Diff(test.want, got); diff != "" {
+				t.Errorf("members (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/internal/system/placement/watch.go
+++ b/internal/system/placement/watch.go
@@ -93,46 +93,90 @@
 }
 
 // LostHolders tells which holders of that role are gone for good: their disk was wiped, since their machine runs with another
-// identity, or nothing has been heard of them for long. That takes less long while a member of the role runs that holds nothing,
-// and still less while one does that has come lately: it is to have what it needs before the next loss.
+// identity, or nothing has been heard of them for long. That takes less long where a member of the role runs that holds nothing,
+// and still less where one does that has come lately: it is to have what it needs before the next loss. Each such member
+// stands in for one holder alone, the one that has been missing for the longest time: another may come back.
 func (w *Watch) LostHolders(now time.Time, role membership.Role, holders []Holder) map[string]bool {
-	isMissing := w.patience(now, role, holders)
 	lost := map[string]bool{}
-	for _, holder := range holders {
-		if holder.Name == "" {
-			holder.Name = w.names[holder.ID]
+	var missing []Holder
+	for _, holder := range w.distinct(holders) {
+		switch {
+		case w.isLost(now, holder):
+			lost[holder.ID] = true
+		case w.isMissing(holder):
+			missing = append(missing, holder)
 		}
-		if w.isLost(now, holder, isMissing) {
+	}
+	w.sortByAbsence(missing)
+	spare := w.spareMembers(role, holders)
+	successors := len(spare) - len(lost)
+	since := w.dead
+	if slices.ContainsFunc(spare, func(m membership.Member) bool { return now.Sub(w.met[m.ID]) < newcomerAge }) {
+		since = w.absent
+	}
+	for _, holder := range missing[:max(0, min(successors, len(missing)))] {
+		if begun, gone := since[w.nameOf(holder)]; gone && now.Sub(begun) >= succeededAfter {
 			lost[holder.ID] = true
 		}
 	}
 	return lost
 }
 
-// patience returns what tells whether the member of a name has been missing for too long.
-func (w *Watch) patience(now time.Time, role membership.Role, holders []Holder) (isMissing func(name string) bool) {
-	since, longest := w.dead, goneAfter
-	for _, m := range w.Running(role) {
-		if slices.ContainsFunc(holders, func(h Holder) bool { return h.ID == m.ID }) {
-			continue
-		}
-		longest = succeededAfter
-		if now.Sub(w.met[m.ID]) < newcomerAge {
-			since = w.absent
+// distinct names each holder once.
+func (w *Watch) distinct(holders []Holder) []Holder {
+	var all []Holder
+	for _, holder := range holders {
+		if !slices.ContainsFunc(all, func(h Holder) bool { return h.ID == holder.ID }) {
+			all = append(all, holder)
 		}
 	}
-	return func(name string) bool {
-		begun, missing := since[name]
-		return missing && now.Sub(begun) >= longest
+	return all
+}
+
+// nameOf is the name under which a holder is a member.
+func (w *Watch) nameOf(holder Holder) string {
+	if holder.Name == "" {
+		return w.names[holder.ID]
 	}
+	return holder.Name
+}
+
+// isMissing tells whether a holder is suspected, dead or has left.
+func (w *Watch) isMissing(holder Holder) bool {
+	_, missing := w.absent[w.nameOf(holder)]
+	return missing
+}
+
+// sortByAbsence puts the holders that have been missing for the longest time first.
+func (w *Watch) sortByAbsence(holders []Holder) {
+	slices.SortStableFunc(holders, func(a, b Holder) int {
+		return w.absent[w.nameOf(a)].Compare(w.absent[w.nameOf(b)])
+	})
+}
+
+// spareMembers lists the members of a role that run and hold nothing.
+func (w *Watch) spareMembers(role membership.Role, holders []Holder) []membership.Member {
+	return slices.DeleteFunc(w.Running(role), func(m membership.Member) bool {
+		return slices.ContainsFunc(holders, func(h Holder) bool { return h.ID == m.ID })
+	})
+}
+
+// AbsentSince is when the member of an identity was last seen to run, as far as the watch reaches back; missing is false where
+// it runs, or nothing is known of it.
+func (w *Watch) AbsentSince(id string) (since time.Time, missing bool) {
+	since, missing = w.absent[w.names[id]]
+	return since, missing
 }
 
-func (w *Watch) isLost(now time.Time, holder Holder, isMissing func(name string) bool) bool {
+// isLost tells whether a holder is certainly gone: wiped, or missing for long.
+func (w *Watch) isLost(now time.Time, holder Holder) bool {
 	if m := w.find(func(m *membership.Member) bool { return m.ID == holder.ID }); m != nil {
-		return isMissing(m.Name)
+		begun, dead := w.dead[m.Name]
+		return dead && now.Sub(begun) >= goneAfter
 	}
+	name := w.nameOf(holder)
 	replaced := w.find(func(m *membership.Member) bool {
-		return m.Name == holder.Name || m.Address == holder.Address && !m.Gone()
+		return m.Name == name || m.Address == holder.Address && !m.Gone()
 	})
 	return replaced != nil || now.Sub(w.since) >= goneAfter
 }
--- a/internal/system/placement/watch_test.go
+++ b/internal/system/placement/watch_test.go
@@ -253,3 +253,25 @@
 		t.Error("a machine without a store is known as one")
 	}
 }
+
+// TestOneNewcomerStandsForOneLoss has two machines missing and one that has just come: only the machine that has been missing for
+// longer counts as lost, since the other one may come back.
+func TestOneNewcomerStandsForOneLoss(t *testing.T) {
+	first, second, third := member(1, 1, membership.Suspect), member(2, 1, membership.Suspect), member(4, 1, membership.Alive)
+	placed := []view.ShardPlacement{{Replicas: []view.Replica{machine(2, "zone", 1), machine(1, "zone", 1), machine(4, "zone", 1)}}}
+	o := newObserver()
+	o.see(time.Second, member(1, 1, membership.Alive), member(2, 1, membership.Alive), third)
+	o.see(500*time.Millisecond, first, member(2, 1, membership.Alive), third)
+	o.see(2*time.Second, first, second, third, member(3, 1, membership.Alive))
+	want := map[string]bool{machine(1, "zone", 1).ID: true}
+	if diff := cmp.Diff(want, o.Lost(o.now, placed)); diff != "" {
+		t.Errorf("lost (-want +got):\n%s", diff)
+	}
+
+	// Where two have come, both are.
+	o.see(time.Second, first, second, third, member(3, 1, membership.Alive), member(5, 1, membership.Alive))
+	want[machine(2, "zone", 1).ID] = true
+	if diff := cmp.Diff(want, o.Lost(o.now, placed)); diff != "" {
+		t.Errorf("lost (-want +got):\n%s", diff)
+	}
+}
--- a/internal/system/replica/change.go
+++ b/internal/system/replica/change.go
@@ -112,8 +112,12 @@
 	return nil
 }
 
-// promoteLearner gives a vote to a wanted voter that has caught up.
+// promoteLearner gives a vote to a wanted voter that has caught up. Where it comes for a voter of which this owner can't tell
+// yet whether it still answers, it waits until that is known: one that doesn't is to go first.
 func (r *Replica) promoteLearner() []Member {
+	if r.hasUnknownLeaver() {
+		return nil
+	}
 	for _, p := range r.ownership.peers {
 		if p.learner && r.wantsVoter(p.id) && r.isCaughtUp(p) {
 			return r.withLearner(p.id, false)
@@ -122,6 +126,13 @@
 	return nil
 }
 
+// hasUnknownLeaver tells whether a voter is not wanted that has neither answered this owner nor been silent for long enough.
+func (r *Replica) hasUnknownLeaver() bool {
+	return slices.ContainsFunc(r.ownership.peers, func(p *peer) bool {
+		return !p.learner && !r.wantsVoter(p.id) && !p.answered && r.hears(p)
+	})
+}
+
 // dropLearner removes a learner that is not wanted.
 func (r *Replica) dropLearner() []Member {
 	for _, p := range r.ownership.peers {
--- a/internal/system/replica/peer.go
+++ b/internal/system/replica/peer.go
@@ -30,6 +30,8 @@
 	sent      bool   // something since the last heartbeat
 	sentRound uint64 // newest round that was sent to it
 
+	answered bool // this owner; until then heard tells since when it is a peer
+
 	installDue time.Duration // when a snapshot may be sent again
 }
 
@@ -200,7 +202,7 @@
 	if p == nil {
 		return
 	}
-	p.heard = r.now
+	p.heard, p.answered = r.now, true
 	p.round = max(p.round, answer.Round)
 	if answer.Rejected {
 		r.repair(p, answer)
--- a/internal/system/replica/successor_test.go
+++ b/internal/system/replica/successor_test.go
@@ -52,3 +52,32 @@
 	s.start(spares[1])
 	s.thenGroupIs(t, 2*time.Second, append(membersOf(staying...), membersOf(spares...)...))
 }
+
+// TestSilentVoterGoesFirstUnderANewOwner has an owner elected while a member is gone that its successor is to replace: the owner
+// gives no fourth vote before it knows that the member is silent.
+func TestSilentVoterGoesFirstUnderANewOwner(t *testing.T) {
+	s := newSimulation(22, 3, 1, calm)
+	s.startAll()
+	s.runUntil(time.Second, func() bool { return s.owner() != nil })
+	first := s.owner()
+	others := s.others(first)
+	gone, staying, spare := others[0], []*node{first, others[1]}, others[2]
+	s.kill(gone)
+	s.runFor(2 * testElection)
+	s.setWanted(membersOf(first, others[1], spare))
+
+	// When the remaining two elect an owner anew, right before the successor has caught up.
+	s.kill(first)
+	s.runFor(2 * testElection)
+	s.start(first)
+	most := 0
+	s.runUntil(s.now+5*time.Second, func() bool {
+		agreed := newGroup(0, s.checker.group)
+		most = max(most, agreed.voters)
+		return agreed.votes(spare.id)
+	})
+	if most != 3 {
+		t.Errorf("the group had %d voters, want 3 at most", most)
+	}
+	s.thenGroupIs(t, time.Second, append(membersOf(staying...), membersOf(spare)...))
+}
