--- a/internal/system/replica/campaign_test.go
+++ b/internal/system/replica/campaign_test.go
@@ -25,13 +25,12 @@
 	keepIDs    bool // a fault outside the member: an empty disk comes back under the old identity
 }
 
-func newCampaign(seed uint64, with faults) *campaign {
+func newCampaign(seed uint64) *campaign {
 	s := newSimulation(seed, 3, 2, conditions{})
 	if seed%4 == 3 {
 		s = newSimulation(seed, 5, 1, conditions{})
 	}
 	c := &campaign{simulation: s, churn: seed%3 == 2, storm: seed%8 >= 5}
-	c.faults = with
 	if seed%2 == 0 {
 		c.limits = &limits{message: 150, flight: 400, open: 16 << 20, tail: 3}
 	}
@@ -390,7 +389,7 @@
 			t.Run(fmt.Sprint(worker), func(t *testing.T) {
 				t.Parallel()
 				for seed := uint64(worker); seed < campaignSeeds; seed += workers {
-					c := newCampaign(seed, faults{})
+					c := newCampaign(seed)
 					if violation := c.run(); violation != "" {
 						t.Fatalf("seed %d: %s", seed, violation)
 					}
--- a/internal/system/replica/change.go
+++ b/internal/system/replica/change.go
@@ -27,10 +27,10 @@
 	if len(r.wanted) == 0 || r.ownership.resigning || r.isAsWanted() {
 		return
 	}
-	if !r.isOpen() && !r.faults.changeUnopened {
+	if !r.isOpen() {
 		return
 	}
-	if r.groups.newest().index > r.commit && !r.faults.changeTwice {
+	if r.groups.newest().index > r.commit {
 		return
 	}
 	members := r.nextMembers()
--- a/internal/system/replica/change_test.go
+++ b/internal/system/replica/change_test.go
@@ -216,10 +216,9 @@
 // storyOfUnopenedChange is the known way to lose a change of members: an owner's list reaches one other member, the
 // next owner removes the first one by a majority of the smaller group, and the first one comes back with the larger
 // group's majority.
-func storyOfUnopenedChange(t *testing.T, with faults) string {
+func storyOfUnopenedChange(t *testing.T) string {
 	t.Helper()
 	s := newSimulation(12, 4, 1, calm)
-	s.faults = with
 	s.startAll()
 	fifth := s.nodes[4]
 	s.runUntil(time.Second, func() bool { return s.owner() != nil })
@@ -270,12 +269,7 @@
 }
 
 func TestChangeWaitsForTheOwnEpoch(t *testing.T) {
-	if violation := storyOfUnopenedChange(t, faults{}); violation != "" {
+	if violation := storyOfUnopenedChange(t); violation != "" {
 		t.Error(violation)
 	}
-	violation := storyOfUnopenedChange(t, faults{changeUnopened: true})
-	if violation == "" {
-		t.Error("the checker does not notice changes before the own epoch is open")
-	}
-	t.Log(violation)
 }
--- a/internal/system/replica/election.go
+++ b/internal/system/replica/election.go
@@ -125,11 +125,7 @@
 
 // majority is the number of voters that decide.
 func (r *Replica) majority() int {
-	majority := r.groups.newest().majority()
-	if r.faults.minorityDecides && majority > 1 {
-		majority--
-	}
-	return majority
+	return r.groups.newest().majority()
 }
 
 func (r *Replica) receiveAskVote(ask *Message) {
@@ -146,7 +142,7 @@
 		}
 		r.follow(ask.Epoch, "")
 	}
-	mayVote := r.promise.Vote == "" || r.promise.Vote == ask.From || r.faults.voteAgain
+	mayVote := r.promise.Vote == "" || r.promise.Vote == ask.From
 	if ask.Epoch < r.promise.Epoch || r.role != follower || !mayVote || !r.isBehind(ask) {
 		r.answerVote(ask, false)
 		return
@@ -161,9 +157,6 @@
 
 // isBehind tells whether the candidate's log holds all that this member's log may have to keep.
 func (r *Replica) isBehind(ask *Message) bool {
-	if r.faults.ignoreLogs {
-		return true
-	}
 	if ask.LogEpoch != r.log.lastEpoch() {
 		return ask.LogEpoch > r.log.lastEpoch()
 	}
--- a/internal/system/replica/explore_test.go
+++ b/internal/system/replica/explore_test.go
@@ -53,12 +53,12 @@
 }
 
 // newWorld starts three members from their disks.
-func newWorld(t *testing.T, disks [3]Recovered, left allowance, with faults) *world {
+func newWorld(t *testing.T, disks [3]Recovered, left allowance) *world {
 	t.Helper()
 	w := &world{left: left, owners: map[uint64]string{}}
 	for i, id := range explorationIDs {
 		w.members[i].disk = disks[i]
-		w.restart(i, id, with)
+		w.restart(i, id)
 	}
 	if w.violation != "" {
 		t.Fatal(w.violation)
@@ -66,7 +66,7 @@
 	return w
 }
 
-func (w *world) restart(i int, id string, with faults) {
+func (w *world) restart(i int, id string) {
 	options := Options{ID: id, Initial: explorationGroup(), Heartbeat: testHeartbeat, Election: testElection}
 	m := &w.members[i]
 	m.clock, m.wake = 0, 0
@@ -75,7 +75,6 @@
 		w.violation = err.Error()
 		return
 	}
-	replica.faults = with
 	replica.limits.message = 1
 	m.replica = replica
 }
@@ -136,7 +135,7 @@
 	}
 	m.disk = save(m.disk, effects, writes)
 	if crash != noCrash {
-		w.restart(i, explorationIDs[i], m.replica.faults)
+		w.restart(i, explorationIDs[i])
 		return
 	}
 	w.launch(effects.AfterSync)
@@ -418,7 +417,7 @@
 	for _, tc := range explorations {
 		t.Run(tc.name, func(t *testing.T) {
 			t.Parallel()
-			found := explore(newWorld(t, tc.disks, tc.left, faults{}), tc.depth-raceShallower)
+			found := explore(newWorld(t, tc.disks, tc.left), tc.depth-raceShallower)
 			if found.violation != "" {
 				t.Error(found.violation)
 			}
@@ -426,49 +425,3 @@
 		})
 	}
 }
-
-func TestExplorationNoticesFaults(t *testing.T) {
-	cases := []struct {
-		name   string
-		faults faults
-		disks  [3]Recovered
-		left   allowance
-		depth  int
-	}{
-		{
-			name:   "entries of older epochs are committed by counting",
-			faults: faults{countOldEpochs: true},
-			disks:  explorations[2].disks,
-			left:   explorations[2].left,
-			depth:  explorations[2].depth,
-		},
-		{
-			name:   "promises are not saved",
-			faults: faults{forgetPromise: true},
-			left:   explorations[0].left,
-			depth:  explorations[0].depth,
-		},
-		{
-			name:   "appends are acknowledged before the sync",
-			faults: faults{answerEarly: true},
-			left:   explorations[0].left,
-			depth:  explorations[0].depth,
-		},
-		{
-			name:   "two votes in an epoch",
-			faults: faults{voteAgain: true},
-			left:   explorations[0].left,
-			depth:  explorations[0].depth,
-		},
-	}
-	for _, tc := range cases {
-		t.Run(tc.name, func(t *testing.T) {
-			t.Parallel()
-			found := explore(newWorld(t, tc.disks, tc.left, tc.faults), tc.depth)
-			if found.violation == "" {
-				t.Errorf("not noticed in %d states", len(found.seen))
-			}
-			t.Logf("%d states: %s", len(found.seen), found.violation)
-		})
-	}
-}
--- a/internal/system/replica/follower.go
+++ b/internal/system/replica/follower.go
@@ -10,7 +10,7 @@
 
 // heed takes the sender of an append or a snapshot for the owner; false when its epoch is over, or this member leads.
 func (r *Replica) heed(message *Message) bool {
-	if message.Epoch < r.promise.Epoch && !r.faults.obeyOldOwners {
+	if message.Epoch < r.promise.Epoch {
 		r.sendAfterSync(Message{Kind: AnswerAppend, To: message.From, Epoch: r.promise.Epoch, Rejected: true})
 		return false
 	}
@@ -37,15 +37,15 @@
 	if checkSequence(previous, 0, entries) != nil {
 		return
 	}
-	if previous < r.commit && !r.faults.truncateAlways {
+	if previous < r.commit {
 		skipped := min(r.commit-previous, uint64(len(entries)))
 		previous, entries = previous+skipped, entries[skipped:]
 	}
 	switch {
-	case previous < r.commit && !r.faults.truncateAlways:
+	case previous < r.commit:
 		r.accept(message, r.commit)
 		return
-	case previous == r.commit || r.faults.skipComparison && previous <= r.log.last():
+	case previous == r.commit:
 	case !r.log.holds(previous, message.LogEpoch):
 		r.reject(message)
 		return
@@ -54,11 +54,7 @@
 		return
 	}
 	matched := previous + uint64(len(entries))
-	known := min(message.Commit, matched)
-	if r.faults.commitUnmatched {
-		known = min(message.Commit, r.log.last())
-	}
-	r.commitUpTo(known)
+	r.commitUpTo(min(message.Commit, matched))
 	r.accept(message, matched)
 	if message.Voluntary && r.mayStand() {
 		r.stand(true)
@@ -67,9 +63,6 @@
 
 // merge takes over the entries after previous that are not in the log yet, in place of those that differ.
 func (r *Replica) merge(previous uint64, entries []Entry) bool {
-	if r.faults.truncateAlways && previous < r.log.last() && previous >= r.log.offset {
-		r.truncate(previous + 1)
-	}
 	for len(entries) > 0 && r.log.holds(entries[0].Index, entries[0].Epoch) {
 		entries = entries[1:]
 	}
@@ -119,10 +112,6 @@
 		Index: pending.index,
 		Round: pending.round,
 	}
-	if r.faults.answerEarly {
-		r.step.effects.Early = append(r.step.effects.Early, answer)
-		return
-	}
 	r.step.effects.AfterSync = append(r.step.effects.AfterSync, answer)
 }
 
@@ -131,11 +120,11 @@
 	if snapshot == nil || !r.heed(message) {
 		return
 	}
-	if snapshot.Index <= r.commit && !r.faults.installOld {
+	if snapshot.Index <= r.commit {
 		r.accept(message, r.commit)
 		return
 	}
-	if r.log.holds(snapshot.Index, snapshot.Epoch) && !r.faults.installOld {
+	if r.log.holds(snapshot.Index, snapshot.Epoch) {
 		r.commitUpTo(snapshot.Index)
 		r.accept(message, snapshot.Index)
 		return
--- a/internal/system/replica/ownership.go
+++ b/internal/system/replica/ownership.go
@@ -44,7 +44,7 @@
 func (r *Replica) loseOwnership() {
 	r.role = follower
 	for i := range r.ownership.open {
-		r.settle(r.ownership.open[i].token, r.faults.confirmKeptForgone)
+		r.settle(r.ownership.open[i].token, false)
 	}
 	for i := range r.ownership.reads {
 		r.settle(r.ownership.reads[i].token, false)
@@ -98,7 +98,7 @@
 	if index <= r.commit {
 		return
 	}
-	if !r.log.holds(index, r.promise.Epoch) && !r.faults.countOldEpochs {
+	if !r.log.holds(index, r.promise.Epoch) {
 		return
 	}
 	r.commitUpTo(index)
@@ -134,16 +134,13 @@
 		ranking = append(ranking, own)
 	}
 	for _, peer := range r.ownership.peers {
-		if !peer.learner || r.faults.countLearners {
+		if !peer.learner {
 			ranking = append(ranking, valueOf(peer))
 		}
 	}
 	slices.Sort(ranking)
 	r.ownership.ranking = ranking
 	majority := r.majority()
-	if r.faults.countLearners {
-		majority = newest.majority()
-	}
 	if len(ranking) < majority {
 		return 0
 	}
--- a/internal/system/replica/reads.go
+++ b/internal/system/replica/reads.go
@@ -27,13 +27,10 @@
 // confirmReads settles the reads whose round a majority has answered.
 func (r *Replica) confirmReads() {
 	reads := r.ownership.reads
-	if len(reads) == 0 || !r.isOpen() && !r.faults.readUnopened {
+	if len(reads) == 0 || !r.isOpen() {
 		return
 	}
 	confirmed := r.quorum(r.ownership.round, roundOf)
-	if r.faults.readUnconfirmed {
-		confirmed = r.ownership.round
-	}
 	settled := 0
 	for settled < len(reads) && reads[settled].round <= confirmed {
 		r.settle(reads[settled].token, true)
--- a/internal/system/replica/replica.go
+++ b/internal/system/replica/replica.go
@@ -30,7 +30,6 @@
 	options Options
 	limits  limits
 	random  randomSource
-	faults  faults
 
 	// What its disk holds after each Step's effects are done.
 	promise  Promise
@@ -206,7 +205,7 @@
 func (r *Replica) finish() Effects {
 	r.flushAnswer()
 	effects := &r.step.effects
-	if r.step.promiseChanged && !r.faults.forgetPromise {
+	if r.step.promiseChanged {
 		promise := r.promise
 		effects.Promise = &promise
 	}
@@ -256,9 +255,7 @@
 func (r *Replica) truncate(index uint64) {
 	r.log.truncate(index)
 	r.step.saved = min(r.step.saved, index-1)
-	if !r.faults.keepUndoneGroups {
-		r.groups = r.groups.truncate(index)
-	}
+	r.groups = r.groups.truncate(index)
 }
 
 // commitUpTo records that entries are committed.
--- a/internal/system/replica/simulation_test.go
+++ b/internal/system/replica/simulation_test.go
@@ -29,7 +29,6 @@
 type simulation struct {
 	random     *rand.Rand
 	conditions conditions
-	faults     faults
 	limits     *limits       // nil: the usual ones
 	eager      time.Duration // of the members' options
 	now        time.Duration
@@ -147,7 +146,6 @@
 		s.checker.fail("%s does not start: %v", n.id, err)
 		return
 	}
-	replica.faults = s.faults
 	if s.limits != nil {
 		replica.limits = *s.limits
 	}
