--- a/internal/system/gossip/fetch.go
+++ b/internal/system/gossip/fetch.go
@@ -142,7 +142,7 @@
 // expire gives up waiting for fetches that take too long. What they bring later is still taken.
 func (s *Spreader) expire() {
 	for _, w := range s.fetches.wants {
-		if w.token != 0 && s.now >= w.deadline && s.mutant != neverRetry {
+		if w.token != 0 && s.now >= w.deadline {
 			w.failed(s.now, s.options.RetryPause)
 		}
 	}
@@ -152,7 +152,7 @@
 func (s *Spreader) startFetches() {
 	begun := len(s.effects.Fetch)
 	for _, w := range s.fetches.wants {
-		if w.token != 0 && s.mutant != fetchTwice {
+		if w.token != 0 {
 			continue
 		}
 		chosen := w.best(s.store.Stamp(w.section))
--- a/internal/system/gossip/figures_test.go
+++ b/internal/system/gossip/figures_test.go
@@ -25,7 +25,7 @@
 		}
 		t.Run(fmt.Sprint(size), func(t *testing.T) {
 			t.Parallel()
-			w := newNetwork(size, 11, none)
+			w := newNetwork(size, 11)
 			for _, section := range []view.Section{view.ConfigurationSection, view.EndpointsSection, view.RolloutsSection, view.PlacementSection} {
 				w.write(w.hosts[0], section, 1, 1)
 			}
--- a/internal/system/gossip/network_test.go
+++ b/internal/system/gossip/network_test.go
@@ -18,7 +18,6 @@
 	count   uint64
 	hosts   []*host
 	byName  map[string]*host
-	mutant  mutant
 	options Options
 
 	loss    float64                   // share of datagrams that are lost
@@ -64,11 +63,10 @@
 }
 
 // newNetwork starts size hosts that know one another.
-func newNetwork(size int, seed uint64, mutant mutant) *network {
+func newNetwork(size int, seed uint64) *network {
 	w := &network{
 		random:  rand.New(rand.NewPCG(seed, 1)),
 		byName:  map[string]*host{},
-		mutant:  mutant,
 		loss:    0.02,
 		blocked: func(from, to *host) bool { return false },
 	}
@@ -89,7 +87,6 @@
 	options.Seed = w.random.Uint64()
 	h.starts++
 	h.spreader = New(options, NewStore())
-	h.spreader.mutant = w.mutant
 	h.hangs = false
 	h.fetching = map[view.Section]time.Duration{}
 	h.reported = map[view.Section]view.Stamp{}
--- a/internal/system/gossip/properties_test.go
+++ b/internal/system/gossip/properties_test.go
@@ -98,7 +98,7 @@
 // report ever went back, and no section was fetched twice at a time.
 func TestAllHoldTheNewestAfterAnyTroubles(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		w := newNetwork(rapid.IntRange(2, 10).Draw(t, "size"), rapid.Uint64().Draw(t, "seed"), none)
+		w := newNetwork(rapid.IntRange(2, 10).Draw(t, "size"), rapid.Uint64().Draw(t, "seed"))
 		w.loss = rapid.SampledFrom([]float64{0, 0.02, 0.2}).Draw(t, "loss")
 		for _, happens := range rapid.SliceOfN(troubles, 1, 20).Draw(t, "troubles") {
 			w.befall(happens)
@@ -133,7 +133,7 @@
 // Given one seed, when a story is played twice, then all figures are the same.
 func TestSameSeedSameStory(t *testing.T) {
 	play := func() []any {
-		w := newNetwork(20, 3, none)
+		w := newNetwork(20, 3)
 		for i := range uint64(20) {
 			w.write(w.hosts[i%4], view.EndpointsSection, 1, i)
 			w.runFor(150 * time.Millisecond)
--- a/internal/system/gossip/scenario_test.go
+++ b/internal/system/gossip/scenario_test.go
@@ -11,7 +11,7 @@
 // scenario is a story that ends in an error when the protocol does not keep what it promises.
 type scenario struct {
 	name string
-	run  func(seed uint64, mutant mutant) error
+	run  func(seed uint64) error
 }
 
 var scenarios = []scenario{
@@ -27,15 +27,15 @@
 	{"given a piece that comes twice, when it is the same, then it is reported once", twice},
 }
 
-func written(seed uint64, mutant mutant) error {
-	w := newNetwork(32, seed, mutant)
+func written(seed uint64) error {
+	w := newNetwork(32, seed)
 	w.runFor(2 * time.Second)
 	piece := w.write(w.hosts[0], view.ConfigurationSection, 1, 1)
 	return w.expectAll(piece, 4*time.Second)
 }
 
-func manyWrites(seed uint64, mutant mutant) error {
-	w := newNetwork(32, seed, mutant)
+func manyWrites(seed uint64) error {
+	w := newNetwork(32, seed)
 	var last, endpoints view.Piece
 	for i := range uint64(40) {
 		last = w.write(w.hosts[i%3], view.ConfigurationSection, 1+i/10, i)
@@ -48,8 +48,8 @@
 	return w.expectAll(endpoints, 4*time.Second)
 }
 
-func fencedOwner(seed uint64, mutant mutant) error {
-	w := newNetwork(16, seed, mutant)
+func fencedOwner(seed uint64) error {
+	w := newNetwork(16, seed)
 	newer := w.write(w.hosts[1], view.PlacementSection, 2, 1)
 	w.runFor(20 * time.Millisecond)
 	w.write(w.hosts[0], view.PlacementSection, 1, 900)
@@ -62,8 +62,8 @@
 	return w.broken
 }
 
-func restartsEmpty(seed uint64, mutant mutant) error {
-	w := newNetwork(16, seed, mutant)
+func restartsEmpty(seed uint64) error {
+	w := newNetwork(16, seed)
 	configuration := w.write(w.hosts[0], view.ConfigurationSection, 1, 1)
 	endpoints := w.write(w.hosts[1], view.EndpointsSection, 1, 1)
 	w.runFor(5 * time.Second)
@@ -76,8 +76,8 @@
 	return w.expectAll(endpoints, 3*time.Second)
 }
 
-func cutOff(seed uint64, mutant mutant) error {
-	w := newNetwork(16, seed, mutant)
+func cutOff(seed uint64) error {
+	w := newNetwork(16, seed)
 	lost := w.hosts[7]
 	w.blocked = func(from, to *host) bool { return from == lost || to == lost }
 	piece := w.write(w.hosts[0], view.ConfigurationSection, 1, 1)
@@ -97,8 +97,8 @@
 	}
 }
 
-func hangingSource(seed uint64, mutant mutant) error {
-	w := newNetwork(4, seed, mutant)
+func hangingSource(seed uint64) error {
+	w := newNetwork(4, seed)
 	w.options.Interval = -1
 	for _, h := range w.hosts {
 		w.start(h)
@@ -116,8 +116,8 @@
 	return w.broken
 }
 
-func dyingSource(seed uint64, mutant mutant) error {
-	w := newNetwork(4, seed, mutant)
+func dyingSource(seed uint64) error {
+	w := newNetwork(4, seed)
 	w.options.Interval = -1
 	for _, h := range w.hosts {
 		w.start(h)
@@ -134,8 +134,8 @@
 	return w.broken
 }
 
-func toldBack(seed uint64, mutant mutant) error {
-	w := newNetwork(2, seed, mutant)
+func toldBack(seed uint64) error {
+	w := newNetwork(2, seed)
 	w.options.Interval = -1
 	w.loss = 0
 	for _, h := range w.hosts {
@@ -152,15 +152,15 @@
 	return w.broken
 }
 
-func heavyLoss(seed uint64, mutant mutant) error {
-	w := newNetwork(24, seed, mutant)
+func heavyLoss(seed uint64) error {
+	w := newNetwork(24, seed)
 	w.loss = 0.6
 	piece := w.write(w.hosts[0], view.RolloutsSection, 1, 1)
 	return w.expectAll(piece, 15*time.Second)
 }
 
-func twice(seed uint64, mutant mutant) error {
-	w := newNetwork(4, seed, mutant)
+func twice(seed uint64) error {
+	w := newNetwork(4, seed)
 	piece := w.write(w.hosts[0], view.RolloutsSection, 1, 1)
 	w.step(w.hosts[0], Input{Pieces: []view.Piece{piece, piece}})
 	return w.expectAll(piece, 4*time.Second)
@@ -171,38 +171,10 @@
 	for _, s := range scenarios {
 		t.Run(s.name, func(t *testing.T) {
 			for seed := range uint64(campaignSeeds) {
-				if err := s.run(seed, none); err != nil {
+				if err := s.run(seed); err != nil {
 					t.Errorf("seed %d: %v", seed, err)
 				}
 			}
 		})
 	}
 }
-
-func TestMutantsAreCaught(t *testing.T) {
-	t.Parallel()
-	cases := []struct {
-		name     string
-		mutant   mutant
-		scenario func(seed uint64, mutant mutant) error
-	}{
-		{"go back", goBack, fencedOwner},
-		{"report twice", reportTwice, twice},
-		{"never tell back", neverTellBack, toldBack},
-		{"never exchange", neverExchange, cutOff},
-		{"never retry", neverRetry, hangingSource},
-		{"fetch twice", fetchTwice, dyingSource},
-	}
-	for _, c := range cases {
-		t.Run(c.name, func(t *testing.T) {
-			const seeds = 4
-			for seed := range uint64(seeds) {
-				if err := c.scenario(seed, c.mutant); err != nil {
-					t.Logf("seed %d: %v", seed, err)
-					return
-				}
-			}
-			t.Error("the scenario did not notice")
-		})
-	}
-}
--- a/internal/system/gossip/spreader.go
+++ b/internal/system/gossip/spreader.go
@@ -73,7 +73,6 @@
 	options Options
 	store   *Store
 	random  *rand.Rand
-	mutant  mutant
 
 	now      time.Duration
 	effects  Effects
@@ -143,10 +142,7 @@
 
 // accept keeps a piece if it is newer than what is held.
 func (s *Spreader) accept(piece view.Piece) {
-	if s.mutant == goBack {
-		delete(s.store.pieces, piece.Section)
-	}
-	if !s.store.Put(piece) && s.mutant != reportTwice {
+	if !s.store.Put(piece) {
 		return
 	}
 	s.effects.Changed = append(s.effects.Changed, piece)
@@ -163,8 +159,7 @@
 			s.fetches.announced(section, stamp, received.Address)
 		}
 	}
-	newer := s.store.newerThan(received.Message.Digest, received.Message.Whole)
-	if newer != nil && s.mutant != neverTellBack {
+	if newer := s.store.newerThan(received.Message.Digest, received.Message.Whole); newer != nil {
 		s.notify(received.Address, Message{Digest: newer})
 	}
 }
@@ -185,7 +180,7 @@
 
 // exchangeDigests sends the whole digest to one member when it is time to.
 func (s *Spreader) exchangeDigests() {
-	if s.options.Interval < 0 || len(s.peers) == 0 || s.now < s.exchange || s.mutant == neverExchange {
+	if s.options.Interval < 0 || len(s.peers) == 0 || s.now < s.exchange {
 		return
 	}
 	s.exchange = s.now + s.jittered(s.options.Interval)
@@ -227,7 +222,7 @@
 
 func (s *Spreader) nextWake() time.Duration {
 	next := s.nextFetch()
-	if s.options.Interval > 0 && len(s.peers) > 0 && s.mutant != neverExchange {
+	if s.options.Interval > 0 && len(s.peers) > 0 {
 		next = min(next, s.exchange)
 	}
 	return next
--- a/internal/system/membership/health.go
+++ b/internal/system/membership/health.go
@@ -21,7 +21,7 @@
 // before it probes again.
 func (n *Node) noticeLateness() {
 	late := n.now - n.wake
-	if late <= n.options.ProbeTimeout || n.mutant == blameOthersAfterFreeze {
+	if late <= n.options.ProbeTimeout {
 		return
 	}
 	n.worsen()
--- /dev/null
+++ b/internal/system/membership/mutants_test.go
@@ -0,0 +1,121 @@
+package membership
+
+import (
+	"testing"
+
+	"mastusher/internal/tools/mutation"
+)
+
+// Scenarios that notice the mutants.
+const (
+	accusations  = "^TestScenarios$/given_a_healthy_member"
+	oldRecords   = "^TestScenarios$/given_a_new_process"
+	isolation    = "^TestScenarios$/given_an_isolated_member"
+	freezes      = "^TestScenarios$/given_a_probe_under_way"
+	oneWayCuts   = "^TestScenarios$/given_a_one-way_cut"
+	crowds       = "^TestScenarios$/given_a_hundred_members"
+	longDeaths   = "^TestScenarios$/given_a_dead_member"
+	cutsThatHeal = "^TestScenarios$/given_two_halves"
+)
+
+func TestMutantsAreNoticed(t *testing.T) {
+	t.Parallel()
+	mutation.Test(t, []mutation.Mutant{
+		{
+			Name: "accusations are not refuted",
+			Change: mutation.Change{
+				File: "update.go",
+				Old:  "if n.self.State == Left || update.Incarnation < n.self.Incarnation {",
+				New:  "if true {",
+			},
+			Run: accusations,
+		},
+		{
+			Name: "records of earlier processes are taken",
+			Change: mutation.Change{
+				File: "update.go",
+				Old:  "case update.Incarnation > known.Incarnation:",
+				New:  "case true:",
+			},
+			Run:    oldRecords,
+			Always: true,
+		},
+		{
+			Name: "deaths are believed without a question",
+			Change: mutation.Change{
+				File: "update.go",
+				Old:  "\tswitch known.State {\n\tcase Alive:\n\t\tn.verify(known, update.Incarnation)",
+				New:  "\tswitch known.State {\n\tcase Alive, Suspect:\n\t\tn.bury(known, Dead, update.Incarnation)",
+			},
+			Also: []mutation.Change{
+				{
+					File: "update.go",
+					Old:  "\tcase Suspect:\n\t\tknown.suspicion.shorten()\n",
+					New:  "",
+				},
+			},
+			Run: isolation,
+		},
+		{
+			Name: "others are blamed after a freeze",
+			Change: mutation.Change{
+				File: "health.go",
+				Old:  "if late <= n.options.ProbeTimeout {",
+				New:  "if true {",
+			},
+			Run: freezes,
+		},
+		{
+			Name: "helpers are not asked",
+			Change: mutation.Change{
+				File: "probe.go",
+				Old:  "\tpending.helpAt = never\n\thelpers",
+				New:  "\tpending.helpAt = never\n\tif true { return }\n\thelpers",
+			},
+			Run: oneWayCuts,
+		},
+		{
+			Name: "datagrams have no bound",
+			Change: mutation.Change{
+				File: "receive.go",
+				Old:  "budget := MaxDatagram - envelopeSize(&message) - len(message.Payload)",
+				New:  "budget := 100 * MaxDatagram",
+			},
+			Run: crowds,
+		},
+		{
+			Name: "the gone are not forgotten",
+			Change: mutation.Change{
+				File: "probe.go",
+				Old:  "if n.now-e.since < n.options.ForgetAfter {",
+				New:  "if true {",
+			},
+			Run: longDeaths,
+		},
+		{
+			Name: "neither the gone nor seeds are called again",
+			Change: mutation.Change{
+				File: "probe.go",
+				Old:  "|| len(n.prober.gone) == 0 {",
+				New:  "|| true {",
+			},
+			Also: []mutation.Change{
+				{
+					File: "reconcile.go",
+					Old:  "func (n *Node) pingLostSeed() {\n",
+					New:  "func (n *Node) pingLostSeed() {\n\tif true { return }\n",
+				},
+			},
+			Run: cutsThatHeal,
+		},
+		{
+			Name: "lists that differ are not reconciled",
+			Change: mutation.Change{
+				File: "reconcile.go",
+				Old:  "func (n *Node) wantSync(address string) {\n",
+				New:  "func (n *Node) wantSync(address string) {\n\tif n.reconcile.joined { return }\n",
+			},
+			Run: crowds,
+		},
+	})
+}
--- a/internal/system/membership/network_test.go
+++ b/internal/system/membership/network_test.go
@@ -17,7 +17,6 @@
 	count     uint64
 	hosts     []*host
 	byAddress map[string]*host
-	mutant    mutant
 
 	loss      float64 // share of datagrams that are lost
 	duplicate float64
@@ -155,7 +154,6 @@
 		ForgetAfter: w.forgetAfter,
 		Seed:        w.random.Uint64(),
 	})
-	h.node.mutant = w.mutant
 	h.frozen = false
 	h.held = Input{}
 	w.step(h, Input{})
--- a/internal/system/membership/node.go
+++ b/internal/system/membership/node.go
@@ -62,7 +62,6 @@
 	options Options
 	self    Member
 	random  *rand.Rand
-	mutant  mutant
 
 	now     time.Duration
 	started time.Duration
--- a/internal/system/membership/probe.go
+++ b/internal/system/membership/probe.go
@@ -152,9 +152,6 @@
 
 func (n *Node) askHelpers(pending *probe) {
 	pending.helpAt = never
-	if n.mutant == noHelpers {
-		return
-	}
 	helpers := n.randomLiving(n.options.IndirectProbes, pending.target.Name)
 	pending.nacksWanted = len(helpers)
 	for _, helper := range helpers {
@@ -221,7 +218,7 @@
 
 // callGone pings one member that is taken for dead, now and then, and tells it so.
 func (n *Node) callGone() {
-	if n.now < n.prober.nextGone || len(n.prober.gone) == 0 || n.mutant == neverCallGone {
+	if n.now < n.prober.nextGone || len(n.prober.gone) == 0 {
 		return
 	}
 	n.prober.nextGone = n.now + n.jittered(goneCallEvery*n.options.ProbeInterval)
@@ -233,9 +230,6 @@
 
 // forget removes those that have been gone for long.
 func (n *Node) forget() {
-	if n.mutant == neverForget {
-		return
-	}
 	n.prober.gone = slices.DeleteFunc(n.prober.gone, func(e *entry) bool {
 		if n.now-e.since < n.options.ForgetAfter {
 			return false
--- a/internal/system/membership/receive.go
+++ b/internal/system/membership/receive.go
@@ -143,9 +143,6 @@
 	for _, update := range message.Updates {
 		budget -= encodedSize(update)
 	}
-	if n.mutant == noRoomCheck {
-		budget = 100 * MaxDatagram
-	}
 	limit := retransmitLimit(n.table.living + 1)
 	message.Updates, budget = n.urgent.take(message.Updates, budget, limit)
 	if !agreed {
--- a/internal/system/membership/reconcile.go
+++ b/internal/system/membership/reconcile.go
@@ -90,9 +90,6 @@
 
 // wantSync plans a reconciliation, not too soon after the last one.
 func (n *Node) wantSync(address string) {
-	if n.mutant == neverReconcile && n.reconcile.joined {
-		return
-	}
 	pause := 2 * n.options.ProbeInterval
 	if n.young() {
 		pause = n.options.ProbeInterval
@@ -183,9 +180,6 @@
 // pingLostSeed pings one seed at whose address no member is known to be alive, so that parts that do not remember each
 // other meet again.
 func (n *Node) pingLostSeed() {
-	if n.mutant == neverCallGone {
-		return
-	}
 	seed := n.nextSeed()
 	for _, e := range n.table.sorted {
 		if e.Address == seed && !e.Gone() {
--- a/internal/system/membership/scenario_test.go
+++ b/internal/system/membership/scenario_test.go
@@ -8,13 +8,12 @@
 // scenario is a story that ends in an error when the protocol does not keep what it promises.
 type scenario struct {
 	name string
-	run  func(seed uint64, mutant mutant) error
+	run  func(seed uint64) error
 }
 
 // began returns a network of which all hosts have started and found one another.
-func began(size int, seed uint64, mutant mutant) (*network, error) {
+func began(size int, seed uint64) (*network, error) {
 	w := newNetwork(size, seed)
-	w.mutant = mutant
 	w.startAll()
 	w.runFor(300 * time.Millisecond)
 	if _, done := w.runUntil(15*time.Second, w.converged); !done {
@@ -58,8 +57,8 @@
 	{"given a dead member, when time passes, then it is forgotten", forgotten},
 }
 
-func calm(seed uint64, mutant mutant) error {
-	w, err := began(24, seed, mutant)
+func calm(seed uint64) error {
+	w, err := began(24, seed)
 	if err != nil {
 		return err
 	}
@@ -71,8 +70,8 @@
 	return expectConverged(w, 0)
 }
 
-func killed(seed uint64, mutant mutant) error {
-	w, err := began(16, seed, mutant)
+func killed(seed uint64) error {
+	w, err := began(16, seed)
 	if err != nil {
 		return err
 	}
@@ -87,8 +86,8 @@
 	return expectNoDeath(w, killedAt, victim.member.Name)
 }
 
-func restarts(seed uint64, mutant mutant) error {
-	w, err := began(16, seed, mutant)
+func restarts(seed uint64) error {
+	w, err := began(16, seed)
 	if err != nil {
 		return err
 	}
@@ -123,8 +122,8 @@
 	return nil
 }
 
-func clockBack(seed uint64, mutant mutant) error {
-	w, err := began(16, seed, mutant)
+func clockBack(seed uint64) error {
+	w, err := began(16, seed)
 	if err != nil {
 		return err
 	}
@@ -134,13 +133,12 @@
 	victim.starts++
 	victim.member.Incarnation = epochMs - 3_600_000
 	victim.node = New(Options{Self: victim.member, Seeds: victim.seeds, Seed: seed})
-	victim.node.mutant = mutant
 	w.step(victim, Input{})
 	return expectConverged(w, 10*time.Second)
 }
 
-func frozenMember(seed uint64, mutant mutant) error {
-	w, err := began(16, seed, mutant)
+func frozenMember(seed uint64) error {
+	w, err := began(16, seed)
 	if err != nil {
 		return err
 	}
@@ -171,8 +169,8 @@
 	return count
 }
 
-func slowMember(seed uint64, mutant mutant) error {
-	w, err := began(16, seed, mutant)
+func slowMember(seed uint64) error {
+	w, err := began(16, seed)
 	if err != nil {
 		return err
 	}
@@ -186,8 +184,8 @@
 	return expectConverged(w, 15*time.Second)
 }
 
-func oneWayCut(seed uint64, mutant mutant) error {
-	w, err := began(16, seed, mutant)
+func oneWayCut(seed uint64) error {
+	w, err := began(16, seed)
 	if err != nil {
 		return err
 	}
@@ -205,8 +203,8 @@
 	return expectConverged(w, 0)
 }
 
-func isolatedMember(seed uint64, mutant mutant) error {
-	w, err := began(16, seed, mutant)
+func isolatedMember(seed uint64) error {
+	w, err := began(16, seed)
 	if err != nil {
 		return err
 	}
@@ -232,8 +230,8 @@
 	return expectConverged(w, 0)
 }
 
-func halves(seed uint64, mutant mutant) error {
-	w, err := began(16, seed, mutant)
+func halves(seed uint64) error {
+	w, err := began(16, seed)
 	if err != nil {
 		return err
 	}
@@ -256,9 +254,8 @@
 	return expectConverged(w, 0)
 }
 
-func forgottenHalves(seed uint64, mutant mutant) error {
+func forgottenHalves(seed uint64) error {
 	w := newNetwork(16, seed)
-	w.mutant = mutant
 	w.forgetAfter = 20 * time.Second
 	w.blocked = func(from, to *host) bool { return (from == w.hosts[0]) != (to == w.hosts[0]) }
 	w.startAll()
@@ -267,8 +264,8 @@
 	return expectConverged(w, 30*time.Second)
 }
 
-func accused(seed uint64, mutant mutant) error {
-	w, err := began(16, seed, mutant)
+func accused(seed uint64) error {
+	w, err := began(16, seed)
 	if err != nil {
 		return err
 	}
@@ -287,8 +284,8 @@
 	return expectConverged(w, 0)
 }
 
-func oldNews(seed uint64, mutant mutant) error {
-	w, err := began(8, seed, mutant)
+func oldNews(seed uint64) error {
+	w, err := began(8, seed)
 	if err != nil {
 		return err
 	}
@@ -307,8 +304,8 @@
 	return nil
 }
 
-func leaves(seed uint64, mutant mutant) error {
-	w, err := began(16, seed, mutant)
+func leaves(seed uint64) error {
+	w, err := began(16, seed)
 	if err != nil {
 		return err
 	}
@@ -322,8 +319,8 @@
 	return expectNoDeath(w, 0)
 }
 
-func staleSeeds(seed uint64, mutant mutant) error {
-	w, err := began(16, seed, mutant)
+func staleSeeds(seed uint64) error {
+	w, err := began(16, seed)
 	if err != nil {
 		return err
 	}
@@ -341,9 +338,8 @@
 	return expectConverged(w, 10*time.Second)
 }
 
-func seedsDown(seed uint64, mutant mutant) error {
+func seedsDown(seed uint64) error {
 	w := newNetwork(12, seed)
-	w.mutant = mutant
 	for _, h := range w.hosts[3:] {
 		w.start(h)
 	}
@@ -354,9 +350,8 @@
 	return expectConverged(w, 10*time.Second)
 }
 
-func manyJoin(seed uint64, mutant mutant) error {
+func manyJoin(seed uint64) error {
 	w := newNetwork(100, seed)
-	w.mutant = mutant
 	w.measure = true
 	w.startAll()
 	w.runFor(300 * time.Millisecond)
@@ -369,9 +364,8 @@
 	return expectNoDeath(w, 0)
 }
 
-func forgotten(seed uint64, mutant mutant) error {
+func forgotten(seed uint64) error {
 	w := newNetwork(8, seed)
-	w.mutant = mutant
 	w.forgetAfter = 10 * time.Second
 	w.startAll()
 	w.runFor(5 * time.Second)
--- a/internal/system/membership/update.go
+++ b/internal/system/membership/update.go
@@ -34,7 +34,7 @@
 
 // hearOfSelf refutes what is no longer true of this node: a suspicion, or a record of an earlier process of that name.
 func (n *Node) hearOfSelf(update Update) {
-	if n.self.State == Left || update.Incarnation < n.self.Incarnation || n.mutant == neverRefute {
+	if n.self.State == Left || update.Incarnation < n.self.Incarnation {
 		return
 	}
 	same := update.Incarnation == n.self.Incarnation
@@ -85,7 +85,7 @@
 	switch {
 	case known == nil:
 		n.welcome(update.Member)
-	case update.Incarnation > known.Incarnation || n.mutant == acceptOldIncarnation:
+	case update.Incarnation > known.Incarnation:
 		n.renew(known, update.Member)
 	case update.Incarnation == known.Incarnation && known.State == Dead:
 		n.verify(known, known.Incarnation)
@@ -161,10 +161,6 @@
 	if known == nil || update.Incarnation < known.Incarnation || known.State == Left {
 		return
 	}
-	if n.mutant == believeDeathAtOnce && known.State != Dead {
-		n.bury(known, Dead, update.Incarnation)
-		return
-	}
 	switch known.State {
 	case Alive:
 		n.verify(known, update.Incarnation)
