Check by a traced build that the deploy files list the packages that they need

Cause: a list that was right once goes wrong with an import, or with what the compiler brings along.

--- a/.ci/system.sh
+++ b/.ci/system.sh
@@ -1,11 +1,12 @@
 #!/usr/bin/env bash
 # Checks what deploy/system.toml promises of the tier: its build line makes the binary, linked dynamically against the C
-# library, and each role's line names one of its commands.
+# library, out of what `packages` lists, and each role's line names one of its commands.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 file=deploy/system.toml
 
 sh -c "$(sed -n 's/^build = "\(.*\)"$/\1/p' "$file")"
+go run ./internal/tools/packages "$file"
 status=0
 while read -r binary role rest; do
 	test -z "$rest" || { echo "$file: '$binary $role $rest' has more than a role" >&2; status=1; }
--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # The tasks of the project; `make check` is what CI runs.
-.PHONY: build test lint size deploy check run sites plugins fuzz fleet tier bench-plugins bench-capture bench-replay soak demo mutants
+.PHONY: build test lint size deploy check run sites plugins fuzz fleet tier bench-plugins bench-capture bench-replay soak demo mutants packages
 
 # All files that decide, together. control/planner.go isn't one of them: it lends control.go's tables and recursion to the
 # tier, and decides nothing. A file that takes decisions over from control.go belongs here and under `policy` in
@@ -64,6 +64,10 @@
 mutants:
 	go test -count=1 -p 1 -timeout 30m -run '^TestMutantsAreNoticed$$' $(MUTATED) -args -mutants
 
+# That both deploy files list the system packages of their builds; CI asks it of the tier's alone. Some 20 s.
+packages:
+	go run ./internal/tools/packages deploy/system.toml deploy/balancer.toml
+
 # Long runs, outside CI: what plug-ins cost, and what a hostile set costs other partners.
 bench-plugins: build
 	bin/plugbench --mode hostile
--- /dev/null
+++ b/internal/tools/packages/main.go
@@ -0,0 +1,54 @@
+// Command packages checks that a deploy file lists the Debian packages that its build needs. It runs the build line with a
+// compiler that names every program, header, object and library that it opens, and asks dpkg who owns them. It is the tool of
+// `make packages`.
+package main
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"os/exec"
+)
+
+func main() {
+	if folder := os.Getenv(traceVariable); folder != "" {
+		os.Exit(compile(folder, os.Args[1:]))
+	}
+	if len(os.Args) < 2 {
+		fmt.Fprintln(os.Stderr, "usage: packages DEPLOY-FILE...")
+		os.Exit(2)
+	}
+	if _, err := exec.LookPath("dpkg-query"); err != nil {
+		fmt.Println("packages: not checked: this machine has no dpkg to ask for the owners of files")
+		return
+	}
+	status := 0
+	for _, path := range os.Args[1:] {
+		if err := check(path); err != nil {
+			fmt.Fprintf(os.Stderr, "packages: %s: %v\n", path, err)
+			status = 1
+		}
+	}
+	os.Exit(status)
+}
+
+// check traces the build of one deploy file and judges its list.
+func check(path string) error {
+	deploy, err := readDeploy(path)
+	if err != nil {
+		return err
+	}
+	opened, err := traceBuild(deploy.Build)
+	if err != nil {
+		return err
+	}
+	known, err := askDpkg(opened)
+	if err != nil {
+		return err
+	}
+	if err := errors.Join(known.judge(opened, deploy.Packages)...); err != nil {
+		return err
+	}
+	fmt.Printf("%s: its %d packages, and what they depend on, own the %d files that the build opens\n", path, len(deploy.Packages), len(opened))
+	return nil
+}
