Play exchanges with the real proxy at each byte, and judge every byte that goes over

Cause: whether an answer can reach the wrong caller, or a request that runs once be sent twice, was tested by single cases on sockets, at moments that the test happened to hit.

Change: exchangetest runs the proxy over connections in memory that behave as TCP does on Linux, in virtual time. Clients and endpoints follow scripts of bytes, splits, pauses and ends; a plan also changes the configuration and the list of endpoints, drains and shuts down between any two of these. An oracle reads all bytes that arrived: at an endpoint only whole requests of clients and beginnings of them, one that runs once never again after a send without a promise; at a client only its own answer, which looks complete only where the endpoint's was; nothing for a client that left half a second ago. Answers in nine forms pause and end at each byte, requests are broken off and clients leave at each byte, a kept connection ends at each quarter of a millisecond around its reuse, long requests are answered early, and second answers come at each half millisecond around the next request. Worlds drawn from seeds follow, and a fuzz target draws them from bytes.

--- a/.ci/test.sh
+++ b/.ci/test.sh
@@ -5,7 +5,8 @@
 
 # Without the race detector: control and the lab have no goroutine, so nothing to race; the others are pure code in many
 # simulations, several times slower with it. What runs that code in goroutines (group, store, controller, example) has it.
-plain=(./control ./internal/lab ./internal/system/fleettest ./internal/system/replica)
+# exchangetest plays thousands of requests through the proxy, whose own tests have it; `make race` plays them with it.
+plain=(./control ./internal/lab ./internal/system/exchangetest ./internal/system/fleettest ./internal/system/replica)
 
 pattern=$(printf '%s|' "${plain[@]#./}")
 racing=$(go list ./cmd/... ./internal/... | grep -vE "^mastusher/(${pattern%|})\$")
--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # The tasks of the project; `make check` is what CI runs.
-.PHONY: build test lint size deploy check run sites plugins fuzz fleet tier bench-plugins bench-capture bench-replay soak demo mutants
+.PHONY: build test lint size deploy check run sites plugins fuzz fleet tier bench-plugins bench-capture bench-replay soak demo mutants race
 
 # All files that decide, together. control/planner.go isn't one of them: it lends control.go's tables and recursion to the
 # tier, and decides nothing. A file that takes decisions over from control.go belongs here and under `policy` in
@@ -58,12 +58,17 @@
 	go test -run '^$$' -fuzz FuzzDecode -fuzztime 10s ./internal/vrrp
 	go test -run '^$$' -fuzz FuzzHostFunctions -fuzztime 10s ./internal/plugin
 	go test -run '^$$' -fuzz FuzzBounded -fuzztime 10s ./internal/plugin/wasm
+	go test -run '^$$' -fuzz FuzzExchange -fuzztime 10s ./internal/system/exchangetest
 
 # Every deliberate mistake that the packages' tests list, on a copy of the source; `make test` tries a few of them: minutes.
 MUTATED = $$(go list -f '{{range .TestImports}}{{if eq . "mastusher/internal/tools/mutation"}}{{$$.ImportPath}}{{end}}{{end}}' ./...)
 mutants:
 	go test -count=1 -p 1 -timeout 30m -run '^TestMutantsAreNoticed$$' $(MUTATED) -args -mutants
 
+# The exchanges between clients, the proxy and endpoints, with the race detector.
+race:
+	go test -race ./internal/system/upstream ./internal/system/proxy ./internal/system/standin ./internal/system/exchangetest
+
 # Long runs, outside CI: what plug-ins cost, and what a hostile set costs other partners.
 bench-plugins: build
 	bin/plugbench --mode hostile
--- /dev/null
+++ b/internal/system/exchangetest/campaign_test.go
@@ -0,0 +1,100 @@
+package exchangetest
+
+import (
+	"flag"
+	"fmt"
+	"strings"
+	"testing"
+)
+
+// Flags of the campaign.
+var (
+	worlds    = flag.Int("worlds", 250, "worlds of the campaign")
+	firstSeed = flag.Uint64("seed", 1, "seed of the campaign's first world")
+)
+
+// describe is a plan in words, for a report.
+func describe(p plan) string {
+	var text strings.Builder
+	for i, requests := range p.clients {
+		for _, request := range requests {
+			fmt.Fprintf(&text, "client %d: %+v\n", i, *request)
+		}
+	}
+	fmt.Fprintf(&text, "events: %+v, at most %d connections", p.events, p.maxConnections)
+	return text.String()
+}
+
+// check plays a plan and reports what was wrong. It returns the world.
+func check(t *testing.T, p plan) *world {
+	t.Helper()
+	w := play(t, p)
+	if faults := judge(w); len(faults) > 0 {
+		t.Errorf("%s\n%s", strings.Join(faults, "\n"), describe(p))
+	}
+	return w
+}
+
+// TestCampaign plays worlds drawn from seeds. A breach is reported with its seed; -args -seed N -worlds 1 plays it alone.
+func TestCampaign(t *testing.T) {
+	var tally tally
+	for i := range *worlds {
+		seed := *firstSeed + uint64(i)
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			tally.count(check(t, drawPlan(seeded(seed))))
+		})
+		if t.Failed() {
+			break
+		}
+	}
+	t.Logf("%d worlds: %+v", *worlds, tally)
+	if *worlds >= 100 {
+		tally.check(t)
+	}
+}
+
+// tally counts what happened, so that a campaign in which a kind of outcome never comes is noticed.
+type tally struct{ Requests, Sends, Complete, CutOff, Silent, Own, Left, TakenUp int }
+
+func (c *tally) count(w *world) {
+	c.Sends += len(w.runs)
+	for _, client := range w.clients {
+		for _, result := range client.results {
+			c.Requests++
+			switch sealed := result.header.Get("X-Server-Seal") != ""; {
+			case !result.left.IsZero():
+				c.Left++
+			case result.complete() && sealed:
+				c.Complete++
+			case result.complete():
+				c.Own++
+			case result.answered:
+				c.CutOff++
+			default:
+				c.Silent++
+			}
+		}
+	}
+	for _, r := range w.runs {
+		if r.after > 0 {
+			c.TakenUp++
+		}
+	}
+}
+
+func (c *tally) check(t *testing.T) {
+	for name, count := range map[string]int{"complete": c.Complete, "cut off": c.CutOff, "of the proxy's own": c.Own, "left": c.Left, "taken up": c.TakenUp} {
+		if count == 0 {
+			t.Errorf("no request was %s", name)
+		}
+	}
+}
+
+// FuzzExchange plays worlds drawn from the fuzzer's bytes.
+func FuzzExchange(f *testing.F) {
+	f.Add([]byte(nil))
+	f.Add([]byte("0123456789abcdef0123456789abcdef"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		check(t, drawPlan(&source{data: data}))
+	})
+}
--- /dev/null
+++ b/internal/system/exchangetest/memory_test.go
@@ -0,0 +1,369 @@
+// Package exchangetest plays clients and endpoints around the real proxy, over connections in memory and in virtual time, by
+// scripts of bytes, splits, delays and ends. An oracle that sees every byte on every connection says whom it belongs to.
+package exchangetest
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+
+	"mastusher/internal/system/network"
+)
+
+const (
+	// latency is the time that bytes, and the end of a connection, take from one side to the other.
+	latency = time.Millisecond
+	// windowBytes bounds what is on the way or unread in one direction.
+	windowBytes = 64 << 10
+)
+
+// memoryNetwork is a network in memory.
+type memoryNetwork struct {
+	mutex     sync.Mutex
+	listeners map[string]*memoryListener
+}
+
+func newMemoryNetwork() *memoryNetwork {
+	return &memoryNetwork{listeners: make(map[string]*memoryListener)}
+}
+
+// Listen implements network.Network.
+func (m *memoryNetwork) Listen(_ context.Context, _ *net.ListenConfig, _, address string) (net.Listener, error) {
+	tcp, err := net.ResolveTCPAddr("tcp4", address)
+	if err != nil {
+		return nil, err
+	}
+	l := &memoryListener{network: m, address: tcp, waiting: make(chan *memoryConn), closing: make(chan struct{})}
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.listeners[address] = l
+	return l, nil
+}
+
+// ListenPacket implements network.Network; no datagrams are sent here.
+func (m *memoryNetwork) ListenPacket(*net.UDPAddr) (network.PacketConn, error) {
+	return nil, errors.ErrUnsupported
+}
+
+// Dial implements network.Network.
+func (m *memoryNetwork) Dial(ctx context.Context, _ *net.Dialer, _, address string) (net.Conn, error) {
+	return m.dial(ctx, address)
+}
+
+func (m *memoryNetwork) dial(ctx context.Context, address string) (*memoryConn, error) {
+	timer := time.NewTimer(2 * latency)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	m.mutex.Lock()
+	l := m.listeners[address]
+	m.mutex.Unlock()
+	if l == nil {
+		return nil, syscall.ECONNREFUSED
+	}
+	near, far := newConnPair(l.address)
+	select {
+	case l.waiting <- far:
+		return near, nil
+	case <-l.closing:
+		return nil, syscall.ECONNREFUSED
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// memoryListener is one address of a memoryNetwork.
+type memoryListener struct {
+	network *memoryNetwork
+	address net.Addr
+	waiting chan *memoryConn
+	closing chan struct{}
+	once    sync.Once
+}
+
+// Accept implements net.Listener.
+func (l *memoryListener) Accept() (net.Conn, error) {
+	select {
+	case conn := <-l.waiting:
+		return conn, nil
+	case <-l.closing:
+		return nil, net.ErrClosed
+	}
+}
+
+// Close implements net.Listener.
+func (l *memoryListener) Close() error {
+	l.once.Do(func() {
+		close(l.closing)
+		l.network.mutex.Lock()
+		defer l.network.mutex.Unlock()
+		delete(l.network.listeners, l.address.String())
+	})
+	return nil
+}
+
+// Addr implements net.Listener.
+func (l *memoryListener) Addr() net.Addr { return l.address }
+
+// arrival is a time and the number of bytes that had arrived before it.
+type arrival struct {
+	at     time.Time
+	offset int
+}
+
+// inbound is what comes in at one side of a connection.
+type inbound struct {
+	onTheWay int    // bytes sent and not arrived
+	unread   []byte // bytes arrived and not read
+	finished bool   // the other side's orderly end has arrived
+	reset    bool   // a reset has arrived
+
+	tap      []byte    // every byte that ever arrived
+	arrivals []arrival // when its parts arrived
+	ended    time.Time // when the end or the reset arrived; zero: not yet
+}
+
+// memoryConn is one side of a connection. It behaves as TCP does on Linux: bytes that arrived before a reset can still be
+// read, a close with unread bytes is a reset, and so is the answer to bytes that arrive after a close.
+type memoryConn struct {
+	mutex  *sync.Mutex // of both sides
+	change *sync.Cond
+	local  net.Addr
+	peer   *memoryConn
+	in     inbound
+	way    []func() // what is on the way to this side
+
+	closed        bool
+	writeClosed   bool
+	linger        bool // a close is orderly
+	readDeadline  time.Time
+	writeDeadline time.Time
+}
+
+func newConnPair(address net.Addr) (near, far *memoryConn) {
+	mutex := new(sync.Mutex)
+	change := sync.NewCond(mutex)
+	near = &memoryConn{mutex: mutex, change: change, local: &net.TCPAddr{IP: net.IPv4(10, 9, 9, 9), Port: 999}, linger: true}
+	far = &memoryConn{mutex: mutex, change: change, local: address, linger: true}
+	near.peer, far.peer = far, near
+	return near, far
+}
+
+// after brings about a change at this side once the time for the way is over, in the order in which they were sent. The caller
+// holds the mutex.
+func (c *memoryConn) after(change func()) {
+	c.way = append(c.way, change)
+	time.AfterFunc(latency, func() {
+		c.mutex.Lock()
+		defer c.mutex.Unlock()
+		first := c.way[0]
+		c.way = c.way[1:]
+		first()
+		c.change.Broadcast()
+	})
+}
+
+// arrive takes bytes that have come the whole way. The caller holds the mutex.
+func (c *memoryConn) arrive(data []byte) {
+	c.in.onTheWay -= len(data)
+	if c.in.reset {
+		return
+	}
+	c.in.arrivals = append(c.in.arrivals, arrival{time.Now(), len(c.in.tap)})
+	c.in.tap = append(c.in.tap, data...)
+	if c.closed {
+		c.sendReset()
+		return
+	}
+	c.in.unread = append(c.in.unread, data...)
+}
+
+// sendReset sends a reset to the other side. The caller holds the mutex.
+func (c *memoryConn) sendReset() {
+	c.peer.endLater(func(in *inbound) { in.reset = true })
+}
+
+// endLater brings about an end at this side after the time for the way. The caller holds the mutex.
+func (c *memoryConn) endLater(end func(*inbound)) {
+	c.after(func() {
+		end(&c.in)
+		if c.in.ended.IsZero() {
+			c.in.ended = time.Now()
+		}
+	})
+}
+
+// Read implements net.Conn.
+func (c *memoryConn) Read(buffer []byte) (int, error) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	for {
+		switch {
+		case c.closed:
+			return 0, net.ErrClosed
+		case expired(c.readDeadline):
+			return 0, os.ErrDeadlineExceeded
+		case len(c.in.unread) > 0:
+			n := copy(buffer, c.in.unread)
+			c.in.unread = c.in.unread[n:]
+			c.change.Broadcast()
+			return n, nil
+		case c.in.reset:
+			return 0, syscall.ECONNRESET
+		case c.in.finished:
+			return 0, io.EOF
+		}
+		c.change.Wait()
+	}
+}
+
+// Write implements net.Conn.
+func (c *memoryConn) Write(data []byte) (written int, err error) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	for len(data) > 0 {
+		switch {
+		case c.closed || c.writeClosed:
+			return written, net.ErrClosed
+		case expired(c.writeDeadline):
+			return written, os.ErrDeadlineExceeded
+		case c.in.reset:
+			return written, syscall.EPIPE
+		}
+		room := windowBytes - c.peer.in.onTheWay - len(c.peer.in.unread)
+		if room <= 0 {
+			c.change.Wait()
+			continue
+		}
+		part := bytes.Clone(data[:min(room, len(data))])
+		data = data[len(part):]
+		written += len(part)
+		c.peer.in.onTheWay += len(part)
+		c.peer.after(func() { c.peer.arrive(part) })
+	}
+	return written, nil
+}
+
+// ReadFrom implements io.ReaderFrom.
+func (c *memoryConn) ReadFrom(source io.Reader) (int64, error) {
+	return io.Copy(struct{ io.Writer }{c}, source)
+}
+
+// Close implements net.Conn.
+func (c *memoryConn) Close() error {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.closed {
+		return net.ErrClosed
+	}
+	c.closed = true
+	c.change.Broadcast()
+	if !c.linger || len(c.in.unread) > 0 {
+		c.sendReset()
+		return nil
+	}
+	if !c.writeClosed {
+		c.peer.endLater(func(in *inbound) { in.finished = true })
+	}
+	return nil
+}
+
+// CloseWrite implements network.TCPConn.
+func (c *memoryConn) CloseWrite() error {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if !c.closed && !c.writeClosed {
+		c.writeClosed = true
+		c.peer.endLater(func(in *inbound) { in.finished = true })
+	}
+	return nil
+}
+
+// SetLinger implements network.TCPConn.
+func (c *memoryConn) SetLinger(seconds int) error {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.linger = seconds != 0
+	return nil
+}
+
+// Reset closes the connection by a reset.
+func (c *memoryConn) Reset() {
+	c.SetLinger(0)
+	c.Close()
+}
+
+// Quiet implements network.Prober.
+func (c *memoryConn) Quiet() bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return !c.closed && len(c.in.unread) == 0 && !c.in.reset && !c.in.finished
+}
+
+// peekUntil waits until the unread bytes hold the mark, and returns them up to its end. It returns nil if they never will.
+func (c *memoryConn) peekUntil(mark string) []byte {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	for {
+		if before, _, found := bytes.Cut(c.in.unread, []byte(mark)); found {
+			return bytes.Clone(c.in.unread[:len(before)+len(mark)])
+		}
+		if c.closed || c.in.reset || c.in.finished {
+			return nil
+		}
+		c.change.Wait()
+	}
+}
+
+// seen is a copy of what came in at one side.
+func (c *memoryConn) seen() inbound {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.in
+}
+
+// LocalAddr implements net.Conn.
+func (c *memoryConn) LocalAddr() net.Addr { return c.local }
+
+// RemoteAddr implements net.Conn.
+func (c *memoryConn) RemoteAddr() net.Addr { return c.peer.local }
+
+// SetDeadline implements net.Conn.
+func (c *memoryConn) SetDeadline(deadline time.Time) error {
+	c.setDeadline(&c.readDeadline, deadline)
+	c.setDeadline(&c.writeDeadline, deadline)
+	return nil
+}
+
+// SetReadDeadline implements net.Conn.
+func (c *memoryConn) SetReadDeadline(deadline time.Time) error {
+	c.setDeadline(&c.readDeadline, deadline)
+	return nil
+}
+
+// SetWriteDeadline implements net.Conn.
+func (c *memoryConn) SetWriteDeadline(deadline time.Time) error {
+	c.setDeadline(&c.writeDeadline, deadline)
+	return nil
+}
+
+func (c *memoryConn) setDeadline(field *time.Time, deadline time.Time) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	*field = deadline
+	c.change.Broadcast()
+	if !deadline.IsZero() && time.Until(deadline) > 0 {
+		time.AfterFunc(time.Until(deadline), c.change.Broadcast)
+	}
+}
+
+func expired(deadline time.Time) bool { return !deadline.IsZero() && time.Until(deadline) <= 0 }
--- /dev/null
+++ b/internal/system/exchangetest/mutants_test.go
@@ -0,0 +1,49 @@
+package exchangetest
+
+import (
+	"testing"
+
+	"mastusher/internal/tools/mutation"
+)
+
+// TestMutantsAreNoticed lays deliberate mistakes over the proxy and its connections to endpoints: the tests here must notice each.
+func TestMutantsAreNoticed(t *testing.T) {
+	const (
+		exchange = "../upstream/exchange.go"
+		answer   = "../upstream/answer.go"
+		attempt  = "../proxy/attempt.go"
+		call     = "../proxy/call.go"
+		stream   = "../proxy/stream.go"
+		events   = "../proxy/events.go"
+	)
+	change := func(file, from, to string) mutation.Change { return mutation.Change{File: file, Old: from, New: to} }
+	mutation.Test(t, []mutation.Mutant{
+		{Name: "an answer's id is ignored", Run: "TestCampaign", Always: true,
+			Change: change(exchange, "return len(ids) == 1 && ids[0] == e.request.AttemptID", "return true")},
+		{Name: "a connection is used again after an early answer", Run: "TestEarlyAnswerLeavesNoOtherBytes",
+			Change: change(answer, "return e.writtenWhole()", "return true")},
+		{Name: "a request that runs once is sent again after a reset", Run: "TestCampaign",
+			Change: change(call, "return repeatable(c.facts.Route) && c.runs < c.facts.Route.Tries", "return c.runs < c.facts.Route.Tries")},
+		{Name: "a reset on a kept connection counts as never sent", Run: "TestConnectionMayEndAtEachMomentOfItsReuse",
+			Change: change(exchange, "	return &Error{Kind: MayHaveRun, Reason: reason, Err: err}",
+				"	if e.connection.used > 1 {\n		return &Error{Kind: NeverSent, Reason: reason, Err: err}\n	}\n	return &Error{Kind: MayHaveRun, Reason: reason, Err: err}")},
+		{Name: "a reset ends an unframed answer", Run: "TestCampaign",
+			Change: change(answer, "	if err != nil {\n		reason := ReadFail", "	if err != nil && a.UntilClose {\n		a.whole = true\n		return n, io.EOF\n	}\n	if err != nil {\n		reason := ReadFail")},
+		{Name: "503 is answered after a send that may have run", Run: "TestCampaign",
+			Change: change(call, "	c.mayHaveRun = true\n", "")},
+		{Name: "any 503 counts as not run", Run: "TestCampaign",
+			Change: change(attempt, "return told || answer.Status == http.StatusMisdirectedRequest",
+				"return told || answer.Status == http.StatusMisdirectedRequest || answer.Status == http.StatusServiceUnavailable")},
+		{Name: "a stream closed inside an event looks complete", Run: "TestAnswerMayEndAtEachByte",
+			Change: change(stream, "return a.answer.UntilClose && c.scanner.insideEvent()", "return false")},
+		{Name: "a stream that was taken up brings old events", Run: "TestCampaign",
+			Change: change(events, "	if !s.resumed || !s.hasID && !s.hasData {", "	if s.resumed || !s.resumed {")},
+		{Name: "a stream is taken up in the middle of an event", Run: "TestCampaign",
+			Change: change(stream, "	c.scanner.restart()\n	return true", "	return true")},
+		{Name: "any stream is taken up", Run: "TestCampaign",
+			Change: change(stream, "return c.facts.Route.CanResume &&", "return "),
+			Also:   []mutation.Change{change(call, "return repeatable(c.facts.Route) && c.runs", "return c.runs")}},
+		{Name: "work goes on for a client that left", Run: "TestClientMayLeaveWhileItsAnswerComes",
+			Change: change(call, "context.WithDeadline(r.Context(), c.facts.Deadline)", "context.WithDeadline(context.WithoutCancel(r.Context()), c.facts.Deadline)")},
+	})
+}
