Test denials, and that a turn's budget comes back, with the stores' own state behind a proxy

Cause: that proper requests are never denied, and that what a turn reserved is free again once it ended without having run, was tested in parts only: the proxy against canned verdicts, the state machine without a proxy. Ruled out: a fault; each way in which a turn ends was played against the state machine. No change of what ships.

--- /dev/null
+++ b/internal/system/proxy/budget_test.go
@@ -0,0 +1,166 @@
+package proxy
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"mastusher/internal/system/program"
+)
+
+// keeper is a Programs that keeps turns and budgets as the stores do.
+type keeper struct {
+	mutex   sync.Mutex
+	machine *program.Machine
+	ended   chan program.EndTurn
+}
+
+func newKeeper() *keeper {
+	return &keeper{machine: program.New(), ended: make(chan program.EndTurn, 16)}
+}
+
+func (k *keeper) Begin(_ context.Context, _ string, turn program.BeginTurn) (program.Result, error) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	turn.Input = bytes.Clone(turn.Input)
+	turn.AtMs = time.Now().UnixMilli()
+	return k.machine.Apply(program.Command{Begin: &turn}), nil
+}
+
+func (k *keeper) End(_ context.Context, _ string, turn program.EndTurn) (program.Result, error) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	turn.Output = bytes.Clone(turn.Output)
+	turn.AtMs = time.Now().UnixMilli()
+	result := k.machine.Apply(program.Command{End: &turn})
+	k.ended <- turn
+	return result, nil
+}
+
+// A budget for one turn and two events more: the most of a turn is five events, and an event holds three tokens.
+var tightBudget = []string{"Program: p", "Budget: 21", "X-Token-Counts: 100,15"}
+
+// newKept starts a proxy whose programs a keeper keeps.
+func newKept(t *testing.T, endpoints ...*endpoint) (*fixture, *keeper) {
+	t.Helper()
+	k := newKeeper()
+	f := newFixtureWith(t, func(options *Options) { options.Programs = k }, endpoints...)
+	return f, k
+}
+
+// turn plays one turn and waits until it is settled; one that is refused by its budget isn't.
+func (f *fixture) turn(k *keeper, route, id string) answer {
+	f.t.Helper()
+	c := f.dial()
+	c.ask("POST", "/"+route+"/x", id, "input", tightBudget...)
+	got := c.read("POST")
+	if got.status != 402 {
+		if end := <-k.ended; end.Turn != id {
+			f.t.Fatalf("settled %q in place of %q", end.Turn, id)
+		}
+	}
+	return got
+}
+
+func TestTurnThatDidNotRunGivesItsTokensBack(t *testing.T) {
+	five := stream(event(1, "a"), event(2, "b"), event(3, "c"), event(4, "d"), event(5, "e"))
+	cutAfterOne := func(socket net.Conn, request received) bool {
+		io.WriteString(socket, sealed(200, request, streamHead)+chunk(event(1, "one")))
+		return false
+	}
+	cases := []struct {
+		name   string
+		script func(net.Conn, received) bool // of the first turn; nil: no endpoint
+		left   bool                          // a turn of the most still fits
+	}{
+		{"given no endpoint for a turn then all of it is given back", nil, true},
+		{"given a turn that is turned away then all of it is given back", turnAway, true},
+		{"given a turn that fails with a 4xx then all of it is given back", answerWith(413, "no"), true},
+		{"given a turn that is reset before its first event then all of it is given back", resetAtOnce, true},
+		{"given a turn that breaks off after an event then the rest is given back", cutAfterOne, true},
+		{"given a turn that is answered whole then what it handed on is spent", five, false},
+	}
+	for _, test := range cases {
+		for _, route := range []string{"turn", "stream"} {
+			t.Run(test.name+", "+route, func(t *testing.T) {
+				var again atomic.Bool
+				e := newEndpoint(t, func(socket net.Conn, request received) bool {
+					if !again.Swap(true) {
+						return test.script(socket, request)
+					}
+					return five(socket, request)
+				})
+				f, k := newKept(t, e)
+				all := f.chooser.endpoints
+				if test.script == nil {
+					again.Store(true)
+					f.chooser.endpoints = nil
+				}
+				f.turn(k, route, "first")
+				f.chooser.endpoints = all
+				runs := e.count.Load()
+				got := f.turn(k, route, "second")
+				if (got.status == 200) != test.left || (got.status == 402) == test.left {
+					t.Errorf("the second turn got %+v", got)
+				}
+				if got.status == 402 && e.count.Load() != runs {
+					t.Error("a turn that was refused for its budget has run")
+				}
+			})
+		}
+	}
+}
+
+func TestLoopWithoutEndNeverGetsMoreThanItsBudget(t *testing.T) {
+	// given a program that asks on, also when it is told that its budget is spent
+	events := stream(event(1, "a"), event(2, "b"))
+	e := newEndpoint(t, events)
+	f, k := newKept(t, e)
+	served, refused := 0, 0
+	for i := range 10 {
+		switch got := f.turn(k, "turn", "t"+string(rune('0'+i))); got.status {
+		case 200:
+			served++
+		case 402:
+			refused++
+		default:
+			t.Fatalf("got %+v", got)
+		}
+	}
+	// then it gets turns as long as one of the most fits: 6 tokens each, up to 21 with 15 set aside
+	if served != 2 || refused != 8 || e.count.Load() != 2 {
+		t.Errorf("%d served, %d refused, %d runs", served, refused, e.count.Load())
+	}
+}
+
+func TestEndThatIsLostIsSafeWithinTheBound(t *testing.T) {
+	const bound = time.Second // settleMs of the deployments
+	for lost := range 4 {
+		synctest.Test(t, func(t *testing.T) {
+			// given stores that lose some offers of an end
+			offers := 0
+			stores := &programs{ended: make(chan program.EndTurn, 1), end: func(program.EndTurn) error {
+				offers++
+				if offers <= lost {
+					return errors.New("lost")
+				}
+				return nil
+			}}
+			began := time.Now()
+			// when it is offered again, then it is safe within the bound
+			if err := endTurn(t.Context(), stores, "key", program.EndTurn{Turn: "id"}); err != nil {
+				t.Error(err)
+			}
+			if took := time.Since(began); took >= bound {
+				t.Errorf("%d lost: safe after %v", lost, took)
+			}
+		})
+	}
+}
