Test that changes of the view cut no request, and that a proxy ends in time

Nothing changed what a proxy knows while it had a request under way, and the order of a proxy's end was in a function that no test called. Ruled out: a fault. Change: endProxy holds the order of the end, tested in virtual time: not ready at once, requests taken for 2 to 4 s, through with 300 ms to spare. Tests: twelve changes while an endpoint works on a request or a stream, which is answered whole.

--- a/internal/system/command/proxy.go
+++ b/internal/system/command/proxy.go
@@ -94,8 +94,19 @@
 		return err
 	case <-stopping.Done():
 	}
-	grace := p.settings.Bounds.Grace()
-	bounded, cancel := context.WithTimeout(running, part(grace, stopPart))
+	return endProxy(running, carrier, p.settings.Bounds.Grace())
+}
+
+// drainer is a data path that can be ended.
+type drainer interface {
+	Drain()
+	Shutdown(ctx context.Context) error
+}
+
+// endProxy ends a data path within the grace time. At once it says that it isn't ready; it takes requests until the platform has
+// noticed, and waits for those under way.
+func endProxy(ctx context.Context, carrier drainer, grace time.Duration) error {
+	bounded, cancel := context.WithTimeout(ctx, part(grace, stopPart))
 	defer cancel()
 	carrier.Drain()
 	time.Sleep(drainFor(grace))
--- /dev/null
+++ b/internal/system/command/proxy_test.go
@@ -0,0 +1,50 @@
+package command
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// carrier is a data path that notes when it is ended, and ends as late as it may.
+type carrier struct {
+	drained, shut, ended time.Time
+}
+
+func (c *carrier) Drain() { c.drained = time.Now() }
+
+func (c *carrier) Shutdown(ctx context.Context) error {
+	c.shut = time.Now()
+	<-ctx.Done()
+	c.ended = time.Now()
+	return ctx.Err()
+}
+
+func TestProxyEndsWithinItsGraceTime(t *testing.T) {
+	const (
+		noticed     = 2 * time.Second        // the platform asks each second, and twice
+		countsReady = 4 * time.Second        // after which it must not count as ready
+		lastWords   = 300 * time.Millisecond // for the answers to what is given up
+	)
+	for _, grace := range []time.Duration{5 * time.Second, 8 * time.Second, 20 * time.Second} {
+		synctest.Test(t, func(t *testing.T) {
+			began := time.Now()
+			c := &carrier{}
+			// when a proxy with requests that go on is ended
+			if err := endProxy(t.Context(), c, grace); err == nil {
+				t.Error("all requests have ended")
+			}
+			// then it says so at once, takes requests until that is noticed, and is through before it is killed
+			if !c.drained.Equal(began) {
+				t.Errorf("grace %v: not ready after %v", grace, c.drained.Sub(began))
+			}
+			if taken := c.shut.Sub(began); taken < noticed || taken >= countsReady {
+				t.Errorf("grace %v: takes requests for %v", grace, taken)
+			}
+			if took := c.ended.Sub(began); took < grace/2 || took+lastWords > grace {
+				t.Errorf("grace %v: through after %v", grace, took)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/system/proxy/planned_test.go
@@ -0,0 +1,96 @@
+package proxy
+
+import (
+	"io"
+	"net"
+	"testing"
+
+	"mastusher/internal/system/model"
+	"mastusher/internal/system/view"
+)
+
+func TestChangesOfTheViewCutNothing(t *testing.T) {
+	// reconfigure puts another configuration in force.
+	reconfigure := func(change func(*model.Configuration)) func(*fixture, *Scheduler) {
+		return func(f *fixture, _ *Scheduler) {
+			config := newConfiguration()
+			config.Number++
+			change(config)
+			f.views.routes.Store(NewRoutes(config))
+		}
+	}
+	changes := map[string]func(*fixture, *Scheduler){
+		"all routes removed":    reconfigure(func(c *model.Configuration) { c.Routes = nil }),
+		"all services removed":  reconfigure(func(c *model.Configuration) { c.Services = nil }),
+		"routes to other hosts": reconfigure(func(c *model.Configuration) { c.Routes[0].Host, c.Routes[2].Host = "b.example", "b.example" }),
+		"shorter times": reconfigure(func(c *model.Configuration) {
+			for i := range c.Routes {
+				c.Routes[i].GiveUpMs, c.Routes[i].TargetMs = 1, 1
+			}
+		}),
+		"other limits": reconfigure(func(c *model.Configuration) {
+			c.Limits = model.Limits{MaxHeaderBytes: 8 << 10, MaxBodyBytes: 1, HeaderWaitMs: 1, IdleCloseMs: 1}
+		}),
+		"no configuration":    func(f *fixture, _ *Scheduler) { f.views.routes.Store(nil) },
+		"not ready":           func(f *fixture, _ *Scheduler) { f.views.ready.Store(false) },
+		"the endpoint drains": func(_ *fixture, s *Scheduler) { s.SetEndpoints(servers("", "", model.Draining)) },
+		"the endpoint leaves": func(_ *fixture, s *Scheduler) { s.SetEndpoints(nil) },
+		"another version": func(_ *fixture, s *Scheduler) {
+			s.SetVersions([]view.ServiceVersions{{Service: "plain", Current: "v2"}, {Service: "engine", Current: "v2"}})
+		},
+		"many proxies":     func(_ *fixture, s *Scheduler) { s.SetProxies(1000) },
+		"the proxy drains": func(f *fixture, _ *Scheduler) { f.proxy.Drain() },
+	}
+	begun := map[string]string{ // of the answer, when the change comes
+		"nothing yet":        "",
+		"a part of a stream": streamHead,
+	}
+	for name, change := range changes {
+		for part, head := range begun {
+			t.Run(name+", "+part, func(t *testing.T) {
+				// given a request under way
+				started, release := make(chan struct{}), make(chan struct{})
+				e := newEndpoint(t, func(socket net.Conn, request received) bool {
+					text := ""
+					if head != "" {
+						text = sealed(200, request, head) + chunk(event(1, "one"))
+					}
+					io.WriteString(socket, text)
+					close(started)
+					<-release
+					if head == "" {
+						return answerWith(200, "whole")(socket, request)
+					}
+					io.WriteString(socket, chunk(event(2, "two"))+lastChunk)
+					return true
+				})
+				s := NewScheduler("z", 1)
+				address := e.listener.Addr().String()
+				s.SetEndpoints(servers(address, address, model.Ready))
+				f := newFixtureWith(t, func(options *Options) { options.Chooser = s }, e)
+				c := f.dial()
+				target, want := "/safe/x", "whole"
+				if head != "" {
+					target, want = "/stream/x", event(1, "one")+event(2, "two")
+				}
+				c.ask("POST", target, "id", "body")
+				<-started
+				// when what the proxy knows changes
+				change(f, s)
+				close(release)
+				// then the request is answered whole
+				if got := c.read("POST"); got.status != 200 || got.body != want || got.err != nil {
+					t.Errorf("got %+v", got)
+				}
+			})
+		}
+	}
+}
+
+// servers returns an endpoint of each service, with the addresses given.
+func servers(plain, engine string, state model.EndpointState) []model.Endpoint {
+	return []model.Endpoint{
+		{ID: "p", Service: "plain", Address: plain, Zone: "z", Capacity: 8, Number: "v1", State: state},
+		{ID: "g", Service: "engine", Address: engine, Zone: "z", Capacity: 8, Number: "v1", State: state},
+	}
+}
