Test that a more urgent kind of request is not served less often under load

Ruled out: a fault. Change: a test in virtual time, with several proxies and an endpoint that lets the more urgent in first.

--- /dev/null
+++ b/internal/system/proxy/rank_test.go
@@ -0,0 +1,143 @@
+package proxy
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"mastusher/internal/system/model"
+)
+
+// slots is a stand-in for an endpoint that works on so many requests at once, and lets the most urgent of those that wait in
+// first. A full queue turns away the least urgent one.
+type slots struct {
+	count, queue int
+	mutex        sync.Mutex
+	running      int
+	waiting      []*slotRequest
+}
+
+// slotRequest is a request that waits in an endpoint.
+type slotRequest struct {
+	rank int
+	let  chan bool // whether it runs
+}
+
+// run works on a request for so long; it returns false if the request was turned away.
+func (s *slots) run(rank int, work time.Duration) bool {
+	request := &slotRequest{rank: rank, let: make(chan bool, 1)}
+	s.mutex.Lock()
+	s.waiting = append(s.waiting, request)
+	slices.SortStableFunc(s.waiting, func(a, b *slotRequest) int { return a.rank - b.rank })
+	s.admit()
+	if len(s.waiting) > s.queue {
+		last := s.waiting[len(s.waiting)-1]
+		s.waiting = s.waiting[:len(s.waiting)-1]
+		last.let <- false
+	}
+	s.mutex.Unlock()
+	if !<-request.let {
+		return false
+	}
+	time.Sleep(work)
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.running--
+	s.admit()
+	return true
+}
+
+// admit lets in what waits as far as there are slots. The caller holds the mutex.
+func (s *slots) admit() {
+	for s.running < s.count && len(s.waiting) > 0 {
+		s.running++
+		s.waiting[0].let <- true
+		s.waiting = s.waiting[1:]
+	}
+}
+
+// load is what the endpoint tells of itself.
+func (s *slots) load() string {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return fmt.Sprintf("%d,%d,%d", s.running, len(s.waiting), s.count)
+}
+
+// crowd plays requests of two routes on so many proxies that share an endpoint, and returns the share of each rank that was
+// answered within its aim.
+func crowd(t *testing.T, proxies int, rate float64, targets [2]int64) (served [2]float64) {
+	const (
+		work  = 100 * time.Millisecond
+		lasts = 3 * time.Second
+	)
+	endpoint := &slots{count: 8, queue: 4}
+	var schedulers []*Scheduler
+	for i := range proxies {
+		s := NewScheduler("z", uint64(i+1))
+		s.SetEndpoints([]model.Endpoint{{ID: "e", Service: "plain", Address: "a", Zone: "z", Capacity: endpoint.count, Number: "v1", State: model.Ready}})
+		schedulers = append(schedulers, s)
+	}
+	var mutex sync.Mutex
+	var asked, good [2]int
+	var all sync.WaitGroup
+	random := rand.New(rand.NewPCG(1, 2))
+	for began := time.Now(); time.Since(began) < lasts; {
+		time.Sleep(time.Duration(random.ExpFloat64() / rate * float64(time.Second)))
+		rank, s := random.IntN(2), schedulers[random.IntN(proxies)]
+		asked[rank]++
+		all.Go(func() {
+			if s.askOnce(t, endpoint, rank, targets[rank], work) {
+				mutex.Lock()
+				defer mutex.Unlock()
+				good[rank]++
+			}
+		})
+	}
+	all.Wait()
+	for rank := range served {
+		served[rank] = float64(good[rank]) / float64(asked[rank])
+	}
+	return served
+}
+
+// askOnce plays one request, and tells whether it was answered within its aim.
+func (s *Scheduler) askOnce(t *testing.T, endpoint *slots, rank int, targetMs int64, work time.Duration) bool {
+	facts := newFacts(rank)
+	facts.Route.TargetMs = targetMs
+	for range mostNotRun {
+		choice, err := s.Choose(t.Context(), facts)
+		if err != nil {
+			return false
+		}
+		facts.Excluded = append(facts.Excluded, choice.ID)
+		sent := time.Now()
+		if endpoint.run(rank, work) {
+			s.Done(choice, Outcome{Result: Succeeded, Took: time.Since(sent), Load: endpoint.load()})
+			return time.Since(facts.Arrived) <= time.Duration(targetMs)*time.Millisecond
+		}
+		facts.TurnedAway = append(facts.TurnedAway, choice.ID)
+		s.Done(choice, Outcome{Result: NotRun, Took: time.Since(sent), Load: endpoint.load()})
+	}
+	return false
+}
+
+func TestMoreUrgentRequestsAreNotServedLessOften(t *testing.T) {
+	const slack = 0.05 // by which a more urgent kind of request may be served less often
+	for _, proxies := range []int{1, 8} {
+		for _, rate := range []float64{100, 240} { // of 80 that the endpoint can serve
+			for _, targets := range [][2]int64{{400, 1600}, {1600, 400}} {
+				synctest.Test(t, func(t *testing.T) {
+					served := crowd(t, proxies, rate, targets)
+					if served[0] < served[1]-slack {
+						t.Errorf("%d proxies, %.0f/s, aims %v ms: %.2f of the more urgent served, %.2f of the others",
+							proxies, rate, targets, served[0], served[1])
+					}
+				})
+			}
+		}
+	}
+}
