Cut off each kind of controller in each way, with operators at every machine

Real controllers, groups and handlers run over a network and disks in memory, in virtual time: the owner, a former owner, a member and one that stands by are cut off from all, from the majority, from one zone, one way in either direction, and frozen, and all from each other, while operators read and replace the configuration, order versions and empty machines at each of them.

It found that members sent nobody to an owner that they heard, for up to 10 s after the end of a cut, since membership still took it for dead: 503 from all but the owner. What the group has heard lately counts now. It also found 404 for a store that membership had learned of less than 250 ms before, between two looks of the planner: it asks membership itself.

--- a/internal/system/controller/api.go
+++ b/internal/system/controller/api.go
@@ -92,13 +92,14 @@
 	return true, e.Redirect(http.StatusTemporaryRedirect, "http://"+control+e.Request().RequestURI)
 }
 
-// controlOf is where the operator reaches a controller that is taken to run, other than this one; empty if it isn't known.
+// controlOf is where the operator reaches another controller; empty if it isn't known. Whether membership takes it for dead
+// doesn't count: the group has heard it lately, and membership takes seconds to notice that a cut is over.
 func (c *Controller) controlOf(id string) string {
 	if id == "" || id == c.options.ID {
 		return ""
 	}
 	for _, m := range c.options.Fleet.Members() {
-		if m.ID == id && m.Role == membership.Controller && !m.Gone() {
+		if m.ID == id && m.Role == membership.Controller {
 			return m.Control
 		}
 	}
--- /dev/null
+++ b/internal/system/controller/cutoff_fixture_test.go
@@ -0,0 +1,436 @@
+package controller
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"mastusher/internal/system/group"
+	"mastusher/internal/system/membership"
+	"mastusher/internal/system/model"
+	"mastusher/internal/system/replica"
+	"mastusher/internal/system/rollout"
+	"mastusher/internal/system/settings"
+	"mastusher/internal/system/storage/memorydisk"
+	"mastusher/internal/system/view"
+	"mastusher/internal/system/wire"
+)
+
+// Times of a core whose machines are cut off.
+const (
+	coreLatency  = 2 * time.Millisecond // one way, and up to as much more
+	heldByCut    = 64                   // messages on each way that a cut holds up until it ends; those before are lost
+	noticedAfter = 2 * time.Second      // until membership takes a machine that is out of reach for dead
+	reunitedIn   = 10 * time.Second     // after the end of a cut, until membership takes it for alive again
+	callPatience = time.Second          // of a caller, until it moves on
+	mostFollowed = 2                    // redirects that a caller follows
+	idlePoll     = 5 * time.Millisecond
+)
+
+// core is some controllers as they run, in the virtual time of a synctest bubble: real groups, handlers and loops, over a
+// network and disks in memory.
+type core struct {
+	t        *testing.T
+	random   *rand.Rand // of the network; under mutex
+	machines []*coreMachine
+	stores   []membership.Member // all that run
+	joiner   membership.Member   // a store that starts in the middle
+	joined   time.Time           // when; zero: not yet
+
+	mutex   sync.Mutex
+	blocked map[way]bool
+	held    map[way][]group.Envelope
+	unseen  map[way]time.Time // since when a machine has been out of another one's reach; for a while after it is back
+	back    map[way]time.Time
+}
+
+// way is one direction between two machines.
+type way struct{ from, to int }
+
+// coreMachine is one controller.
+type coreMachine struct {
+	core       *core
+	number     int
+	member     membership.Member
+	controller *Controller
+	handler    http.Handler
+	wake       chan struct{}
+	calls      int           // under way; under core.mutex
+	thawed     chan struct{} // closed while it runs; under core.mutex
+}
+
+// newCore starts controllers, of which the first three are the group.
+func newCore(t *testing.T, count int, seed uint64) *core {
+	c := &core{t: t, random: rand.New(rand.NewPCG(seed, 7)), stores: storeMembers(6), joiner: storeMember(7),
+		blocked: map[way]bool{}, held: map[way][]group.Envelope{}, unseen: map[way]time.Time{}, back: map[way]time.Time{}}
+	ctx, cancel := context.WithCancel(t.Context())
+	var initial []replica.Member
+	for number := range count {
+		name := fmt.Sprintf("core-%d", number+1)
+		member := controllerMember(name, name+"-id", fmt.Sprintf("10.0.0.%d:7000", number+1), fmt.Sprintf("10.0.0.%d:8144", number+1))
+		member.Incarnation = uint64(number + 1)
+		running := make(chan struct{})
+		close(running)
+		c.machines = append(c.machines, &coreMachine{core: c, number: number, member: member, wake: make(chan struct{}, 1), thawed: running})
+		if number < 3 {
+			initial = append(initial, replica.Member{ID: member.ID, Address: member.Address})
+		}
+	}
+	var running sync.WaitGroup
+	for _, m := range c.machines {
+		first := initial
+		if m.number >= len(initial) {
+			first = nil
+		}
+		m.open(first, seed)
+		for _, loop := range []func(context.Context){m.drive, m.publishAndPlace, m.judge} {
+			running.Go(func() { loop(ctx) })
+		}
+	}
+	t.Cleanup(func() {
+		cancel()
+		running.Wait()
+	})
+	return c
+}
+
+func (m *coreMachine) open(initial []replica.Member, seed uint64) {
+	opened, err := Open(Options{ID: m.member.ID, Address: m.member.Address, Settings: &settings.Settings{Survive: settings.Survive{Machines: 1}},
+		Initial: initial, Disk: memorydisk.New(), Fleet: m, Reader: &list{endpoints: []model.Endpoint{endpoint("e", 0)}}, Logger: log.NewNopLogger(),
+		Seed: seed + uint64(m.number), Send: m.send, Ask: func(string, func(wire.ShardMembersAnswer, error)) {}})
+	if err != nil {
+		m.core.t.Fatal(err)
+	}
+	m.controller, m.handler = opened, opened.Handler()
+}
+
+// pass waits while the machine is frozen.
+func (m *coreMachine) pass() {
+	for {
+		m.core.mutex.Lock()
+		thawed := m.thawed
+		m.core.mutex.Unlock()
+		select {
+		case <-thawed:
+			return
+		default:
+		}
+		<-thawed
+	}
+}
+
+// drive gives the group its turns.
+func (m *coreMachine) drive(ctx context.Context) {
+	opened := time.Now()
+	for ctx.Err() == nil {
+		m.pass()
+		next, err := m.controller.Group().Turn()
+		if err != nil {
+			m.core.t.Errorf("%s: %v", m.member.Name, err)
+			return
+		}
+		wait := max(0, next-time.Since(opened))
+		m.core.mutex.Lock()
+		if m.calls > 0 {
+			wait = min(wait, idlePoll)
+		}
+		m.core.mutex.Unlock()
+		select {
+		case <-time.After(wait):
+		case <-m.wake:
+		case <-ctx.Done():
+		}
+	}
+}
+
+// publishAndPlace does what the loops of a controller do, as long as the machine runs.
+func (m *coreMachine) publishAndPlace(ctx context.Context) {
+	var publisher EndpointPublisher
+	for ctx.Err() == nil {
+		m.pass()
+		m.controller.Place(time.Now())
+		m.controller.Publish()
+		m.controller.ReadEndpoints(ctx, &publisher)
+		m.poke()
+		m.sleep(ctx, placeInterval)
+	}
+}
+
+func (m *coreMachine) judge(ctx context.Context) {
+	trials := map[rollout.Order]*trial{}
+	for ctx.Err() == nil {
+		m.pass()
+		m.controller.judgeAll(ctx, time.Now(), trials)
+		m.sleep(ctx, judgeInterval)
+	}
+}
+
+func (m *coreMachine) sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+	}
+}
+
+func (m *coreMachine) poke() {
+	select {
+	case m.wake <- struct{}{}:
+	default:
+	}
+}
+
+// send puts a message on its way.
+func (m *coreMachine) send(address string, envelope group.Envelope) {
+	for _, to := range m.core.machines {
+		if to.member.Address == address {
+			m.core.carry(way{m.number, to.number}, envelope)
+		}
+	}
+}
+
+func (c *core) carry(w way, envelope group.Envelope) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.blocked[w] {
+		c.held[w] = append(c.held[w], envelope)
+		if len(c.held[w]) > heldByCut {
+			c.held[w] = c.held[w][1:]
+		}
+		return
+	}
+	delay := coreLatency + time.Duration(c.random.Int64N(int64(coreLatency)))
+	time.AfterFunc(delay, func() {
+		to := c.machines[w.to]
+		to.pass()
+		to.controller.Group().Deliver(envelope.Message)
+		to.poke()
+	})
+}
+
+// set begins or ends a cut of some ways. What it has held up arrives after its end.
+func (c *core) set(blocked bool, ways ...way) {
+	for _, w := range ways {
+		c.mutex.Lock()
+		c.blocked[w] = blocked
+		held := c.held[w]
+		if !blocked {
+			delete(c.held, w)
+		}
+		c.mutex.Unlock()
+		for _, envelope := range held {
+			if !blocked {
+				c.carry(w, envelope)
+			}
+		}
+	}
+	c.look()
+}
+
+// freeze stops a machine, and thaw lets it go on.
+func (c *core) freeze(number int) {
+	c.mutex.Lock()
+	c.machines[number].thawed = make(chan struct{})
+	c.mutex.Unlock()
+	c.look()
+}
+
+func (c *core) thaw(number int) {
+	c.mutex.Lock()
+	close(c.machines[number].thawed)
+	c.mutex.Unlock()
+	c.look()
+}
+
+// look notes who is in whose reach, directly or through others.
+func (c *core) look() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	now := time.Now()
+	for from := range c.machines {
+		reached := c.reachedFrom(from)
+		for to := range c.machines {
+			w := way{from, to}
+			_, unseen := c.unseen[w]
+			switch {
+			case !reached[to] && !unseen:
+				c.unseen[w] = now
+				delete(c.back, w)
+			case reached[to] && unseen && c.back[w].IsZero():
+				c.back[w] = now.Add(reunitedIn)
+			}
+		}
+	}
+}
+
+func (c *core) reachedFrom(from int) map[int]bool {
+	reached := map[int]bool{from: true}
+	for again := true; again; {
+		again = false
+		for a := range c.machines {
+			for b := range c.machines {
+				if reached[a] && !reached[b] && !c.blocked[way{a, b}] && !c.blocked[way{b, a}] && c.runs(a) && c.runs(b) {
+					reached[b], again = true, true
+				}
+			}
+		}
+	}
+	return reached
+}
+
+func (c *core) runs(number int) bool {
+	select {
+	case <-c.machines[number].thawed:
+		return true
+	default:
+		return false
+	}
+}
+
+// isDead tells whether membership of one machine takes another for dead. The caller holds the mutex.
+func (c *core) isDead(w way) bool {
+	since, unseen := c.unseen[w]
+	back := c.back[w]
+	return unseen && time.Since(since) > noticedAfter && (back.IsZero() || time.Now().Before(back))
+}
+
+// Members implements Fleet. A machine that is out of reach of all others takes the stores for dead too.
+func (m *coreMachine) Members() []membership.Member {
+	c := m.core
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	var members []membership.Member
+	alone := true
+	for _, other := range c.machines {
+		told := other.member
+		if c.isDead(way{m.number, other.number}) {
+			told.State = membership.Dead
+		} else if other != m {
+			alone = false
+		}
+		members = append(members, told)
+	}
+	stores := c.stores
+	if !c.joined.IsZero() && time.Since(c.joined) > time.Second && !alone {
+		stores = append(stores[:len(stores):len(stores)], c.joiner)
+	}
+	for _, store := range stores {
+		if alone {
+			store.State = membership.Dead
+		}
+		members = append(members, store)
+	}
+	return members
+}
+
+// Publish implements Fleet.
+func (m *coreMachine) Publish(view.Piece) {}
+
+// answer is what a caller got at the end of a call, after redirects.
+type answer struct {
+	method, path string
+	order        *sentOrder // of a PUT
+	began, ended time.Time
+	first        int // machine that was called
+	code         int // 0: none in time
+	body         string
+	hops         []hop
+}
+
+// hop is one redirect.
+type hop struct {
+	at   time.Time
+	from int
+	to   string
+}
+
+// call makes a call as the operator does.
+func (c *core) call(first int, method, path, body string, base string) *answer {
+	a := &answer{method: method, path: path, began: time.Now(), first: first}
+	defer func() { a.ended = time.Now() }()
+	machine := c.machines[first]
+	for range mostFollowed + 1 {
+		recorder := machine.ask(method, path, body, base)
+		if recorder == nil {
+			return a
+		}
+		a.code, a.body = recorder.Code, recorder.Body.String()
+		if a.code != http.StatusTemporaryRedirect {
+			return a
+		}
+		location := recorder.Header().Get("Location")
+		a.hops = append(a.hops, hop{at: time.Now(), from: machine.number, to: location})
+		for _, other := range c.machines {
+			if strings.Contains(location, other.member.Control) {
+				machine = other
+			}
+		}
+	}
+	return a
+}
+
+// ask has a machine answer; nil: not within the caller's patience.
+func (m *coreMachine) ask(method, path, body, base string) *httptest.ResponseRecorder {
+	ctx, cancel := context.WithTimeout(context.Background(), callPatience)
+	defer cancel()
+	answered := make(chan *httptest.ResponseRecorder, 1)
+	go func() {
+		m.pass()
+		if ctx.Err() != nil && method == http.MethodPost {
+			return // its connection is closed by now. Late repeats of such orders have rules of their own
+		}
+		m.count(1)
+		defer m.count(-1)
+		request := httptest.NewRequestWithContext(ctx, method, path, strings.NewReader(body))
+		request.Header.Set("If-Match", base)
+		recorder := httptest.NewRecorder()
+		m.handler.ServeHTTP(recorder, request)
+		m.pass() // nothing leaves a machine that is frozen
+		answered <- recorder
+	}()
+	select {
+	case recorder := <-answered:
+		return recorder
+	case <-ctx.Done():
+		return nil
+	}
+}
+
+func (m *coreMachine) count(change int) {
+	m.core.mutex.Lock()
+	m.calls += change
+	m.core.mutex.Unlock()
+	m.poke()
+}
+
+// owner is the machine that owns the group, once there is one.
+func (c *core) owner() int {
+	c.t.Helper()
+	for began := time.Now(); time.Since(began) < 5*time.Second; time.Sleep(10 * time.Millisecond) {
+		for _, m := range c.machines {
+			if m.controller.Group().Status().IsOwner {
+				return m.number
+			}
+		}
+	}
+	c.t.Fatal("no owner")
+	return 0
+}
+
+// others lists all machines but one.
+func (c *core) others(number int) []int {
+	var others []int
+	for _, m := range c.machines {
+		if m.number != number {
+			others = append(others, m.number)
+		}
+	}
+	return others
+}
--- /dev/null
+++ b/internal/system/controller/cutoff_history_test.go
@@ -0,0 +1,275 @@
+package controller
+
+import (
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"mastusher/internal/system/configuration"
+)
+
+// sentOrder is what was ordered: a configuration, a version, or a machine to be emptied.
+type sentOrder struct {
+	base, number uint64
+	at           time.Time // sent first; of a machine: since when it is known
+	taken        bool      // of a configuration, as the group has it at the end
+}
+
+// history is all that callers got, and judges it when all is over.
+type history struct {
+	answers []*answer
+	orders  []*sentOrder
+	chain   []*sentOrder // the orders that were taken, each on top of the one before
+	faults  []string
+}
+
+func (h *history) fault(a *answer, format string, args ...any) {
+	h.faults = append(h.faults, fmt.Sprintf("%s %s at core-%d from %v to %v: %d %s: %s", a.method, a.path, a.first+1,
+		a.began.Format("05.000"), a.ended.Format("05.000"), a.code, strings.TrimSpace(a.body), fmt.Sprintf(format, args...)))
+}
+
+// judge checks that all answers about the configuration are those of one register that is read and replaced as a whole, in
+// an order that agrees with real time, and those about other orders likewise.
+func (h *history) judge(register *configuration.Register) []string {
+	for _, order := range h.orders {
+		order.taken = register.WasTaken(order.configuration())
+	}
+	slices.SortFunc(h.answers, func(a, b *answer) int { return a.ended.Compare(b.ended) })
+	h.link()
+	h.judgeKinds()
+	h.judgeConfiguration()
+	h.judgeRollouts()
+	h.judgeRetirements()
+	return h.faults
+}
+
+// configuration is the order as the controller takes it.
+func (o *sentOrder) configuration() *configuration.Order {
+	compact, _ := json.Marshal(json.RawMessage(document(int(o.number))))
+	return &configuration.Order{Base: o.base, Number: o.number, Raw: compact}
+}
+
+// link finds the chain of the orders taken.
+func (h *history) link() {
+	next := map[uint64]*sentOrder{}
+	taken := 0
+	for _, order := range h.orders {
+		if !order.taken {
+			continue
+		}
+		taken++
+		if other := next[order.base]; other != nil {
+			h.faults = append(h.faults, fmt.Sprintf("configurations %d and %d were both taken on %d", other.number, order.number, order.base))
+		}
+		next[order.base] = order
+	}
+	for order := next[0]; order != nil; order = next[order.number] {
+		h.chain = append(h.chain, order)
+	}
+	if len(h.chain) != taken {
+		h.faults = append(h.faults, fmt.Sprintf("%d configurations were taken, %d of them on top of each other", taken, len(h.chain)))
+	}
+}
+
+// place is the number of configurations taken up to one: 0 for none at all, -1 for one that was never taken.
+func (h *history) place(number uint64) int {
+	if number == 0 {
+		return 0
+	}
+	for i, order := range h.chain {
+		if order.number == number {
+			return i + 1
+		}
+	}
+	return -1
+}
+
+// judgeKinds checks that no answer is of a kind that may not be.
+func (h *history) judgeKinds() {
+	may := []int{0, http.StatusOK, http.StatusTemporaryRedirect, http.StatusServiceUnavailable, http.StatusNotFound, http.StatusConflict,
+		http.StatusPreconditionFailed}
+	for _, a := range h.answers {
+		switch {
+		case a.method != http.MethodGet && a.code == http.StatusGatewayTimeout: // may or may not have been taken
+		case !slices.Contains(may, a.code):
+			h.fault(a, "no such answer may be given")
+		}
+		for _, hop := range a.hops {
+			if strings.Contains(hop.to, fmt.Sprintf("10.0.0.%d:", hop.from+1)) {
+				h.fault(a, "core-%d sends to itself", hop.from+1)
+			}
+		}
+	}
+}
+
+// judgeConfiguration follows the lowest place in the chain that each answer allows, given all that had ended before it began.
+func (h *history) judgeConfiguration() {
+	var floors floors
+	for _, a := range h.answers {
+		if a.path != settingsPath {
+			continue
+		}
+		low, high := floors.at(a.began), h.ceiling(a.ended)
+		switch {
+		case a.method == http.MethodGet && a.code == http.StatusOK:
+			var told struct{ Number uint64 }
+			if err := json.Unmarshal([]byte(a.body), &told); err != nil {
+				h.fault(a, "%v", err)
+				continue
+			}
+			place := h.place(told.Number)
+			if place < low || place > high {
+				h.fault(a, "it is at place %d, and must be from %d to %d", place, low, high)
+			}
+			low = max(low, place)
+		case a.method == http.MethodPut && a.code == http.StatusOK:
+			place := h.place(a.order.number)
+			if place < 1 || place > high {
+				h.fault(a, "it is at place %d, and must be from 1 to %d", place, high)
+			}
+			low = max(low, place)
+		case a.code == http.StatusPreconditionFailed:
+			if a.order.taken {
+				h.fault(a, "the order was taken")
+			}
+			if h.place(a.order.base) == low {
+				low++
+			}
+			if low > high {
+				h.fault(a, "%d was current all the time", a.order.base)
+			}
+		case a.code == http.StatusNotFound || a.code == http.StatusConflict:
+			h.fault(a, "no such answer may be given")
+		}
+		floors.add(a.ended, low)
+	}
+}
+
+// ceiling is the highest place that the chain can have reached by then.
+func (h *history) ceiling(at time.Time) int {
+	for i, order := range h.chain {
+		if order.at.After(at) {
+			return i
+		}
+	}
+	return len(h.chain)
+}
+
+// floors holds the lowest places that are certain, by the time from which on they are.
+type floors struct {
+	times  []time.Time
+	places []int
+}
+
+func (f *floors) add(at time.Time, place int) {
+	f.times, f.places = append(f.times, at), append(f.places, place)
+}
+
+// at is the lowest place that was certain before a time.
+func (f *floors) at(at time.Time) int {
+	low := 0
+	for i := range f.times {
+		if f.times[i].Before(at) {
+			low = max(low, f.places[i])
+		}
+	}
+	return low
+}
+
+// judgeRollouts checks the answers about one service, of which one caller orders version after version.
+func (h *history) judgeRollouts() {
+	first := map[int]time.Time{} // when each version was ordered
+	var ordered, finished floors
+	for _, a := range h.answers {
+		if a.method == http.MethodPost && a.path == rolloutsPath && (first[a.version()].IsZero() || a.began.Before(first[a.version()])) {
+			first[a.version()] = a.began
+		}
+	}
+	for _, a := range h.answers {
+		switch {
+		case a.method == http.MethodPost && a.path == rolloutsPath:
+			if a.code == http.StatusOK {
+				ordered.add(a.ended, a.version())
+			}
+			if a.code == http.StatusConflict || a.code == http.StatusNotFound {
+				h.fault(a, "nothing else is under way")
+			}
+		case a.path == rolloutsPath+"/lm" && a.code == http.StatusNotFound:
+			if ordered.at(a.began) > 0 {
+				h.fault(a, "version %d had been ordered", ordered.at(a.began))
+			}
+		case a.path == rolloutsPath+"/lm" && a.code == http.StatusOK:
+			var told rolloutState
+			if err := json.Unmarshal([]byte(a.body), &told); err != nil {
+				h.fault(a, "%v", err)
+				continue
+			}
+			version, _ := strconv.Atoi(strings.TrimPrefix(told.Target, "v"))
+			if low := ordered.at(a.began); version < low || first[version].IsZero() || first[version].After(a.ended) {
+				h.fault(a, "version %d had been ordered", low)
+			}
+			if told.State == "in_service" && finished.at(a.began) >= version {
+				h.fault(a, "it was finished before")
+			}
+			ordered.add(a.ended, version)
+			if told.State != "in_service" {
+				finished.add(a.ended, version)
+			}
+		}
+	}
+}
+
+// version is the number of the version that an order names.
+func (a *answer) version() int {
+	version, _ := strconv.Atoi(strings.TrimPrefix(a.order.target(), "v"))
+	return version
+}
+
+func (o *sentOrder) target() string { return fmt.Sprintf("v%d", o.number) }
+
+// judgeRetirements checks the answers about machines of which enough always remain.
+func (h *history) judgeRetirements() {
+	asked := map[string]*floors{}
+	for _, a := range h.answers {
+		if !strings.HasPrefix(a.path, retirePath) {
+			continue
+		}
+		if asked[a.path] == nil {
+			asked[a.path] = &floors{}
+		}
+		switch {
+		case a.code == http.StatusConflict:
+			h.fault(a, "enough remain")
+		case a.code == http.StatusNotFound && a.method == http.MethodPost && a.order != nil && a.order.at.Before(a.began):
+			h.fault(a, "the machine is known")
+		case a.code == http.StatusNotFound && asked[a.path].at(a.began) > 0:
+			h.fault(a, "it had been asked to be emptied")
+		case a.code == http.StatusOK:
+			asked[a.path].add(a.ended, 1)
+		}
+	}
+}
+
+const (
+	rolloutsPath = "/mastusher/rollouts"
+	retirePath   = "/mastusher/retire/"
+)
+
+// counts lists how many answers of each kind there were.
+func (h *history) counts() string {
+	counts := map[string]int{}
+	for _, a := range h.answers {
+		counts[fmt.Sprintf("%s %s %d", a.method, strings.Split(strings.TrimPrefix(a.path, "/mastusher/"), "/")[0], a.code)]++
+	}
+	var lines []string
+	for kind, count := range counts {
+		lines = append(lines, fmt.Sprintf("%s x%d", kind, count))
+	}
+	slices.SortFunc(lines, cmp.Compare)
+	return strings.Join(lines, ", ")
+}
--- a/internal/system/controller/retirements.go
+++ b/internal/system/controller/retirements.go
@@ -12,6 +12,7 @@
 	"github.com/labstack/echo/v4"
 
 	"mastusher/internal/system/fault"
+	"mastusher/internal/system/membership"
 	"mastusher/internal/system/placement"
 	"mastusher/internal/system/retire"
 )
@@ -74,6 +75,9 @@
 	defer c.planMutex.Unlock()
 	watch := c.planner.Watch()
 	store, known := watch.Store(node)
+	if !known {
+		store, known = c.justJoined(node)
+	}
 	if !known {
 		store, known = c.placedOrAsked(node)
 	}
@@ -96,6 +100,16 @@
 	return c.planner.Watch().IsSure(now, c.group.Status().Epoch)
 }
 
+// justJoined finds a machine that the planner hasn't looked at yet.
+func (c *Controller) justJoined(node string) (placement.Store, bool) {
+	for _, m := range c.options.Fleet.Members() {
+		if m.Role == membership.Store && placement.NodeOf(m.Name) == node {
+			return placement.Store{ID: m.ID, Node: node, Address: m.Address, Zone: m.Zone}, true
+		}
+	}
+	return placement.Store{}, false
+}
+
 // placedOrAsked finds a machine of which membership knows nothing any more: by its replicas, or by an earlier order.
 func (c *Controller) placedOrAsked(node string) (placement.Store, bool) {
 	c.mutex.Lock()
