Let operators work on a troubled cluster and check what they see

Three operators change the configuration at once, through the real handlers of three controllers in virtual time: the same number with other content, the same content, versions that never came, repeats of any older order, at any controller. At the end each order gets a clear answer, and the newest configuration is read back; the whole history is checked for linearizability. A failure prints its seed and history. The checker takes an order without a clear answer as one that may also have been refused, which the first campaign showed to be missing.

--- a/internal/system/controller/cluster_test.go
+++ b/internal/system/controller/cluster_test.go
@@ -59,7 +59,8 @@
 	disk       *memorydisk.Disk
 	starts     int
 	running    bool
-	stale      *view.Piece // the placement that it hears in place of the newest
+	skew       time.Duration // of its time of day
+	stale      *view.Piece   // the placement that it hears in place of the newest
 	controller *Controller
 	placeDue   time.Duration
 	store      *store.Store
@@ -168,6 +169,7 @@
 	}
 	opened, err := Open(Options{ID: m.member.ID, Address: m.member.Address, Settings: &settings.Settings{Survive: settings.Survive{Machines: 1}},
 		Initial: initial, Disk: m.disk, Fleet: c, Reader: &list{}, Logger: log.NewNopLogger(), Seed: uint64(c.starts), Send: send, Clock: clock,
+		Now: func() time.Time { return c.time().Add(m.skew) },
 		Ask: func(address string, done func(wire.ShardMembersAnswer, error)) {
 			if asked := c.machines[address]; asked.running && asked.store != nil {
 				asked.store.Report(func(answer wire.ShardMembersAnswer) { done(answer, nil) })
--- /dev/null
+++ b/internal/system/controller/orders_campaign_test.go
@@ -0,0 +1,242 @@
+package controller
+
+import (
+	"encoding/json"
+	"flag"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"mastusher/internal/system/history"
+)
+
+var (
+	histories = flag.Int("histories", 6, "number of random histories of orders that are checked")
+	firstSeed = flag.Uint64("first-history", 1, "seed of the first of them")
+)
+
+// What a campaign does.
+const (
+	operatorCount   = 3
+	ordersEach      = 12
+	disturbEvery    = 250 * time.Millisecond
+	mostCampaign    = 90 * time.Second
+	mostFinalAnswer = 100 // attempts, once all trouble has ended
+	paddedBytes     = 60 << 10
+)
+
+// recorder keeps what operators have seen.
+type recorder struct {
+	mutex      sync.Mutex
+	operations []history.Operation
+	sent       []history.Order
+}
+
+func (r *recorder) add(operation history.Operation) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.operations = append(r.operations, operation)
+}
+
+func (r *recorder) note(order history.Order) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.sent = append(r.sent, order)
+}
+
+// old is an order that was sent before, by anyone.
+func (r *recorder) old(pick func(int) int) history.Order {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.sent[pick(len(r.sent))]
+}
+
+// editor is an operator who changes the configuration.
+type editor struct {
+	*operator
+	recorder *recorder
+	padding  string
+	known    history.Version
+}
+
+// put sends an order once and tells whether the answer was a clear one.
+func (e *editor) put(order history.Order) bool {
+	operation := history.Operation{Operator: e.number, Kind: history.Put, Order: order, Call: time.Now().UnixNano()}
+	got := e.call(http.MethodPut, settingsPath, orderNamed(order.Number, order.Content+e.padding), "If-Match", fmt.Sprint(order.Base))
+	switch got.status {
+	case http.StatusOK:
+		operation.Outcome = history.Taken
+	case http.StatusPreconditionFailed:
+		operation.Outcome = history.Conflict
+	case http.StatusBadRequest:
+		operation.Outcome = history.NotNewer
+	case 0, http.StatusServiceUnavailable, http.StatusGatewayTimeout:
+	default:
+		e.cluster.t.Errorf("order %+v: answer %d %s", order, got.status, got.body)
+	}
+	operation.Return = time.Now().UnixNano()
+	e.recorder.add(operation)
+	if operation.Outcome == history.Taken {
+		e.known = history.Version{Number: order.Number, Content: order.Content}
+	}
+	return operation.Outcome != history.Unclear
+}
+
+// get asks for the newest configuration once and tells whether it came.
+func (e *editor) get() bool {
+	operation := history.Operation{Operator: e.number, Kind: history.Get, Call: time.Now().UnixNano()}
+	got := e.call(http.MethodGet, settingsPath, "")
+	if got.status == http.StatusOK {
+		var told struct {
+			Number uint64 `json:"number"`
+			Note   string `json:"note"`
+		}
+		if err := json.Unmarshal([]byte(got.body), &told); err != nil {
+			e.cluster.t.Error(err)
+		}
+		operation.Outcome = history.Read
+		operation.Version = history.Version{Number: told.Number, Content: strings.TrimSuffix(told.Note, e.padding)}
+		e.known = operation.Version
+	}
+	operation.Return = time.Now().UnixNano()
+	e.recorder.add(operation)
+	return operation.Outcome != history.Unclear
+}
+
+// work sends orders, on the newest version or an older one, and repeats some.
+func (e *editor) work(orders int) {
+	for range orders {
+		if e.random.IntN(3) > 0 {
+			e.persist(2, e.get)
+		}
+		order := history.Order{Base: e.known.Number, Number: e.known.Number + 1 + e.random.Uint64N(2), Content: fmt.Sprint(e.random.IntN(2))}
+		if e.random.IntN(8) == 0 {
+			order.Base++
+			order.Number++
+		}
+		e.recorder.note(order)
+		e.persist(mostAttempts, func() bool { return e.put(order) })
+		if e.random.IntN(2) == 0 {
+			e.put(e.recorder.old(e.random.IntN))
+		}
+		e.rest(time.Duration(e.random.IntN(400)) * time.Millisecond)
+	}
+}
+
+// finish has every order answered clearly once more, and reads back.
+func (e *editor) finish(orders []history.Order) {
+	for _, order := range orders {
+		if !e.persist(mostFinalAnswer, func() bool { return e.put(order) }) {
+			e.cluster.t.Errorf("order %+v has no clear answer though all trouble has ended", order)
+		}
+	}
+	if !e.persist(mostFinalAnswer, e.get) {
+		e.cluster.t.Error("the configuration is not read back though all trouble has ended")
+	}
+}
+
+// playHistory lets operators work while machines have trouble, and returns what they saw.
+func playHistory(t testing.TB, seed uint64) []history.Operation {
+	c := newTroubledCluster(t, seed)
+	c.lostPart = []float64{0, 0.1, 0.5}[c.random.IntN(3)]
+	padding := strings.Repeat(" ", []int{0, 0, 0, paddedBytes}[c.random.IntN(4)])
+	seen := &recorder{}
+	var editors []*editor
+	var working sync.WaitGroup
+	for number := range operatorCount {
+		e := &editor{operator: c.operator(number), recorder: seen, padding: padding}
+		editors = append(editors, e)
+		working.Add(1)
+		go func() {
+			defer working.Done()
+			e.rest(0)
+			e.work(ordersEach)
+		}()
+	}
+	c.untilDone(&working, func() { c.disturb() })
+	c.heal()
+	c.lostPart = 0
+	c.wait("the group is whole", 30*time.Second, c.isWhole)
+	working.Add(1)
+	go func() {
+		defer working.Done()
+		editors[0].rest(0)
+		editors[0].finish(seen.sent)
+	}()
+	c.untilDone(&working, nil)
+	return seen.operations
+}
+
+// untilDone lets time pass until all have ended, with some trouble now and then.
+func (c *troubledCluster) untilDone(working *sync.WaitGroup, trouble func()) {
+	c.t.Helper()
+	done := make(chan struct{})
+	go func() {
+		working.Wait()
+		close(done)
+	}()
+	isDone := func() bool {
+		select {
+		case <-done:
+			return true
+		default:
+			return false
+		}
+	}
+	next := c.now + disturbEvery
+	c.wait("operators end", mostCampaign, func() bool {
+		if trouble != nil && c.now >= next {
+			next = c.now + time.Duration(c.random.Int64N(int64(2*disturbEvery)))
+			trouble()
+		}
+		return isDone()
+	})
+}
+
+// TestHistoriesAreLinearizable has operators change the configuration at once while machines are cut off, frozen, restarted
+// and replaced, clocks go wrong and answers are lost.
+func TestHistoriesAreLinearizable(t *testing.T) {
+	var sum tally
+	for seed := *firstSeed; seed < *firstSeed+uint64(*histories); seed++ {
+		inBubble(t, fmt.Sprint("seed ", seed), func(t *testing.T) {
+			operations := playHistory(t, seed)
+			if err := history.Check(operations); err != nil {
+				t.Errorf("seed %d: %v", seed, err)
+			}
+			sum.add(operations)
+		})
+		if t.Failed() {
+			return
+		}
+	}
+	t.Logf("%d histories: %+v", *histories, sum)
+}
+
+// tally counts what histories hold.
+type tally struct {
+	Calls, Clear, Confirmed, Refused, Read int
+	Orders                                 int // different ones that were confirmed
+}
+
+func (s *tally) add(operations []history.Operation) {
+	taken := map[history.Order]bool{}
+	for i := range operations {
+		s.Calls++
+		switch operations[i].Outcome {
+		case history.Unclear:
+			continue
+		case history.Taken:
+			taken[operations[i].Order] = true
+			s.Confirmed++
+		case history.Conflict, history.NotNewer:
+			s.Refused++
+		case history.Read:
+			s.Read++
+		}
+		s.Clear++
+	}
+	s.Orders += len(taken)
+}
--- a/internal/system/history/check.go
+++ b/internal/system/history/check.go
@@ -7,7 +7,7 @@
 )
 
 // Check returns a *ViolationError if no sequence of the operations explains all answers. It searches by depth, and visits
-// no state twice: which operations are placed, and which orders were taken or refused.
+// no state twice: which operations with a clear answer are placed, and which orders were taken or refused.
 func Check(operations []Operation) error {
 	s := newSearch(operations)
 	if s.explore(0) {
@@ -103,10 +103,10 @@
 		before := s.state
 		s.state.taken, s.state.refused = slices.Clone(before.taken), slices.Clone(before.refused)
 		if s.place(i) {
-			s.placed.add(i)
 			s.path = append(s.path, i)
 			placed := clear
 			if s.operations[i].Outcome != Unclear {
+				s.placed.add(i)
 				placed++
 			}
 			if s.explore(placed) {
@@ -141,19 +141,17 @@
 }
 
 // place lets an operation take effect and tells whether that explains its answer. One without a clear answer is worth placing
-// only where it is taken.
+// only where it changes something.
 func (s *search) place(i int) bool {
 	operation := &s.operations[i]
 	if operation.Kind == Get {
 		return operation.Version == s.state.current
 	}
 	number := s.orders[i]
-	if operation.Outcome == Unclear && s.state.taken.has(number) {
-		return false
-	}
+	known := s.state.taken.has(number) || s.state.refused.has(number)
 	got := s.state.apply(number, &operation.Order)
 	if operation.Outcome == Unclear {
-		return got == Taken
+		return !known && (s.state.taken.has(number) || s.state.refused.has(number))
 	}
 	return got == operation.Outcome
 }
--- a/internal/system/history/check_test.go
+++ b/internal/system/history/check_test.go
@@ -49,6 +49,8 @@
 		{"a number that isn't higher", []history.Operation{put(0, 1, 0, 3, "a", taken), put(2, 3, 3, 3, "b", notNewer), put(4, 5, 3, 4, "b", taken)}, true},
 		{"a number that isn't higher is confirmed", []history.Operation{put(0, 1, 0, 3, "a", taken), put(2, 3, 3, 3, "b", taken)}, false},
 		{"refused before its version came, then in force", []history.Operation{put(0, 1, 3, 4, "b", conflict), put(2, 3, 0, 3, "a", taken), get(4, 5, 4, "b"), put(0, 0, 3, 4, "b", unclear)}, false},
+		{"refused without a clear answer before its version came, then again", []history.Operation{put(0, 0, 3, 4, "b", unclear), put(2, 3, 0, 3, "a", taken), put(4, 5, 3, 4, "b", conflict)}, true},
+		{"sent without a clear answer after its version came, then refused", []history.Operation{put(0, 1, 0, 3, "a", taken), put(2, 2, 3, 4, "b", unclear), put(4, 5, 3, 4, "b", conflict)}, false},
 		{"refused, then taken", []history.Operation{put(0, 1, 3, 4, "b", conflict), put(2, 3, 0, 3, "a", taken), put(4, 5, 3, 4, "b", taken)}, false},
 		{"read with other content", []history.Operation{put(0, 1, 0, 3, "a", taken), get(2, 3, 3, "b")}, false},
 	}
