Lose answers at each step of an order, and repeat orders late, lagging and at once

Stories over the real handlers in virtual time. Copies of an order at all members while the first is being agreed on: none is refused. A retire order is acknowledged when too few others are left, and when the machine has gone.

--- /dev/null
+++ b/internal/system/controller/orders_story_test.go
@@ -0,0 +1,446 @@
+package controller
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"mastusher/internal/system/configuration"
+	"mastusher/internal/system/retire"
+	"mastusher/internal/system/rollout"
+)
+
+const (
+	rolloutsPath = "/mastusher/rollouts"
+	persistence  = 200 // attempts
+)
+
+// losses are the ways in which an owner doesn't answer any more.
+var losses = []struct {
+	name string
+	lose func(c *troubledCluster, owner *machineUnderTest)
+}{
+	{"killed", func(c *troubledCluster, owner *machineUnderTest) { c.restart(owner, false) }},
+	{"without power", func(c *troubledCluster, owner *machineUnderTest) { c.restart(owner, true) }},
+	{"all without power", func(c *troubledCluster, _ *machineUnderTest) {
+		for _, m := range c.sorted() {
+			c.restart(m, true)
+		}
+	}},
+	{"cut off", func(c *troubledCluster, owner *machineUnderTest) { c.cutOff(owner, true, true) }},
+	{"unheard", func(c *troubledCluster, owner *machineUnderTest) { c.cutOff(owner, true, false) }},
+	{"deaf", func(c *troubledCluster, owner *machineUnderTest) { c.cutOff(owner, false, true) }},
+	{"frozen", func(c *troubledCluster, owner *machineUnderTest) { c.frozen[owner] = true }},
+	{"its disk lost", func(c *troubledCluster, owner *machineUnderTest) { owner.wipe() }},
+}
+
+// mostSteps is the number of steps of the cluster within which an order is agreed on and answered.
+const mostSteps = 9
+
+// play has operators do something at once while time passes; at each step of the cluster, event is told how many have passed.
+func (c *troubledCluster) play(event func(step int), does ...func(o *operator)) {
+	c.t.Helper()
+	var working sync.WaitGroup
+	for number, do := range does {
+		o := c.operator(number)
+		working.Add(1)
+		go func() {
+			defer working.Done()
+			o.rest(0)
+			do(o)
+		}()
+	}
+	step := 0
+	done := make(chan struct{})
+	go func() {
+		working.Wait()
+		close(done)
+	}()
+	c.wait("operators end", mostCampaign, func() bool {
+		event(step)
+		step++
+		select {
+		case <-done:
+			return true
+		default:
+			return false
+		}
+	})
+}
+
+// begins counts the roll-outs that have begun, by what their order names, as any member has come to know.
+type begins map[string]map[uint64]bool
+
+func (b begins) observe(c *troubledCluster) {
+	for _, m := range c.sorted() {
+		if !m.running {
+			continue
+		}
+		saved := m.controller.agree.rollouts.Saved()
+		for service, roll := range saved.Rolls {
+			name := fmt.Sprint(service, " ", roll.Target, " ", roll.OverMs)
+			if b[name] == nil {
+				b[name] = map[uint64]bool{}
+			}
+			b[name][roll.Index] = true
+		}
+	}
+}
+
+// wantClear fails unless an order ends with 200 after answers that are no clear ones.
+func wantClear(t testing.TB, o *operator, what string, try func() answer) {
+	t.Helper()
+	var refused []answer
+	taken := o.persist(persistence, func() bool {
+		got := try()
+		switch got.status {
+		case http.StatusOK:
+			return true
+		case 0, http.StatusServiceUnavailable, http.StatusGatewayTimeout:
+			return false
+		}
+		refused = append(refused, got)
+		return true
+	})
+	if !taken || len(refused) > 0 {
+		t.Errorf("%s: taken: %v, refused: %v", what, taken, refused)
+	}
+}
+
+// TestAnAnswerLostAtAnyStep loses the owner at each step while an order is being agreed on, in each way; the operator repeats
+// it until it is acknowledged.
+func TestAnAnswerLostAtAnyStep(t *testing.T) {
+	t.Parallel()
+	for _, loss := range losses {
+		inBubble(t, loss.name, func(t *testing.T) {
+			for step := range mostSteps {
+				c := newTroubledCluster(t, uint64(step))
+				seen := begins{}
+				event := func(now int) {
+					if now == step {
+						loss.lose(c, c.owner())
+					}
+					if now == step+200 {
+						c.heal()
+					}
+					seen.observe(c)
+				}
+				c.play(event, func(o *operator) {
+					wantClear(t, o, "configuration", func() answer { return o.call(http.MethodPut, settingsPath, document(3), "If-Match", "0") })
+					wantClear(t, o, "the next one", func() answer { return o.call(http.MethodPut, settingsPath, document(5), "If-Match", "3") })
+					wantClear(t, o, "the first once more", func() answer { return o.call(http.MethodPut, settingsPath, document(3), "If-Match", "0") })
+				}, func(o *operator) {
+					body := `{"service":"lm","target":"v2","overS":60}`
+					wantClear(t, o, "roll-out", func() answer { return o.call(http.MethodPost, rolloutsPath, body) })
+					wantClear(t, o, "the roll-out once more", func() answer { return o.call(http.MethodPost, rolloutsPath, body) })
+				})
+				if got := len(seen["lm v2 60000"]); got != 1 {
+					t.Errorf("at step %d: one order began %d roll-outs", step, got)
+				}
+				c.heal()
+				c.wait("the group is whole", 30*time.Second, c.isWhole)
+				if got := c.owner().controller.agree.register.Current().Number; got != 5 {
+					t.Errorf("at step %d: version %d is current, want 5", step, got)
+				}
+			}
+		})
+	}
+}
+
+// TestARepeatWhileTheFirstIsBeingAgreedOn has copies of an order arrive at the same time, at all members, while the owner can't
+// reach a majority for some time, or loses its power.
+func TestARepeatWhileTheFirstIsBeingAgreedOn(t *testing.T) {
+	t.Parallel()
+	for _, loss := range losses {
+		inBubble(t, loss.name, func(t *testing.T) {
+			for _, heals := range []int{1, 40, 150, 400} {
+				c := newTroubledCluster(t, uint64(heals))
+				copies := func(method, path, body string) []func(o *operator) {
+					var does []func(o *operator)
+					for range 2 * len(c.machines) {
+						does = append(does, func(o *operator) {
+							got := o.callOne(c.sorted()[o.number%len(c.machines)], method, path, body, "If-Match", "0")
+							if !slices.Contains([]int{0, http.StatusOK, http.StatusServiceUnavailable, http.StatusGatewayTimeout}, got.status) {
+								t.Errorf("healed after %d: a copy is answered by %d %s", heals, got.status, got.body)
+							}
+						})
+					}
+					return does
+				}
+				seen := begins{}
+				does := append(copies(http.MethodPut, settingsPath, document(3)), copies(http.MethodPost, rolloutsPath, `{"service":"lm","target":"v2","overS":60}`)...)
+				c.play(func(now int) {
+					if now == 1 {
+						loss.lose(c, c.owner())
+					}
+					if now == heals {
+						c.heal()
+					}
+					seen.observe(c)
+				}, does...)
+				c.heal()
+				c.wait("the group is whole", 30*time.Second, c.isWhole)
+				seen.observe(c)
+				if got := len(seen["lm v2 60000"]); got > 1 {
+					t.Errorf("healed after %d: one order began %d roll-outs", heals, got)
+				}
+				// The operator hasn't had a clear answer from all; it sends the same again.
+				c.play(func(int) {}, func(o *operator) {
+					wantClear(t, o, "configuration", func() answer { return o.call(http.MethodPut, settingsPath, document(3), "If-Match", "0") })
+				})
+			}
+		})
+	}
+}
+
+// TestARepeatToAMemberThatLags asks a member that has heard nothing of the changes since the order, and one that has lost its
+// disk.
+func TestARepeatToAMemberThatLags(t *testing.T) {
+	for _, wiped := range []bool{false, true} {
+		inBubble(t, fmt.Sprint("wiped: ", wiped), func(t *testing.T) {
+			c := newTroubledCluster(t, 1)
+			var lagging *machineUnderTest
+			for _, m := range c.sorted() {
+				if m != c.owner() {
+					lagging = m
+				}
+			}
+			if wiped {
+				lagging.wipe()
+			}
+			c.cutOff(lagging, true, true)
+			c.play(func(int) {}, func(o *operator) {
+				for base := range 5 {
+					body := document(base + 1)
+					wantClear(t, o, "a change", func() answer {
+						return o.callOne(c.owner(), http.MethodPut, settingsPath, body, "If-Match", fmt.Sprint(base))
+					})
+				}
+				// When each of them is sent to the member that is cut off, then it is not refused, and no stale version is told.
+				for range 40 {
+					for base := range 5 {
+						got := o.exchange(lagging, http.MethodPut, settingsPath, document(base+1), "If-Match", fmt.Sprint(base))
+						if got != nil && !slices.Contains([]int{http.StatusOK, http.StatusTemporaryRedirect, http.StatusServiceUnavailable}, got.Code) {
+							t.Errorf("a repeat is answered by %d %s", got.Code, got.Body)
+						}
+					}
+					o.rest(50 * time.Millisecond)
+				}
+			})
+			// And once it has caught up, it acknowledges all of them by itself.
+			c.heal()
+			c.wait("the group is whole", 30*time.Second, c.isWhole)
+			c.play(func(int) {}, func(o *operator) {
+				o.rest(time.Second)
+				for base := range 5 {
+					if got := o.exchange(lagging, http.MethodPut, settingsPath, document(base+1), "If-Match", fmt.Sprint(base)); got.Code != http.StatusOK {
+						t.Errorf("after it has caught up a repeat is answered by %d", got.Code)
+					}
+				}
+			})
+		})
+	}
+}
+
+// TestRepeatsAfterHundredsOfChangesAndRestarts changes the configuration hundreds of times, so that snapshots replace the log,
+// restarts all members and replaces one, and repeats all orders.
+func TestRepeatsAfterHundredsOfChangesAndRestarts(t *testing.T) {
+	t.Parallel()
+	const changes = 300
+	c := newCluster(t, 0)
+	padding := strings.Repeat(" ", 8<<10)
+	var orders []*configuration.Order
+	for number := range uint64(changes) {
+		raw := mustMarshal(t, json.RawMessage(orderNamed(number+1, padding)))
+		order := &configuration.Order{Base: number, Number: number + 1, Raw: raw}
+		if got := c.propose(Command{Configure: order}); got != configuration.Taken {
+			t.Fatalf("order %d was %v", number+1, got)
+		}
+		orders = append(orders, order)
+	}
+	for _, m := range c.sorted() {
+		m.kill()
+		m.disk.LosePower(7)
+		m.start()
+	}
+	c.until("an owner", 5*time.Second, func() bool { return c.owner() != nil })
+	c.sorted()[0].wipe()
+	c.run(5 * time.Second)
+	for _, order := range orders {
+		if got := c.propose(Command{Configure: order}); got != configuration.Taken {
+			t.Errorf("order %d was %v when it came again", order.Number, got)
+		}
+		for _, m := range c.sorted() {
+			if !m.controller.wasTaken(order) {
+				t.Fatalf("%s doesn't know that order %d was taken", m.member.Name, order.Number)
+			}
+		}
+	}
+}
+
+// interludes lie between an order and its repeat.
+var interludes = []struct {
+	name string
+	pass func(c *troubledCluster)
+}{
+	{"nothing", func(*troubledCluster) {}},
+	{"an election", func(c *troubledCluster) {
+		owner := c.owner()
+		owner.kill()
+		c.wait("another owner", 5*time.Second, func() bool { return c.owner() != nil })
+		owner.start()
+	}},
+	{"a restart of all", func(c *troubledCluster) {
+		for _, m := range c.sorted() {
+			c.restart(m, true)
+		}
+		c.wait("all run", 5*time.Second, func() bool {
+			return !slices.ContainsFunc(c.sorted(), func(m *machineUnderTest) bool { return !m.running })
+		})
+	}},
+	{"clocks that go ahead", func(c *troubledCluster) {
+		for _, m := range c.sorted() {
+			m.skew = 2 * time.Second
+		}
+	}},
+	{"clocks that go back, and a restart of all", func(c *troubledCluster) {
+		for _, m := range c.sorted() {
+			m.skew = -2 * time.Second
+			c.restart(m, false)
+		}
+		c.wait("all run", 5*time.Second, func() bool {
+			return !slices.ContainsFunc(c.sorted(), func(m *machineUnderTest) bool { return !m.running })
+		})
+	}},
+	{"a lost disk", func(c *troubledCluster) {
+		c.owner().wipe()
+		c.wait("the group is whole", 20*time.Second, c.isWhole)
+	}},
+}
+
+// TestALateRepeatOfARollout has v2 ordered, v3 after it, and v2 again: within confirmMs that is a repeat, long after it is an
+// order to go back. What ends in reverting is tried again.
+func TestALateRepeatOfARollout(t *testing.T) {
+	t.Parallel()
+	const window = 9 * time.Second // confirmMs and stretchMs, as they are where settings tell none
+	body := func(target string) string { return fmt.Sprintf(`{"service":"lm","target":%q,"overS":60}`, target) }
+	for _, end := range []rollout.State{rollout.Finished, rollout.Reverted} {
+		for _, interlude := range interludes {
+			inBubble(t, fmt.Sprint(end, ", ", interlude.name), func(t *testing.T) {
+				c := newTroubledCluster(t, 1)
+				order := func(target string, want int) {
+					t.Helper()
+					c.play(func(int) {}, func(o *operator) {
+						ended := o.persist(persistence, func() bool {
+							got := o.call(http.MethodPost, rolloutsPath, body(target))
+							if isClear := got.status != 0 && got.status != http.StatusServiceUnavailable && got.status != http.StatusGatewayTimeout; !isClear {
+								return false
+							}
+							if got.status != want {
+								t.Errorf("the order for %s is answered by %d %s, want %d", target, got.status, got.body, want)
+							}
+							return true
+						})
+						if !ended {
+							t.Errorf("the order for %s has no clear answer", target)
+						}
+					})
+				}
+				decide := func(state rollout.State) {
+					t.Helper()
+					roll, _ := c.owner().controller.agree.rollouts.Roll("lm")
+					c.agree(Command{Decide: &rollout.Decision{Service: "lm", Target: roll.Target, Order: roll.Index, State: state}})
+				}
+				wantRoll := func(target string, state rollout.State) {
+					t.Helper()
+					c.wait("an owner", 5*time.Second, func() bool { return c.owner() != nil })
+					if roll, _ := c.owner().controller.agree.rollouts.Roll("lm"); roll.Target != target || roll.State != state {
+						t.Errorf("the newest order is for %s and %s, want %s and %s", roll.Target, roll.State, target, state)
+					}
+				}
+				c.agree(Command{Seen: &rollout.Seen{Service: "lm", Version: "v1"}})
+
+				// Given v2, which has ended, and v3, which is under way.
+				order("v2", http.StatusOK)
+				decide(end)
+				order("v3", http.StatusOK)
+
+				// When v2 comes again soon, then it is acknowledged and changes nothing; another order is told to wait.
+				interlude.pass(c)
+				order("v2", http.StatusOK)
+				wantRoll("v3", rollout.InService)
+				order("v4", http.StatusConflict)
+
+				// When v3 has ended, then a repeat of v2 or v3 changes nothing either.
+				decide(rollout.Finished)
+				order("v2", http.StatusOK)
+				order("v3", http.StatusOK)
+				wantRoll("v3", rollout.Finished)
+
+				// When v2 is ordered long after, then it is rolled out, and its own repeat is one.
+				c.passBy(window + 6*time.Second)
+				order("v2", http.StatusOK)
+				wantRoll("v2", rollout.InService)
+				decide(rollout.Reverted)
+				order("v2", http.StatusOK)
+				wantRoll("v2", rollout.Reverted)
+				c.passBy(window + 6*time.Second)
+				order("v2", http.StatusOK)
+				wantRoll("v2", rollout.InService)
+			})
+		}
+	}
+}
+
+// passBy lets time pass.
+func (c *troubledCluster) passBy(d time.Duration) {
+	for end := c.now + d; c.now < end; {
+		c.step()
+	}
+}
+
+// agree has the configuration shard agree on a command, whoever owns it.
+func (c *troubledCluster) agree(command Command) {
+	c.t.Helper()
+	done := false
+	c.wait("agreement", 10*time.Second, func() bool {
+		if owner := c.owner(); owner != nil && !done {
+			owner.controller.Group().Start(command, func(_ any, err error) { done = err == nil })
+			c.passBy(10 * clusterStep)
+		}
+		return done
+	})
+}
+
+// TestARetireOrderIsRepeatedAfterItsEnd repeats an order when the machine has gone, and when it has come back anew.
+func TestARetireOrderIsRepeatedAfterItsEnd(t *testing.T) {
+	c := newCluster(t, 4)
+	c.settle()
+	c.retire("storage-1")
+	c.until("the machine is empty", 5*time.Second, c.isFinished("storage-1"))
+
+	// Given that too few machines would remain without another one, the machine has come back with an empty disk.
+	c.storage(1).wipe()
+	c.storage(2).kill()
+	c.run(2 * deathDelay)
+
+	// When the order comes again, to another owner, then it is acknowledged.
+	first := c.owner()
+	first.kill()
+	c.until("another owner", 5*time.Second, func() bool { return c.owner() != nil && c.owner() != first })
+	if got := c.retire("storage-1"); got != retire.Taken {
+		t.Errorf("a repeat is %v", got)
+	}
+
+	// And when nobody knows the machine any more.
+	c.storage(1).kill()
+	delete(c.machines, storeMember(1).Address)
+	if got := c.retire("storage-1"); got != retire.Taken {
+		t.Errorf("a repeat about a machine that has gone is %v", got)
+	}
+}
--- a/internal/system/controller/retirements_test.go
+++ b/internal/system/controller/retirements_test.go
@@ -1,12 +1,14 @@
 package controller
 
 import (
+	"fmt"
 	"net/http"
 	"strings"
 	"testing"
 	"time"
 
 	"mastusher/internal/system/membership"
+	"mastusher/internal/system/retire"
 	"mastusher/internal/system/storage/memorydisk"
 )
 
@@ -19,6 +21,15 @@
 	}
 }
 
+// retireOrderFor is an order to empty a machine, of which enough others remain.
+func retireOrderFor(node string) *retire.Order {
+	order := &retire.Order{Machine: retire.Machine{Node: node, ID: node + "-id"}, Least: 3}
+	for number := range 4 {
+		order.Running = append(order.Running, retire.Machine{Node: fmt.Sprint("other-", number), ID: fmt.Sprint("other-id-", number)})
+	}
+	return order
+}
+
 func TestRetirementAnswers(t *testing.T) {
 	down := func(m membership.Member) membership.Member { m.State = membership.Dead; return m }
 	const path = "/mastusher/retire/storage-1"
--- /dev/null
+++ b/internal/system/controller/rollouts_test.go
@@ -0,0 +1,129 @@
+package controller
+
+import (
+	"testing"
+	"time"
+
+	"mastusher/internal/system/rollout"
+	"mastusher/internal/system/storage/memorydisk"
+	"mastusher/internal/system/wire"
+)
+
+// clockedBed is a controller with clocks that the test sets.
+type clockedBed struct {
+	*bed
+	now  time.Duration // of the steady clock
+	skew time.Duration // of the time of day
+}
+
+func newClockedBed(t testing.TB) *clockedBed {
+	b := &clockedBed{}
+	b.bed = newBed(t, memorydisk.New(), func(options *Options) {
+		options.Clock = func() time.Duration { return b.now }
+		options.Now = func() time.Time { return dayAt(b.now + b.skew) }
+	})
+	return b
+}
+
+// dayAt is the time of day that a right clock shows.
+func dayAt(now time.Duration) time.Time { return time.UnixMilli(1_700_000_000_000).Add(now) }
+
+// apply lets the member see an entry that has been agreed on.
+func (b *clockedBed) apply(t testing.TB, index uint64, command Command) any {
+	t.Helper()
+	return lockedMachine{b.Controller}.Apply(index, mustMarshal(t, command))
+}
+
+func TestTimeInService(t *testing.T) {
+	const order = 7
+	reportOf := func(order uint64, age time.Duration) *wire.VersionTally {
+		return &wire.VersionTally{Service: "lm", Route: "r", Version: "v2", Order: order, AgeMs: age.Milliseconds(), Tally: rollout.Tally{Sent: 1}}
+	}
+	tests := []struct {
+		name   string
+		age    time.Duration // since the order was sent
+		seen   time.Duration // since this process has seen it
+		skew   time.Duration
+		report *wire.VersionTally // that came 0.5 s ago
+		want   time.Duration
+	}{
+		{"seen since it was taken", 5 * time.Second, 5 * time.Second, 0, nil, 5*time.Second + orderLag},
+		{"on a clock that went ahead", 5 * time.Second, 5 * time.Second, 2 * time.Second, reportOf(order, 4500*time.Millisecond), 5*time.Second + orderLag},
+		{"on a clock that went back", 5 * time.Second, 5 * time.Second, -2 * time.Second, nil, 5*time.Second + orderLag},
+		{"taken long after it was sent", 30 * time.Second, 0, 0, nil, orderLag},
+		{"taken long after it was sent, and tried", 30 * time.Second, time.Second, 0, reportOf(order, 200*time.Millisecond), time.Second + orderLag},
+		{"after a restart", 8 * time.Second, time.Second, 0, reportOf(order, 7*time.Second), 7500*time.Millisecond + orderLag},
+		{"after a restart, before any report", 8 * time.Second, time.Second, 0, nil, time.Second + orderLag},
+		{"after a restart, of a service that nobody calls", 8 * time.Second, reportPatience, 0, nil, 8 * time.Second},
+		{"beside an earlier order for the same version", 30 * time.Second, time.Second, 0, reportOf(3, 90*time.Second), time.Second + orderLag},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			// Given an order, when this process has seen it, and what a proxy has reported.
+			b := newClockedBed(t)
+			b.now = time.Hour - test.seen
+			taken := &rollout.Order{Service: "lm", Target: "v2", OverMs: 12000, AtMs: dayAt(time.Hour - test.age).UnixMilli()}
+			if got := b.apply(t, order, Command{Rollout: taken}); got != rollout.Taken {
+				t.Fatalf("the order is %v", got)
+			}
+			if test.report != nil {
+				b.evidence.take(time.Hour-500*time.Millisecond, wire.Tallies{Source: "p", Versions: []wire.VersionTally{*test.report}})
+			}
+			// Then its time in service follows from these.
+			b.now, b.skew = time.Hour, test.skew
+			roll := b.roll("lm")
+			_, known := b.evidence.during(&roll, b.now)
+			if got := b.elapsed(&roll, b.now, known); got != test.want {
+				t.Errorf("it has been in service for %v, want %v", got, test.want)
+			}
+		})
+	}
+}
+
+func TestEachRolloutIsJudgedByItsOwnAnswers(t *testing.T) {
+	// Given a version that failed while it was first rolled out, and is rolled out again.
+	const first, second = 5, 9
+	b := newClockedBed(t)
+	tally := func(order uint64, sent, bad int64) wire.VersionTally {
+		return wire.VersionTally{Service: "lm", Route: "r", Version: "v2", Order: order, Tally: rollout.Tally{Sent: sent, Bad: bad}}
+	}
+	b.evidence.take(0, wire.Tallies{Source: "p", Versions: []wire.VersionTally{tally(0, 30, 20), tally(second, 3, 0)}})
+	b.evidence.take(0, wire.Tallies{Source: "q", Versions: []wire.VersionTally{tally(first, 7, 6), tally(second, 2, 1)}})
+	// Then only the answers during that are the target's, and all are its own once it is what others are compared with.
+	target, _ := b.evidence.during(&rollout.Roll{Order: rollout.Order{Service: "lm", Target: "v2"}, Index: second}, 0)
+	if got := target.Total(); got.Sent != 5 || got.Bad != 1 {
+		t.Errorf("the target got %d requests, %d of which failed; want 5 and 1", got.Sent, got.Bad)
+	}
+	if got := b.evidence.of("lm", "v2").Total(); got.Sent != 42 || got.Bad != 27 {
+		t.Errorf("the version got %d requests, %d of which failed; want 42 and 27", got.Sent, got.Bad)
+	}
+}
+
+func TestAnOrderTellsWhatIsSettled(t *testing.T) {
+	// Given an order of a roll-out and, later, one of a retirement.
+	b := newClockedBed(t)
+	window := repeatWindow(b.options.Settings.Bounds)
+	sent := func() int64 { return dayAt(b.now).UnixMilli() }
+	b.apply(t, 4, Command{Rollout: &rollout.Order{Service: "lm", Target: "v2", OverMs: 1, AtMs: sent()}})
+	b.now += time.Second
+	retired := retireOrderFor("storage-1")
+	retired.AtMs = sent()
+	b.apply(t, 6, Command{Retire: retired})
+	// Then each is settled once its window is over, whatever the time of day.
+	for _, test := range []struct {
+		now  time.Duration
+		skew time.Duration
+		want uint64
+	}{
+		{time.Second, 0, 0},
+		{window, 2 * time.Second, 0},
+		{window + time.Millisecond, 0, 4},
+		{window + time.Millisecond, -time.Hour, 4},
+		{window + 1001*time.Millisecond, 0, 6},
+	} {
+		b.now, b.skew = test.now, test.skew
+		if got := b.rolloutOrderOf(&rolloutOrder{Service: "lm", Target: "v3", OverS: 1}).Settled; got != test.want {
+			t.Errorf("after %v, on a clock that is %v ahead, entries up to %d are settled, want %d", test.now, test.skew, got, test.want)
+		}
+	}
+}
