--- a/internal/system/controller/cutoff_story_test.go
+++ b/internal/system/controller/cutoff_story_test.go
@@ -18,11 +18,11 @@
 
 // Times of a story.
 const (
-	cutLasts   = 8 * time.Second // and up to as much more with other seeds
-	storyAfter = 6 * time.Second // from the end of the cut to the end of the story
-	servesIn   = 3 * time.Second // until those that aren't cut off serve again, and all of them after its end
-	joinsAfter = 3 * time.Second // from the begin of the cut until a store is added
-	mostPause  = 800 * time.Millisecond
+	cutLasts      = 8 * time.Second // and up to as much more with other seeds
+	storyAfter    = 6 * time.Second // from the end of the cut to the end of the story
+	servesIn      = 3 * time.Second // until those that aren't cut off serve again, and all of them after its end
+	joinsAfter    = 3 * time.Second // from the begin of the cut until a store is added
+	mostCallPause = 800 * time.Millisecond
 )
 
 // role is what a machine is before it is cut off.
@@ -92,7 +92,7 @@
 	active sync.WaitGroup
 
 	mutex   sync.Mutex
-	history history
+	history callHistory
 	numbers uint64
 }
 
@@ -237,10 +237,10 @@
 
 // pause lets some time pass between two calls of an operator.
 func pause(random *rand.Rand) {
-	time.Sleep(time.Duration(random.Int64N(int64(mostPause))))
+	time.Sleep(time.Duration(random.Int64N(int64(mostCallPause))))
 }
 
-func (s *story) call(machine int, method, path, body string, order *sentOrder) *answer {
+func (s *story) call(machine int, method, path, body string, order *sentOrder) *coreAnswer {
 	base := ""
 	if order != nil {
 		base = strconv.FormatUint(order.base, 10)
