--- a/internal/system/fleettest/shard.go
+++ b/internal/system/fleettest/shard.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"time"
 
+	"mastusher/internal/system/group"
 	"mastusher/internal/system/program"
 	"mastusher/internal/system/replica"
 	"mastusher/internal/system/view"
@@ -23,7 +24,7 @@
 	Placement uint64 `json:"placement,omitempty"`
 }
 
-// shard is one replica and its state. It implements group.Machine.
+// shard is one replica and its state. It implements group.PartsMachine.
 type shard struct {
 	replica   *replicaRunner
 	programs  *program.Machine
@@ -80,6 +81,42 @@
 	return s.programs.Restore(from.Programs)
 }
 
+// Parts implements group.PartsMachine.
+func (s *shard) Parts(write func(part json.RawMessage) error) error {
+	if err := write(strconv.AppendUint(nil, s.followed, 10)); err != nil {
+		return err
+	}
+	return s.programs.Parts(func(part []byte) error { return write(part) })
+}
+
+// BeginRestore implements group.PartsMachine.
+func (s *shard) BeginRestore() group.Restorer {
+	return &shardRestorer{shard: s, programs: s.programs.BeginRestore()}
+}
+
+// shardRestorer sets a shard to the state that comes in parts.
+type shardRestorer struct {
+	shard    *shard
+	begun    bool
+	followed uint64
+	programs *program.Restorer
+}
+
+// Add implements group.Restorer.
+func (r *shardRestorer) Add(part json.RawMessage) error {
+	if r.begun {
+		return r.programs.Add(part)
+	}
+	r.begun = true
+	return json.Unmarshal(part, &r.followed)
+}
+
+// Finish implements group.Restorer.
+func (r *shardRestorer) Finish() error {
+	r.shard.followed = r.followed
+	return r.programs.Finish()
+}
+
 // place takes over what a placement wants of the group.
 func (s *shard) place(index uint64, wanted []replica.Member) {
 	if index >= s.index {
--- a/internal/system/group/calls.go
+++ b/internal/system/group/calls.go
@@ -149,6 +149,7 @@
 	level.Error(g.options.Logger).Log("msg", "replica stopped", "group", g.options.Name, "err", cause)
 	g.mutex.Lock()
 	g.broken = cause
+	g.release(false)
 	calls := g.calls
 	g.calls = map[uint64]call{}
 	g.mutex.Unlock()
--- a/internal/system/group/compaction.go
+++ b/internal/system/group/compaction.go
@@ -8,10 +8,17 @@
 // state isn't written for little.
 const stateShare = 0.25
 
+// mostLogs is the number of times over that a log may be too long while a snapshot is on its way to or from another member:
+// a compaction takes the place on the disk where that lies, so that it would have to begin anew.
+const mostLogs = 3
+
 // compact replaces a long log by a snapshot and what remains after it. Entries that remain count as little as the snapshot:
-// only what has been saved since makes the next compaction due.
+// only what has been saved since makes the next compaction due. The state is written part by part; no copy of it is in memory.
 func (g *Group) compact() error {
-	bound := max(g.options.CompactBytes, int64(stateShare*float64(g.stateBytes)))
+	bound := max(g.options.CompactBytes, int64(stateShare*float64(g.disk.SnapshotBytes())))
+	if g.member.Sending() || g.member.Receiving() {
+		bound *= mostLogs
+	}
 	if g.disk.LogBytes()-g.compacted < bound {
 		return nil
 	}
@@ -19,40 +26,24 @@
 	if snapshot.Index <= g.base {
 		return nil
 	}
-	// Its copy of the whole state is what takes most memory: another turn does as well.
+	// It takes the processor and the disk for a while: another turn does as well.
 	if !g.options.Compacting.TryLock() {
 		return nil
 	}
 	defer g.options.Compacting.Unlock()
-	state, err := g.options.Machine.Snapshot()
-	if err != nil {
-		return err
-	}
-	snapshot.State = state
 	remaining := after(g.entries, snapshot.Index)
-	if err := g.disk.Compact(snapshot, remaining, g.promise); err != nil {
+	if err := g.disk.Compact(snapshot, g.machine.Parts, remaining, g.promise); err != nil {
 		return err
 	}
-	g.entries, g.base, g.compacted, g.stateBytes = remaining, snapshot.Index, g.disk.LogBytes(), len(state)
-	light := withoutState(&snapshot)
+	snapshot.Parts = g.disk.SnapshotParts()
+	g.entries, g.base, g.compacted = remaining, snapshot.Index, g.disk.LogBytes()
 	g.mutex.Lock()
-	g.input.Compact = light
+	g.input.Compact = &snapshot
 	g.mutex.Unlock()
 	g.poke()
 	return nil
 }
 
-// withoutState returns what a member needs to remember of a snapshot. The state itself lies on the disk and in the machine,
-// and is taken anew for a member that needs it.
-func withoutState(snapshot *replica.Snapshot) *replica.Snapshot {
-	if snapshot == nil {
-		return nil
-	}
-	light := *snapshot
-	light.State = nil
-	return &light
-}
-
 // before returns the entries below the index.
 func before(entries []replica.Entry, index uint64) []replica.Entry {
 	for i := range entries {
--- a/internal/system/group/group.go
+++ b/internal/system/group/group.go
@@ -15,16 +15,6 @@
 	"mastusher/internal/system/storage"
 )
 
-// Machine is the state that a group agrees on. Its methods are called by the group's goroutine only.
-type Machine interface {
-	// Apply folds the command in and returns what its proposer is told.
-	Apply(index uint64, command json.RawMessage) any
-	// Snapshot returns the whole state.
-	Snapshot() (json.RawMessage, error)
-	// Restore replaces the whole state.
-	Restore(state json.RawMessage) error
-}
-
 // Envelope is a message between members of the group that it names.
 type Envelope struct {
 	Group   string          `json:"group"`
@@ -36,9 +26,10 @@
 	Name         string // of the group, the same at all members
 	Replica      replica.Options
 	Disk         storage.Disk
-	Machine      Machine
+	Machine      Machine                                 // a PartsMachine where the state may be large
 	Send         func(address string, envelope Envelope) // must not block
 	Compacting   *sync.Mutex                             // held while a member compacts, so that those of one process do so in turn; nil: its own
+	Receiving    *Admission                              // bounds the snapshots that members of one process receive at once; nil: its own
 	CompactBytes int64                                   // length of the log from which on a snapshot replaces it
 	Logger       log.Logger
 	Clock        func() time.Duration        // steady; nil: time since Open
@@ -50,20 +41,21 @@
 
 // Group is a running member.
 type Group struct {
-	options    Options
-	origin     string
-	disk       *storage.Group
-	member     *replica.Replica
-	promise    replica.Promise
-	entries    []replica.Entry   // saved since the last snapshot
-	base       uint64            // index of that snapshot
-	compacted  int64             // length that the log had after the last compaction
-	stateBytes int               // length of the state at the last compaction
-	heard      map[string]string // address by identity, as messages told it
-	status     atomic.Pointer[replica.Status]
-	due        atomic.Int64 // when the next turn was due, as the last one told
-	wake       chan struct{}
-	blank      json.RawMessage // the state of a machine that has applied nothing
+	options   Options
+	origin    string
+	disk      *storage.Group
+	member    *replica.Replica
+	promise   replica.Promise
+	entries   []replica.Entry // saved since the last snapshot
+	base      uint64          // index of that snapshot
+	compacted int64           // length that the log had after the last compaction
+	machine   PartsMachine
+	admitted  bool              // to receive a snapshot
+	heard     map[string]string // address by identity, as messages told it
+	status    atomic.Pointer[replica.Status]
+	due       atomic.Int64 // when the next turn was due, as the last one told
+	wake      chan struct{}
+	blank     []json.RawMessage // the state of a machine that has applied nothing
 
 	mutex   sync.Mutex
 	input   replica.Input
@@ -114,20 +106,20 @@
 	g.poke()
 }
 
-// hasRoom takes a message into account, unless too much waits. One snapshot may always wait, however large: a member that
-// needs it gets on by nothing else, and its owner goes on sending other messages meanwhile.
+// hasRoom takes a message into account, unless too much waits. One part of a snapshot may always wait, however large: a member
+// that needs it gets on by nothing else, and its owner goes on sending other messages meanwhile.
 func (g *Group) hasRoom(message *replica.Message) bool {
-	if message.Kind == replica.InstallSnapshot {
-		return !slices.ContainsFunc(g.input.Messages, func(m replica.Message) bool { return m.Kind == replica.InstallSnapshot })
-	}
 	size := sizeOf(message)
-	if g.waiting > 0 && g.waiting+size > mostWaitingBytes {
+	isFull := g.waiting > 0 && g.waiting+size > mostWaitingBytes
+	if isFull && (message.Kind != replica.InstallSnapshot || slices.ContainsFunc(g.input.Messages, isPart)) {
 		return false
 	}
 	g.waiting += size
 	return true
 }
 
+func isPart(message replica.Message) bool { return message.Kind == replica.InstallSnapshot }
+
 // Resign has the member hand its ownership over, if it owns the group, once what is under way is settled.
 func (g *Group) Resign() {
 	g.mutex.Lock()
--- a/internal/system/group/member_test.go
+++ b/internal/system/group/member_test.go
@@ -39,17 +39,34 @@
 	groups  map[string]*group.Group // by address
 	silent  map[string]bool         // addresses that neither send nor receive
 	sent    []func()
+
+	disks        map[string]*memorydisk.Disk // by address
+	machines     map[string]group.Machine
+	newMachine   func() group.Machine
+	compactBytes int64
+	drop         func(to string, message replica.Message) bool // nil: nothing is dropped on purpose
 }
 
 func newCluster(t *testing.T, names ...string) *cluster {
-	c := &cluster{t: t, groups: map[string]*group.Group{}, silent: map[string]bool{}}
+	c := emptyCluster(t)
+	c.begin(names...)
+	return c
+}
+
+// emptyCluster is one without members, to be set up otherwise than usual.
+func emptyCluster(t *testing.T) *cluster {
+	return &cluster{t: t, groups: map[string]*group.Group{}, silent: map[string]bool{}, disks: map[string]*memorydisk.Disk{},
+		machines: map[string]group.Machine{}, newMachine: func() group.Machine { return &list{} }}
+}
+
+// begin starts the first members.
+func (c *cluster) begin(names ...string) {
 	for _, name := range names {
 		c.members = append(c.members, member(name))
 	}
 	for i, name := range names {
 		c.open(name, uint64(i), c.members)
 	}
-	return c
 }
 
 func member(name string) replica.Member {
@@ -59,14 +76,23 @@
 func (c *cluster) open(name string, seed uint64, initial []replica.Member) {
 	c.t.Helper()
 	own := member(name)
+	machine := c.newMachine()
+	if c.disks[own.Address] == nil {
+		c.disks[own.Address] = memorydisk.New()
+	}
 	opened, err := group.Open(group.Options{
 		Name:    "g",
-		Disk:    memorydisk.New(),
-		Machine: &list{},
+		Disk:    c.disks[own.Address],
+		Machine: machine,
 		Logger:  log.NewNopLogger(),
 		Clock:   func() time.Duration { return c.now },
 		Replica: replica.Options{ID: own.ID, Address: own.Address, Initial: initial, Heartbeat: heartbeat, Election: election, Seed: seed},
+
+		CompactBytes: c.compactBytes,
 		Send: func(address string, envelope group.Envelope) {
+			if c.drop != nil && c.drop(address, envelope.Message) {
+				return
+			}
 			c.sent = append(c.sent, func() {
 				if to := c.groups[address]; to != nil && !c.silent[address] && !c.silent[own.Address] {
 					to.Deliver(envelope.Message)
@@ -77,7 +103,7 @@
 	if err != nil {
 		c.t.Fatal(err)
 	}
-	c.groups[own.Address] = opened
+	c.groups[own.Address], c.machines[own.Address] = opened, machine
 }
 
 // until plays until the condition holds.
--- a/internal/system/group/recovery.go
+++ b/internal/system/group/recovery.go
@@ -1,6 +1,8 @@
 package group
 
 import (
+	"bytes"
+	"encoding/json"
 	"strconv"
 	"sync"
 	"time"
@@ -21,12 +23,14 @@
 		start := time.Now()
 		options.Clock = func() time.Duration { return time.Since(start) }
 	}
-	blank, err := options.Machine.Snapshot()
-	if err != nil {
+	if options.Receiving == nil {
+		options.Receiving = NewAdmission(1)
+	}
+	g := &Group{options: options, origin: options.Replica.ID + "@" + strconv.FormatUint(options.Replica.Seed, 16),
+		machine: inParts(options.Machine), heard: map[string]string{}, wake: make(chan struct{}, 1), calls: map[uint64]call{}}
+	if err := g.machine.Parts(g.keepBlank); err != nil {
 		return nil, err
 	}
-	g := &Group{options: options, origin: options.Replica.ID + "@" + strconv.FormatUint(options.Replica.Seed, 16), blank: blank,
-		heard: map[string]string{}, wake: make(chan struct{}, 1), calls: map[uint64]call{}}
 	if err := g.recover(false); err != nil {
 		return nil, err
 	}
@@ -62,11 +66,10 @@
 		_ = disk.Close()
 		return err
 	}
-	if err := g.restore(recovered.Snapshot, used); err != nil {
+	if err := g.restore(disk, used); err != nil {
 		_ = disk.Close()
 		return err
 	}
-	recovered.Snapshot = withoutState(recovered.Snapshot)
 	member, err := replica.New(g.options.Replica, recovered, g.options.Clock())
 	if err != nil {
 		_ = disk.Close()
@@ -85,18 +88,43 @@
 	if !untouched || len(g.options.Replica.Initial) == 0 {
 		return nil
 	}
-	first := replica.Snapshot{Members: g.options.Replica.Initial, State: g.blank}
+	first := replica.Snapshot{Members: g.options.Replica.Initial}
+	if err := disk.Compact(first, g.blankParts, nil, replica.Promise{}); err != nil {
+		return err
+	}
+	first.Parts = disk.SnapshotParts()
 	recovered.Snapshot = &first
-	return disk.Compact(first, nil, replica.Promise{})
+	return nil
 }
 
-// restore sets the machine to what a snapshot holds; without one, to what it was in the beginning.
-func (g *Group) restore(snapshot *replica.Snapshot, used bool) error {
-	switch {
-	case snapshot != nil:
-		return g.options.Machine.Restore(snapshot.State)
-	case used:
-		return g.options.Machine.Restore(g.blank)
+// keepBlank keeps a part of the state of a machine that has applied nothing.
+func (g *Group) keepBlank(part json.RawMessage) error {
+	g.blank = append(g.blank, bytes.Clone(part))
+	return nil
+}
+
+// blankParts hands over what keepBlank has kept.
+func (g *Group) blankParts(write func(part json.RawMessage) error) error {
+	for _, part := range g.blank {
+		if err := write(part); err != nil {
+			return err
+		}
 	}
 	return nil
 }
+
+// restore sets the machine to what the disk's snapshot holds, part by part; without one, to what it was in the beginning.
+func (g *Group) restore(disk *storage.Group, used bool) error {
+	parts := disk.Parts
+	if disk.SnapshotParts() == 0 {
+		if !used {
+			return nil
+		}
+		parts = g.blankParts
+	}
+	restorer := g.machine.BeginRestore()
+	if err := parts(restorer.Add); err != nil {
+		return err
+	}
+	return restorer.Finish()
+}
--- a/internal/system/group/standstill_test.go
+++ b/internal/system/group/standstill_test.go
@@ -49,7 +49,7 @@
 	state := `{"Commands":["` + strings.Repeat("x", 8<<20) + `"]}`
 	// when that comes,
 	s.turn(replica.Message{Kind: replica.InstallSnapshot, From: member("b").ID, Address: member("b").Address, Epoch: 1,
-		Snapshot: &replica.Snapshot{Index: 7, Epoch: 1, Members: []replica.Member{member("a"), member("b"), member("c")}, State: []byte(state)}})
+		Snapshot: &replica.Snapshot{Index: 7, Epoch: 1, Members: []replica.Member{member("a"), member("b"), member("c")}, Parts: 1, State: []byte(state)}})
 	// then it takes it over.
 	if got := s.group.Status().Commit; got != 7 {
 		t.Errorf("it is at entry %d, want 7", got)
@@ -84,7 +84,7 @@
 	s := newSingle(t, 1<<30, "a", "b", "c")
 	state := `{"Commands":["` + strings.Repeat("x", 8<<20) + `"]}`
 	install := replica.Message{Kind: replica.InstallSnapshot, From: member("b").ID, Address: member("b").Address, Epoch: 1,
-		Snapshot: &replica.Snapshot{Index: 9, Epoch: 1, Members: []replica.Member{member("a"), member("b"), member("c")}, State: []byte(state)}}
+		Snapshot: &replica.Snapshot{Index: 9, Epoch: 1, Members: []replica.Member{member("a"), member("b"), member("c")}, Parts: 1, State: []byte(state)}}
 	again := install
 	copied := *install.Snapshot
 	again.Snapshot = &copied
--- a/internal/system/group/turn.go
+++ b/internal/system/group/turn.go
@@ -107,49 +107,40 @@
 	g.input, g.waiting = replica.Input{}, 0
 	g.mutex.Unlock()
 	g.hear(input.Messages)
+	g.admit(input.Messages)
 	effects := g.member.Step(g.options.Clock(), input)
-	g.send(effects.Early)
+	if err := g.send(effects.Early); err != nil {
+		return 0, err
+	}
 	if err := g.save(&effects); err != nil {
 		return 0, err
 	}
-	g.send(effects.AfterSync)
-	g.due.Store(int64(effects.NextWake))
-	results := g.apply(effects.Committed)
-	if err := g.sendSnapshots(effects.Early); err != nil {
+	g.release(g.member.Receiving())
+	if err := g.send(effects.AfterSync); err != nil {
 		return 0, err
 	}
+	g.due.Store(int64(effects.NextWake))
+	results := g.apply(effects.Committed)
 	g.publish()
 	g.answer(effects.Outcomes, results)
 	return effects.NextWake, g.compact()
 }
 
-func (g *Group) send(messages []replica.Message) {
-	for _, message := range messages {
-		if message.Kind != replica.InstallSnapshot {
-			g.sendOne(message)
-		}
-	}
-}
-
-// sendSnapshots sends the snapshots among the messages. What they stand for is taken now, when the machine has applied all
-// that is committed, so that no state is kept for members that may never need it.
-func (g *Group) sendSnapshots(messages []replica.Message) error {
-	var fresh *replica.Snapshot
+// send sends messages. An error is one of the disk, from which parts of snapshots are read.
+func (g *Group) send(messages []replica.Message) error {
 	for _, message := range messages {
-		if message.Kind != replica.InstallSnapshot {
-			continue
-		}
-		if fresh == nil {
-			state, err := g.options.Machine.Snapshot()
+		if message.Kind == replica.InstallSnapshot {
+			snapshot := *message.Snapshot
+			if snapshot.Index != g.base {
+				continue
+			}
+			part, err := g.disk.Part(message.Part)
 			if err != nil {
 				return err
 			}
-			mark := g.member.Mark()
-			mark.State = state
-			fresh = &mark
+			snapshot.State = part
+			message.Snapshot = &snapshot
 		}
-		copied := *fresh
-		message.Snapshot = &copied
 		g.sendOne(message)
 	}
 	return nil
@@ -184,11 +175,10 @@
 		g.promise = *effects.Promise
 	}
 	if effects.Install != nil {
-		g.entries, g.base = nil, effects.Install.Index
-		if err := g.options.Machine.Restore(effects.Install.State); err != nil {
+		g.entries, g.base, g.compacted = nil, effects.Install.Index, g.disk.LogBytes()
+		if err := g.restore(g.disk, true); err != nil {
 			return err
 		}
-		effects.Install.State = nil // the member keeps the same snapshot, see withoutState
 	}
 	if effects.Truncate > 0 {
 		g.entries = before(g.entries, effects.Truncate)
--- /dev/null
+++ b/internal/system/program/parts_test.go
@@ -0,0 +1,159 @@
+package program
+
+import (
+	"bytes"
+	"errors"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+)
+
+// partsOf gives copies of the parts of a machine's state.
+func partsOf(t interface{ Fatal(...any) }, machine *Machine) [][]byte {
+	var parts [][]byte
+	err := machine.Parts(func(part []byte) error {
+		parts = append(parts, bytes.Clone(part))
+		return nil
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return parts
+}
+
+// restoredFrom gives a machine that was set to parts.
+func restoredFrom(machine *Machine, parts [][]byte) error {
+	restorer := machine.BeginRestore()
+	for _, part := range parts {
+		if err := restorer.Add(part); err != nil {
+			return err
+		}
+	}
+	return restorer.Finish()
+}
+
+// longestPart is what a part may take: records are measured with some room, names in full.
+const longestPart = partBytes + partBytes/8
+
+func TestAMachineThatIsRestoredFromPartsIsTheSame(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		// given a machine, also with contents that are far larger than a part
+		machine := New()
+		longest := rapid.SampledFrom([]int{400, 60_000, 2 * partBytes, 5 * partBytes}).Draw(t, "longest")
+		for _, step := range writeScript(drawing(t), 40, longest) {
+			machine.Apply(step.command)
+		}
+		// when another one is set to its parts
+		parts := partsOf(t, machine)
+		restored := filled(2)
+		if err := restoredFrom(restored, parts); err != nil {
+			t.Fatal(err)
+		}
+		// then it holds the same and gives the same parts
+		if diff := cmp.Diff(machine, restored, replicaView...); diff != "" {
+			t.Fatalf("(-machine +restored):\n%s", diff)
+		}
+		if again := partsOf(t, restored); !cmp.Equal(parts, again) {
+			t.Fatalf("%d parts became %d, or others", len(parts), len(again))
+		}
+		// and no part is longer than the bound
+		for i, part := range parts {
+			if len(part) > longestPart {
+				t.Fatalf("part %d of %d takes %d bytes", i, len(parts), len(part))
+			}
+		}
+	})
+}
+
+func TestPartsOfALargeStateAreBoundedAndFull(t *testing.T) {
+	// given a machine with some MB in turns of usual length, and one turn of 1 MB
+	machine := filled(2000)
+	machine.Apply(ask("large", "", strings.Repeat("i", 1<<20), 0))
+	machine.Apply(end("large", true, 1, strings.Repeat("o", 1<<20), 0))
+	// when its parts are taken
+	parts := partsOf(t, machine)
+	total := 0
+	for i, part := range parts {
+		if len(part) > longestPart {
+			t.Errorf("part %d takes %d bytes", i, len(part))
+		}
+		total += len(part)
+	}
+	// then there are not many more than needed
+	if most := total/partBytes*5/4 + 4; len(parts) > most {
+		t.Errorf("%d parts for %d bytes, want %d at most", len(parts), total, most)
+	}
+}
+
+func TestPartsThatAreNotAWholeSeriesAreRefused(t *testing.T) {
+	machine := filled(400)
+	machine.Apply(ask("large", "", strings.Repeat("i", 3*partBytes), 0))
+	machine.Apply(end("large", true, 1, strings.Repeat("o", partBytes), 0))
+	machine.Apply(ask("next", "large", "i", 0))
+	parts := partsOf(t, machine)
+	other := filled(3)
+	passTime(other, 1, 5)
+	without := func(number int) [][]byte {
+		return append(append([][]byte(nil), parts[:number]...), parts[number+1:]...)
+	}
+	tests := []struct {
+		name  string
+		parts [][]byte
+	}{
+		{"none at all", nil},
+		{"the first one missing", without(0)},
+		{"the last one missing", parts[:len(parts)-1]},
+		{"one twice", append(append([][]byte(nil), parts[:2]...), parts[1:]...)},
+		{"one of another machine", append(append([][]byte(nil), parts...), partsOf(t, other)...)},
+		{"contents without a turn", [][]byte{[]byte(`{"nowMs":0,"heardMs":0,"more":{"input":"AAAA"}}`)}},
+		{"one that is cut", append(append([][]byte(nil), parts[:1]...), parts[1][:len(parts[1])/2])},
+	}
+	for _, test := range tests {
+		t.Run("given "+test.name+" when it is restored then the machine stays as it was", func(t *testing.T) {
+			machine := filled(3)
+			before := string(machine.Snapshot())
+			if err := restoredFrom(machine, test.parts); err == nil {
+				t.Error("no error")
+			}
+			if diff := cmp.Diff(before, string(machine.Snapshot())); diff != "" {
+				t.Errorf("(-before +after):\n%s", diff)
+			}
+		})
+	}
+}
+
+func TestTakingPartsEndsWithTheFirstError(t *testing.T) {
+	machine := filled(400)
+	full := errors.New("the disk is full")
+	taken := 0
+	err := machine.Parts(func([]byte) error {
+		taken++
+		return full
+	})
+	if err != full || taken != 1 {
+		t.Errorf("%d parts were taken, error %v", taken, err)
+	}
+}
+
+func FuzzRestoreOfParts(f *testing.F) {
+	f.Add([]byte(`{"goesOn":true}`), []byte(`{"number":1}`))
+	f.Add([]byte(`{"nowMs":9,"heardMs":9,"goesOn":true,"turns":[{"turn":"a","state":1,"remembered":true,"dueMs":9,"input":"AAAA"}]}`),
+		[]byte(`{"nowMs":9,"heardMs":9,"number":1,"more":{"input":"AAAA"}}`))
+	f.Fuzz(func(t *testing.T, first, second []byte) {
+		// given parts that a machine can be set to
+		machine := New()
+		if restoredFrom(machine, [][]byte{first, second}) != nil {
+			return
+		}
+		// when its own parts are restored, then that is the same state
+		again := New()
+		if err := restoredFrom(again, partsOf(t, machine)); err != nil {
+			t.Fatal(err)
+		}
+		if want, got := string(machine.Snapshot()), string(again.Snapshot()); want != got {
+			t.Fatalf("%s became %s", want, got)
+		}
+	})
+}
--- a/internal/system/program/restore.go
+++ b/internal/system/program/restore.go
@@ -1,36 +1,145 @@
 package program
 
 import (
+	"bytes"
 	"container/heap"
 	"encoding/json"
 
 	"github.com/gravitational/trace"
 )
 
-// Restore sets the machine to the state of a snapshot. When that is damaged, it gives an error and leaves the machine as
-// it was.
+// Restore sets the machine to the state of a snapshot in one part. When that is damaged, it gives an error and leaves the
+// machine as it was.
 func (m *Machine) Restore(data []byte) error {
+	restorer := m.BeginRestore()
+	if err := restorer.Add(data); err != nil {
+		return err
+	}
+	return restorer.Finish()
+}
+
+// Restorer builds a machine's new state up from the parts of a snapshot, in their order. The machine stays as it is until
+// Finish succeeds.
+type Restorer struct {
+	machine  *Machine
+	restored *Machine
+	next     int     // number of the part that is to come
+	goesOn   bool    // one is to come
+	turns    []*turn // so far, in the order of the parts
+	reserved map[*program]int64
+	pending  *pendingTurn // the last one, of which more may come; nil: none
+}
+
+// pendingTurn is a turn whose contents may go on in the next part.
+type pendingTurn struct {
+	record          turnRecord
+	inputs, outputs [][]byte // pieces that have come since
+}
+
+// BeginRestore begins to set the machine to the state of a snapshot.
+func (m *Machine) BeginRestore() *Restorer {
+	restored := New()
+	restored.rules = m.rules
+	return &Restorer{machine: m, restored: restored, reserved: make(map[*program]int64), goesOn: true}
+}
+
+// Add takes the next part in. It keeps nothing of data.
+func (r *Restorer) Add(data []byte) error {
 	var held Image
 	if err := json.Unmarshal(data, &held); err != nil {
 		return trace.Wrap(err, "snapshot of programs is no JSON of its form")
 	}
-	restored := New()
-	restored.rules = m.rules
-	if err := restored.restoreClock(held); err != nil {
+	if !r.goesOn || held.Number != r.next {
+		return trace.BadParameter("part %d comes in place of part %d", held.Number, r.next)
+	}
+	if err := r.takeClock(held); err != nil {
 		return trace.Wrap(err)
 	}
+	r.next, r.goesOn = r.next+1, held.GoesOn
+	if held.More != nil {
+		if r.pending == nil {
+			return trace.BadParameter("contents without a turn before them")
+		}
+		r.pending.inputs = append(r.pending.inputs, held.More.Input)
+		r.pending.outputs = append(r.pending.outputs, held.More.Output)
+	}
 	for _, record := range held.Programs {
-		if err := restored.restoreProgram(record); err != nil {
+		if err := r.restored.restoreProgram(record); err != nil {
 			return trace.Wrap(err, "program %q", record.Name)
 		}
 	}
-	if err := restored.restoreTurns(held.Turns); err != nil {
-		return trace.Wrap(err)
+	for _, record := range held.Turns {
+		if err := r.takePending(); err != nil {
+			return err
+		}
+		r.pending = &pendingTurn{record: record}
 	}
-	*m = *restored
 	return nil
 }
 
+// Finish sets the machine to the state that all parts together hold.
+func (r *Restorer) Finish() error {
+	if r.goesOn {
+		return trace.BadParameter("part %d is missing", r.next)
+	}
+	if err := r.takePending(); err != nil {
+		return err
+	}
+	for p, sum := range r.reserved {
+		if sum > p.reserved {
+			return trace.BadParameter("a program has less reserved than its turns under way")
+		}
+	}
+	for _, t := range r.turns {
+		if !t.kept() {
+			return trace.BadParameter("turn %q is held by nothing", t.name)
+		}
+	}
+	heap.Init(&r.restored.queue)
+	*r.machine = *r.restored
+	return nil
+}
+
+// takeClock takes the clock over from the first part; the others have to agree with it.
+func (r *Restorer) takeClock(held Image) error {
+	if r.next == 0 {
+		return r.restored.restoreClock(held)
+	}
+	if (r.restored.clock != clock{nowMs: held.NowMs, heardMs: held.HeardMs}) {
+		return trace.BadParameter("a part of another snapshot")
+	}
+	return nil
+}
+
+// takePending takes in the turn of which all contents have come.
+func (r *Restorer) takePending() error {
+	if r.pending == nil {
+		return nil
+	}
+	record := r.pending.record
+	record.Input = joined(record.Input, r.pending.inputs)
+	record.Output = joined(record.Output, r.pending.outputs)
+	r.pending = nil
+	t, err := r.restored.restoreTurn(record, r.turns)
+	if err != nil {
+		return trace.Wrap(err, "turn %q", record.Turn)
+	}
+	r.turns = append(r.turns, t)
+	if t.program != nil {
+		r.reserved[t.program] = addTokens(r.reserved[t.program], t.most)
+		t.program.open++
+	}
+	return nil
+}
+
+// joined puts pieces behind what came first.
+func joined(first []byte, pieces [][]byte) []byte {
+	if len(pieces) == 0 {
+		return first
+	}
+	return bytes.Join(append([][]byte{first}, pieces...), nil)
+}
+
 func (m *Machine) restoreClock(held Image) error {
 	if !isTime(held.NowMs) || !isTime(held.HeardMs) {
 		return trace.BadParameter("the clock is out of range")
@@ -62,34 +171,6 @@
 	return nil
 }
 
-func (m *Machine) restoreTurns(records []turnRecord) error {
-	turns := make([]*turn, 0, len(records))
-	reserved := make(map[*program]int64)
-	for _, record := range records {
-		t, err := m.restoreTurn(record, turns)
-		if err != nil {
-			return trace.Wrap(err, "turn %q", record.Turn)
-		}
-		turns = append(turns, t)
-		if t.program != nil {
-			reserved[t.program] = addTokens(reserved[t.program], t.most)
-			t.program.open++
-		}
-	}
-	for p, sum := range reserved {
-		if sum > p.reserved {
-			return trace.BadParameter("a program has less reserved than its turns under way")
-		}
-	}
-	for _, t := range turns {
-		if !t.kept() {
-			return trace.BadParameter("turn %q is held by nothing", t.name)
-		}
-	}
-	heap.Init(&m.queue)
-	return nil
-}
-
 // restoreTurn takes one turn in; earlier are those that went before it.
 func (m *Machine) restoreTurn(record turnRecord, earlier []*turn) (*turn, error) {
 	if err := checkTurn(record, len(earlier)); err != nil {
--- a/internal/system/program/snapshot.go
+++ b/internal/system/program/snapshot.go
@@ -8,13 +8,16 @@
 	"unicode/utf8"
 )
 
-// Image is a machine's state at one moment. It shares the inputs and outputs with the machine, which never change, so it
-// is quick to take and may be written by another goroutine while the machine goes on.
+// Image is a machine's state at one moment, or a part of it. It shares the inputs and outputs with the machine, which never
+// change, so it is quick to take and may be written by another goroutine while the machine goes on.
 type Image struct {
-	NowMs    int64           `json:"nowMs"`
+	NowMs    int64           `json:"nowMs"` // the same in all parts
 	HeardMs  int64           `json:"heardMs"`
-	Programs []programRecord `json:"programs"` // by last use, the oldest first
-	Turns    []turnRecord    `json:"turns"`    // by when they came, so that a parent goes before its children
+	Number   int             `json:"number,omitempty"` // of the part, from 0
+	GoesOn   bool            `json:"goesOn,omitempty"` // there is another part
+	More     *contentsRecord `json:"more,omitempty"`   // of the last turn in the parts before
+	Programs []programRecord `json:"programs"`         // by last use, the oldest first
+	Turns    []turnRecord    `json:"turns"`            // by when they came, so that a parent goes before its children
 	contents int64           // bytes of all inputs and outputs
 }
 
@@ -41,13 +44,19 @@
 	Output     []byte `json:"output,omitempty"`
 }
 
+// contentsRecord is a piece of the contents of a turn that are larger than a part. It goes behind the pieces before.
+type contentsRecord struct {
+	Input  []byte `json:"input,omitempty"`
+	Output []byte `json:"output,omitempty"`
+}
+
 // Room for one record without its contents, used to size a snapshot in advance.
 const (
 	programRoom = 120
 	turnRoom    = 180
 )
 
-// Snapshot gives the whole state as JSON. Machines that applied the same commands give the same bytes.
+// Snapshot gives the whole state as one part. Machines that applied the same commands give the same bytes.
 func (m *Machine) Snapshot() []byte {
 	return m.Image().JSON()
 }
@@ -110,11 +119,23 @@
 
 // JSON writes the image as Machine.Restore reads it, and as encoding/json would, in less time and memory.
 func (i *Image) JSON() []byte {
-	out := make([]byte, 0, i.room())
+	return i.appendJSON(make([]byte, 0, i.room()))
+}
+
+// appendJSON appends the image's JSON.
+func (i *Image) appendJSON(out []byte) []byte {
 	out = append(out, `{"nowMs":`...)
 	out = strconv.AppendInt(out, i.NowMs, 10)
 	out = append(out, `,"heardMs":`...)
 	out = strconv.AppendInt(out, i.HeardMs, 10)
+	out = appendNumber(out, `,"number":`, int64(i.Number))
+	if i.GoesOn {
+		out = append(out, `,"goesOn":true`...)
+	}
+	if i.More != nil {
+		out = append(out, `,"more":`...)
+		out = appendContents(out, i.More)
+	}
 	out = append(out, `,"programs":[`...)
 	for place := range i.Programs {
 		out = appendSeparator(out)
@@ -166,6 +187,17 @@
 	return append(out, '}')
 }
 
+func appendContents(out []byte, contents *contentsRecord) []byte {
+	start := len(out)
+	out = appendBytes(out, `,"input":`, contents.Input)
+	out = appendBytes(out, `,"output":`, contents.Output)
+	if len(out) == start {
+		return append(out, "{}"...)
+	}
+	out[start] = '{' // in place of the first comma
+	return append(out, '}')
+}
+
 // appendSeparator puts a comma in front of all but the first item of a list.
 func appendSeparator(out []byte) []byte {
 	if out[len(out)-1] == '[' {
--- a/internal/system/replica/api.go
+++ b/internal/system/replica/api.go
@@ -39,12 +39,19 @@
 	Vote  string `json:"vote,omitempty"`
 }
 
-// Snapshot stands for all entries up to Index.
+// Snapshot stands for all entries up to Index. The state itself lies on the disk, in parts.
 type Snapshot struct {
 	Index   uint64          `json:"index"`
 	Epoch   uint64          `json:"epoch"`
 	Members []Member        `json:"members"`
-	State   json.RawMessage `json:"state"` // of the state machine
+	Parts   int             `json:"parts"`           // in which the state machine's state comes
+	State   json.RawMessage `json:"state,omitempty"` // in a message: the part that it brings
+}
+
+// Part is one of the parts that a snapshot's state comes in.
+type Part struct {
+	Number int // from 0
+	State  json.RawMessage
 }
 
 // MessageKind tells what a message asks or answers.
@@ -56,7 +63,8 @@
 	AnswerVote      MessageKind = "answer_vote"
 	Append          MessageKind = "append" // also a heartbeat
 	AnswerAppend    MessageKind = "answer_append"
-	InstallSnapshot MessageKind = "install_snapshot"
+	InstallSnapshot MessageKind = "install_snapshot" // one part of it
+	AnswerSnapshot  MessageKind = "answer_snapshot"  // tells which part is wanted next
 )
 
 // Message travels between members. One that is addressed to another identity than the receiver's is dropped.
@@ -74,6 +82,7 @@
 	Hint      uint64      `json:"hint,omitempty"`  // where the log of a follower that rejected may agree
 	Round     uint64      `json:"round,omitempty"` // of heartbeats, to confirm reads
 	Snapshot  *Snapshot   `json:"snapshot,omitempty"`
+	Part      int         `json:"part,omitempty"`      // number of the part that is brought, or wanted next
 	Address   string      `json:"address,omitempty"`   // of the sender, so that a new member can answer
 	Voluntary bool        `json:"voluntary,omitempty"` // the owner hands its ownership over
 }
@@ -108,7 +117,7 @@
 	Proposals []Proposal
 	Reads     []uint64  // tokens of reads that wait until it is certain that this member still is the owner
 	Change    []Member  // the members that the group is to have; it moves there one step at a time. Nil: as it is
-	Compact   *Snapshot // a saved snapshot (Mark with State added): entries up to it may go
+	Compact   *Snapshot // a saved snapshot (Mark with Parts added): entries up to it may go
 	Resign    bool      // hand the ownership over once the open proposals are settled; they wait an election time-out at most
 }
 
@@ -120,12 +129,14 @@
 }
 
 // Effects is what must be done, in the order of the fields. Promise, Install, Truncate and Append are saved and synced
-// before AfterSync is sent and Committed applied, and all of it is done before the next Step. Entries and their data are
-// shared with the log and never changed: a message may be kept as long as needed.
+// before AfterSync is sent and Committed applied, and all of it is done before the next Step. Parts in Received are written
+// before AfterSync is sent and need no sync before they are installed. Entries and their data are shared with the log and
+// never changed: a message may be kept as long as needed. The shell adds the state to a message with a snapshot.
 type Effects struct {
 	Early     []Message // may be sent before the sync
 	Promise   *Promise  // to be saved
-	Install   *Snapshot // to be saved in place of all entries and snapshots before; the state machine is set to it
+	Received  []Part    // of a snapshot, to be written behind those before; number 0 begins a new one
+	Install   *Snapshot // all its parts are received: to be saved in place of all before; the state machine is set to it
 	Truncate  uint64    // when over 0: saved entries from this index on are void
 	Append    []Entry   // to be saved
 	AfterSync []Message
--- a/internal/system/replica/disk_test.go
+++ b/internal/system/replica/disk_test.go
@@ -1,10 +1,24 @@
 package replica
 
+import (
+	"bytes"
+	"fmt"
+)
+
 func cloneRecovered(r Recovered) Recovered {
 	r.Entries = append([]Entry(nil), r.Entries...)
 	return r
 }
 
+// withoutStates is what a member is told of its disk: the state of a snapshot is for the state machine.
+func withoutStates(r Recovered) Recovered {
+	r = cloneRecovered(r)
+	if r.Snapshot != nil {
+		r.Snapshot = withoutState(r.Snapshot)
+	}
+	return r
+}
+
 // save applies the first writes of a step to a disk.
 func save(disk Recovered, effects Effects, writes int) Recovered {
 	take := func(needed bool) bool {
@@ -35,6 +49,53 @@
 	return disk
 }
 
+// snapshotParts is the number of parts in which simulated members send their snapshots.
+const snapshotParts = 3
+
+// partOf is one of the parts of a state.
+func partOf(state []byte, number int) []byte {
+	return state[len(state)*number/snapshotParts : len(state)*(number+1)/snapshotParts]
+}
+
+// addPart adds to a message that brings a part of a snapshot what the sender's disk holds; false when that is no longer there.
+func addPart(message *Message, disk Recovered) bool {
+	if message.Kind != InstallSnapshot {
+		return true
+	}
+	if disk.Snapshot == nil || disk.Snapshot.Index != message.Snapshot.Index {
+		return false
+	}
+	snapshot := *message.Snapshot
+	snapshot.State = partOf(disk.Snapshot.State, message.Part)
+	message.Snapshot = &snapshot
+	return true
+}
+
+// receiveParts writes received parts behind those before, and adds the state to a snapshot that is installed. What it returns
+// is not synced, so it is lost with the process. The text tells what was wrong.
+func receiveParts(incoming [][]byte, effects *Effects) (parts [][]byte, wrong string) {
+	parts = incoming[:len(incoming):len(incoming)]
+	for _, part := range effects.Received {
+		if part.Number == 0 {
+			parts = nil
+		}
+		if part.Number != len(parts) {
+			return parts, fmt.Sprintf("part %d is received behind %d parts", part.Number, len(parts))
+		}
+		parts = append(parts, part.State)
+	}
+	if effects.Install == nil {
+		return parts, ""
+	}
+	if len(parts) != effects.Install.Parts {
+		return parts, fmt.Sprintf("a snapshot of %d parts is installed after %d", effects.Install.Parts, len(parts))
+	}
+	whole := *effects.Install
+	whole.State = bytes.Join(parts, nil)
+	effects.Install = &whole
+	return nil, ""
+}
+
 func countWrites(effects Effects) int {
 	writes := len(effects.Append)
 	if effects.Promise != nil {
--- a/internal/system/replica/election.go
+++ b/internal/system/replica/election.go
@@ -56,6 +56,7 @@
 		r.step.promiseChanged = true
 		r.step.answer = pendingAnswer{}
 		r.owner = ownerContact{}
+		r.incoming = incoming{}
 	}
 	if from != r.owner.id {
 		r.owner = ownerContact{id: from}
--- a/internal/system/replica/follower.go
+++ b/internal/system/replica/follower.go
@@ -125,31 +125,3 @@
 	}
 	r.step.effects.AfterSync = append(r.step.effects.AfterSync, answer)
 }
-
-func (r *Replica) receiveSnapshot(message *Message) {
-	snapshot := message.Snapshot
-	if snapshot == nil || !r.heed(message) {
-		return
-	}
-	if snapshot.Index <= r.commit && !r.faults.installOld {
-		r.accept(message, r.commit)
-		return
-	}
-	if r.log.holds(snapshot.Index, snapshot.Epoch) && !r.faults.installOld {
-		r.commitUpTo(snapshot.Index)
-		r.accept(message, snapshot.Index)
-		return
-	}
-	r.install(snapshot)
-	r.accept(message, snapshot.Index)
-}
-
-// install puts a snapshot in place of the whole log.
-func (r *Replica) install(snapshot *Snapshot) {
-	r.snapshot = snapshot
-	r.log.reset(snapshot.Index, snapshot.Epoch)
-	r.groups = groupHistory{newGroup(snapshot.Index, snapshot.Members)}
-	r.commit, r.applied = snapshot.Index, snapshot.Index
-	r.step.installed = snapshot
-	r.step.saved, r.step.savedLast = snapshot.Index, snapshot.Index
-}
--- a/internal/system/replica/limits.go
+++ b/internal/system/replica/limits.go
@@ -6,6 +6,7 @@
 	flight  int    // bytes of entries that are sent to a follower and not acknowledged
 	open    int    // bytes of commands that wait for their commit; what comes beyond is refused
 	tail    uint64 // entries before a snapshot that are kept for followers that are a little behind
+	parts   int    // of a snapshot that are sent to a follower and not acknowledged
 }
 
 var usualLimits = limits{
@@ -13,4 +14,5 @@
 	flight:  1 << 20,
 	open:    16 << 20,
 	tail:    64,
+	parts:   2,
 }
--- a/internal/system/replica/peer.go
+++ b/internal/system/replica/peer.go
@@ -2,9 +2,6 @@
 
 import "time"
 
-// installPatience is the number of election time-outs after which a snapshot is sent again.
-const installPatience = 2
-
 // peerState tells how the owner sends to a follower.
 type peerState uint8
 
@@ -30,7 +27,7 @@
 	sent      bool   // something since the last heartbeat
 	sentRound uint64 // newest round that was sent to it
 
-	installDue time.Duration // when a snapshot may be sent again
+	transfer transfer // installing: of a snapshot
 }
 
 // flight is an append that has not been acknowledged.
@@ -112,7 +109,7 @@
 			r.sendBatch(p)
 		}
 	case installing:
-		r.sendSnapshot(p)
+		r.sendParts(p)
 	}
 }
 
@@ -134,23 +131,6 @@
 	p.flying += size
 }
 
-// beginInstall turns to snapshots.
-func (r *Replica) beginInstall(p *peer) {
-	p.state = installing
-	p.clearFlights()
-	p.installDue = r.now
-	r.sendSnapshot(p)
-}
-
-// sendSnapshot sends the newest snapshot to a peer that answers, again and again with a pause.
-func (r *Replica) sendSnapshot(p *peer) {
-	if r.now < p.installDue || !r.hears(p) {
-		return
-	}
-	p.installDue = r.now + installPatience*r.options.Election
-	r.sendEarly(p, Message{Kind: InstallSnapshot, To: p.id, Epoch: r.promise.Epoch, Snapshot: r.snapshot})
-}
-
 // sendHeartbeat sends an append without entries. It also shows whether the entries before it have arrived.
 func (r *Replica) sendHeartbeat(p *peer) {
 	if p.state != installing && p.next <= r.log.offset {
@@ -178,11 +158,12 @@
 	}
 }
 
-// sendEarly sends a message that does not wait for the own sync.
+// sendEarly sends a message that does not wait for the own sync. A part of a snapshot, which the follower may have no room
+// for, doesn't stand for a heartbeat.
 func (r *Replica) sendEarly(p *peer, message Message) {
 	message.From, message.Address = r.options.ID, r.options.Address
-	p.sent = true
 	if message.Kind == Append {
+		p.sent = true
 		p.sentRound = message.Round
 	}
 	r.step.effects.Early = append(r.step.effects.Early, message)
@@ -230,6 +211,7 @@
 		p.stream()
 	case installing:
 		if p.match >= offset {
+			p.transfer = transfer{}
 			p.stream()
 		}
 	case streaming:
@@ -240,6 +222,7 @@
 // probe sends one append at a time from next on.
 func (p *peer) probe(next uint64) {
 	p.state = probing
+	p.transfer = transfer{}
 	p.next = next
 	p.probed = false
 	p.clearFlights()
--- a/internal/system/replica/replica.go
+++ b/internal/system/replica/replica.go
@@ -35,9 +35,11 @@
 	// What its disk holds after each Step's effects are done.
 	promise  Promise
 	log      entryLog
-	snapshot *Snapshot
+	snapshot *Snapshot // without its state
 	groups   groupHistory
 
+	incoming incoming // snapshot that is being received
+
 	commit  uint64 // last entry known to be committed
 	applied uint64 // last entry handed out as committed
 
@@ -68,6 +70,7 @@
 	saved          uint64 // last entry on disk that is still the same in memory
 	savedLast      uint64 // last entry on disk, still the same or not
 	promiseChanged bool
+	received       []Part
 	installed      *Snapshot
 	answer         pendingAnswer
 }
@@ -149,11 +152,11 @@
 // Step takes in all that has happened up to now, and tells what must be done. Now never goes back.
 func (r *Replica) Step(now time.Duration, input Input) Effects {
 	r.begin(now)
+	r.compact(input.Compact)
 	for i := range input.Messages {
 		r.receive(&input.Messages[i])
 	}
 	r.runTimers()
-	r.compact(input.Compact)
 	r.wish(input.Change)
 	r.propose(input.Proposals)
 	r.read(input.Reads)
@@ -188,11 +191,14 @@
 		r.receiveAnswerAppend(message)
 	case InstallSnapshot:
 		r.receiveSnapshot(message)
+	case AnswerSnapshot:
+		r.receiveAnswerSnapshot(message)
 	}
 }
 
 // runTimers does what is due.
 func (r *Replica) runTimers() {
+	r.dropStaleIncoming()
 	if r.role == owner {
 		r.checkMajority()
 		return
@@ -214,6 +220,7 @@
 		effects.AfterSync = append(effects.Early, effects.AfterSync...)
 		effects.Early = nil
 	}
+	effects.Received = r.step.received
 	effects.Install = r.step.installed
 	if r.step.saved < r.step.savedLast {
 		effects.Truncate = r.step.saved + 1
@@ -235,10 +242,14 @@
 		}
 		return r.ownership.heartbeatDue
 	}
-	if !r.mayStand() {
-		return r.now + idleWake
+	wake := r.now + idleWake
+	if r.mayStand() {
+		wake = r.electionDue
 	}
-	return r.electionDue
+	if r.Receiving() {
+		wake = min(wake, r.incoming.due)
+	}
+	return wake
 }
 
 // appendEntries adds entries to the log; lists of members among them count at once.
@@ -272,9 +283,14 @@
 	}
 }
 
-// compact drops entries that a saved snapshot stands for.
+// compact drops entries that a saved snapshot stands for. The place on the disk where parts of another one were being
+// received is where it was written, so these are gone.
 func (r *Replica) compact(snapshot *Snapshot) {
-	if snapshot == nil || snapshot.Index > r.applied || snapshot.Index <= r.snapshotIndex() {
+	if snapshot == nil {
+		return
+	}
+	r.incoming = incoming{}
+	if snapshot.Index > r.applied || snapshot.Index <= r.snapshotIndex() {
 		return
 	}
 	if !r.log.holds(snapshot.Index, snapshot.Epoch) || len(snapshot.Members) == 0 {
@@ -293,7 +309,7 @@
 	return r.snapshot.Index
 }
 
-// Mark names the last entry handed out as committed, for a snapshot: the shell adds the State after applying it.
+// Mark names the last entry handed out as committed, for a snapshot: the shell writes the state after applying it.
 func (r *Replica) Mark() Snapshot {
 	epoch, _ := r.log.epochAt(r.applied)
 	return Snapshot{Index: r.applied, Epoch: epoch, Members: slices.Clone(r.groups.at(r.applied).members)}
--- a/internal/system/replica/simulation_test.go
+++ b/internal/system/replica/simulation_test.go
@@ -58,6 +58,7 @@
 	rateSet time.Duration // when that was
 	initial []Member
 	disk    Recovered
+	parts   [][]byte // of a snapshot that is being received: written and not synced
 	replica *Replica
 	machine machine
 	alive   bool
@@ -142,7 +143,7 @@
 		Eager:     s.eager,
 		Seed:      s.random.Uint64(),
 	}
-	replica, err := New(options, cloneRecovered(n.disk), s.clock(n))
+	replica, err := New(options, withoutStates(n.disk), s.clock(n))
 	if err != nil {
 		s.checker.fail("%s does not start: %v", n.id, err)
 		return
@@ -171,7 +172,7 @@
 		n.disk = save(n.disk, n.effects, s.random.IntN(countWrites(n.effects)+1))
 	}
 	n.alive, n.busy = false, false
-	n.replica = nil
+	n.replica, n.parts = nil, nil
 	n.life++
 	s.checker.forget(n.id)
 }
@@ -241,6 +242,10 @@
 	input := n.inbox
 	n.inbox = Input{}
 	n.effects = n.replica.Step(s.clock(n), input)
+	parts, wrong := receiveParts(n.parts, &n.effects)
+	if n.parts = parts; wrong != "" {
+		s.checker.fail("%s: %s", n.id, wrong)
+	}
 	s.send(n, n.effects.Early)
 	life := n.life
 	syncTime := time.Duration(0)
@@ -342,7 +347,7 @@
 		s.messages[message.Kind]++
 		s.checker.sent(message)
 		slot, known := s.slotOf[message.To]
-		if s.drop != nil && s.drop(message) {
+		if s.drop != nil && s.drop(message) || !addPart(&message, from.disk) {
 			continue
 		}
 		if !known || s.cut[[2]int{from.slot, slot}] || s.random.Float64() < s.conditions.loss {
@@ -415,11 +420,13 @@
 		return
 	}
 	snapshot.State, _ = json.Marshal(n.machine)
+	snapshot.Parts = snapshotParts
+	n.parts = nil // the new one lies in their place
 	for len(n.disk.Entries) > 0 && n.disk.Entries[0].Index <= snapshot.Index {
 		n.disk.Entries = n.disk.Entries[1:]
 	}
 	n.disk.Snapshot = &snapshot
-	n.inbox.Compact = &snapshot
+	n.inbox.Compact = withoutState(&snapshot)
 	s.wake(n)
 }
 
--- a/internal/system/replica/snapshot_test.go
+++ b/internal/system/replica/snapshot_test.go
@@ -33,8 +33,8 @@
 	s.setWanted(membersOf(s.nodes...))
 	s.thenGroupIs(t, time.Second, membersOf(s.nodes...))
 	s.runFor(2 * testHeartbeat)
-	if got := s.messages[InstallSnapshot]; got != 1 {
-		t.Errorf("%d snapshots were sent, want 1", got)
+	if got := s.messages[InstallSnapshot]; got != snapshotParts {
+		t.Errorf("%d parts of snapshots were sent, want %d", got, snapshotParts)
 	}
 	if s.nodes[3].machine != first.machine {
 		t.Errorf("state %+v, want %+v", s.nodes[3].machine, first.machine)
@@ -113,7 +113,7 @@
 
 func TestFollowerAndSnapshots(t *testing.T) {
 	snapshot := func(index, epoch uint64) *Snapshot {
-		return &Snapshot{Index: index, Epoch: epoch, Members: []Member{{ID: "a"}, {ID: "b"}}}
+		return &Snapshot{Index: index, Epoch: epoch, Members: []Member{{ID: "a"}, {ID: "b"}}, Parts: 1}
 	}
 	cases := []struct {
 		name    string
--- /dev/null
+++ b/internal/system/replica/transfer.go
@@ -0,0 +1,189 @@
+package replica
+
+import "time"
+
+// installPatience is the number of election time-outs without an answer after which parts of a snapshot are sent again.
+const installPatience = 2
+
+// transfer is the sending of a snapshot, part by part, to one peer. A part that was lost is sent again from there on.
+type transfer struct {
+	snapshot *Snapshot     // nil: none has begun
+	wanted   int           // the part that the peer wants next, as far as is known
+	next     int           // the part to send next
+	due      time.Duration // when parts are sent again unless one is acknowledged before
+	rewound  bool          // parts are being sent again since the last one was acknowledged
+}
+
+// beginInstall turns to snapshots.
+func (r *Replica) beginInstall(p *peer) {
+	p.state = installing
+	p.clearFlights()
+	p.transfer = transfer{}
+	r.sendParts(p)
+}
+
+// sendParts sends parts of the newest snapshot to a peer that answers, a few beyond those that it has acknowledged.
+func (r *Replica) sendParts(p *peer) {
+	if !r.hears(p) {
+		return
+	}
+	t := &p.transfer
+	switch {
+	case t.snapshot != r.snapshot:
+		*t = transfer{snapshot: r.snapshot, due: r.partsDue()}
+	case r.now >= t.due:
+		t.next, t.rewound, t.due = t.wanted, true, r.partsDue()
+	}
+	window := r.limits.parts
+	if t.wanted == 0 {
+		window = 1 // the peer may not be able to take it now
+	}
+	for t.next < min(t.wanted+window, t.snapshot.Parts) {
+		r.sendEarly(p, Message{Kind: InstallSnapshot, To: p.id, Epoch: r.promise.Epoch, Snapshot: t.snapshot, Part: t.next})
+		t.next++
+	}
+}
+
+func (r *Replica) partsDue() time.Duration { return r.now + installPatience*r.options.Election }
+
+// Sending tells whether a snapshot is on its way to a member that takes it: the disk should keep it for a while.
+func (r *Replica) Sending() bool {
+	if r.role != owner {
+		return false
+	}
+	for _, p := range r.ownership.peers {
+		if p.state == installing && p.transfer.wanted > 0 && p.transfer.snapshot == r.snapshot && r.hears(p) {
+			return true
+		}
+	}
+	return false
+}
+
+// receiveAnswerSnapshot takes notice of which part a peer wants next.
+func (r *Replica) receiveAnswerSnapshot(answer *Message) {
+	if r.role != owner || answer.Epoch != r.promise.Epoch {
+		return
+	}
+	p := findPeer(r.ownership.peers, answer.From)
+	if p == nil {
+		return
+	}
+	p.heard = r.now
+	t := &p.transfer
+	if p.state != installing || t.snapshot == nil || answer.Index != t.snapshot.Index || answer.Part > t.snapshot.Parts {
+		return
+	}
+	switch {
+	case answer.Part > t.wanted:
+		t.wanted, t.next = answer.Part, max(t.next, answer.Part)
+		t.due, t.rewound = r.partsDue(), false
+	case answer.Rejected && (answer.Part < t.wanted || !t.rewound):
+		t.wanted, t.next = answer.Part, answer.Part
+		t.due, t.rewound = r.partsDue(), true
+	}
+}
+
+// incoming is a snapshot that is being received. Nothing of it counts before it is whole: neither as a match nor for a vote.
+type incoming struct {
+	from     string // identity of the owner that sends it; empty: none is being received
+	epoch    uint64 // of that owner
+	snapshot *Snapshot
+	wanted   int           // the part that is to come next
+	due      time.Duration // when it is given up unless another part has come
+}
+
+// isOf tells whether a message brings a part of the snapshot that is being received.
+func (i *incoming) isOf(message *Message) bool {
+	return i.from == message.From && i.epoch == message.Epoch &&
+		i.snapshot.Index == message.Snapshot.Index && i.snapshot.Parts == message.Snapshot.Parts
+}
+
+// outdates tells whether a message comes late, with a part of an older snapshot of the same owner.
+func (i *incoming) outdates(message *Message) bool {
+	return i.from == message.From && i.epoch == message.Epoch && i.snapshot.Index > message.Snapshot.Index
+}
+
+// Receiving tells whether parts of a snapshot have been received and it isn't whole yet.
+func (r *Replica) Receiving() bool { return r.incoming.from != "" }
+
+// dropStaleIncoming gives up a snapshot whose sender sends no more of it.
+func (r *Replica) dropStaleIncoming() {
+	if r.Receiving() && r.now >= r.incoming.due {
+		r.incoming = incoming{}
+	}
+}
+
+// receiveSnapshot takes one part of a snapshot in. A message without a snapshot is one that the shell has no room for: it
+// only shows that the owner is there.
+func (r *Replica) receiveSnapshot(message *Message) {
+	snapshot := message.Snapshot
+	if !r.heed(message) || snapshot == nil || snapshot.Parts < 1 {
+		return
+	}
+	if snapshot.Index <= r.commit && !r.faults.installOld {
+		r.accept(message, r.commit)
+		return
+	}
+	if r.log.holds(snapshot.Index, snapshot.Epoch) && !r.faults.installOld {
+		r.commitUpTo(snapshot.Index)
+		r.accept(message, snapshot.Index)
+		return
+	}
+	if r.step.installed != nil {
+		return // its parts are on their way to where the next one's would go
+	}
+	r.receivePart(message)
+}
+
+// receivePart takes the part that is wanted, and tells which one is wanted then.
+func (r *Replica) receivePart(message *Message) {
+	if r.incoming.outdates(message) {
+		return
+	}
+	if !r.Receiving() || !r.incoming.isOf(message) {
+		r.incoming = incoming{}
+		if message.Part != 0 {
+			r.wantPart(message, 0, true)
+			return
+		}
+		r.incoming = incoming{from: message.From, epoch: message.Epoch, snapshot: withoutState(message.Snapshot)}
+	}
+	i := &r.incoming
+	i.due = r.now + 2*installPatience*r.options.Election
+	if message.Part != i.wanted {
+		r.wantPart(message, i.wanted, message.Part > i.wanted)
+		return
+	}
+	r.step.received = append(r.step.received, Part{Number: i.wanted, State: message.Snapshot.State})
+	i.wanted++
+	if i.wanted < i.snapshot.Parts {
+		r.wantPart(message, i.wanted, false)
+		return
+	}
+	r.install(i.snapshot)
+	r.accept(message, message.Snapshot.Index)
+}
+
+// wantPart tells the owner which part is to come next; with rejected, that those before the one it has sent are missing.
+func (r *Replica) wantPart(message *Message, number int, rejected bool) {
+	r.sendAfterSync(Message{Kind: AnswerSnapshot, To: message.From, Epoch: message.Epoch, Index: message.Snapshot.Index,
+		Part: number, Rejected: rejected})
+}
+
+// withoutState returns what a member needs to remember of a snapshot: the state lies on the disk and in the state machine.
+func withoutState(snapshot *Snapshot) *Snapshot {
+	light := *snapshot
+	light.State = nil
+	return &light
+}
+
+// install puts a snapshot in place of the whole log.
+func (r *Replica) install(snapshot *Snapshot) {
+	r.incoming = incoming{}
+	r.snapshot = snapshot
+	r.log.reset(snapshot.Index, snapshot.Epoch)
+	r.groups = groupHistory{newGroup(snapshot.Index, snapshot.Members)}
+	r.commit, r.applied = snapshot.Index, snapshot.Index
+	r.step.installed = snapshot
+	r.step.saved, r.step.savedLast = snapshot.Index, snapshot.Index
+}
--- a/internal/system/storage/bench_test.go
+++ b/internal/system/storage/bench_test.go
@@ -43,7 +43,8 @@
 		}
 		if group.LogBytes() > maxLogBytes {
 			b.StopTimer()
-			if err := group.Compact(replica.Snapshot{Index: next - 1, Epoch: 1}, nil, replica.Promise{}); err != nil {
+			snapshot := replica.Snapshot{Index: next - 1, Epoch: 1, Parts: 1, State: data}
+			if err := group.Compact(snapshot, written(&snapshot), nil, replica.Promise{}); err != nil {
 				b.Fatal(err)
 			}
 			b.StartTimer()
--- a/internal/system/storage/compaction.go
+++ b/internal/system/storage/compaction.go
@@ -6,38 +6,67 @@
 	"mastusher/internal/system/replica"
 )
 
-// Compact replaces the log by a snapshot and the entries that remain after it. Remaining has to reach as far as what is
-// saved, and the promise must not take back the saved one; otherwise it is refused and nothing changes.
+// Compact replaces the log by a snapshot, whose parts are written as they come, and the entries that remain after it.
+// Remaining has to reach as far as what is saved, and the promise must not take back the saved one; otherwise it is refused
+// and nothing changes. A snapshot that was being received is given up.
 //
 // Up to the sync of the new log the old slot and log hold everything; from then on the new ones do. A loss of power or a
 // kill in between leaves the one or the other.
-func (g *Group) Compact(snapshot replica.Snapshot, remaining []replica.Entry, promise replica.Promise) error {
+func (g *Group) Compact(snapshot replica.Snapshot, parts Parts, remaining []replica.Entry, promise replica.Promise) error {
 	if g.broken != nil {
 		return trace.Wrap(g.broken)
 	}
 	if err := g.checkCompaction(&snapshot, remaining, promise); err != nil {
 		return trace.Wrap(err)
 	}
-	g.newest++
-	spare := g.spareSlot()
-	if err := g.writeSlot(spare, &snapshot, promise); err != nil {
+	writer, err := g.beginSlot()
+	if err != nil {
 		return trace.Wrap(err)
 	}
+	if err := parts(writer.add); err != nil {
+		_ = writer.file.Close()
+		return trace.Wrap(g.fail("writing of a snapshot", err))
+	}
+	return trace.Wrap(g.adopt(writer, &snapshot, remaining, promise))
+}
+
+// adopt completes a slot and puts it and a new log in place of those before.
+func (g *Group) adopt(writer *slotWriter, snapshot *replica.Snapshot, entries []replica.Entry, promise replica.Promise) error {
+	if err := writer.finish(snapshot, promise); err != nil {
+		return err
+	}
 	old, oldName := g.log, fileName(g.name, logName(g.generation))
-	if err := g.beginLog(g.newest, remaining); err != nil {
-		return trace.Wrap(err)
+	if err := g.beginLog(writer.layout.generation, entries); err != nil {
+		return err
 	}
-	g.slot = spare
+	g.layout = writer.layout
 	g.promise = promise
 	g.base = snapshot.Index
-	g.last = snapshot.Index + uint64(len(remaining))
+	g.last = snapshot.Index + uint64(len(entries))
 	_ = old.Close()
 	if err := g.disk.Remove(oldName); err != nil {
-		return trace.Wrap(g.fail("removal of the old log", err))
+		return g.fail("removal of the old log", err)
 	}
 	return nil
 }
 
+// install puts a snapshot that was received, and the entries behind it, in place of all that was saved before.
+func (g *Group) install(effects *replica.Effects) error {
+	writer := g.incoming
+	g.incoming = nil
+	if writer == nil || len(writer.layout.offsets) != effects.Install.Parts || effects.Truncate > 0 {
+		if writer != nil {
+			_ = writer.file.Close()
+		}
+		return g.fail("check of what is to be saved", trace.BadParameter("a snapshot is installed that was not received whole"))
+	}
+	promise := g.promise
+	if effects.Promise != nil {
+		promise = *effects.Promise
+	}
+	return g.adopt(writer, effects.Install, effects.Append, promise)
+}
+
 // checkCompaction refuses a compaction that would lose something saved.
 func (g *Group) checkCompaction(snapshot *replica.Snapshot, remaining []replica.Entry, promise replica.Promise) error {
 	if err := checkPromise(g.promise, promise); err != nil {
@@ -58,58 +87,13 @@
 	if g.generation == 0 {
 		return 0
 	}
-	return 1 - g.slot
-}
-
-// writeSlot writes a slot of the newest generation and returns once it lasts.
-func (g *Group) writeSlot(slot int, snapshot *replica.Snapshot, promise replica.Promise) error {
-	buffer, err := appendSlot(g.buffer[:0], g.newest, snapshot, promise)
-	if err != nil {
-		return g.fail("encoding", err)
-	}
-	g.keep(buffer)
-	file, err := g.disk.Create(fileName(g.name, slotNames[slot]))
-	if err != nil {
-		return g.fail("creation of a slot", err)
-	}
-	defer file.Close()
-	if _, err := file.Write(buffer); err != nil {
-		return g.fail("write to a slot", err)
-	}
-	if _, err := file.Write(snapshot.State); err != nil {
-		return g.fail("write to a slot", err)
-	}
-	if err := file.Sync(); err != nil {
-		return g.fail("sync of a slot", err)
-	}
-	if g.slotLasts[slot] {
-		return nil
-	}
-	if err := g.disk.SyncFolder(); err != nil {
-		return g.fail("sync of the folder", err)
-	}
-	g.slotLasts[slot] = true
-	return nil
-}
-
-// appendSlot appends the frame of a slot up to the snapshot's state, which is to be written behind it.
-func appendSlot(buffer []byte, generation uint64, snapshot *replica.Snapshot, promise replica.Promise) ([]byte, error) {
-	buffer = beginFrame(buffer, generation, 0)
-	buffer, err := appendPromise(buffer, promise)
-	if err != nil {
-		return nil, err
-	}
-	if buffer, err = appendSnapshot(buffer, snapshot); err != nil {
-		return nil, err
-	}
-	finishFrame(buffer, snapshot.State)
-	return buffer, nil
+	return 1 - g.layout.slot
 }
 
 // beginLog makes the log of a generation with its first entries, returns once it lasts, and saves there from then on.
 func (g *Group) beginLog(generation uint64, entries []replica.Entry) error {
 	buffer := appendEntries(beginFrame(g.buffer[:0], generation, 0), entries)
-	finishFrame(buffer, nil)
+	finishFrame(buffer)
 	g.keep(buffer)
 	log, err := g.disk.Create(fileName(g.name, logName(generation)))
 	if err != nil {
--- a/internal/system/storage/contents.go
+++ b/internal/system/storage/contents.go
@@ -24,7 +24,7 @@
 // last returns the index of the last entry.
 func (c *contents) last() uint64 { return c.base() + uint64(len(c.Entries)) }
 
-// fold applies the records of a payload. Data and states are parts of the payload, not copies.
+// fold applies the records of a payload. Data are parts of the payload, not copies.
 func (c *contents) fold(payload []byte) error {
 	for len(payload) > 0 {
 		end := bytes.IndexByte(payload, '\n')
@@ -50,7 +50,7 @@
 
 // cutData returns the bytes that belong to a record, and what follows them.
 func cutData(line *record, payload []byte) (data json.RawMessage, rest []byte, err error) {
-	if line.Kind != snapshotRecord && line.Kind != entryRecord {
+	if line.Kind != entryRecord {
 		return nil, payload, nil
 	}
 	if line.Size < 0 || line.Size > len(payload) {
@@ -75,7 +75,7 @@
 	case promiseRecord:
 		c.Promise = replica.Promise{Epoch: line.Epoch, Vote: line.Vote}
 	case snapshotRecord:
-		c.Snapshot = &replica.Snapshot{Index: line.Index, Epoch: line.Epoch, Members: line.Members, State: data}
+		c.Snapshot = &replica.Snapshot{Index: line.Index, Epoch: line.Epoch, Members: line.Members, Parts: line.Parts}
 		c.Entries = nil
 	case truncateRecord:
 		return c.truncate(line.Index)
--- a/internal/system/storage/disk.go
+++ b/internal/system/storage/disk.go
@@ -16,9 +16,11 @@
 	SyncFolder() error
 }
 
-// File is an open file. It is read whole and written at its end.
+// File is an open file. It is read whole or in pieces, and written at its end.
 type File interface {
-	// ReadAll returns the whole content. The next write goes behind it.
+	// ReadAt fills data with the content from an offset on. It does not move the end.
+	ReadAt(data []byte, offset int64) (int, error)
+	// ReadAll returns the whole content.
 	ReadAll() ([]byte, error)
 	// Write writes at the end.
 	Write(data []byte) (int, error)
--- a/internal/system/storage/frame.go
+++ b/internal/system/storage/frame.go
@@ -20,10 +20,8 @@
 var castagnoli = crc32.MakeTable(crc32.Castagnoli)
 
 // checksum is replaced by tests only.
-var checksum = func(header, payload, rest []byte) uint32 {
-	sum := crc32.Update(0, castagnoli, header)
-	sum = crc32.Update(sum, castagnoli, payload)
-	return crc32.Update(sum, castagnoli, rest)
+var checksum = func(header, payload []byte) uint32 {
+	return crc32.Update(crc32.Update(0, castagnoli, header), castagnoli, payload)
 }
 
 // frame is a frame that was read.
@@ -34,7 +32,7 @@
 }
 
 // size returns the bytes that it takes on the disk.
-func (f *frame) size() int { return headerBytes + len(f.payload) }
+func (f *frame) size() int64 { return int64(headerBytes + len(f.payload)) }
 
 // beginFrame appends a header that finishFrame completes.
 func beginFrame(buffer []byte, generation, sequence uint64) []byte {
@@ -44,27 +42,31 @@
 	return append(buffer, make([]byte, headerBytes-lengthAt)...)
 }
 
-// finishFrame completes the header of the frame that the buffer holds. The rest is the end of the payload, to be written
-// behind the buffer; it may be nil.
-func finishFrame(buffer, rest []byte) {
+// finishFrame completes the header of the frame that the buffer holds.
+func finishFrame(buffer []byte) {
 	payload := buffer[headerBytes:]
-	binary.BigEndian.PutUint32(buffer[lengthAt:], uint32(len(payload)+len(rest)))
-	sum := checksum(buffer[generationAt:checksumAt], payload, rest)
+	binary.BigEndian.PutUint32(buffer[lengthAt:], uint32(len(payload)))
+	sum := checksum(buffer[generationAt:checksumAt], payload)
 	binary.BigEndian.PutUint32(buffer[checksumAt:], sum)
 }
 
+// payloadLength returns the length that a header states; -1 when it is no header.
+func payloadLength(header []byte) int64 {
+	if len(header) < headerBytes || string(header[:generationAt]) != frameMagic {
+		return -1
+	}
+	return int64(binary.BigEndian.Uint32(header[lengthAt:]))
+}
+
 // parseFrame returns the frame that data begins with, if it is whole.
 func parseFrame(data []byte) (frame, bool) {
-	if len(data) < headerBytes || string(data[:generationAt]) != frameMagic {
-		return frame{}, false
-	}
-	length := int64(binary.BigEndian.Uint32(data[lengthAt:]))
-	if length > int64(len(data)-headerBytes) {
+	length := payloadLength(data)
+	if length < 0 || length > int64(len(data)-headerBytes) {
 		return frame{}, false
 	}
 	end := headerBytes + int(length)
 	payload := data[headerBytes:end:end]
-	if checksum(data[generationAt:checksumAt], payload, nil) != binary.BigEndian.Uint32(data[checksumAt:]) {
+	if checksum(data[generationAt:checksumAt], payload) != binary.BigEndian.Uint32(data[checksumAt:]) {
 		return frame{}, false
 	}
 	return frame{
@@ -74,18 +76,6 @@
 	}, true
 }
 
-// scan returns the whole frames of a log from its start on, and where they end.
-func scan(data []byte, generation uint64) (frames []frame, end int) {
-	for {
-		next, whole := parseFrame(data[end:])
-		if !whole || next.generation != generation || next.sequence != uint64(len(frames)) {
-			return frames, end
-		}
-		frames = append(frames, next)
-		end += next.size()
-	}
-}
-
 // findFrame tells whether a whole frame of a generation lies anywhere in data. One behind bytes that are not whole proves
 // that these had once been synced.
 func findFrame(data []byte, generation uint64) bool {
--- a/internal/system/storage/group.go
+++ b/internal/system/storage/group.go
@@ -23,8 +23,9 @@
 	generation uint64 // of the log
 	sequence   uint64 // of the log's next frame
 	newest     uint64 // generation that was ever seen or begun
-	slot       int    // that the log follows; of no meaning in generation 0
 	slotLasts  [2]bool
+	layout     slotLayout  // of the slot that the log follows; of no meaning in generation 0
+	incoming   *slotWriter // of a snapshot that is being received; nil: none
 
 	promise replica.Promise
 	base    uint64 // index that the snapshot stands for
@@ -34,24 +35,31 @@
 	broken *BrokenError
 }
 
-// Save writes what one step has to save by one write and one sync. It does nothing when there is nothing to save.
+// Save writes what one step has to save by one write and one sync. It does nothing when there is nothing to save. Parts of
+// a snapshot are written and not synced, as long as that isn't installed; installing it is done as a compaction.
 func (g *Group) Save(effects *replica.Effects) error {
 	if g.broken != nil {
 		return trace.Wrap(g.broken)
 	}
-	if effects.Promise == nil && effects.Install == nil && effects.Truncate == 0 && len(effects.Append) == 0 {
-		return nil
-	}
 	base, last, err := g.follow(effects)
 	if err != nil {
 		return trace.Wrap(g.fail("check of what is to be saved", err))
 	}
+	if err := g.receive(effects.Received); err != nil {
+		return trace.Wrap(err)
+	}
+	if effects.Promise == nil && effects.Install == nil && effects.Truncate == 0 && len(effects.Append) == 0 {
+		return nil
+	}
+	if effects.Install != nil {
+		return trace.Wrap(g.install(effects))
+	}
 	buffer := beginFrame(g.buffer[:0], g.generation, g.sequence)
 	if buffer, err = appendEffects(buffer, effects); err != nil {
 		return trace.Wrap(g.fail("encoding", err))
 	}
 	g.keep(buffer)
-	finishFrame(buffer, nil)
+	finishFrame(buffer)
 	if err := g.append(buffer); err != nil {
 		return trace.Wrap(err)
 	}
@@ -149,5 +157,6 @@
 		return nil
 	}
 	g.broken = &BrokenError{Operation: "use", Cause: fs.ErrClosed}
+	g.dropIncoming()
 	return trace.Wrap(g.log.Close())
 }
--- a/internal/system/storage/memorydisk/file.go
+++ b/internal/system/storage/memorydisk/file.go
@@ -1,6 +1,7 @@
 package memorydisk
 
 import (
+	"io"
 	"syscall"
 
 	"mastusher/internal/system/storage"
@@ -25,6 +26,23 @@
 	return f.disk.begin(kind, f.name, f.process)
 }
 
+// ReadAt implements storage.File.
+func (f *file) ReadAt(data []byte, offset int64) (int, error) {
+	f.disk.mutex.Lock()
+	defer f.disk.mutex.Unlock()
+	if _, err := f.begin(Read); err != nil {
+		return 0, err
+	}
+	if offset < 0 || offset > int64(len(f.node.content)) {
+		return 0, io.EOF
+	}
+	count := copy(data, f.node.content[offset:])
+	if count < len(data) {
+		return count, io.EOF
+	}
+	return count, nil
+}
+
 // ReadAll implements storage.File.
 func (f *file) ReadAll() ([]byte, error) {
 	f.disk.mutex.Lock()
--- a/internal/system/storage/open.go
+++ b/internal/system/storage/open.go
@@ -6,8 +6,8 @@
 	"mastusher/internal/system/replica"
 )
 
-// Open recovers a group from its files, or makes them if there are none. It returns once all that it recovered lasts, also
-// what an earlier process had written and not synced. The error is a DamageError when something that had been synced is
+// Open recovers a group from its files, or makes them if there are none. The snapshot comes without its state, which Parts
+// reads. It returns once all that it recovered lasts, also what an earlier process had written and not synced. The error is a DamageError when something that had been synced is
 // damaged or missing.
 func Open(disk Disk, group string) (*Group, replica.Recovered, error) {
 	if err := checkGroupName(group); err != nil {
@@ -31,22 +31,17 @@
 	disk     Disk
 	name     string
 	files    listing
-	slots    [2]slotContent
+	slots    [2]slotReader
 	contents contents
-	log      File // of the generation that is recovered
-}
-
-// slotContent is what a slot was read to hold. Its generation is 0 when it is not whole.
-type slotContent struct {
-	generation uint64
-	payload    []byte
+	layout   slotLayout // of the slot that the log follows
+	log      File       // of the generation that is recovered
 }
 
 // logContent is what a log was read to hold.
 type logContent struct {
 	file   File
 	frames []frame
-	end    int // of the whole frames
+	end    int64 // of the whole frames
 	torn   bool
 }
 
@@ -83,31 +78,39 @@
 	return g, g.beginLog(0, nil)
 }
 
-// readSlots reads both slots.
+// readSlots reads of which generation the slots are.
 func (r *recovery) readSlots() error {
 	for i := range slotNames {
+		r.slots[i].slot = i
 		if !r.files.slots[i] {
 			continue
 		}
-		data, err := r.readWhole(fileName(r.name, slotNames[i]))
+		err := r.withSlot(i, func(file File) error {
+			reader, err := newFrameReader(file, true)
+			if err != nil {
+				return err
+			}
+			first, whole, err := reader.next()
+			if whole {
+				r.slots[i].generation = first.generation
+			}
+			return err
+		})
 		if err != nil {
 			return err
 		}
-		if first, whole := parseFrame(data); whole {
-			r.slots[i] = slotContent{generation: first.generation, payload: first.payload}
-		}
 	}
 	return nil
 }
 
-// readWhole reads a file.
-func (r *recovery) readWhole(name string) ([]byte, error) {
-	file, err := r.disk.Open(name)
+// withSlot opens a slot while it is read.
+func (r *recovery) withSlot(slot int, read func(file File) error) error {
+	file, err := r.disk.Open(fileName(r.name, slotNames[slot]))
 	if err != nil {
-		return nil, err
+		return err
 	}
 	defer file.Close()
-	return file.ReadAll()
+	return read(file)
 }
 
 // readLog reads a log and finds where its whole frames end.
@@ -118,21 +121,36 @@
 		return logContent{}, err
 	}
 	r.log = file
-	data, err := file.ReadAll()
+	reader, err := newFrameReader(file, false)
 	if err != nil {
 		return logContent{}, err
 	}
-	frames, end := scan(data, generation)
-	if findFrame(data[end:], generation) {
-		return logContent{}, &DamageError{File: name, Offset: int64(end), Reason: "a frame is damaged, and one behind it is whole"}
+	var frames []frame
+	for {
+		end := reader.offset
+		next, whole, err := reader.next()
+		if err != nil {
+			return logContent{}, err
+		}
+		if !whole || next.generation != generation || next.sequence != uint64(len(frames)) {
+			reader.offset = end
+			break
+		}
+		frames = append(frames, next)
+	}
+	rest, err := reader.rest()
+	if err != nil {
+		return logContent{}, err
 	}
-	return logContent{file: file, frames: frames, end: end, torn: end < len(data)}, nil
+	if findFrame(rest, generation) {
+		return logContent{}, &DamageError{File: name, Offset: reader.offset, Reason: "a frame is damaged, and one behind it is whole"}
+	}
+	return logContent{file: file, frames: frames, end: reader.offset, torn: len(rest) > 0}, nil
 }
 
 // recover folds a log onto its slot and makes the log ready to be written. Older and newer logs are removed.
 func (r *recovery) recover(generation uint64, log *logContent, older, newer []uint64) (*Group, error) {
-	slot, err := r.foldSlot(generation)
-	if err != nil {
+	if err := r.foldSlot(generation); err != nil {
 		return nil, err
 	}
 	if err := r.foldLog(generation, log.frames); err != nil {
@@ -146,34 +164,53 @@
 			return nil, err
 		}
 	}
-	return &Group{disk: r.disk, name: r.name, log: log.file, logBytes: int64(log.end), generation: generation,
-		sequence: uint64(len(log.frames)), newest: r.newest(), slot: slot, slotLasts: r.files.slots,
+	return &Group{disk: r.disk, name: r.name, log: log.file, logBytes: log.end, generation: generation,
+		sequence: uint64(len(log.frames)), newest: r.newest(), layout: r.layout, slotLasts: r.files.slots,
 		promise: r.contents.Promise, base: r.contents.base(), last: r.contents.last()}, nil
 }
 
-// foldSlot folds in the slot that a generation's log follows, and returns which it is.
-func (r *recovery) foldSlot(generation uint64) (int, error) {
+// foldSlot folds in the slot that a generation's log follows.
+func (r *recovery) foldSlot(generation uint64) error {
 	if generation == 0 {
-		return 0, nil
+		return nil
 	}
 	for i := range r.slots {
 		if r.slots[i].generation != generation {
 			continue
 		}
-		if err := r.contents.fold(r.slots[i].payload); err != nil {
-			return 0, &DamageError{File: fileName(r.name, slotNames[i]), Reason: err.Error()}
-		}
-		return i, nil
+		return r.withSlot(i, func(file File) error { return r.foldWhole(&r.slots[i], file) })
+	}
+	return &DamageError{File: fileName(r.name, slotPrefix), Reason: "no slot is of the log's generation"}
+}
+
+// foldWhole folds in a slot, which has to be whole.
+func (r *recovery) foldWhole(slot *slotReader, file File) error {
+	layout, last, whole, err := slot.read(file)
+	if err != nil {
+		return err
+	}
+	damage := &DamageError{File: fileName(r.name, slotNames[slot.slot]), Reason: "the slot is not whole"}
+	if !whole {
+		return damage
 	}
-	return 0, &DamageError{File: fileName(r.name, slotPrefix), Reason: "no slot is whole and of the log's generation"}
+	if err := r.contents.fold(last); err != nil {
+		damage.Reason = err.Error()
+		return damage
+	}
+	if r.contents.Snapshot == nil || r.contents.Snapshot.Parts != len(layout.offsets) {
+		damage.Reason = "the slot does not hold the parts that it states"
+		return damage
+	}
+	r.layout = layout
+	return nil
 }
 
 // foldLog folds in the frames of a log.
 func (r *recovery) foldLog(generation uint64, frames []frame) error {
-	offset := 0
+	offset := int64(0)
 	for i := range frames {
 		if err := r.contents.fold(frames[i].payload); err != nil {
-			return &DamageError{File: fileName(r.name, logName(generation)), Offset: int64(offset), Reason: err.Error()}
+			return &DamageError{File: fileName(r.name, logName(generation)), Offset: offset, Reason: err.Error()}
 		}
 		offset += frames[i].size()
 	}
@@ -183,7 +220,7 @@
 // settle cuts a torn end off and returns once the log and all names last. The slot of a log that was begun lasts already.
 func (r *recovery) settle(log *logContent) error {
 	if log.torn {
-		if err := log.file.Truncate(int64(log.end)); err != nil {
+		if err := log.file.Truncate(log.end); err != nil {
 			return err
 		}
 	}
--- a/internal/system/storage/os.go
+++ b/internal/system/storage/os.go
@@ -45,7 +45,12 @@
 	if err != nil {
 		return nil, err
 	}
-	return &osFile{file: file, descriptor: int(file.Fd())}, nil
+	status, err := file.Stat()
+	if err != nil {
+		_ = file.Close()
+		return nil, err
+	}
+	return &osFile{file: file, descriptor: int(file.Fd()), end: status.Size()}, nil
 }
 
 // path returns where a file lies.
@@ -72,36 +77,41 @@
 // SyncFolder implements Disk.
 func (o *OS) SyncFolder() error { return o.folder.Sync() }
 
-// osFile is an open file of the operating system, positioned at its end once it has been read.
+// osFile is an open file of the operating system.
 type osFile struct {
 	file       *os.File
 	descriptor int
+	end        int64 // where the next write goes
 }
 
+// ReadAt implements File.
+func (f *osFile) ReadAt(data []byte, offset int64) (int, error) { return f.file.ReadAt(data, offset) }
+
 // ReadAll implements File.
 func (f *osFile) ReadAll() ([]byte, error) {
 	size, err := f.Size()
 	if err != nil {
 		return nil, err
 	}
-	if _, err := f.file.Seek(0, io.SeekStart); err != nil {
-		return nil, err
-	}
 	data := make([]byte, size)
-	_, err = io.ReadFull(f.file, data)
+	_, err = io.ReadFull(io.NewSectionReader(f.file, 0, size), data)
 	return data, err
 }
 
 // Write implements File.
-func (f *osFile) Write(data []byte) (int, error) { return f.file.Write(data) }
+func (f *osFile) Write(data []byte) (int, error) {
+	count, err := f.file.WriteAt(data, f.end)
+	f.end += int64(count)
+	return count, err
+}
 
 // Truncate implements File.
 func (f *osFile) Truncate(size int64) error {
 	if err := f.file.Truncate(size); err != nil {
 		return err
 	}
-	_, err := f.file.Seek(size, io.SeekStart)
-	return err
+	f.end = size
+	return nil
 }
 
 // Size implements File.
--- a/internal/system/storage/os_test.go
+++ b/internal/system/storage/os_test.go
@@ -40,7 +40,7 @@
 		t.Fatal(err)
 	}
 	names, err := m.seen.List()
-	if err != nil || strings.Join(names, " ") != "turns-1.log-3 turns-1.slot-a turns-1.slot-b" {
+	if err != nil || strings.Join(names, " ") != "turns-1.log-4 turns-1.slot-a turns-1.slot-b" {
 		t.Fatalf("got files %q and %v", names, err)
 	}
 }
--- a/internal/system/storage/record.go
+++ b/internal/system/storage/record.go
@@ -13,13 +13,13 @@
 // The kinds of record.
 const (
 	promiseRecord  recordKind = "promise"
-	snapshotRecord recordKind = "snapshot" // voids all entries before it
+	snapshotRecord recordKind = "snapshot" // what the parts of a slot stand for
 	truncateRecord recordKind = "truncate" // voids the entries from its index on
 	entryRecord    recordKind = "entry"
 )
 
-// record is a line of JSON. Behind the line of a snapshot or an entry come Size bytes of its state or data as they are, and
-// a line break unless the payload ends there.
+// record is a line of JSON. Behind the line of an entry come Size bytes of its data as they are, and a line break unless the
+// payload ends there.
 type record struct {
 	Kind      recordKind        `json:"record"`
 	Index     uint64            `json:"index,omitempty"`
@@ -28,6 +28,7 @@
 	EntryKind replica.EntryKind `json:"kind,omitempty"`
 	Members   []replica.Member  `json:"members,omitempty"`
 	Size      int               `json:"size,omitempty"`
+	Parts     int               `json:"parts,omitempty"`
 }
 
 // appendRecord appends a record's line.
@@ -48,7 +49,7 @@
 // appendSnapshot appends a snapshot without its state.
 func appendSnapshot(buffer []byte, snapshot *replica.Snapshot) ([]byte, error) {
 	line := record{Kind: snapshotRecord, Index: snapshot.Index, Epoch: snapshot.Epoch,
-		Members: snapshot.Members, Size: len(snapshot.State)}
+		Members: snapshot.Members, Parts: snapshot.Parts}
 	return appendRecord(buffer, &line)
 }
 
@@ -59,7 +60,7 @@
 	return append(buffer, "}\n"...)
 }
 
-// appendEffects appends all that one step has to save.
+// appendEffects appends all that one step has to save, apart from snapshots.
 func appendEffects(buffer []byte, effects *replica.Effects) ([]byte, error) {
 	var err error
 	if effects.Promise != nil {
@@ -67,13 +68,6 @@
 			return buffer, err
 		}
 	}
-	if effects.Install != nil {
-		if buffer, err = appendSnapshot(buffer, effects.Install); err != nil {
-			return buffer, err
-		}
-		buffer = append(buffer, effects.Install.State...)
-		buffer = append(buffer, '\n')
-	}
 	if effects.Truncate > 0 {
 		buffer = appendTruncate(buffer, effects.Truncate)
 	}
--- a/internal/system/storage/record_test.go
+++ b/internal/system/storage/record_test.go
@@ -20,8 +20,10 @@
 		effects := &replica.Effects{
 			Promise: &replica.Promise{Epoch: epoch.Draw(t, "promised"), Vote: strings.ToValidUTF8(text.Draw(t, "vote"), "")},
 			Install: &replica.Snapshot{Index: rapid.Uint64Max(math.MaxUint32).Draw(t, "index"), Epoch: epoch.Draw(t, "snapshot epoch"),
-				Members: []replica.Member{{ID: strings.ToValidUTF8(text.Draw(t, "member"), "")}}, State: []byte(text.Draw(t, "state"))},
+				Members: []replica.Member{{ID: strings.ToValidUTF8(text.Draw(t, "member"), "")}}, State: []byte(text.Draw(t, "state")),
+				Parts: rapid.IntRange(1, 4).Draw(t, "parts")},
 		}
+		effects.Received = partsOf(effects.Install)
 		for i := range rapid.Uint64Max(5).Draw(t, "entries") {
 			effects.Append = append(effects.Append, replica.Entry{Index: effects.Install.Index + i + 1, Epoch: epoch.Draw(t, "epoch"),
 				Kind: replica.EntryKind(rapid.Uint8().Draw(t, "kind")), Data: []byte(text.Draw(t, "data"))})
@@ -35,10 +37,13 @@
 			t.Fatal(err)
 		}
 		disk.LosePower(1)
-		_, recovered, err := storage.Open(disk, groupName)
+		opened, recovered, err := storage.Open(disk, groupName)
 		if err != nil {
 			t.Fatal(err)
 		}
+		if recovered, err = withState(opened, recovered); err != nil {
+			t.Fatal(err)
+		}
 		want := state{}.with(effects).Recovered
 		if text := diff(want, recovered); text != "" {
 			t.Fatal(text)
--- a/internal/system/storage/script_test.go
+++ b/internal/system/storage/script_test.go
@@ -1,6 +1,8 @@
 package storage_test
 
 import (
+	"bytes"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"reflect"
@@ -27,6 +29,8 @@
 	Entries int // that are appended
 	Bytes   int // of each one's data
 	Keep    int // entries that remain after a compaction
+
+	Received int // parts of a snapshot that is never whole
 }
 
 // round is the life of one process, up to its end at one of the changes that it makes to the disk.
@@ -49,6 +53,8 @@
 		Entries: rapid.IntRange(0, 4).Draw(t, "entries"),
 		Bytes:   rapid.IntRange(0, 300).Draw(t, "bytes"),
 		Keep:    rapid.IntRange(0, 5).Draw(t, "keep"),
+
+		Received: rapid.SampledFrom([]int{0, 0, 1, 3}).Draw(t, "received"),
 	}
 })
 
@@ -66,7 +72,7 @@
 // scripts draws the lives of several processes that use a disk one after the other.
 var scripts = rapid.SliceOfN(rounds, 1, 8)
 
-// state is what a member has saved.
+// state is what a member has saved, with the whole state of its snapshot.
 type state struct{ replica.Recovered }
 
 func (s state) base() uint64 {
@@ -110,8 +116,12 @@
 	base, last := s.base(), s.last()
 	if wanted.Install {
 		effects.Install = snapshotAt(last+3, epoch, wanted.Bytes)
+		effects.Received = partsOf(effects.Install)
 		base, last = last+3, last+3
 	}
+	for number := 0; number < wanted.Received && !wanted.Install; number++ {
+		effects.Received = append(effects.Received, replica.Part{Number: number, State: entryAt(last, epoch, wanted.Bytes+1).Data})
+	}
 	if wanted.Cut > 0 && last > base {
 		last -= min(uint64(wanted.Cut), last-base)
 		effects.Truncate = last + 1
@@ -142,7 +152,56 @@
 
 func snapshotAt(index, epoch uint64, bytes int) *replica.Snapshot {
 	return &replica.Snapshot{Index: index, Epoch: epoch, Members: []replica.Member{{ID: "north", Address: "10.0.0.1:1"}, {ID: "south", Learner: true}},
-		State: entryAt(index, epoch, bytes+1).Data}
+		Parts: partCount(bytes), State: entryAt(index, epoch, bytes+1).Data}
+}
+
+// partCount is the number of parts in which a state of so many bytes comes.
+func partCount(bytes int) int { return 1 + bytes%4 }
+
+// partsOf cuts the state of a snapshot into its parts.
+func partsOf(snapshot *replica.Snapshot) []replica.Part {
+	var parts []replica.Part
+	state := snapshot.State
+	for number := range snapshot.Parts {
+		part := state[len(state)*number/snapshot.Parts : len(state)*(number+1)/snapshot.Parts]
+		parts = append(parts, replica.Part{Number: number, State: part})
+	}
+	return parts
+}
+
+// written hands the parts of a snapshot's state over, as a state machine does.
+func written(snapshot *replica.Snapshot) storage.Parts {
+	return func(write func(part json.RawMessage) error) error {
+		for _, part := range partsOf(snapshot) {
+			if err := write(part.State); err != nil {
+				return err
+			}
+		}
+		return nil
+	}
+}
+
+// withState adds to what was recovered the state that lies in the slot, read in both ways.
+func withState(group *storage.Group, recovered replica.Recovered) (replica.Recovered, error) {
+	if recovered.Snapshot == nil {
+		return recovered, nil
+	}
+	whole := *recovered.Snapshot
+	number := 0
+	err := group.Parts(func(part json.RawMessage) error {
+		whole.State = append(whole.State, part...)
+		single, err := group.Part(number)
+		if err == nil && !bytes.Equal(single, part) {
+			err = fmt.Errorf("part %d is %q by itself and %q in sequence", number, single, part)
+		}
+		number++
+		return err
+	})
+	if err == nil && number != whole.Parts {
+		err = fmt.Errorf("%d parts were read of %d", number, whole.Parts)
+	}
+	recovered.Snapshot = &whole
+	return recovered, err
 }
 
 // equal compares without regard to empty or nil entries. It is quicker than cmp, which diff uses.
@@ -174,6 +233,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if recovered, err = withState(group, recovered); err != nil {
+		return nil, err
+	}
 	for _, possible := range m.possible {
 		if equal(possible.Recovered, recovered) {
 			m.saved = possible
@@ -189,7 +251,7 @@
 	next, err := state{}, error(nil)
 	if wanted.Compact {
 		next = m.saved.compacted(wanted)
-		err = group.Compact(*next.Snapshot, next.Entries, next.Promise)
+		err = group.Compact(*next.Snapshot, written(next.Snapshot), next.Entries, next.Promise)
 	} else {
 		effects := m.saved.effects(wanted)
 		next = m.saved.with(effects)
--- a/internal/system/storage/trouble_test.go
+++ b/internal/system/storage/trouble_test.go
@@ -30,7 +30,7 @@
 	}{
 		"nothing":    {replica.Effects{AfterSync: []replica.Message{{}}, Committed: []replica.Entry{entryAt(1, 1, 1)}}, 0},
 		"promise":    {replica.Effects{Promise: &replica.Promise{Epoch: 9}}, 1},
-		"everything": {replica.Effects{Promise: &replica.Promise{Epoch: 9}, Install: snapshotAt(7, 1, 9), Truncate: 8, Append: []replica.Entry{entryAt(8, 1, 9), entryAt(9, 1, 9)}}, 1},
+		"everything": {replica.Effects{Promise: &replica.Promise{Epoch: 9}, Truncate: 3, Append: []replica.Entry{entryAt(3, 1, 9), entryAt(4, 1, 9)}}, 1},
 	} {
 		t.Run(name, func(t *testing.T) {
 			m := newMember(asItIs)
@@ -105,7 +105,7 @@
 				}
 				changes := m.disk.Counts().Changes
 				wantBroken(t, group.Save(&replica.Effects{Append: []replica.Entry{entryAt(4, 1, 1)}}))
-				wantBroken(t, group.Compact(*snapshotAt(3, 1, 1), nil, replica.Promise{Epoch: 9}))
+				wantBroken(t, group.Compact(*snapshotAt(3, 1, 1), written(snapshotAt(3, 1, 1)), nil, replica.Promise{Epoch: 9}))
 				if after := m.disk.Counts().Changes; after != changes {
 					t.Fatalf("%d changes were made to the disk after the failure", after-changes)
 				}
@@ -166,6 +166,8 @@
 		"another vote":      {Promise: &replica.Promise{Epoch: 2, Vote: "south"}},
 		"vote taken back":   {Promise: &replica.Promise{Epoch: 2}},
 		"gap after install": {Install: snapshotAt(9, 2, 1), Append: []replica.Entry{entryAt(4, 2, 1)}},
+		"no parts":          {Install: snapshotAt(9, 2, 1)},
+		"a later part":      {Received: partsOf(snapshotAt(9, 2, 1))[1:]},
 	} {
 		t.Run(name, func(t *testing.T) {
 			m := newMember(asItIs)
@@ -195,7 +197,7 @@
 		t.Run(name, func(t *testing.T) {
 			m := newMember(asItIs)
 			group := mustPlay(t, m, []step{{Raise: 2, Vote: "north", Entries: 3, Bytes: 9}, {Compact: true, Keep: 1}})
-			err := group.Compact(*test.snapshot, test.remaining, test.promise)
+			err := group.Compact(*test.snapshot, written(test.snapshot), test.remaining, test.promise)
 			if !trace.IsBadParameter(err) {
 				t.Fatalf("got %v, want a bad parameter", err)
 			}
--- a/internal/system/store/machine.go
+++ b/internal/system/store/machine.go
@@ -3,9 +3,11 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"strconv"
 	"sync/atomic"
 
+	"mastusher/internal/system/group"
 	"mastusher/internal/system/program"
 )
 
@@ -16,7 +18,7 @@
 }
 
 // machine lets a replica group agree on a shard's programs and on the newest placement that it has begun to follow, so that
-// a new owner never goes back to an older one. It implements group.Machine.
+// a new owner never goes back to an older one. It implements group.PartsMachine.
 type machine struct {
 	programs  *program.Machine
 	placement atomic.Uint64 // read by other goroutines than the group's
@@ -58,6 +60,62 @@
 	return nil
 }
 
+// placementPart is the first part of a snapshot in parts; the programs' parts follow it.
+type placementPart struct {
+	Placement *uint64 `json:"placement"`
+}
+
+// Parts implements group.PartsMachine.
+func (m *machine) Parts(write func(part json.RawMessage) error) error {
+	placement := m.placement.Load()
+	first, err := json.Marshal(placementPart{Placement: &placement})
+	if err != nil {
+		return err
+	}
+	if err := write(first); err != nil {
+		return err
+	}
+	return m.programs.Parts(func(part []byte) error { return write(part) })
+}
+
+// BeginRestore implements group.PartsMachine. The old state goes at once, so that no two of them are in memory.
+func (m *machine) BeginRestore() group.Restorer {
+	*m.programs = *program.New()
+	return &restorer{machine: m, programs: m.programs.BeginRestore()}
+}
+
+// restorer sets a machine to the state that comes in parts.
+type restorer struct {
+	machine   *machine
+	placement *uint64 // nil: the first part has not come
+	programs  *program.Restorer
+}
+
+// Add implements group.Restorer.
+func (r *restorer) Add(part json.RawMessage) error {
+	if r.placement != nil {
+		return r.programs.Add(part)
+	}
+	var first placementPart
+	if err := json.Unmarshal(part, &first); err != nil {
+		return err
+	}
+	if first.Placement == nil {
+		return errors.New("the first part of a shard's snapshot does not tell its placement")
+	}
+	r.placement = first.Placement
+	return nil
+}
+
+// Finish implements group.Restorer.
+func (r *restorer) Finish() error {
+	if err := r.programs.Finish(); err != nil {
+		return err
+	}
+	r.machine.placement.Store(*r.placement)
+	return nil
+}
+
 // placementOf reads the field that Snapshot has added; 0 if there is none.
 func placementOf(state []byte) uint64 {
 	at := bytes.LastIndex(state, []byte(placementField))
--- a/internal/system/store/machine_test.go
+++ b/internal/system/store/machine_test.go
@@ -109,3 +109,69 @@
 		t.Errorf("follows placement %d of a snapshot that tells none", got)
 	}
 }
+
+// restoreParts sets a machine to the parts of another one.
+func restoreParts(m *machine, parts []json.RawMessage) error {
+	restorer := m.BeginRestore()
+	for _, part := range parts {
+		if err := restorer.Add(part); err != nil {
+			return err
+		}
+	}
+	return restorer.Finish()
+}
+
+func partsOf(t rapid.TB, m *machine) []json.RawMessage {
+	t.Helper()
+	var parts []json.RawMessage
+	err := m.Parts(func(part json.RawMessage) error {
+		parts = append(parts, append(json.RawMessage(nil), part...))
+		return nil
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return parts
+}
+
+// TestMachinesAreRestoredFromParts checks that a machine that is set to another's parts holds what that does, whatever it
+// held before.
+func TestMachinesAreRestoredFromParts(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m, restored := newMachine(), newMachine()
+		restored.Apply(1, encode(t, beginTurn("before")))
+		restored.Apply(2, encode(t, command{Placement: 3}))
+		for index := range uint64(rapid.IntRange(0, 20).Draw(t, "commands")) {
+			name := rapid.SampledFrom([]string{"a", "b", `,"placement":9}`}).Draw(t, "turn")
+			next := rapid.SampledFrom([]any{beginTurn(name), endTurn(name), command{Placement: rapid.Uint64Range(1, 1<<60).Draw(t, "placement")}}).Draw(t, "command")
+			m.Apply(index+1, encode(t, next))
+		}
+		if err := restoreParts(restored, partsOf(t, m)); err != nil {
+			t.Fatal(err)
+		}
+		want, _ := m.Snapshot()
+		if got, err := restored.Snapshot(); err != nil || !cmp.Equal(want, got) {
+			t.Fatalf("(-want +restored) %v:\n%s", err, cmp.Diff(string(want), string(got)))
+		}
+	})
+}
+
+func TestDamagedPartsAreRefused(t *testing.T) {
+	m := newMachine()
+	m.Apply(1, encode(t, beginTurn("a")))
+	parts := partsOf(t, m)
+	for name, spoilt := range map[string][]json.RawMessage{
+		"none":                 nil,
+		"no placement":         parts[1:],
+		"an empty first part":  {json.RawMessage(`{}`), parts[1]},
+		"the placement alone":  parts[:1],
+		"the placement twice":  {parts[0], parts[0], parts[1]},
+		"the first is no JSON": {json.RawMessage(`{`), parts[1]},
+	} {
+		t.Run(name, func(t *testing.T) {
+			if err := restoreParts(newMachine(), spoilt); err == nil {
+				t.Error("no error")
+			}
+		})
+	}
+}
--- a/internal/system/store/store.go
+++ b/internal/system/store/store.go
@@ -32,6 +32,9 @@
 	eager     = 120 * time.Millisecond // until an owner has been heard since the start
 )
 
+// mostReceiving is the number of shards that receive snapshots at the same time.
+const mostReceiving = 2
+
 // Options sets a store up.
 type Options struct {
 	ID      string // identity on its disk
@@ -51,7 +54,8 @@
 // Store holds the replicas of one machine.
 type Store struct {
 	options    Options
-	compacting sync.Mutex // held by the group that compacts
+	compacting sync.Mutex       // held by the group that compacts
+	receiving  *group.Admission // of the groups that receive snapshots
 
 	mutex    sync.Mutex
 	shards   map[int]*shard
@@ -63,7 +67,7 @@
 	if options.Send == nil {
 		options.Send = sendByLink(options.Pool)
 	}
-	s := &Store{options: options, shards: map[int]*shard{}, failures: make(chan error, 1)}
+	s := &Store{options: options, receiving: group.NewAdmission(mostReceiving), shards: map[int]*shard{}, failures: make(chan error, 1)}
 	if options.Run == nil {
 		s.options.Run = func(opened *group.Group) { go s.run(ctx, opened) }
 	}
@@ -132,7 +136,7 @@
 		options.Initial = membersOf(placement.Initial)
 	}
 	opened, err := group.Open(group.Options{Name: groupName(number), Replica: options, Disk: s.options.Disk,
-		Machine: opening.machine, Compacting: &s.compacting, Send: s.options.Send, Logger: s.options.Logger, Clock: s.options.Clock, Changed: opening.changed})
+		Machine: opening.machine, Compacting: &s.compacting, Receiving: s.receiving, Send: s.options.Send, Logger: s.options.Logger, Clock: s.options.Clock, Changed: opening.changed})
 	if err != nil {
 		return err
 	}
