Trace the linking of the programs too when they are up to date

Cause: `go build` links nothing anew where the program at its place is made of the same packages; then only 180 of the 183 files were seen, without crt1.o, crtbegin.o and crtend.o. Change: the traced build puts its programs into an empty folder.

--- a/internal/tools/packages/packages_test.go
+++ b/internal/tools/packages/packages_test.go
@@ -116,3 +116,13 @@
 		t.Error(difference)
 	}
 }
+
+func TestProgramsGoElsewhere(t *testing.T) {
+	got, err := withOutput("mkdir -p bin && go build -o bin/ ./cmd", "/tmp/x/")
+	if want := "mkdir -p bin && go build -o /tmp/x/ ./cmd"; err != nil || got != want {
+		t.Errorf("got %q, error %v, and not %q", got, err, want)
+	}
+	if _, err := withOutput("go build ./cmd", "/tmp/x/"); err == nil {
+		t.Error("a build line that names no place for the programs is taken")
+	}
+}
--- a/internal/tools/packages/trace.go
+++ b/internal/tools/packages/trace.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"regexp"
 	"slices"
 	"strings"
 )
@@ -52,7 +53,7 @@
 }
 
 // traceBuild runs a build line and returns the files of the machine that it opened. The compiler is another one for the build
-// cache at each run, so that everything with C in it is compiled and linked anew.
+// cache at each run, and the programs go to an empty folder, so that everything with C in it is compiled and linked anew.
 func traceBuild(line string) ([]string, error) {
 	folder, err := os.MkdirTemp("", "packages-")
 	if err != nil {
@@ -67,7 +68,11 @@
 	if err := copyProgram(own, copied); err != nil {
 		return nil, err
 	}
-	build := exec.Command("sh", "-c", line)
+	redirected, err := withOutput(line, filepath.Join(folder, "made")+"/")
+	if err != nil {
+		return nil, err
+	}
+	build := exec.Command("sh", "-c", redirected)
 	build.Env = append(os.Environ(), "CC="+copied, traceVariable+"="+folder)
 	if output, err := build.CombinedOutput(); err != nil {
 		return nil, fmt.Errorf("the build line fails: %w\n%s", err, output)
@@ -85,6 +90,16 @@
 	return slices.Compact(opened), nil
 }
 
+var outputFlag = regexp.MustCompile(` -o \S+`)
+
+// withOutput makes a build line put its programs elsewhere.
+func withOutput(line, folder string) (string, error) {
+	if len(outputFlag.FindAllString(line, -1)) != 1 {
+		return "", fmt.Errorf("the build line has no -o, or several: %s", line)
+	}
+	return outputFlag.ReplaceAllLiteralString(line, " -o "+folder), nil
+}
+
 func copyProgram(from, to string) error {
 	raw, err := os.ReadFile(from)
 	if err != nil {
