--- a/internal/system/fleettest/configuration_test.go
+++ b/internal/system/fleettest/configuration_test.go
@@ -380,15 +380,15 @@
 }
 
 func TestProxyKeepsTheNewestOfItsIncarnation(t *testing.T) {
-	for _, violation := range olderOffered(1, hooks{}) {
+	for _, violation := range olderOffered(1) {
 		t.Error(violation)
 	}
 }
 
 // olderOffered plays a tier in which a proxy's new agent learns of nothing but an older configuration.
-func olderOffered(seed uint64, with hooks) []string {
+func olderOffered(seed uint64) []string {
 	// Given two edge machines of which one has missed the newest configuration,
-	f := New(Options{Seed: seed, hooks: with})
+	f := New(Options{Seed: seed})
 	f.Boot()
 	f.operators[0].put(0, 1)
 	f.RunFor(10 * time.Second)
--- a/internal/system/fleettest/controller.go
+++ b/internal/system/fleettest/controller.go
@@ -62,11 +62,7 @@
 	}
 	c := &controller{process: p, id: id, planner: core.NewPlanner(copies), told: view.Digest{}}
 	c.state = core.NewMachine(c.markDirty)
-	var machine group.Machine = c.state
-	if f.options.hooks.forgetOrders {
-		machine = forgetful{c.state}
-	}
-	options := replicaOptions{name: core.GroupName, machine: machine, compact: f.options.CompactBytes,
+	options := replicaOptions{name: core.GroupName, machine: c.state, compact: f.options.CompactBytes,
 		replica: replica.Options{ID: id, Address: p.address, Initial: firstMembers(p, id), Heartbeat: coreHeartbeat, Election: coreElection}}
 	c.replica, err = openReplica(p, options)
 	if err != nil {
@@ -141,7 +137,7 @@
 		return
 	}
 	status := c.replica.group.Status()
-	if !status.IsOwner && !c.answersAlone(request) {
+	if !status.IsOwner {
 		call.finish(c.redirect(status))
 		return
 	}
@@ -161,12 +157,6 @@
 	}
 }
 
-// answersAlone is a mutant: this member answers reads from its own copy.
-func (c *controller) answersAlone(request any) bool {
-	_, reads := request.(getOrder)
-	return reads && c.process.machine.fleet.options.hooks.readAlone
-}
-
 // redirect sends the caller to the owner, if it is known.
 func (c *controller) redirect(status replica.Status) operatorAnswer {
 	if status.Owner != "" && status.Owner != c.id {
@@ -182,11 +172,6 @@
 // put takes a whole configuration.
 func (c *controller) put(call *exchange, asked putOrder) {
 	order := &configuration.Order{Base: asked.Base, Number: asked.Number, Raw: asked.Raw}
-	if c.process.machine.fleet.options.hooks.acknowledgeEarly {
-		call.finish(operatorAnswer{Status: http.StatusOK})
-		c.replica.propose(core.Command{Configure: order}, agreeTimeout, func(any, error) {})
-		return
-	}
 	c.agree(call, core.Command{Configure: order})
 }
 
@@ -221,10 +206,6 @@
 
 // get answers with the newest configuration, or not at all.
 func (c *controller) get(call *exchange) {
-	if c.process.machine.fleet.options.hooks.readAlone {
-		call.finish(readAnswer(c.view()))
-		return
-	}
 	c.read(call, readAnswer)
 }
 
--- a/internal/system/fleettest/corestate.go
+++ b/internal/system/fleettest/corestate.go
@@ -34,33 +34,3 @@
 	}
 	return retire.Restore(saved).Retirement(node)
 }
-
-// forgetful is a mutant of the agreed state: no order is recognised when it is repeated.
-type forgetful struct{ *core.Machine }
-
-// Apply implements group.Machine.
-func (m forgetful) Apply(index uint64, command json.RawMessage) any {
-	state, err := m.Snapshot()
-	if err != nil {
-		return err
-	}
-	var parts map[string]json.RawMessage
-	if err := json.Unmarshal(state, &parts); err != nil {
-		return err
-	}
-	var register configuration.State
-	if err := json.Unmarshal(parts["register"], &register); err != nil {
-		return err
-	}
-	register.History = nil
-	if parts["register"], err = json.Marshal(register); err != nil {
-		return err
-	}
-	if state, err = json.Marshal(parts); err != nil {
-		return err
-	}
-	if err := m.Restore(state); err != nil {
-		return err
-	}
-	return m.Machine.Apply(index, command)
-}
--- a/internal/system/fleettest/disk.go
+++ b/internal/system/fleettest/disk.go
@@ -16,7 +16,6 @@
 type timedDisk struct {
 	storage.Disk
 	machine *Machine
-	hooks   *hooks
 	took    time.Duration
 	pending func() error // a sync that is under way; nil: none
 }
@@ -40,9 +39,6 @@
 	if d.machine.syncFails {
 		return errSync
 	}
-	if d.hooks.skipSync {
-		return nil
-	}
 	d.pending = run
 	return nil
 }
--- a/internal/system/fleettest/fleet.go
+++ b/internal/system/fleettest/fleet.go
@@ -21,8 +21,6 @@
 	SyncTime     time.Duration // 2 ms
 	CompactBytes int64         // length of a log that is replaced by a snapshot, 16 kB
 	Trace        func(format string, arguments ...any)
-
-	hooks hooks
 }
 
 func (o Options) withDefaults() Options {
--- a/internal/system/fleettest/identities.go
+++ b/internal/system/fleettest/identities.go
@@ -44,7 +44,7 @@
 // machineIdentity returns the identity on a machine's disk, and makes one if there is none. A damaged disk counts as empty.
 func machineIdentity(p *process) (string, error) {
 	m := p.machine
-	id, err := readOrMakeIdentity(p, m.first || m.fleet.options.hooks.keepIdentity)
+	id, err := readOrMakeIdentity(p, m.first)
 	var damage *storage.DamageError
 	if !errors.As(err, &damage) {
 		return id, err
--- a/internal/system/fleettest/programs.go
+++ b/internal/system/fleettest/programs.go
@@ -48,7 +48,7 @@
 	request := wire.BeginTurn{Shard: shard, Turn: turn}
 	c.call(shard, request, deadline, func(answer any, err error) {
 		result, _ := answer.(program.Result)
-		if err != nil || result.Verdict != program.NoSuchTurn || c.hooks().askOneShard {
+		if err != nil || result.Verdict != program.NoSuchTurn {
 			done(result, err)
 			return
 		}
@@ -66,8 +66,6 @@
 	})
 }
 
-func (c *programClient) hooks() *hooks { return &c.process.machine.fleet.options.hooks }
-
 func (c *programClient) now() time.Duration { return c.process.machine.fleet.loop.now }
 
 // end settles a turn at the owner of key's shard.
--- a/internal/system/fleettest/proxy.go
+++ b/internal/system/fleettest/proxy.go
@@ -49,11 +49,7 @@
 
 // connect has the agent feed this proxy; it goes on with what it has while that fails.
 func (p *proxy) connect() {
-	digest := view.Digest{}
-	if !p.hooks().takeOlder {
-		maps.Copy(digest, p.digest)
-	}
-	p.network().call(p.process, p.agent, feedRequest{digest}, func(piece any) {
+	p.network().call(p.process, p.agent, feedRequest{maps.Clone(p.digest)}, func(piece any) {
 		p.pause = feedFirstPause
 		p.take(piece.(view.Piece))
 	}, func(error) {
@@ -64,11 +60,9 @@
 
 func (p *proxy) network() *network { return p.process.machine.fleet.network }
 
-func (p *proxy) hooks() *hooks { return &p.process.machine.fleet.options.hooks }
-
 // take takes a piece over, unless it is older than the one held.
 func (p *proxy) take(piece view.Piece) {
-	if held, known := p.digest[piece.Section]; known && !held.Less(piece.Stamp) && !p.hooks().takeOlder {
+	if held, known := p.digest[piece.Section]; known && !held.Less(piece.Stamp) {
 		return
 	}
 	p.digest[piece.Section] = piece.Stamp
--- a/internal/system/fleettest/proxyrequest.go
+++ b/internal/system/fleettest/proxyrequest.go
@@ -20,7 +20,6 @@
 	mayHaveRun bool
 	over       bool
 	answering  bool
-	again      bool            // sent once more, by a mutant
 	turnedAway map[string]bool // endpoints that promised not to run it
 	endpoint   *exchange
 	output     []byte
@@ -61,12 +60,6 @@
 	r.begun = true
 	turn := program.BeginTurn{Turn: r.asked.ID, Program: r.asked.Program, Budget: r.asked.Budget, Most: r.asked.Most,
 		Remembered: true, Previous: r.asked.Previous, KeepForS: keepFor.Seconds(), Input: r.asked.Input}
-	if r.proxy.hooks().sendBeforeBegin {
-		r.body = r.asked.Input
-		r.send()
-		r.proxy.programs.begin(r.asked.Program, turn, requestTime/beginPart, func(program.Result, error) {})
-		return
-	}
 	r.proxy.programs.begin(r.asked.Program, turn, requestTime/beginPart, r.taken)
 }
 
@@ -74,9 +67,6 @@
 func (r *proxyRequest) taken(result program.Result, err error) {
 	switch {
 	case err != nil:
-		if r.proxy.hooks().unsureIsAbsent && r.asked.Previous != "" {
-			r.answer(http.StatusNotFound)
-		}
 		r.settle(false)
 		r.refuse()
 	case r.over:
@@ -110,9 +100,6 @@
 		return
 	}
 	request := endpointRequest{ID: r.asked.ID, Expected: endpoint.ID, Body: r.body, Most: r.asked.Most}
-	if r.proxy.hooks().sendToAddress {
-		request.Expected = ""
-	}
 	r.endpoint = r.proxy.network().call(r.proxy.process, endpoint.Address, request, func(piece any) { r.piece(endpoint.ID, piece) }, r.endpointBroke)
 	sent := r.endpoint
 	r.proxy.process.after(r.deadline-r.now(), func() {
@@ -159,9 +146,6 @@
 		return
 	}
 	r.settled = true
-	if r.proxy.hooks().answerBeforeEnd {
-		whole()
-	}
 	r.offerEnd(r.endOf(true), r.deadline, func(err error) {
 		if err != nil {
 			r.offerEnd(r.endOf(true), r.now()+settleFor, func(error) {})
@@ -178,17 +162,6 @@
 		return
 	}
 	r.mayHaveRun = true
-	hooks := r.proxy.hooks()
-	switch {
-	case hooks.sendAgain && r.events == 0 && !r.again:
-		r.again = true
-		r.send()
-		return
-	case hooks.refuseAfterSend && r.events == 0:
-		r.settle(false)
-		r.refuse()
-		return
-	}
 	r.settle(false)
 	if r.events > 0 {
 		r.abort()
--- a/internal/system/fleettest/replicarunner.go
+++ b/internal/system/fleettest/replicarunner.go
@@ -33,7 +33,7 @@
 // openReplica recovers a member of a group from the machine's disk.
 func openReplica(p *process, options replicaOptions) (*replicaRunner, error) {
 	f := p.machine.fleet
-	r := &replicaRunner{process: p, disk: &timedDisk{Disk: p.machine.disk, machine: p.machine, hooks: &f.options.hooks}}
+	r := &replicaRunner{process: p, disk: &timedDisk{Disk: p.machine.disk, machine: p.machine}}
 	options.replica.Seed = f.loop.random.Uint64()
 	r.turning = true
 	opened, err := group.Open(group.Options{Name: options.name, Replica: options.replica, Disk: r.disk, Machine: options.machine,
