--- a/internal/system/controller/cluster_test.go
+++ b/internal/system/controller/cluster_test.go
@@ -6,6 +6,7 @@
 	"maps"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -33,6 +34,7 @@
 // cluster is three controllers and some stores in virtual time, with one goroutine for all.
 type cluster struct {
 	t        testing.TB
+	gate     sync.Mutex // held while now changes: goroutines of operators read it
 	now      time.Duration
 	machines map[string]*machineUnderTest // by address
 	queue    []sent
@@ -104,7 +106,11 @@
 }
 
 // time is the time of day.
-func (c *cluster) time() time.Time { return time.UnixMilli(1_700_000_000_000).Add(c.now) }
+func (c *cluster) time() time.Time {
+	c.gate.Lock()
+	defer c.gate.Unlock()
+	return time.UnixMilli(1_700_000_000_000).Add(c.now)
+}
 
 // Members implements Fleet: everyone knows all machines alike.
 func (c *cluster) Members() []membership.Member {
@@ -154,7 +160,11 @@
 			c.queue = append(c.queue, sent{due: c.now + clusterStep, address: address, envelope: envelope})
 		}
 	}
-	clock := func() time.Duration { return c.now }
+	clock := func() time.Duration {
+		c.gate.Lock()
+		defer c.gate.Unlock()
+		return c.now
+	}
 	if m.member.Role == membership.Store {
 		m.store = store.New(c.t.Context(), store.Options{ID: m.member.ID, Address: m.member.Address, Disk: m.disk, Logger: log.NewNopLogger(),
 			Seed: uint64(c.starts), Now: c.time, Send: send, Clock: clock, Run: func(opened *group.Group) { m.groups = append(m.groups, opened) }})
--- a/internal/system/controller/troubled_cluster_test.go
+++ b/internal/system/controller/troubled_cluster_test.go
@@ -46,9 +46,12 @@
 
 // step lets a step of virtual time pass; all that operators do happens within the sleep, or while it waits.
 func (c *troubledCluster) step() {
+	c.pastGate()
 	time.Sleep(clusterStep)
 	synctest.Wait()
+	c.gate.Lock()
 	c.now += clusterStep
+	c.gate.Unlock()
 	c.doDue()
 	c.trouble()
 	c.deliver()
@@ -60,6 +63,12 @@
 	}
 }
 
+// pastGate orders what an operator does after the step that has ended, which holds by time, for the race detector too.
+func (c *troubledCluster) pastGate() {
+	c.gate.Lock()
+	defer c.gate.Unlock()
+}
+
 // trouble takes out of the queue what doesn't arrive, or not yet.
 func (c *troubledCluster) trouble() {
 	waiting := append(c.held, c.queue...)
@@ -196,6 +205,7 @@
 	now := time.Now().Add(d)
 	offset := callOffset + time.Duration(o.number)*time.Microsecond
 	time.Sleep(time.Until(now.Truncate(clusterStep).Add(clusterStep + offset)))
+	o.cluster.pastGate()
 }
 
 // answer is what an operator got; status 0 stands for none.
@@ -268,6 +278,7 @@
 	case <-ctx.Done():
 		return nil
 	}
+	o.cluster.pastGate()
 	for o.cluster.frozen[m] && ctx.Err() == nil {
 		o.rest(0)
 	}
