Order roll-outs on a troubled cluster, and count what they begin

Three operators order roll-outs of two services and repeat each for as long as confirmMs allows, while roll-outs end and the machines have the troubles of the other campaign. Each order names a time of its own: it must begin one roll-out at most, one if it was acknowledged, and not be refused once it was.

--- a/internal/system/controller/orders_campaign_test.go
+++ b/internal/system/controller/orders_campaign_test.go
@@ -156,7 +156,7 @@
 			e.work(ordersEach)
 		}()
 	}
-	c.untilDone(&working, func() { c.disturb() })
+	c.untilDone(&working, func() { c.disturb() }, func() {})
 	c.heal()
 	c.lostPart = 0
 	c.wait("the group is whole", 30*time.Second, c.isWhole)
@@ -166,12 +166,12 @@
 		editors[0].rest(0)
 		editors[0].finish(seen.sent)
 	}()
-	c.untilDone(&working, nil)
+	c.untilDone(&working, func() {}, func() {})
 	return seen.operations
 }
 
-// untilDone lets time pass until all have ended, with some trouble now and then.
-func (c *troubledCluster) untilDone(working *sync.WaitGroup, trouble func()) {
+// untilDone lets time pass until all have ended, with some trouble now and then; each is called after each step.
+func (c *troubledCluster) untilDone(working *sync.WaitGroup, trouble, each func()) {
 	c.t.Helper()
 	done := make(chan struct{})
 	go func() {
@@ -188,7 +188,8 @@
 	}
 	next := c.now + disturbEvery
 	c.wait("operators end", mostCampaign, func() bool {
-		if trouble != nil && c.now >= next {
+		each()
+		if c.now >= next {
 			next = c.now + time.Duration(c.random.Int64N(int64(2*disturbEvery)))
 			trouble()
 		}
--- a/internal/system/controller/orders_story_test.go
+++ b/internal/system/controller/orders_story_test.go
@@ -82,16 +82,23 @@
 			continue
 		}
 		saved := m.controller.agree.rollouts.Saved()
-		for service, roll := range saved.Rolls {
-			name := fmt.Sprint(service, " ", roll.Target, " ", roll.OverMs)
-			if b[name] == nil {
-				b[name] = map[uint64]bool{}
-			}
-			b[name][roll.Index] = true
+		for _, roll := range saved.Rolls {
+			b.add(roll.Service, roll.Target, roll.OverMs, roll.Index)
+		}
+		for _, taken := range saved.Recent { // one that another has followed at once
+			b.add(taken.Service, taken.Target, taken.OverMs, taken.Index)
 		}
 	}
 }
 
+func (b begins) add(service, target string, overMs int64, index uint64) {
+	name := fmt.Sprint(service, " ", target, " ", overMs)
+	if b[name] == nil {
+		b[name] = map[uint64]bool{}
+	}
+	b[name][index] = true
+}
+
 // wantClear fails unless an order ends with 200 after answers that are no clear ones.
 func wantClear(t testing.TB, o *operator, what string, try func() answer) {
 	t.Helper()
