--- a/internal/system/controller/orders_campaign_test.go
+++ b/internal/system/controller/orders_campaign_test.go
@@ -10,7 +10,7 @@
 	"testing"
 	"time"
 
-	"mastusher/internal/system/history"
+	"mastusher/internal/system/linearizability"
 )
 
 var (
@@ -31,24 +31,24 @@
 // recorder keeps what operators have seen.
 type recorder struct {
 	mutex      sync.Mutex
-	operations []history.Operation
-	sent       []history.Order
+	operations []linearizability.Operation
+	sent       []linearizability.Order
 }
 
-func (r *recorder) add(operation history.Operation) {
+func (r *recorder) add(operation linearizability.Operation) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	r.operations = append(r.operations, operation)
 }
 
-func (r *recorder) note(order history.Order) {
+func (r *recorder) note(order linearizability.Order) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	r.sent = append(r.sent, order)
 }
 
 // old is an order that was sent before, by anyone.
-func (r *recorder) old(pick func(int) int) history.Order {
+func (r *recorder) old(pick func(int) int) linearizability.Order {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	return r.sent[pick(len(r.sent))]
@@ -59,35 +59,35 @@
 	*operator
 	recorder *recorder
 	padding  string
-	known    history.Version
+	known    linearizability.Version
 }
 
 // put sends an order once and tells whether the answer was a clear one.
-func (e *editor) put(order history.Order) bool {
-	operation := history.Operation{Operator: e.number, Kind: history.Put, Order: order, Call: time.Now().UnixNano()}
+func (e *editor) put(order linearizability.Order) bool {
+	operation := linearizability.Operation{Operator: e.number, Kind: linearizability.Put, Order: order, Call: time.Now().UnixNano()}
 	got := e.call(http.MethodPut, settingsPath, orderNamed(order.Number, order.Content+e.padding), "If-Match", fmt.Sprint(order.Base))
 	switch got.status {
 	case http.StatusOK:
-		operation.Outcome = history.Taken
+		operation.Outcome = linearizability.Taken
 	case http.StatusPreconditionFailed:
-		operation.Outcome = history.Conflict
+		operation.Outcome = linearizability.Conflict
 	case http.StatusBadRequest:
-		operation.Outcome = history.NotNewer
+		operation.Outcome = linearizability.NotNewer
 	case 0, http.StatusServiceUnavailable, http.StatusGatewayTimeout:
 	default:
 		e.cluster.t.Errorf("order %+v: answer %d %s", order, got.status, got.body)
 	}
 	operation.Return = time.Now().UnixNano()
 	e.recorder.add(operation)
-	if operation.Outcome == history.Taken {
-		e.known = history.Version{Number: order.Number, Content: order.Content}
+	if operation.Outcome == linearizability.Taken {
+		e.known = linearizability.Version{Number: order.Number, Content: order.Content}
 	}
-	return operation.Outcome != history.Unclear
+	return operation.Outcome != linearizability.Unclear
 }
 
 // get asks for the newest configuration once and tells whether it came.
 func (e *editor) get() bool {
-	operation := history.Operation{Operator: e.number, Kind: history.Get, Call: time.Now().UnixNano()}
+	operation := linearizability.Operation{Operator: e.number, Kind: linearizability.Get, Call: time.Now().UnixNano()}
 	got := e.call(http.MethodGet, settingsPath, "")
 	if got.status == http.StatusOK {
 		var told struct {
@@ -97,13 +97,13 @@
 		if err := json.Unmarshal([]byte(got.body), &told); err != nil {
 			e.cluster.t.Error(err)
 		}
-		operation.Outcome = history.Read
-		operation.Version = history.Version{Number: told.Number, Content: strings.TrimSuffix(told.Note, e.padding)}
+		operation.Outcome = linearizability.Read
+		operation.Version = linearizability.Version{Number: told.Number, Content: strings.TrimSuffix(told.Note, e.padding)}
 		e.known = operation.Version
 	}
 	operation.Return = time.Now().UnixNano()
 	e.recorder.add(operation)
-	return operation.Outcome != history.Unclear
+	return operation.Outcome != linearizability.Unclear
 }
 
 // work sends orders, on the newest version or an older one, and repeats some.
@@ -112,7 +112,7 @@
 		if e.random.IntN(3) > 0 {
 			e.persist(2, e.get)
 		}
-		order := history.Order{Base: e.known.Number, Number: e.known.Number + 1 + e.random.Uint64N(2), Content: fmt.Sprint(e.random.IntN(2))}
+		order := linearizability.Order{Base: e.known.Number, Number: e.known.Number + 1 + e.random.Uint64N(2), Content: fmt.Sprint(e.random.IntN(2))}
 		if e.random.IntN(8) == 0 {
 			order.Base++
 			order.Number++
@@ -127,7 +127,7 @@
 }
 
 // finish has every order answered clearly once more, and reads back.
-func (e *editor) finish(orders []history.Order) {
+func (e *editor) finish(orders []linearizability.Order) {
 	for _, order := range orders {
 		if !e.persist(mostFinalAnswer, func() bool { return e.put(order) }) {
 			e.cluster.t.Errorf("order %+v has no clear answer though all trouble has ended", order)
@@ -139,7 +139,7 @@
 }
 
 // playHistory lets operators work while machines have trouble, and returns what they saw.
-func playHistory(t testing.TB, seed uint64) []history.Operation {
+func playHistory(t testing.TB, seed uint64) []linearizability.Operation {
 	c := newTroubledCluster(t, seed)
 	c.lostPart = []float64{0, 0.1, 0.5}[c.random.IntN(3)]
 	padding := strings.Repeat(" ", []int{0, 0, 0, paddedBytes}[c.random.IntN(4)])
@@ -205,7 +205,7 @@
 	for seed := *firstSeed; seed < *firstSeed+uint64(*histories); seed++ {
 		inBubble(t, fmt.Sprint("seed ", seed), func(t *testing.T) {
 			operations := playHistory(t, seed)
-			if err := history.Check(operations); err != nil {
+			if err := linearizability.Check(operations); err != nil {
 				t.Errorf("seed %d: %v", seed, err)
 			}
 			sum.add(operations)
@@ -223,19 +223,19 @@
 	Orders                                 int // different ones that were confirmed
 }
 
-func (s *tally) add(operations []history.Operation) {
-	taken := map[history.Order]bool{}
+func (s *tally) add(operations []linearizability.Operation) {
+	taken := map[linearizability.Order]bool{}
 	for i := range operations {
 		s.Calls++
 		switch operations[i].Outcome {
-		case history.Unclear:
+		case linearizability.Unclear:
 			continue
-		case history.Taken:
+		case linearizability.Taken:
 			taken[operations[i].Order] = true
 			s.Confirmed++
-		case history.Conflict, history.NotNewer:
+		case linearizability.Conflict, linearizability.NotNewer:
 			s.Refused++
-		case history.Read:
+		case linearizability.Read:
 			s.Read++
 		}
 		s.Clear++
--- a/internal/system/controller/troubled_cluster_test.go
+++ b/internal/system/controller/troubled_cluster_test.go
@@ -16,11 +16,11 @@
 
 // What operators do.
 const (
-	callPatience  = time.Second // without an answer until an operator goes to another controller
-	mostRedirects = 2
-	mostAttempts  = 8
-	firstPause    = 20 * time.Millisecond
-	mostPause     = 300 * time.Millisecond
+	operatorPatience = time.Second // without an answer until an operator goes to another controller
+	mostRedirects    = 2
+	mostAttempts     = 8
+	shortestPause    = 20 * time.Millisecond
+	longestPause     = 300 * time.Millisecond
 	// callOffset keeps the calls of operators from coming in the middle of a step of the cluster.
 	callOffset = 2 * time.Millisecond
 )
@@ -208,34 +208,34 @@
 	o.cluster.pastGate()
 }
 
-// answer is what an operator got; status 0 stands for none.
-type answer struct {
+// reply is what an operator got; status 0 stands for none.
+type reply struct {
 	status int
 	body   string
 }
 
 // call asks a controller drawn by lot, and follows redirects.
-func (o *operator) call(method, path, body string, headers ...string) answer {
+func (o *operator) call(method, path, body string, headers ...string) reply {
 	machines := o.cluster.sorted()
 	return o.callOne(machines[o.random.IntN(len(machines))], method, path, body, headers...)
 }
 
 // callOne asks a controller, and follows redirects.
-func (o *operator) callOne(m *machineUnderTest, method, path, body string, headers ...string) answer {
+func (o *operator) callOne(m *machineUnderTest, method, path, body string, headers ...string) reply {
 	for range mostRedirects + 1 {
 		recorder := o.exchange(m, method, path, body, headers...)
 		if recorder == nil {
-			return answer{}
+			return reply{}
 		}
 		if recorder.Code != http.StatusTemporaryRedirect {
-			return answer{recorder.Code, recorder.Body.String()}
+			return reply{recorder.Code, recorder.Body.String()}
 		}
 		if m = o.cluster.at(recorder.Header().Get("Location")); m == nil {
-			return answer{}
+			return reply{}
 		}
 		o.rest(0)
 	}
-	return answer{}
+	return reply{}
 }
 
 // at is the machine that a redirect names.
@@ -250,7 +250,7 @@
 
 // exchange sends one request to a machine. It returns nil if no answer comes.
 func (o *operator) exchange(m *machineUnderTest, method, path, body string, headers ...string) *httptest.ResponseRecorder {
-	ctx, cancel := context.WithTimeout(context.Background(), callPatience)
+	ctx, cancel := context.WithTimeout(context.Background(), operatorPatience)
 	defer cancel()
 	defer o.rest(0)
 	for o.cluster.frozen[m] { // the request waits in the machine's buffers
@@ -291,13 +291,13 @@
 
 // persist calls until the answer is a clear one, or patience ends.
 func (o *operator) persist(attempts int, try func() (clear bool)) bool {
-	pause := firstPause
+	pause := shortestPause
 	for range attempts {
 		if try() {
 			return true
 		}
 		o.rest(pause)
-		pause = min(2*pause, mostPause)
+		pause = min(2*pause, longestPause)
 	}
 	return false
 }
--- a/internal/system/history/check.go
+++ b/internal/system/linearizability/check.go
@@ -1,4 +1,4 @@
-package history
+package linearizability
 
 import (
 	"cmp"
--- /dev/null
+++ b/internal/system/linearizability/check_test.go
@@ -0,0 +1,187 @@
+package linearizability_test
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+
+	"mastusher/internal/system/linearizability"
+)
+
+// put is an order, answered.
+func put(call, answer int64, base, number uint64, content string, outcome linearizability.Outcome) linearizability.Operation {
+	return linearizability.Operation{Kind: linearizability.Put, Order: linearizability.Order{Base: base, Number: number, Content: content}, Outcome: outcome, Call: call, Return: answer}
+}
+
+func get(call, answer int64, number uint64, content string) linearizability.Operation {
+	return linearizability.Operation{Kind: linearizability.Get, Outcome: linearizability.Read, Version: linearizability.Version{Number: number, Content: content}, Call: call, Return: answer}
+}
+
+func TestCheck(t *testing.T) {
+	const taken, conflict, notNewer, unclear = linearizability.Taken, linearizability.Conflict, linearizability.NotNewer, linearizability.Unclear
+	tests := []struct {
+		name       string
+		operations []linearizability.Operation
+		want       bool
+	}{
+		{"nothing", nil, true},
+		{"one after the other", []linearizability.Operation{put(0, 1, 0, 3, "a", taken), get(2, 3, 3, "a"), put(4, 5, 3, 4, "b", taken), get(6, 7, 4, "b")}, true},
+		{"nothing yet", []linearizability.Operation{get(0, 1, 0, ""), put(0, 1, 0, 3, "a", taken)}, true},
+		{"a lost update", []linearizability.Operation{put(0, 1, 0, 3, "a", taken), put(2, 3, 3, 4, "b", taken), get(4, 5, 3, "a")}, false},
+		{"a stale read", []linearizability.Operation{put(0, 1, 0, 3, "a", taken), put(2, 9, 3, 4, "b", taken), get(3, 4, 4, "b"), get(5, 6, 3, "a")}, false},
+		{"reads on both sides of a change", []linearizability.Operation{put(0, 1, 0, 3, "a", taken), put(2, 9, 3, 4, "b", taken), get(3, 4, 3, "a"), get(5, 6, 4, "b")}, true},
+		{"two confirmed under one number", []linearizability.Operation{put(0, 9, 0, 3, "a", taken), put(0, 9, 0, 3, "b", taken)}, false},
+		{"two confirmed on one version", []linearizability.Operation{put(0, 9, 0, 3, "a", taken), put(0, 9, 0, 4, "b", taken)}, false},
+		{"one of two wins", []linearizability.Operation{put(0, 9, 0, 3, "a", conflict), put(0, 9, 0, 3, "b", taken), get(10, 11, 3, "b")}, true},
+		{"none of two wins", []linearizability.Operation{put(0, 9, 0, 3, "a", conflict), put(0, 9, 0, 3, "b", conflict)}, false},
+		{"two operators send the same", []linearizability.Operation{put(0, 9, 0, 3, "a", taken), put(0, 9, 0, 3, "a", taken)}, true},
+		{"a repeat", []linearizability.Operation{put(0, 1, 0, 3, "a", taken), put(2, 3, 3, 4, "b", taken), put(4, 5, 0, 3, "a", taken), get(6, 7, 4, "b")}, true},
+		{"a refused repeat", []linearizability.Operation{put(0, 1, 0, 3, "a", taken), put(2, 3, 0, 3, "a", conflict)}, false},
+		{"a refused repeat after another change", []linearizability.Operation{put(0, 1, 0, 3, "a", taken), put(2, 3, 3, 4, "b", taken), put(4, 5, 0, 3, "a", conflict)}, false},
+		{"a repeat takes effect again", []linearizability.Operation{put(0, 1, 0, 3, "a", taken), put(2, 3, 3, 4, "b", taken), put(4, 5, 0, 3, "a", taken), get(6, 7, 3, "a")}, false},
+		{"a refused repeat after an unclear answer that was in force", []linearizability.Operation{put(0, 0, 0, 3, "a", unclear), get(2, 3, 3, "a"), put(4, 5, 0, 3, "a", conflict)}, false},
+		{"an unclear order never takes effect", []linearizability.Operation{put(0, 0, 0, 3, "a", unclear), put(2, 3, 0, 4, "b", taken), get(4, 5, 4, "b")}, true},
+		{"an unclear order takes effect late", []linearizability.Operation{put(0, 0, 0, 3, "a", unclear), get(2, 3, 0, ""), get(50, 51, 3, "a")}, true},
+		{"an unclear order takes effect twice", []linearizability.Operation{put(0, 0, 0, 3, "a", unclear), get(2, 3, 3, "a"), put(4, 5, 3, 4, "b", taken), get(50, 51, 3, "a")}, false},
+		{"an effect before the call", []linearizability.Operation{get(0, 1, 3, "a"), put(2, 3, 0, 3, "a", taken)}, false},
+		{"a number that isn't higher", []linearizability.Operation{put(0, 1, 0, 3, "a", taken), put(2, 3, 3, 3, "b", notNewer), put(4, 5, 3, 4, "b", taken)}, true},
+		{"a number that isn't higher is confirmed", []linearizability.Operation{put(0, 1, 0, 3, "a", taken), put(2, 3, 3, 3, "b", taken)}, false},
+		{"refused before its version came, then in force", []linearizability.Operation{put(0, 1, 3, 4, "b", conflict), put(2, 3, 0, 3, "a", taken), get(4, 5, 4, "b"), put(0, 0, 3, 4, "b", unclear)}, false},
+		{"refused without a clear answer before its version came, then again", []linearizability.Operation{put(0, 0, 3, 4, "b", unclear), put(2, 3, 0, 3, "a", taken), put(4, 5, 3, 4, "b", conflict)}, true},
+		{"sent without a clear answer after its version came, then refused", []linearizability.Operation{put(0, 1, 0, 3, "a", taken), put(2, 2, 3, 4, "b", unclear), put(4, 5, 3, 4, "b", conflict)}, false},
+		{"refused, then taken", []linearizability.Operation{put(0, 1, 3, 4, "b", conflict), put(2, 3, 0, 3, "a", taken), put(4, 5, 3, 4, "b", taken)}, false},
+		{"read with other content", []linearizability.Operation{put(0, 1, 0, 3, "a", taken), get(2, 3, 3, "b")}, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			err := linearizability.Check(test.operations)
+			var violation *linearizability.ViolationError
+			if errors.As(err, &violation) == test.want {
+				t.Errorf("linearizable: %v, want %v: %v", err == nil, test.want, err)
+			}
+			if err != nil && !strings.Contains(err.Error(), "operator 0") {
+				t.Errorf("the error doesn't list the history: %v", err)
+			}
+		})
+	}
+}
+
+// service is a register that answers at once, with a fault or without.
+type service struct {
+	number  uint64
+	content string
+	taken   map[linearizability.Order]bool
+	before  linearizability.Version
+	fault   string
+	random  *rand.Rand
+}
+
+// The faults of a service.
+const (
+	forgetsOrders  = "it forgets the orders taken"
+	losesUpdates   = "it loses an update now and then"
+	readsStale     = "it reads the version before now and then"
+	ignoresBase    = "it takes an order on any version"
+	comparesNumber = "it acknowledges the number, whatever the content"
+	repeatsAgain   = "a repeat takes effect again"
+)
+
+func (s *service) put(o linearizability.Order) linearizability.Outcome {
+	switch {
+	case s.fault == comparesNumber && o.Number == s.number:
+		return linearizability.Taken
+	case s.taken[o] && s.fault == repeatsAgain:
+		s.number, s.content = o.Number, o.Content
+		return linearizability.Taken
+	case s.taken[o] && s.fault != forgetsOrders:
+		return linearizability.Taken
+	case o.Base != s.number && s.fault != ignoresBase:
+		return linearizability.Conflict
+	case o.Number <= s.number:
+		return linearizability.NotNewer
+	}
+	s.taken[o] = true
+	if s.fault == losesUpdates && s.random.IntN(8) == 0 {
+		return linearizability.Taken
+	}
+	s.before = linearizability.Version{Number: s.number, Content: s.content}
+	s.number, s.content = o.Number, o.Content
+	return linearizability.Taken
+}
+
+func (s *service) get() linearizability.Version {
+	if s.fault == readsStale && s.random.IntN(8) == 0 {
+		return s.before
+	}
+	return linearizability.Version{Number: s.number, Content: s.content}
+}
+
+// record has some operators call a service at once; each call takes effect at a random time between its call and its answer.
+func record(seed uint64, fault string) []linearizability.Operation {
+	const calls, operators = 60, 4
+	random := rand.New(rand.NewPCG(seed, 1))
+	s := &service{taken: map[linearizability.Order]bool{}, fault: fault, random: random}
+	var list []linearizability.Operation
+	var sent []linearizability.Order
+	free := make([]int64, operators) // when each operator has its answer
+	now := int64(0)
+	for range calls {
+		now += int64(random.IntN(4))
+		operator := random.IntN(operators)
+		o := linearizability.Operation{Operator: operator, Call: max(free[operator]+1, now-int64(random.IntN(20)))}
+		now = max(now, o.Call) // effects come in this order
+		o.Return = now + int64(random.IntN(20))
+		free[operator] = o.Return
+		switch random.IntN(4) {
+		case 0:
+			o.Kind, o.Outcome, o.Version = linearizability.Get, linearizability.Read, s.get()
+		case 1:
+			if len(sent) > 0 {
+				o.Order = sent[random.IntN(len(sent))]
+				o.Outcome = s.put(o.Order)
+				break
+			}
+			fallthrough
+		default:
+			o.Order = linearizability.Order{Base: s.number, Number: s.number + 1 + uint64(random.IntN(2)), Content: fmt.Sprint(random.IntN(2))}
+			if random.IntN(4) == 0 && s.number > 0 {
+				o.Order.Base--
+			}
+			sent = append(sent, o.Order)
+			if random.IntN(6) == 0 {
+				o.Outcome = linearizability.Unclear
+				if random.IntN(2) == 0 {
+					s.put(o.Order)
+				}
+				break
+			}
+			o.Outcome = s.put(o.Order)
+		}
+		list = append(list, o)
+	}
+	return list
+}
+
+// TestRecordedHistories checks histories of a service that is right, and that one with a fault is found out.
+func TestRecordedHistories(t *testing.T) {
+	const histories = 300
+	for seed := range uint64(histories) {
+		if err := linearizability.Check(record(seed, "")); err != nil {
+			t.Fatalf("seed %d: %v", seed, err)
+		}
+	}
+	const mostSeeds = 10
+	for _, fault := range []string{forgetsOrders, losesUpdates, readsStale, ignoresBase, comparesNumber, repeatsAgain} {
+		t.Run(fault, func(t *testing.T) {
+			for seed := range uint64(mostSeeds) {
+				if linearizability.Check(record(seed, fault)) != nil {
+					t.Logf("found with seed %d", seed)
+					return
+				}
+			}
+			t.Errorf("not found with %d seeds", mostSeeds)
+		})
+	}
+}
--- a/internal/system/placement/watch.go
+++ b/internal/system/placement/watch.go
@@ -13,25 +13,31 @@
 // Patience with members that are missing.
 const (
 	gatherAfter    = 1500 * time.Millisecond // from owning the group until the first placement, so that all stores are seen
+	sureAfter      = 12 * time.Second        // the same, until the members on both sides of a cut have found each other again
 	goneAfter      = 4 * time.Second         // dead for so long, or never seen since the watch began: gone for good
-	succeededAfter = time.Second             // the same, while a store without any replica runs: likely its successor
+	succeededAfter = time.Second             // the same, while a member without any replica runs: it may be its successor
+	newcomerAge    = 10 * time.Second        // of such a member that is likely the successor: then a suspicion counts like a death
 	longestPause   = time.Second             // between two observations; after a longer one the watch begins anew
 )
 
 // Watch remembers since when members have been dead, and since when this process has owned the configuration shard's group.
 // It is told the time, which must not go back.
 type Watch struct {
-	members []membership.Member // by name
-	dead    map[string]time.Time
-	names   map[string]string // by identity, as last seen
-	last    time.Time         // observation
-	since   time.Time         // the watch has gone on without a pause
-	owning  time.Time         // zero: it doesn't own the group
-	epoch   uint64            // that it owns
+	members []membership.Member  // by name
+	dead    map[string]time.Time // by name
+	absent  map[string]time.Time // by name; those that are suspected, dead or have left
+	met     map[string]time.Time // by identity, when it was first seen
+	names   map[string]string    // by identity, as last seen
+	last    time.Time            // observation
+	since   time.Time            // the watch has gone on without a pause
+	owning  time.Time            // zero: it doesn't own the group
+	epoch   uint64               // that it owns
 }
 
 // NewWatch returns a watch that has seen nothing.
-func NewWatch() *Watch { return &Watch{dead: map[string]time.Time{}, names: map[string]string{}} }
+func NewWatch() *Watch {
+	return &Watch{dead: map[string]time.Time{}, absent: map[string]time.Time{}, met: map[string]time.Time{}, names: map[string]string{}}
+}
 
 // Observe takes in the members that are known now, and the epoch in which this process owns the group; 0 if it doesn't.
 func (w *Watch) Observe(now time.Time, members []membership.Member, ownedEpoch uint64) {
@@ -52,17 +58,25 @@
 	if w.last.IsZero() || now.Sub(w.last) > longestPause {
 		w.since, w.owning = now, now
 		clear(w.dead)
+		clear(w.absent)
 	}
 	w.last = now
 }
 
 func (w *Watch) observe(now time.Time, m membership.Member) {
 	w.names[m.ID] = m.Name
-	switch _, known := w.dead[m.Name]; {
-	case !m.Gone():
-		delete(w.dead, m.Name)
+	noteSince(w.met, m.ID, now, true)
+	noteSince(w.dead, m.Name, now, m.Gone())
+	noteSince(w.absent, m.Name, now, m.State != membership.Alive)
+}
+
+// noteSince keeps since when something has held of a member.
+func noteSince(since map[string]time.Time, key string, now time.Time, holds bool) {
+	switch _, known := since[key]; {
+	case !holds:
+		delete(since, key)
 	case !known:
-		w.dead[m.Name] = now
+		since[key] = now
 	}
 }
 
@@ -71,19 +85,98 @@
 	return w.epoch != 0 && now.Sub(w.owning) >= gatherAfter
 }
 
-// IsLost tells whether the holder of an identity is gone for good: its disk was wiped, since its machine runs with another
-// identity, or nothing has been heard of it for long.
-func (w *Watch) IsLost(now time.Time, id, address string) bool {
-	return w.isLost(now, id, w.names[id], address, goneAfter)
+// Holder is a member that holds replicas, as its group or a placement names it.
+type Holder struct {
+	ID      string
+	Name    string // as a member; empty: as it was last seen
+	Address string
 }
 
-func (w *Watch) isLost(now time.Time, id, name, address string, patience time.Duration) bool {
-	if m := w.find(func(m *membership.Member) bool { return m.ID == id }); m != nil {
-		since, dead := w.dead[m.Name]
-		return dead && now.Sub(since) >= patience
+// LostHolders tells which holders of that role are gone for good: their disk was wiped, since their machine runs with another
+// identity, or nothing has been heard of them for long. That takes less long where a member of the role runs that holds nothing,
+// and still less where one does that has come lately: it is to have what it needs before the next loss. Each such member
+// stands in for one holder alone, the one that has been missing for the longest time: another may come back.
+func (w *Watch) LostHolders(now time.Time, role membership.Role, holders []Holder) map[string]bool {
+	lost := map[string]bool{}
+	var missing []Holder
+	for _, holder := range w.distinct(holders) {
+		switch {
+		case w.isLost(now, holder):
+			lost[holder.ID] = true
+		case w.isMissing(holder):
+			missing = append(missing, holder)
+		}
+	}
+	w.sortByAbsence(missing)
+	spare := w.spareMembers(role, holders)
+	successors := len(spare) - len(lost)
+	since := w.dead
+	if slices.ContainsFunc(spare, func(m membership.Member) bool { return now.Sub(w.met[m.ID]) < newcomerAge }) {
+		since = w.absent
 	}
+	for _, holder := range missing[:max(0, min(successors, len(missing)))] {
+		if begun, gone := since[w.nameOf(holder)]; gone && now.Sub(begun) >= succeededAfter {
+			lost[holder.ID] = true
+		}
+	}
+	return lost
+}
+
+// distinct names each holder once.
+func (w *Watch) distinct(holders []Holder) []Holder {
+	var all []Holder
+	for _, holder := range holders {
+		if !slices.ContainsFunc(all, func(h Holder) bool { return h.ID == holder.ID }) {
+			all = append(all, holder)
+		}
+	}
+	return all
+}
+
+// nameOf is the name under which a holder is a member.
+func (w *Watch) nameOf(holder Holder) string {
+	if holder.Name == "" {
+		return w.names[holder.ID]
+	}
+	return holder.Name
+}
+
+// isMissing tells whether a holder is suspected, dead or has left.
+func (w *Watch) isMissing(holder Holder) bool {
+	_, missing := w.absent[w.nameOf(holder)]
+	return missing
+}
+
+// sortByAbsence puts the holders that have been missing for the longest time first.
+func (w *Watch) sortByAbsence(holders []Holder) {
+	slices.SortStableFunc(holders, func(a, b Holder) int {
+		return w.absent[w.nameOf(a)].Compare(w.absent[w.nameOf(b)])
+	})
+}
+
+// spareMembers lists the members of a role that run and hold nothing.
+func (w *Watch) spareMembers(role membership.Role, holders []Holder) []membership.Member {
+	return slices.DeleteFunc(w.Running(role), func(m membership.Member) bool {
+		return slices.ContainsFunc(holders, func(h Holder) bool { return h.ID == m.ID })
+	})
+}
+
+// AbsentSince is when the member of an identity was last seen to run, as far as the watch reaches back; missing is false where
+// it runs, or nothing is known of it.
+func (w *Watch) AbsentSince(id string) (since time.Time, missing bool) {
+	since, missing = w.absent[w.names[id]]
+	return since, missing
+}
+
+// isLost tells whether a holder is certainly gone: wiped, or missing for long.
+func (w *Watch) isLost(now time.Time, holder Holder) bool {
+	if m := w.find(func(m *membership.Member) bool { return m.ID == holder.ID }); m != nil {
+		begun, dead := w.dead[m.Name]
+		return dead && now.Sub(begun) >= goneAfter
+	}
+	name := w.nameOf(holder)
 	replaced := w.find(func(m *membership.Member) bool {
-		return m.Name == name || m.Address == address && !m.Gone()
+		return m.Name == name || m.Address == holder.Address && !m.Gone()
 	})
 	return replaced != nil || now.Sub(w.since) >= goneAfter
 }
@@ -139,30 +232,21 @@
 	return Store{ID: m.ID, Node: node, Address: m.Address, Zone: m.Zone}, true
 }
 
-// HasGathered tells whether the watch has gone on for long enough to have heard of all members that run.
-func (w *Watch) HasGathered(now time.Time) bool { return now.Sub(w.since) >= gatherAfter }
+// IsSure tells whether this process has owned the group in that epoch, and watched without a pause, for so long that it has
+// heard of all members that run, also of those from which it was cut off before.
+func (w *Watch) IsSure(now time.Time, epoch uint64) bool {
+	return epoch != 0 && w.epoch == epoch && now.Sub(w.owning) >= sureAfter
+}
 
 // Lost tells which of the placement's replicas are gone for good.
 func (w *Watch) Lost(now time.Time, shards []view.ShardPlacement) map[string]bool {
-	patience := goneAfter
-	if w.hasEmptyStore(shards) {
-		patience = succeededAfter
-	}
-	lost := map[string]bool{}
+	var holders []Holder
 	for _, shard := range shards {
 		for _, r := range shard.Replicas {
-			if w.isLost(now, r.ID, storeName(r.Node), r.Address, patience) {
-				lost[r.ID] = true
-			}
+			holders = append(holders, Holder{ID: r.ID, Name: storeName(r.Node), Address: r.Address})
 		}
 	}
-	return lost
-}
-
-// hasEmptyStore tells whether a store runs that holds no replica.
-func (w *Watch) hasEmptyStore(shards []view.ShardPlacement) bool {
-	load := loadOf(shards)
-	return slices.ContainsFunc(w.Stores(), func(s Store) bool { return load[s.ID] == 0 })
+	return w.LostHolders(now, membership.Store, holders)
 }
 
 // storeSuffix ends the names that stores have as members.
