--- a/internal/system/controller/orders_story_test.go
+++ b/internal/system/controller/orders_story_test.go
@@ -16,8 +16,7 @@
 )
 
 const (
-	rolloutsPath = "/mastusher/rollouts"
-	persistence  = 200 // attempts
+	persistence = 200 // attempts
 )
 
 // losses are the ways in which an owner doesn't answer any more.
@@ -82,20 +81,27 @@
 			continue
 		}
 		saved := m.controller.agree.rollouts.Saved()
-		for service, roll := range saved.Rolls {
-			name := fmt.Sprint(service, " ", roll.Target, " ", roll.OverMs)
-			if b[name] == nil {
-				b[name] = map[uint64]bool{}
-			}
-			b[name][roll.Index] = true
+		for _, roll := range saved.Rolls {
+			b.add(roll.Service, roll.Target, roll.OverMs, roll.Index)
+		}
+		for _, taken := range saved.Recent { // one that another has followed at once
+			b.add(taken.Service, taken.Target, taken.OverMs, taken.Index)
 		}
 	}
 }
 
+func (b begins) add(service, target string, overMs int64, index uint64) {
+	name := fmt.Sprint(service, " ", target, " ", overMs)
+	if b[name] == nil {
+		b[name] = map[uint64]bool{}
+	}
+	b[name][index] = true
+}
+
 // wantClear fails unless an order ends with 200 after answers that are no clear ones.
-func wantClear(t testing.TB, o *operator, what string, try func() answer) {
+func wantClear(t testing.TB, o *operator, what string, try func() reply) {
 	t.Helper()
-	var refused []answer
+	var refused []reply
 	taken := o.persist(persistence, func() bool {
 		got := try()
 		switch got.status {
@@ -131,13 +137,13 @@
 					seen.observe(c)
 				}
 				c.play(event, func(o *operator) {
-					wantClear(t, o, "configuration", func() answer { return o.call(http.MethodPut, settingsPath, document(3), "If-Match", "0") })
-					wantClear(t, o, "the next one", func() answer { return o.call(http.MethodPut, settingsPath, document(5), "If-Match", "3") })
-					wantClear(t, o, "the first once more", func() answer { return o.call(http.MethodPut, settingsPath, document(3), "If-Match", "0") })
+					wantClear(t, o, "configuration", func() reply { return o.call(http.MethodPut, settingsPath, document(3), "If-Match", "0") })
+					wantClear(t, o, "the next one", func() reply { return o.call(http.MethodPut, settingsPath, document(5), "If-Match", "3") })
+					wantClear(t, o, "the first once more", func() reply { return o.call(http.MethodPut, settingsPath, document(3), "If-Match", "0") })
 				}, func(o *operator) {
 					body := `{"service":"lm","target":"v2","overS":60}`
-					wantClear(t, o, "roll-out", func() answer { return o.call(http.MethodPost, rolloutsPath, body) })
-					wantClear(t, o, "the roll-out once more", func() answer { return o.call(http.MethodPost, rolloutsPath, body) })
+					wantClear(t, o, "roll-out", func() reply { return o.call(http.MethodPost, rolloutsPath, body) })
+					wantClear(t, o, "the roll-out once more", func() reply { return o.call(http.MethodPost, rolloutsPath, body) })
 				})
 				if got := len(seen["lm v2 60000"]); got != 1 {
 					t.Errorf("at step %d: one order began %d roll-outs", step, got)
@@ -191,7 +197,7 @@
 				}
 				// The operator hasn't had a clear answer from all; it sends the same again.
 				c.play(func(int) {}, func(o *operator) {
-					wantClear(t, o, "configuration", func() answer { return o.call(http.MethodPut, settingsPath, document(3), "If-Match", "0") })
+					wantClear(t, o, "configuration", func() reply { return o.call(http.MethodPut, settingsPath, document(3), "If-Match", "0") })
 				})
 			}
 		})
@@ -217,7 +223,7 @@
 			c.play(func(int) {}, func(o *operator) {
 				for base := range 5 {
 					body := document(base + 1)
-					wantClear(t, o, "a change", func() answer {
+					wantClear(t, o, "a change", func() reply {
 						return o.callOne(c.owner(), http.MethodPut, settingsPath, body, "If-Match", fmt.Sprint(base))
 					})
 				}
--- a/internal/system/controller/troubled_cluster_test.go
+++ b/internal/system/controller/troubled_cluster_test.go
@@ -16,11 +16,11 @@
 
 // What operators do.
 const (
-	callPatience  = time.Second // without an answer until an operator goes to another controller
-	mostRedirects = 2
-	mostAttempts  = 8
-	firstPause    = 20 * time.Millisecond
-	mostPause     = 300 * time.Millisecond
+	operatorPatience = time.Second // without an answer until an operator goes to another controller
+	mostRedirects    = 2
+	mostAttempts     = 8
+	shortestPause    = 20 * time.Millisecond
+	longestPause     = 300 * time.Millisecond
 	// callOffset keeps the calls of operators from coming in the middle of a step of the cluster.
 	callOffset = 2 * time.Millisecond
 )
@@ -46,9 +46,12 @@
 
 // step lets a step of virtual time pass; all that operators do happens within the sleep, or while it waits.
 func (c *troubledCluster) step() {
+	c.pastGate()
 	time.Sleep(clusterStep)
 	synctest.Wait()
+	c.gate.Lock()
 	c.now += clusterStep
+	c.gate.Unlock()
 	c.doDue()
 	c.trouble()
 	c.deliver()
@@ -60,6 +63,12 @@
 	}
 }
 
+// pastGate orders what an operator does after the step that has ended, which holds by time, for the race detector too.
+func (c *troubledCluster) pastGate() {
+	c.gate.Lock()
+	defer c.gate.Unlock()
+}
+
 // trouble takes out of the queue what doesn't arrive, or not yet.
 func (c *troubledCluster) trouble() {
 	waiting := append(c.held, c.queue...)
@@ -196,36 +205,37 @@
 	now := time.Now().Add(d)
 	offset := callOffset + time.Duration(o.number)*time.Microsecond
 	time.Sleep(time.Until(now.Truncate(clusterStep).Add(clusterStep + offset)))
+	o.cluster.pastGate()
 }
 
-// answer is what an operator got; status 0 stands for none.
-type answer struct {
+// reply is what an operator got; status 0 stands for none.
+type reply struct {
 	status int
 	body   string
 }
 
 // call asks a controller drawn by lot, and follows redirects.
-func (o *operator) call(method, path, body string, headers ...string) answer {
+func (o *operator) call(method, path, body string, headers ...string) reply {
 	machines := o.cluster.sorted()
 	return o.callOne(machines[o.random.IntN(len(machines))], method, path, body, headers...)
 }
 
 // callOne asks a controller, and follows redirects.
-func (o *operator) callOne(m *machineUnderTest, method, path, body string, headers ...string) answer {
+func (o *operator) callOne(m *machineUnderTest, method, path, body string, headers ...string) reply {
 	for range mostRedirects + 1 {
 		recorder := o.exchange(m, method, path, body, headers...)
 		if recorder == nil {
-			return answer{}
+			return reply{}
 		}
 		if recorder.Code != http.StatusTemporaryRedirect {
-			return answer{recorder.Code, recorder.Body.String()}
+			return reply{recorder.Code, recorder.Body.String()}
 		}
 		if m = o.cluster.at(recorder.Header().Get("Location")); m == nil {
-			return answer{}
+			return reply{}
 		}
 		o.rest(0)
 	}
-	return answer{}
+	return reply{}
 }
 
 // at is the machine that a redirect names.
@@ -240,7 +250,7 @@
 
 // exchange sends one request to a machine. It returns nil if no answer comes.
 func (o *operator) exchange(m *machineUnderTest, method, path, body string, headers ...string) *httptest.ResponseRecorder {
-	ctx, cancel := context.WithTimeout(context.Background(), callPatience)
+	ctx, cancel := context.WithTimeout(context.Background(), operatorPatience)
 	defer cancel()
 	defer o.rest(0)
 	for o.cluster.frozen[m] { // the request waits in the machine's buffers
@@ -268,6 +278,7 @@
 	case <-ctx.Done():
 		return nil
 	}
+	o.cluster.pastGate()
 	for o.cluster.frozen[m] && ctx.Err() == nil {
 		o.rest(0)
 	}
@@ -280,13 +291,13 @@
 
 // persist calls until the answer is a clear one, or patience ends.
 func (o *operator) persist(attempts int, try func() (clear bool)) bool {
-	pause := firstPause
+	pause := shortestPause
 	for range attempts {
 		if try() {
 			return true
 		}
 		o.rest(pause)
-		pause = min(2*pause, mostPause)
+		pause = min(2*pause, longestPause)
 	}
 	return false
 }
