--- a/internal/system/upstream/connection.go
+++ b/internal/system/upstream/connection.go
@@ -7,6 +7,8 @@
 	"net"
 	"syscall"
 	"time"
+
+	"mastusher/internal/system/network"
 )
 
 // readBufferBytes is the size of a connection's read buffer: an answer's head and a small body in one call.
@@ -26,6 +28,8 @@
 	readLeft  int64 // bytes that may still be read before the limit on an answer's head is reached
 	used      int   // requests that were written to it
 	idleUntil time.Time
+
+	carriedHead bool // one of those was a HEAD, whose answer has no body whatever its head says
 }
 
 func newConnection(host *host, socket net.Conn) *connection {
@@ -58,6 +62,9 @@
 	if !now.Before(c.idleUntil) || c.reader.Buffered() > 0 {
 		return false
 	}
+	if prober, ok := c.socket.(network.Prober); ok {
+		return prober.Quiet()
+	}
 	return c.raw == nil || quiet(c.raw)
 }
 
@@ -65,6 +72,15 @@
 // it returns false if the context has ended already.
 func (c *connection) abortOn(ctx context.Context) (stop func() bool) {
 	return context.AfterFunc(ctx, func() {
+		c.resetOnClose()
 		c.socket.SetDeadline(time.Unix(1, 0))
 	})
 }
+
+// resetOnClose makes the connection end with a reset when it is closed: bytes of a request that haven't arrived yet, as a link
+// holds them up, are then dropped. After an orderly close they would still be sent, for a caller that has gone.
+func (c *connection) resetOnClose() {
+	if socket, ok := c.socket.(interface{ SetLinger(seconds int) error }); ok {
+		socket.SetLinger(0)
+	}
+}
