Test that no request runs on more endpoints than its tries, over drawn troubles

Cause: tries were tested with resets alone. A request may run at an endpoint that cuts its answer anywhere, fails, answers for another request or sends what is no answer, and only X-Not-Run and 421 promise that it doesn't. Ruled out: a fault. Change: 150 drawn rows of five endpoints, each with one of 13 behaviours, on each kind of route with 1 to 3 tries; requests that run once run once, and get no status that promises the contrary.

--- /dev/null
+++ b/internal/system/proxy/tries_test.go
@@ -0,0 +1,106 @@
+package proxy
+
+import (
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"strings"
+	"testing"
+)
+
+// behaviour is what an endpoint does with a request.
+type behaviour struct {
+	name   string
+	answer func(net.Conn, received) bool
+	runs   bool // nothing promises that it doesn't run the request
+}
+
+func behaviours() []behaviour {
+	say := func(text func(received) string, keep bool) func(net.Conn, received) bool {
+		return func(socket net.Conn, request received) bool {
+			io.WriteString(socket, text(request))
+			return keep
+		}
+	}
+	return []behaviour{
+		{"reset", resetAtOnce, true},
+		{"close", func(net.Conn, received) bool { return false }, true},
+		{"fail", answerWith(500, "failed"), true},
+		{"late", answerWith(504, "late"), true},
+		{"no seal", say(func(r received) string {
+			return "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + r.id() + "\r\nContent-Length: 2\r\n\r\nno"
+		}, true), true},
+		{"other", say(func(received) string {
+			return "HTTP/1.1 200 OK\r\nX-Attempt-Id: other\r\nX-Server-Seal: s\r\nContent-Length: 2\r\n\r\nno"
+		}, false), true},
+		{"garbage", say(func(received) string { return "\x16\x03\x01 garbage\r\n\r\n" }, false), true},
+		{"cut head", say(func(r received) string { return sealed(200, r)[:20] }, false), true},
+		{"cut body", say(func(r received) string { return sealed(200, r, "Content-Length: 10") + "12345" }, false), true},
+		{"cut event", say(func(r received) string { return sealed(200, r, streamHead) + chunk("id: 1\nda") }, false), true},
+		{"cut stream", say(func(r received) string { return sealed(200, r, streamHead) + chunk(event(1, "one")) }, false), true},
+		{"full", turnAway, false},
+		{"misdirected", say(func(r received) string {
+			return "HTTP/1.1 421 Other\r\nX-Attempt-Id: " + r.id() + "\r\nContent-Length: 0\r\n\r\n"
+		}, true), false},
+	}
+}
+
+func TestNoRequestRunsOnMoreEndpointsThanItsTries(t *testing.T) {
+	const rounds, endpoints = 150, 5
+	random := rand.New(rand.NewPCG(3, 4))
+	all, routes := behaviours(), newConfiguration().Routes
+	for range rounds {
+		route, tries := routes[random.IntN(len(routes))], 1+random.IntN(3)
+		var drawn []behaviour
+		var list []*endpoint
+		var names []string
+		for range endpoints {
+			b := all[random.IntN(len(all))]
+			drawn, names, list = append(drawn, b), append(names, b.name), append(list, newEndpoint(t, b.answer))
+		}
+		t.Run(fmt.Sprint(route.Name, " ", tries, " ", strings.Join(names, ",")), func(t *testing.T) {
+			f := newFixture(t, list...)
+			f.setTries(tries)
+			c := f.dial()
+			c.ask("POST", "/"+route.Name+"/x", "id", "body", turnFields...)
+			status := c.statusIfAny()
+			f.stop()
+			ran := 0
+			for i, b := range drawn {
+				if sends := int(list[i].count.Load()); b.runs {
+					ran += sends
+				}
+			}
+			most := 1
+			if repeatable(&route) {
+				most = tries
+			}
+			if ran > most {
+				t.Errorf("runs on %d endpoints, at most %d", ran, most)
+			}
+			if ran > 0 && !repeatable(&route) && clientPromise(status) {
+				t.Errorf("answered by %d, and has run", status)
+			}
+		})
+		for _, e := range list {
+			e.listener.Close()
+		}
+	}
+}
+
+// statusIfAny returns the status of an answer, or 0 if the connection ends without one.
+func (c *client) statusIfAny() int {
+	var version, status int
+	fmt.Fscanf(c.reader, "HTTP/1.%d %d ", &version, &status)
+	return status
+}
+
+// setTries sets the tries of all routes.
+func (f *fixture) setTries(tries int) {
+	config := newConfiguration()
+	for i := range config.Routes {
+		config.Routes[i].Tries = tries
+	}
+	f.views.routes.Store(NewRoutes(config))
+}
