--- a/internal/system/controller/retirements.go
+++ b/internal/system/controller/retirements.go
@@ -12,6 +12,7 @@
 	"github.com/labstack/echo/v4"
 
 	"mastusher/internal/system/fault"
+	"mastusher/internal/system/membership"
 	"mastusher/internal/system/placement"
 	"mastusher/internal/system/retire"
 )
@@ -32,22 +33,29 @@
 	if err := readRetireOrder(e); err != nil {
 		return err
 	}
+	ctx, cancel := context.WithTimeout(e.Request().Context(), agreeTimeout)
+	defer cancel()
+	// What is known of machines may refuse the order only while a majority still takes this member for the owner.
+	if err := c.group.Read(ctx, func() {}); err != nil {
+		return unread(err)
+	}
 	order, err := c.retireOrderOf(time.Now(), e.Param("node"))
 	if err != nil {
 		return err
 	}
-	ctx, cancel := context.WithTimeout(e.Request().Context(), agreeTimeout)
-	defer cancel()
 	result, err := c.group.Propose(ctx, Command{Retire: order})
 	if err != nil {
 		return c.unagreed(err)
 	}
-	if result != retire.Taken {
+	switch result {
+	case retire.Taken:
+		level.Info(c.options.Logger).Log("msg", "machine is to be emptied", "machine", order.Node, "id", order.ID)
+		c.hurryPlace()
+		return e.NoContent(http.StatusOK)
+	case retire.TooFew:
 		return c.refuseRetirement(time.Now(), order)
 	}
-	level.Info(c.options.Logger).Log("msg", "machine is to be emptied", "machine", order.Node, "id", order.ID)
-	c.hurryPlace()
-	return e.NoContent(http.StatusOK)
+	return fault.New(fault.Internal, "the order has no outcome")
 }
 
 func readRetireOrder(e echo.Context) error {
@@ -70,22 +78,42 @@
 	defer c.planMutex.Unlock()
 	watch := c.planner.Watch()
 	store, known := watch.Store(node)
+	if !known {
+		store, known = c.justJoined(node)
+	}
 	if !known {
 		store, known = c.placedOrAsked(node)
 	}
-	if !known && !watch.HasGathered(now) {
+	if !known && !c.isSure(now) {
 		return nil, fault.New(fault.NotReady, "not all machines have been heard of yet")
 	}
 	if !known {
 		return nil, fault.New(fault.UnknownNode, "no storage machine is named %s", node)
 	}
-	order := &retire.Order{Machine: retire.Machine{Node: node, ID: store.ID}, Least: c.copies()}
+	order := &retire.Order{Machine: retire.Machine{Node: node, ID: store.ID}, Least: c.copies(),
+		AtMs: c.options.Now().UnixMilli(), Settled: c.settled()}
 	for _, running := range watch.Stores() {
 		order.Running = append(order.Running, retire.Machine{Node: running.Node, ID: running.ID})
 	}
 	return order, nil
 }
 
+// isSure tells whether what this member knows of machines may refuse an order for good. An owner that was cut off before its
+// election may lack some machines, or take them for dead. The caller holds planMutex.
+func (c *Controller) isSure(now time.Time) bool {
+	return c.planner.Watch().IsSure(now, c.group.Status().Epoch)
+}
+
+// justJoined finds a machine that the planner hasn't looked at yet.
+func (c *Controller) justJoined(node string) (placement.Store, bool) {
+	for _, m := range c.options.Fleet.Members() {
+		if m.Role == membership.Store && placement.NodeOf(m.Name) == node {
+			return placement.Store{ID: m.ID, Node: node, Address: m.Address, Zone: m.Zone}, true
+		}
+	}
+	return placement.Store{}, false
+}
+
 // placedOrAsked finds a machine of which membership knows nothing any more: by its replicas, or by an earlier order.
 func (c *Controller) placedOrAsked(node string) (placement.Store, bool) {
 	c.mutex.Lock()
@@ -114,7 +142,7 @@
 	}
 	final := c.agree.retirements.Remaining(hopeful) < order.Least
 	c.mutex.Unlock()
-	if !watch.HasGathered(now) || !final {
+	if !c.isSure(now) || !final {
 		return fault.New(fault.NotReady, "too few storage machines run now")
 	}
 	return fault.New(fault.TooFewStores, "fewer than %d storage machines would remain without %s", order.Least, order.Node)
--- a/internal/system/platformlist/fetch.go
+++ b/internal/system/platformlist/fetch.go
@@ -6,10 +6,13 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"strconv"
 	"time"
+
+	"mastusher/internal/system/network"
 )
 
 // StatusError is an answer of the platform other than 200.
@@ -23,6 +26,19 @@
 	return fmt.Sprintf("list of endpoints: the platform answered %d", e.Status)
 }
 
+// UnreachableError says that a call to the platform brought no answer in time.
+type UnreachableError struct {
+	Cause error
+}
+
+// Error names the cause.
+func (e *UnreachableError) Error() string {
+	return fmt.Sprintf("list of endpoints: the platform isn't reached: %v", e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *UnreachableError) Unwrap() error { return e.Cause }
+
 // errPageTooLong means that a page is over its bound.
 var errPageTooLong = errors.New("list of endpoints: a page is too long")
 
@@ -34,12 +50,15 @@
 	current   *http.ClientConn
 }
 
-func newConnection(address string) *connection {
+func newConnection(address string, on network.Network) *connection {
 	return &connection{
 		address: address,
 		transport: http.Transport{
 			MaxResponseHeaderBytes: maxHeaderBytes,
 			DisableCompression:     true,
+			DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+				return on.Dial(ctx, new(net.Dialer), network, address)
+			},
 		},
 	}
 }
@@ -88,7 +107,7 @@
 	}
 	response, err := r.connection.send(request)
 	if err != nil {
-		return page{}, err
+		return page{}, &UnreachableError{Cause: err}
 	}
 	defer response.Body.Close()
 	if response.StatusCode != http.StatusOK {
--- a/internal/system/upstream/request.go
+++ b/internal/system/upstream/request.go
@@ -21,7 +21,7 @@
 	Extra     []Field  // header fields of this attempt only
 	Body      [][]byte // the parts of the body, in order
 	HasBody   bool     // a length is told, also when the body is empty
-	AttemptID string   // the X-Attempt-Id among Fields; empty: none
+	AttemptID string   // the X-Attempt-Id among Fields; empty: none, and the request gets a connection of its own
 
 	// Deadline is when the request ends. What is left until then is told in X-Time-Left-Ms as the request is written: making a
 	// connection takes time too. Zero: nothing is told.
--- a/internal/system/wire/wire.go
+++ b/internal/system/wire/wire.go
@@ -2,6 +2,7 @@
 package wire
 
 import (
+	"mastusher/internal/system/model"
 	"mastusher/internal/system/program"
 	"mastusher/internal/system/rollout"
 	"mastusher/internal/system/view"
@@ -19,6 +20,17 @@
 	MethodShardMembers = "shard.members" // ShardMembersRequest, answered by a ShardMembersAnswer
 )
 
+// MethodEndpoints has a controller read the platform's list of endpoints: an EndpointsRequest, answered by an EndpointsAnswer.
+const MethodEndpoints = "endpoints"
+
+// EndpointsRequest asks for the platform's list as it is now.
+type EndpointsRequest struct{}
+
+// EndpointsAnswer holds the whole list.
+type EndpointsAnswer struct {
+	Endpoints []model.Endpoint `json:"endpoints"`
+}
+
 // MethodProxies asks an agent how many proxies there are: a ProxiesRequest, answered by a ProxiesAnswer.
 const MethodProxies = "proxies"
 
@@ -39,11 +51,13 @@
 	Versions []VersionTally `json:"versions"`
 }
 
-// VersionTally is what was seen of one version on one route.
+// VersionTally is what was seen of one version on one route, during one roll-out or outside of any.
 type VersionTally struct {
 	Service string        `json:"service"`
 	Route   string        `json:"route"`
 	Version string        `json:"version"`
+	Order   uint64        `json:"order,omitempty"` // the order that rolls the version out; 0: none, or one that has ended
+	AgeMs   int64         `json:"ageMs,omitempty"` // time since the proxy first heard of the order, ms
 	Tally   rollout.Tally `json:"tally"`
 }
 
