--- a/internal/system/controller/api_test.go
+++ b/internal/system/controller/api_test.go
@@ -25,7 +25,13 @@
 	"mastusher/internal/system/view"
 )
 
-const settingsPath = "/mastusher/settings"
+const (
+	settingsPath = "/mastusher/settings"
+	rolloutsPath = "/mastusher/rollouts"
+)
+
+// callPatience is how long a caller waits until it moves on to another controller.
+const callPatience = time.Second
 
 // document is a valid configuration.
 func document(number int) string {
--- a/internal/system/controller/cutoff_story_test.go
+++ b/internal/system/controller/cutoff_story_test.go
@@ -39,20 +39,20 @@
 type cutKind string
 
 const (
-	fromAll      cutKind = "from all"
-	fromMajority cutKind = "from the majority"
-	fromOne      cutKind = "from one zone"
-	inward       cutKind = "so that it hears nobody"
-	outward      cutKind = "so that nobody hears it"
-	frozen       cutKind = "frozen"
-	apart        cutKind = "as all are from each other"
+	fromAll       cutKind = "from all"
+	fromMajority  cutKind = "from the majority"
+	fromOne       cutKind = "from one zone"
+	inward        cutKind = "so that it hears nobody"
+	outward       cutKind = "so that nobody hears it"
+	standingStill cutKind = "frozen"
+	apart         cutKind = "as all are from each other"
 )
 
 // TestAControllerThatIsCutOff has each kind of controller cut off in each way, while operators go on at every machine. Every
 // answer must be of the newest state that a majority has confirmed, or send on, or say that it can't be told.
 func TestAControllerThatIsCutOff(t *testing.T) {
 	for _, who := range []role{owning, formerly, following, standing} {
-		for _, how := range []cutKind{fromAll, fromMajority, fromOne, inward, outward, frozen} {
+		for _, how := range []cutKind{fromAll, fromMajority, fromOne, inward, outward, standingStill} {
 			t.Run(fmt.Sprintf("given the %s, when it is cut off %s", who, how), func(t *testing.T) { playCut(t, who, how) })
 		}
 	}
@@ -140,7 +140,7 @@
 			}
 		}
 		return ways
-	case frozen:
+	case standingStill:
 		return nil
 	}
 	for _, other := range others {
@@ -174,7 +174,7 @@
 
 func (s *story) begin(victim int, how cutKind) {
 	s.began, s.owned = time.Now(), s.core.owner()
-	if how == frozen {
+	if how == standingStill {
 		s.core.freeze(victim)
 	}
 	s.core.set(true, s.ways(victim, how)...)
@@ -182,7 +182,7 @@
 
 func (s *story) end(victim int, how cutKind) {
 	s.ended = time.Now()
-	if how == frozen {
+	if how == standingStill {
 		s.core.thaw(victim)
 	}
 	var blocked []way
@@ -355,7 +355,7 @@
 // checkRedirects checks that nobody is sent to a machine that is out of reach, and that such a machine sends nobody on: from
 // an election time-out on by members, which have heard nothing for so long, and by others from when membership notices.
 func (s *story) checkRedirects(victim int, how cutKind) {
-	if how != fromAll && how != frozen {
+	if how != fromAll && how != standingStill {
 		return
 	}
 	const slack = 4 * coreLatency
--- a/internal/system/placement/watch.go
+++ b/internal/system/placement/watch.go
@@ -27,6 +27,7 @@
 	dead    map[string]time.Time // by name
 	absent  map[string]time.Time // by name; those that are suspected, dead or have left
 	met     map[string]time.Time // by identity, when it was first seen
+	lost    map[string]bool      // by identity; those that were found to be lost and haven't come back
 	names   map[string]string    // by identity, as last seen
 	last    time.Time            // observation
 	since   time.Time            // the watch has gone on without a pause
@@ -36,7 +37,8 @@
 
 // NewWatch returns a watch that has seen nothing.
 func NewWatch() *Watch {
-	return &Watch{dead: map[string]time.Time{}, absent: map[string]time.Time{}, met: map[string]time.Time{}, names: map[string]string{}}
+	return &Watch{dead: map[string]time.Time{}, absent: map[string]time.Time{}, met: map[string]time.Time{},
+		lost: map[string]bool{}, names: map[string]string{}}
 }
 
 // Observe takes in the members that are known now, and the epoch in which this process owns the group; 0 if it doesn't.
@@ -59,6 +61,7 @@
 		w.since, w.owning = now, now
 		clear(w.dead)
 		clear(w.absent)
+		clear(w.lost)
 	}
 	w.last = now
 }
@@ -68,6 +71,9 @@
 	noteSince(w.met, m.ID, now, true)
 	noteSince(w.dead, m.Name, now, m.Gone())
 	noteSince(w.absent, m.Name, now, m.State != membership.Alive)
+	if m.State == membership.Alive {
+		delete(w.lost, m.ID)
+	}
 }
 
 // noteSince keeps since when something has held of a member.
@@ -95,13 +101,14 @@
 // LostHolders tells which holders of that role are gone for good: their disk was wiped, since their machine runs with another
 // identity, or nothing has been heard of them for long. That takes less long where a member of the role runs that holds nothing,
 // and still less where one does that has come lately: it is to have what it needs before the next loss. Each such member
-// stands in for one holder alone, the one that has been missing for the longest time: another may come back.
+// stands in for one holder alone, the one that has been missing for the longest time: another may come back. Who was lost stays
+// so until it is back, also when the member that held nothing now holds something.
 func (w *Watch) LostHolders(now time.Time, role membership.Role, holders []Holder) map[string]bool {
 	lost := map[string]bool{}
 	var missing []Holder
 	for _, holder := range w.distinct(holders) {
 		switch {
-		case w.isLost(now, holder):
+		case w.lost[holder.ID] || w.isLost(now, holder):
 			lost[holder.ID] = true
 		case w.isMissing(holder):
 			missing = append(missing, holder)
@@ -116,7 +123,7 @@
 	}
 	for _, holder := range missing[:max(0, min(successors, len(missing)))] {
 		if begun, gone := since[w.nameOf(holder)]; gone && now.Sub(begun) >= succeededAfter {
-			lost[holder.ID] = true
+			lost[holder.ID], w.lost[holder.ID] = true, true
 		}
 	}
 	return lost
