--- a/internal/system/controller/api.go
+++ b/internal/system/controller/api.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -14,6 +15,7 @@
 	"mastusher/internal/system/fault"
 	"mastusher/internal/system/group"
 	"mastusher/internal/system/membership"
+	"mastusher/internal/system/network"
 	"mastusher/internal/system/replica"
 )
 
@@ -46,7 +48,7 @@
 // Serve answers the operator until ctx ends.
 func (c *Controller) Serve(ctx context.Context, address string) error {
 	server := &http.Server{Handler: c.Handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: apiIdleTimeout, MaxHeaderBytes: mostHeaderBytes}
-	listener, err := net.Listen("tcp", address)
+	listener, err := network.OrSystem(c.options.Network).Listen(context.Background(), new(net.ListenConfig), "tcp", address)
 	if err != nil {
 		return err
 	}
@@ -91,13 +93,14 @@
 	return true, e.Redirect(http.StatusTemporaryRedirect, "http://"+control+e.Request().RequestURI)
 }
 
-// controlOf is where the operator reaches a controller that is taken to run, other than this one; empty if it isn't known.
+// controlOf is where the operator reaches another controller; empty if it isn't known. Whether membership takes it for dead
+// doesn't count: the group has heard it lately, and membership takes seconds to notice that a cut is over.
 func (c *Controller) controlOf(id string) string {
 	if id == "" || id == c.options.ID {
 		return ""
 	}
 	for _, m := range c.options.Fleet.Members() {
-		if m.ID == id && m.Role == membership.Controller && !m.Gone() {
+		if m.ID == id && m.Role == membership.Controller {
 			return m.Control
 		}
 	}
@@ -109,17 +112,22 @@
 	return slices.ContainsFunc(status.Members, func(m replica.Member) bool { return m.ID == status.ID })
 }
 
-// controlOfAnother is where the operator reaches the controller that has run for the longest time, other than this one: it
-// most likely is in the group. Empty if there is none.
+// controlOfAnother is where the operator reaches a controller other than this one that runs. All are named in turn, so that
+// two that aren't in the group don't go on sending callers to each other; the one that has run for the longest time comes
+// first, since it most likely is in the group. Empty if there is none.
 func (c *Controller) controlOfAnother() string {
-	var oldest membership.Member
+	var others []membership.Member
 	for _, m := range c.options.Fleet.Members() {
-		mayBe := m.Role == membership.Controller && m.State == membership.Alive && m.ID != c.options.ID
-		if mayBe && (oldest.Control == "" || m.Incarnation < oldest.Incarnation) {
-			oldest = m
+		if m.Role == membership.Controller && m.State == membership.Alive && m.ID != c.options.ID {
+			others = append(others, m)
 		}
 	}
-	return oldest.Control
+	if len(others) == 0 {
+		return ""
+	}
+	slices.SortStableFunc(others, func(a, b membership.Member) int { return cmp.Compare(a.Incarnation, b.Incarnation) })
+	turn := c.redirects.Add(1) - 1
+	return others[turn%uint64(len(others))].Control
 }
 
 // unagreed turns a group's error about an order into one that makes the operator ask again.
--- a/internal/system/controller/cluster_test.go
+++ b/internal/system/controller/cluster_test.go
@@ -6,6 +6,7 @@
 	"maps"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -33,6 +34,7 @@
 // cluster is some controllers and stores in virtual time, with one goroutine for all.
 type cluster struct {
 	t        testing.TB
+	gate     sync.Mutex // held while now changes: goroutines of operators read it
 	around   surroundings
 	now      time.Duration
 	machines map[string]*machineUnderTest // by address
@@ -61,6 +63,7 @@
 	disk       *memorydisk.Disk
 	starts     int
 	running    bool
+	skew       time.Duration // of its time of day
 	frozen     bool
 	cutAt      time.Duration     // when it was cut off from all others; 0: it isn't
 	shown      membership.Member // as the others know it
@@ -118,7 +121,11 @@
 }
 
 // time is the time of day.
-func (c *cluster) time() time.Time { return time.UnixMilli(1_700_000_000_000).Add(c.now) }
+func (c *cluster) time() time.Time {
+	c.gate.Lock()
+	defer c.gate.Unlock()
+	return time.UnixMilli(1_700_000_000_000).Add(c.now)
+}
 
 // Publish spreads a piece.
 func (c *cluster) Publish(piece view.Piece) {
@@ -161,7 +168,11 @@
 			m.send(address, envelope)
 		}
 	}
-	clock := func() time.Duration { return c.now }
+	clock := func() time.Duration {
+		c.gate.Lock()
+		defer c.gate.Unlock()
+		return c.now
+	}
 	if m.member.Role == membership.Store {
 		m.store = store.New(c.t.Context(), store.Options{ID: m.member.ID, Address: m.member.Address, Disk: m.disk, Logger: log.NewNopLogger(),
 			Seed: uint64(c.starts), Now: c.time, Send: send, Clock: clock, Run: func(opened *group.Group) { m.groups = append(m.groups, opened) },
@@ -180,6 +191,7 @@
 	}
 	opened, err := Open(Options{ID: m.member.ID, Address: m.member.Address, Settings: &settings.Settings{Survive: settings.Survive{Machines: c.around.survive}},
 		Initial: initial, Disk: m.disk, Fleet: surroundingsOf{m}, Reader: &list{}, Logger: log.NewNopLogger(), Seed: uint64(c.starts), Send: send, Clock: clock,
+		Now: func() time.Time { return c.time().Add(m.skew) },
 		Ask: func(address string, done func(wire.ShardMembersAnswer, error)) {
 			if asked := c.machines[address]; asked != nil && asked.isReachable() && !asked.frozen && asked.store != nil && m.isReachable() {
 				asked.store.Report(func(answer wire.ShardMembersAnswer) { done(answer, nil) })
--- a/internal/system/placement/watch.go
+++ b/internal/system/placement/watch.go
@@ -13,6 +13,7 @@
 // Patience with members that are missing.
 const (
 	gatherAfter    = 1500 * time.Millisecond // from owning the group until the first placement, so that all stores are seen
+	sureAfter      = 12 * time.Second        // the same, until the members on both sides of a cut have found each other again
 	goneAfter      = 4 * time.Second         // dead for so long, or never seen since the watch began: gone for good
 	succeededAfter = time.Second             // the same, while a member without any replica runs: it may be its successor
 	newcomerAge    = 10 * time.Second        // of such a member that is likely the successor: then a suspicion counts like a death
@@ -98,47 +99,91 @@
 }
 
 // LostHolders tells which holders of that role are gone for good: their disk was wiped, since their machine runs with another
-// identity, or nothing has been heard of them for long. That takes less long while a member of the role runs that holds nothing,
-// and still less while one does that has come lately: it is to have what it needs before the next loss. Who was lost stays so
-// until it is back, also when the member that held nothing now holds something.
+// identity, or nothing has been heard of them for long. That takes less long where a member of the role runs that holds nothing,
+// and still less where one does that has come lately: it is to have what it needs before the next loss. Each such member
+// stands in for one holder alone, the one that has been missing for the longest time: another may come back. Who was lost stays
+// so until it is back, also when the member that held nothing now holds something.
 func (w *Watch) LostHolders(now time.Time, role membership.Role, holders []Holder) map[string]bool {
-	isMissing := w.patience(now, role, holders)
 	lost := map[string]bool{}
-	for _, holder := range holders {
-		if holder.Name == "" {
-			holder.Name = w.names[holder.ID]
+	var missing []Holder
+	for _, holder := range w.distinct(holders) {
+		switch {
+		case w.lost[holder.ID] || w.isLost(now, holder):
+			lost[holder.ID] = true
+		case w.isMissing(holder):
+			missing = append(missing, holder)
 		}
-		if w.lost[holder.ID] || w.isLost(now, holder, isMissing) {
+	}
+	w.sortByAbsence(missing)
+	spare := w.spareMembers(role, holders)
+	successors := len(spare) - len(lost)
+	since := w.dead
+	if slices.ContainsFunc(spare, func(m membership.Member) bool { return now.Sub(w.met[m.ID]) < newcomerAge }) {
+		since = w.absent
+	}
+	for _, holder := range missing[:max(0, min(successors, len(missing)))] {
+		if begun, gone := since[w.nameOf(holder)]; gone && now.Sub(begun) >= succeededAfter {
 			lost[holder.ID], w.lost[holder.ID] = true, true
 		}
 	}
 	return lost
 }
 
-// patience returns what tells whether the member of a name has been missing for too long.
-func (w *Watch) patience(now time.Time, role membership.Role, holders []Holder) (isMissing func(name string) bool) {
-	since, longest := w.dead, goneAfter
-	for _, m := range w.Running(role) {
-		if slices.ContainsFunc(holders, func(h Holder) bool { return h.ID == m.ID }) {
-			continue
-		}
-		longest = succeededAfter
-		if now.Sub(w.met[m.ID]) < newcomerAge {
-			since = w.absent
+// distinct names each holder once.
+func (w *Watch) distinct(holders []Holder) []Holder {
+	var all []Holder
+	for _, holder := range holders {
+		if !slices.ContainsFunc(all, func(h Holder) bool { return h.ID == holder.ID }) {
+			all = append(all, holder)
 		}
 	}
-	return func(name string) bool {
-		begun, missing := since[name]
-		return missing && now.Sub(begun) >= longest
+	return all
+}
+
+// nameOf is the name under which a holder is a member.
+func (w *Watch) nameOf(holder Holder) string {
+	if holder.Name == "" {
+		return w.names[holder.ID]
 	}
+	return holder.Name
+}
+
+// isMissing tells whether a holder is suspected, dead or has left.
+func (w *Watch) isMissing(holder Holder) bool {
+	_, missing := w.absent[w.nameOf(holder)]
+	return missing
 }
 
-func (w *Watch) isLost(now time.Time, holder Holder, isMissing func(name string) bool) bool {
+// sortByAbsence puts the holders that have been missing for the longest time first.
+func (w *Watch) sortByAbsence(holders []Holder) {
+	slices.SortStableFunc(holders, func(a, b Holder) int {
+		return w.absent[w.nameOf(a)].Compare(w.absent[w.nameOf(b)])
+	})
+}
+
+// spareMembers lists the members of a role that run and hold nothing.
+func (w *Watch) spareMembers(role membership.Role, holders []Holder) []membership.Member {
+	return slices.DeleteFunc(w.Running(role), func(m membership.Member) bool {
+		return slices.ContainsFunc(holders, func(h Holder) bool { return h.ID == m.ID })
+	})
+}
+
+// AbsentSince is when the member of an identity was last seen to run, as far as the watch reaches back; missing is false where
+// it runs, or nothing is known of it.
+func (w *Watch) AbsentSince(id string) (since time.Time, missing bool) {
+	since, missing = w.absent[w.names[id]]
+	return since, missing
+}
+
+// isLost tells whether a holder is certainly gone: wiped, or missing for long.
+func (w *Watch) isLost(now time.Time, holder Holder) bool {
 	if m := w.find(func(m *membership.Member) bool { return m.ID == holder.ID }); m != nil {
-		return isMissing(m.Name)
+		begun, dead := w.dead[m.Name]
+		return dead && now.Sub(begun) >= goneAfter
 	}
+	name := w.nameOf(holder)
 	replaced := w.find(func(m *membership.Member) bool {
-		return m.Name == holder.Name || m.Address == holder.Address && !m.Gone()
+		return m.Name == name || m.Address == holder.Address && !m.Gone()
 	})
 	return replaced != nil || now.Sub(w.since) >= goneAfter
 }
@@ -194,8 +239,11 @@
 	return Store{ID: m.ID, Node: node, Address: m.Address, Zone: m.Zone}, true
 }
 
-// HasGathered tells whether the watch has gone on for long enough to have heard of all members that run.
-func (w *Watch) HasGathered(now time.Time) bool { return now.Sub(w.since) >= gatherAfter }
+// IsSure tells whether this process has owned the group in that epoch, and watched without a pause, for so long that it has
+// heard of all members that run, also of those from which it was cut off before.
+func (w *Watch) IsSure(now time.Time, epoch uint64) bool {
+	return epoch != 0 && w.epoch == epoch && now.Sub(w.owning) >= sureAfter
+}
 
 // Lost tells which of the placement's replicas are gone for good.
 func (w *Watch) Lost(now time.Time, shards []view.ShardPlacement) map[string]bool {
--- a/internal/system/proxy/attempt.go
+++ b/internal/system/proxy/attempt.go
@@ -5,7 +5,6 @@
 	"errors"
 	"io"
 	"net/http"
-	"strconv"
 	"time"
 
 	"mastusher/internal/system/fault"
@@ -109,9 +108,7 @@
 
 // attemptRequest returns the request with the fields of this attempt.
 func (c *call) attemptRequest(choice Choice) *upstream.Request {
-	left := max(c.facts.Deadline.Sub(c.proxy.options.Now()).Milliseconds(), 1)
 	extra := append(c.upstream.Extra[:0],
-		upstream.Field{Name: headerTimeLeft, Value: strconv.FormatInt(left, 10)},
 		upstream.Field{Name: headerExpected, Value: choice.ID},
 		upstream.Field{Name: headerPriority, Value: c.priority},
 	)
@@ -280,8 +277,7 @@
 	}
 	c.refusal, c.retryIn = fault.EndpointRefused, a.outcome.RetryIn
 	if a.answer.Status == http.StatusBadRequest && !c.committed {
-		c.deliver(a)
-		return false
+		return c.deliver(a)
 	}
 	drain(a.answer)
 	if c.context.Err() == nil && c.notRun < mostNotRun {
