--- /dev/null
+++ b/internal/system/controller/repair_coordinator_test.go
@@ -0,0 +1,75 @@
+package controller
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"mastusher/internal/system/membership"
+)
+
+// Steps of a move at which its coordinator is lost.
+const (
+	coordinatorStep   = 250 * time.Millisecond
+	coordinatorSteps  = 20
+	restartAfter      = 700 * time.Millisecond // from a kill until the process runs again
+	coordinatorStride = 5                      // how many stories there are for each that is played, unless all are asked for
+)
+
+// coordinator is who leads a move, or a part of it.
+type coordinator string
+
+// The coordinators.
+const (
+	ownerOfConfiguration coordinator = "owner of the configuration"
+	ownerOfShard         coordinator = "owner of a shard"
+	everyone             coordinator = "everyone"
+)
+
+// kill kills the processes, which start again soon.
+func (r *repair) killCoordinator(who coordinator) {
+	var victims []*machineUnderTest
+	switch who {
+	case ownerOfConfiguration:
+		victims = append(victims, r.owner())
+	case ownerOfShard:
+		at, _ := r.shardOwner(0)
+		victims = append(victims, at)
+	default:
+		victims = r.sorted()
+	}
+	for _, m := range victims {
+		if m == nil || !m.running {
+			continue
+		}
+		m.kill()
+		r.after(restartAfter, m.start)
+	}
+}
+
+// TestCoordinatorIsLostAtEachStep plays repairs of which a coordinator is killed at each step, and a final fault at the first
+// moment that the rules allow.
+func TestCoordinatorIsLostAtEachStep(t *testing.T) {
+	number := 0
+	for _, what := range []trouble{diskLost, gone, planned} {
+		for _, who := range []coordinator{ownerOfConfiguration, ownerOfShard, everyone} {
+			for step := range coordinatorSteps {
+				number++
+				if !*allPairs && number%(coordinatorStride*pairStride) != 0 {
+					continue
+				}
+				at := time.Duration(step) * coordinatorStep
+				t.Run(fmt.Sprintf("%s, %s killed after %v", what, who, at), func(t *testing.T) {
+					t.Parallel()
+					r := newRepair(t, membership.Store, slowSite)
+					allowed := r.strike(what, r.oldest(1)[0])
+					r.run(at)
+					r.killCoordinator(who)
+					r.run(max(allowed, r.now+restartAfter+r.around.catchUp()) - r.now)
+					r.finalFault()
+					r.wantAll()
+				})
+			}
+		}
+	}
+}
