Explore orders of events around a change of members, and try mistakes in what moves replicas

Two that were not noticed at first: a damaged disk that keeps its identity, which has a test now, and members that lag while a machine is declared empty, which the stories don't notice and retire's own table does.

--- /dev/null
+++ b/internal/system/controller/repair_mutants_test.go
@@ -0,0 +1,35 @@
+package controller
+
+import (
+	"testing"
+
+	"mastusher/internal/tools/mutation"
+)
+
+// TestRepairMutantsAreNoticed tries mistakes in what moves replicas, on the stories with real controllers and stores. Each story
+// plays one seed.
+func TestRepairMutantsAreNoticed(t *testing.T) {
+	t.Parallel()
+	mutation.Test(t, []mutation.Mutant{
+		{
+			Name:   "an owner follows an older placement",
+			Change: mutation.Change{File: "../store/shard.go", Old: "case s.index == followed && !slices.Equal(s.told, s.wanted):", New: "case s.index > 0 && !slices.Equal(s.told, s.wanted):"},
+			Run:    "^TestOwnerWithAnOlderPlacementUndoesNothing$",
+		},
+		{
+			Name:   "reports are not confirmed",
+			Change: mutation.Change{File: "../store/shard.go", Old: "confirmed := err == nil && after.IsOwner && after.Epoch == before.Epoch", New: "confirmed := true || err == nil && after.IsOwner && after.Epoch == before.Epoch"},
+			Run:    "^TestReportOfADeposedOwnerIsNotConfirmed$",
+		},
+		{
+			Name:   "a loss is forgotten when the newcomers hold something",
+			Change: mutation.Change{File: "../placement/watch.go", Old: "lost[holder.ID], w.lost[holder.ID] = true, true", New: "lost[holder.ID] = true"},
+			Run:    "^TestTwoLossesAtOnceAreBothMadeGood$",
+		},
+		{
+			Name:   "a lost controller is waited for",
+			Change: mutation.Change{File: "../placement/watch.go", Old: "successors := len(spare) - len(lost)", New: "successors := (len(spare) - len(lost)) * len(role) % len(\"controller\")"},
+			Run:    "^TestSecondLossRightAfterARepair$/^controller",
+		},
+	})
+}
--- a/internal/system/controller/repair_test.go
+++ b/internal/system/controller/repair_test.go
@@ -14,6 +14,7 @@
 	"mastusher/internal/system/membership"
 	"mastusher/internal/system/program"
 	"mastusher/internal/system/retire"
+	"mastusher/internal/system/wire"
 )
 
 // allPairs has every pair of a repair and a next loss played on all sites, instead of on one of them each.
@@ -339,3 +340,37 @@
 		}
 	}
 }
+
+// TestTwoLossesAtOnceAreBothMadeGood has two of eight stores gone for good at once, each with an empty one in its place.
+func TestTwoLossesAtOnceAreBothMadeGood(t *testing.T) {
+	r := newRepair(t, membership.Store, fastSite.large())
+	allowed := r.now
+	for _, m := range r.oldest(2) {
+		allowed = r.strike(gone, m)
+	}
+	r.run(allowed - r.now)
+	if !r.allWhole() {
+		t.Error("not all groups are whole when the next loss is allowed")
+	}
+}
+
+// TestReportOfADeposedOwnerIsNotConfirmed has an owner of a shard cut off that doesn't know it yet: it must not report on its group,
+// neither then nor when it is back.
+func TestReportOfADeposedOwnerIsNotConfirmed(t *testing.T) {
+	c := newCluster(t, 4)
+	c.settle()
+	at, _ := c.shardOwner(0)
+	at.cutOff()
+	var reported []int
+	at.store.Report(func(answer wire.ShardMembersAnswer) {
+		for _, told := range answer.Shards {
+			reported = append(reported, told.Shard)
+		}
+	})
+	c.run(3 * time.Second)
+	at.heal()
+	c.run(3 * time.Second)
+	if len(reported) > 0 {
+		t.Errorf("reported on %v though no majority was in touch", reported)
+	}
+}
--- a/internal/system/identity/identity_test.go
+++ b/internal/system/identity/identity_test.go
@@ -117,3 +117,22 @@
 		t.Errorf("it holds %v (%v)", names, err)
 	}
 }
+
+func TestADamagedDiskGetsANewIdentity(t *testing.T) {
+	// Given a disk of which one group is damaged, when its machine starts again,
+	disk, id := used(t)
+	if err := disk.Damage("configuration.log-0", 20); err != nil {
+		t.Fatal(err)
+	}
+	got, err := identity.Of(disk, address, false)
+	if err != nil {
+		t.Fatal(err)
+	}
+	// then it is another member, without any group.
+	if got == id {
+		t.Error("it is the same member, though it may have forgotten what it promised")
+	}
+	if names, err := storage.Groups(disk); err != nil || len(names) > 0 {
+		t.Errorf("it holds %v (%v)", names, err)
+	}
+}
--- /dev/null
+++ b/internal/system/identity/mutants_test.go
@@ -0,0 +1,24 @@
+package identity
+
+import (
+	"testing"
+
+	"mastusher/internal/tools/mutation"
+)
+
+// TestMutantsAreNoticed tries mistakes by which an empty disk would vote in its predecessor's name.
+func TestMutantsAreNoticed(t *testing.T) {
+	t.Parallel()
+	mutation.Test(t, []mutation.Mutant{
+		{
+			Name:   "an empty disk gets the identity that it had",
+			Change: mutation.Change{File: "identity.go", Old: "	if !firstStart {\n", New: "	if false && !firstStart {\n"},
+			Run:    "Test",
+		},
+		{
+			Name:   "a damaged disk keeps its identity",
+			Change: mutation.Change{File: "identity.go", Old: "if err := empty(disk); err != nil {\n		return \"\", err\n	}\n	id, _, err", New: "if err != nil {\n		return id, nil\n	}\n	id, _, err"},
+			Run:    "Test",
+		},
+	})
+}
--- a/internal/system/membership/mutants_test.go
+++ b/internal/system/membership/mutants_test.go
@@ -21,6 +21,11 @@
 func TestMutantsAreNoticed(t *testing.T) {
 	t.Parallel()
 	mutation.Test(t, []mutation.Mutant{
+		{
+			Name:   "controllers leave replicas to the usual round",
+			Change: mutation.Change{File: "probe.go", Old: "	n.probeReplicas()\n", New: ""},
+			Run:    "^TestControllersSuspectReplicasSoon$",
+		},
 		{
 			Name: "accusations are not refuted",
 			Change: mutation.Change{
--- /dev/null
+++ b/internal/system/placement/mutants_test.go
@@ -0,0 +1,39 @@
+package placement_test
+
+import (
+	"testing"
+
+	"mastusher/internal/tools/mutation"
+)
+
+// TestMutantsAreNoticed tries mistakes about when a machine counts as lost.
+func TestMutantsAreNoticed(t *testing.T) {
+	t.Parallel()
+	mutation.Test(t, []mutation.Mutant{
+		{
+			Name:   "a loss is forgotten",
+			Change: mutation.Change{File: "watch.go", Old: "lost[holder.ID], w.lost[holder.ID] = true, true", New: "lost[holder.ID] = true"},
+			Run:    "^TestLostStaysLost$",
+		},
+		{
+			Name:   "a machine that is back stays lost",
+			Change: mutation.Change{File: "watch.go", Old: "		delete(w.lost, m.ID)\n", New: ""},
+			Run:    "^TestLostStaysLost$",
+		},
+		{
+			Name:   "one newcomer stands for all that are missing",
+			Change: mutation.Change{File: "watch.go", Old: "missing[:max(0, min(successors, len(missing)))]", New: "missing[:max(0, min(successors*9, len(missing)))]"},
+			Run:    "^TestOneNewcomerStandsForOneLoss$",
+		},
+		{
+			Name:   "a suspicion counts without a newcomer",
+			Change: mutation.Change{File: "watch.go", Old: "now.Sub(w.met[m.ID]) < newcomerAge", New: "true || now.Sub(w.met[m.ID]) < newcomerAge"},
+			Run:    "^TestWatchTellsWhatIsLost$",
+		},
+		{
+			Name:   "a wiped machine isn't lost",
+			Change: mutation.Change{File: "watch.go", Old: "return m.Name == name || m.Address == holder.Address && !m.Gone()", New: "return false && (m.Name == name || m.Address == holder.Address)"},
+			Run:    "^TestWatchTellsWhatIsLost$",
+		},
+	})
+}
--- a/internal/system/placement/watch_test.go
+++ b/internal/system/placement/watch_test.go
@@ -275,3 +275,32 @@
 		t.Errorf("lost (-want +got):\n%s", diff)
 	}
 }
+
+// TestLostStaysLost has two machines missing and two that have just come. Once those hold replicas of the first loss, no machine is
+// empty any more; the second loss isn't forgotten for that.
+func TestLostStaysLost(t *testing.T) {
+	missing := []membership.Member{member(1, 1, membership.Suspect), member(2, 1, membership.Suspect), member(4, 1, membership.Alive)}
+	placed := []view.ShardPlacement{{Replicas: []view.Replica{machine(1, "zone", 1), machine(2, "zone", 1), machine(4, "zone", 1)}}}
+	o := newObserver()
+	o.see(time.Second, member(1, 1, membership.Alive), member(2, 1, membership.Alive), missing[2])
+	all := append(missing, member(3, 1, membership.Alive), member(5, 1, membership.Alive))
+	o.see(1500*time.Millisecond, all...)
+	if lost := o.Lost(o.now, placed); len(lost) != 2 {
+		t.Fatalf("lost %v, want two", lost)
+	}
+
+	// When both newcomers hold replicas.
+	placed[0].Replicas = []view.Replica{machine(2, "zone", 1), machine(3, "zone", 1), machine(4, "zone", 1)}
+	placed = append(placed, view.ShardPlacement{Replicas: []view.Replica{machine(4, "zone", 1), machine(5, "zone", 1)}})
+	want := map[string]bool{machine(2, "zone", 1).ID: true}
+	if diff := cmp.Diff(want, o.Lost(o.now, placed)); diff != "" {
+		t.Errorf("lost (-want +got):\n%s", diff)
+	}
+
+	// It is lost no more when it is back.
+	all[1].State = membership.Alive
+	o.see(0, all...)
+	if lost := o.Lost(o.now, placed); len(lost) != 0 {
+		t.Errorf("lost %v after its return", lost)
+	}
+}
--- /dev/null
+++ b/internal/system/replica/change_mutants_test.go
@@ -0,0 +1,45 @@
+package replica
+
+import (
+	"testing"
+
+	"mastusher/internal/tools/mutation"
+)
+
+// TestChangeMutantsAreNoticed tries mistakes in the order of a change's steps. Each test that notices one plays one seed, or all
+// orders of events.
+func TestChangeMutantsAreNoticed(t *testing.T) {
+	t.Parallel()
+	const successors = "^TestEachSuccessorVotesAsSoonAsItHasCaughtUp$"
+	mutation.Test(t, []mutation.Mutant{
+		{
+			Name:   "silent voters go before a successor has caught up",
+			Change: mutation.Change{File: "change.go", Old: "return voters > wantedVoters || voters == wantedVoters && ready", New: "return ready || voters+wantedVoters > 0"},
+			Run:    successors,
+		},
+		{
+			Name:   "two silent voters go for one successor",
+			Change: mutation.Change{File: "change.go", Old: "return voters > wantedVoters || voters == wantedVoters && ready", New: "return voters > wantedVoters || ready"},
+			Run:    successors,
+		},
+		{
+			Name:   "a successor votes beside the silent voter",
+			Change: mutation.Change{File: "change.go", Old: "if r.hasSuccessor() {", New: "if false {"},
+			Run:    successors,
+		},
+		{
+			Name:   "a learner votes before it has caught up",
+			Change: mutation.Change{File: "change.go", Old: "return r.hears(p) && p.match > 0 &&", New: "return r.hears(p) || p.match > 0 &&"},
+			Run:    "^TestPromotedMemberKnowsItsGroup$",
+		},
+		{
+			Name: "learners count, explored",
+			Change: mutation.Change{
+				File: "ownership.go",
+				Old:  "if !peer.learner {",
+				New:  "if true {",
+			},
+			Run: "^TestEveryOrderAroundAChangeIsSafe$",
+		},
+	})
+}
--- /dev/null
+++ b/internal/system/replica/explore_change_test.go
@@ -0,0 +1,552 @@
+package replica
+
+import (
+	"encoding/json"
+	"flag"
+	"fmt"
+	"hash/maphash"
+	"slices"
+	"strconv"
+	"testing"
+	"time"
+)
+
+// deeper is how much further than usual orders of events around a change of members are explored.
+var deeper = flag.Int("deeper", 0, "explore orders of events around a change of members so much deeper")
+
+// The members around a change: c is to go, d is to come.
+var changeIDs = [4]string{"a", "b", "c", "d"}
+
+const (
+	atA = iota
+	atB
+	atC
+	atD
+)
+
+func membersNamed(ids ...string) []Member {
+	members := make([]Member, len(ids))
+	for i, id := range ids {
+		members[i] = Member{ID: id, Address: id}
+	}
+	return members
+}
+
+// changeAllowance is how many events of each kind an exploration may still use.
+type changeAllowance struct {
+	stands, beats, crashes, proposals, snapshots, reads int
+}
+
+// changeWorld is one state of three members, their newcomer and the messages between them.
+type changeWorld struct {
+	members   [4]changing
+	flying    []flyingMessage // sorted by key
+	left      changeAllowance
+	committed []committedEntry
+	owners    map[uint64]string
+	finished  uint64 // epoch of the owner that was confirmed when the group had become whole without c; 0: none yet
+	violation string
+}
+
+// changing is one member, with its own clock and disk.
+type changing struct {
+	explored
+	incoming [][]byte
+	initial  []Member
+	wanted   []Member
+	down     bool
+	asked    Status // when the read under way began
+	reading  bool
+}
+
+// newChangeWorld starts a group of a, b and c with d beside it. All messages arrive at once until an exploration begins.
+func newChangeWorld(t *testing.T) *changeWorld {
+	t.Helper()
+	w := &changeWorld{owners: map[uint64]string{}}
+	for i := range w.members {
+		if i != atD {
+			w.members[i].initial = membersNamed("a", "b", "c")
+		}
+		w.restart(i)
+	}
+	w.carryOut(atA, w.stand(atA), noCrash)
+	w.settle(t, 3)
+	return w
+}
+
+func (w *changeWorld) restart(i int) {
+	m := &w.members[i]
+	m.clock, m.wake, m.incoming, m.reading = 0, 0, nil, false
+	options := Options{ID: changeIDs[i], Address: changeIDs[i], Initial: m.initial, Heartbeat: testHeartbeat, Election: testElection}
+	replica, err := New(options, withoutStates(m.disk), 0)
+	if err != nil {
+		w.violation = err.Error()
+		return
+	}
+	replica.limits.message, replica.limits.tail = 1, 0
+	replica.wanted = m.wanted
+	m.replica = replica
+}
+
+// settle delivers all messages and gives owners so many heartbeats.
+func (w *changeWorld) settle(t *testing.T, beats int) {
+	t.Helper()
+	for range beats {
+		for len(w.flying) > 0 {
+			message := w.flying[0]
+			w.flying = slices.Delete(w.flying, 0, 1)
+			w.deliver(message.Message, noCrash)
+		}
+		for i := range w.members {
+			m := &w.members[i]
+			if !m.down && m.replica.role == owner {
+				m.clock = max(m.clock, m.wake)
+				w.carryOut(i, m.replica.Step(m.clock, Input{}), noCrash)
+			}
+		}
+	}
+	for len(w.flying) > 0 {
+		message := w.flying[0]
+		w.flying = slices.Delete(w.flying, 0, 1)
+		w.deliver(message.Message, noCrash)
+	}
+	if w.violation != "" {
+		t.Fatal(w.violation)
+	}
+}
+
+// want tells a member which group is wanted.
+func (w *changeWorld) want(i int, members []Member) {
+	m := &w.members[i]
+	m.wanted = members
+	w.carryOut(i, m.replica.Step(m.clock, Input{Change: members}), noCrash)
+}
+
+func (w *changeWorld) propose(i int) {
+	m := &w.members[i]
+	token := uint64(len(w.committed) + 1000*i)
+	data := strconv.AppendUint(nil, token, 10)
+	w.carryOut(i, m.replica.Step(m.clock, Input{Proposals: []Proposal{{Token: token, Data: data}}}), noCrash)
+}
+
+// snapshot has a member put a snapshot in place of what it has applied.
+func (w *changeWorld) snapshot(i int) bool {
+	m := &w.members[i]
+	snapshot := m.replica.Mark()
+	if snapshot.Index == 0 || snapshot.Index <= m.replica.snapshotIndex() {
+		return false
+	}
+	state, err := json.Marshal(snapshot.Index)
+	if err != nil {
+		return false
+	}
+	snapshot.Parts, snapshot.State = snapshotParts, state
+	kept := 0
+	for kept < len(m.disk.Entries) && m.disk.Entries[kept].Index <= snapshot.Index {
+		kept++
+	}
+	m.disk.Entries, m.disk.Snapshot = slices.Clone(m.disk.Entries[kept:]), &snapshot
+	w.carryOut(i, m.replica.Step(m.clock, Input{Compact: withoutState(&snapshot)}), noCrash)
+	return true
+}
+
+func (w *changeWorld) clone() *changeWorld {
+	c := *w
+	c.flying, c.committed = slices.Clone(w.flying), slices.Clip(w.committed)
+	c.owners = make(map[uint64]string, len(w.owners)+1)
+	for epoch, id := range w.owners {
+		c.owners[epoch] = id
+	}
+	for i := range c.members {
+		c.members[i].disk.Entries = slices.Clip(c.members[i].disk.Entries)
+		c.members[i].incoming = slices.Clip(c.members[i].incoming)
+		c.members[i].replica = cloneReplica(w.members[i].replica)
+	}
+	return &c
+}
+
+// carryOut does the effects of a step at a member.
+func (w *changeWorld) carryOut(i int, effects Effects, crash crashPoint) {
+	m := &w.members[i]
+	parts, wrong := receiveParts(m.incoming, &effects)
+	if wrong != "" {
+		w.violation = wrong
+	}
+	m.incoming = parts
+	w.launch(m, effects.Early)
+	writes := countWrites(effects)
+	switch crash {
+	case beforeWrites:
+		writes = 0
+	case afterPromise:
+		writes = min(1, writes)
+	}
+	m.disk = save(m.disk, effects, writes)
+	if crash != noCrash {
+		w.restart(i)
+		return
+	}
+	w.launch(m, effects.AfterSync)
+	w.apply(i, effects.Committed)
+	w.confirm(i, effects.Outcomes)
+	m.wake = effects.NextWake
+	w.checkOwner(i)
+}
+
+func (w *changeWorld) launch(from *changing, messages []Message) {
+	for _, message := range messages {
+		if message.Kind == Append {
+			if known := w.owners[message.Epoch]; known != "" && known != message.From {
+				w.violation = fmt.Sprintf("epoch %d has the owners %s and %s", message.Epoch, known, message.From)
+			}
+			w.owners[message.Epoch] = message.From
+		}
+		if !addPart(&message, from.disk) {
+			continue
+		}
+		key := string(appendMessage(nil, message))
+		key += fmt.Sprint(message.Part, message.Round, message.Trial, message.Snapshot != nil && message.Snapshot.Index > 0)
+		at, _ := slices.BinarySearchFunc(w.flying, key, func(m flyingMessage, key string) int { return compareKeys(m.key, key) })
+		w.flying = slices.Insert(w.flying, at, flyingMessage{Message: message, key: key})
+	}
+}
+
+func compareKeys(a, b string) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	}
+	return 0
+}
+
+func (w *changeWorld) apply(i int, entries []Entry) {
+	for _, entry := range entries {
+		if entry.Index > uint64(len(w.committed)) {
+			w.committed = append(w.committed, committedEntry{Entry: entry, epoch: w.members[i].replica.promise.Epoch})
+			continue
+		}
+		if known := w.committed[entry.Index-1]; known.Epoch != entry.Epoch {
+			w.violation = fmt.Sprintf("%s applies %v instead of %v", changeIDs[i], entry, known)
+		}
+	}
+}
+
+// checkOwner demands that an owner has all that was committed in earlier epochs, and that a member on which nothing depends any
+// more owns nothing.
+func (w *changeWorld) checkOwner(i int) {
+	r := w.members[i].replica
+	if r.role != owner {
+		return
+	}
+	for _, entry := range w.committed {
+		if entry.epoch < r.promise.Epoch && entry.Index > r.snapshotIndex() && !r.log.holds(entry.Index, entry.Epoch) {
+			w.violation = fmt.Sprintf("%s owns epoch %d without entry %v", r.options.ID, r.promise.Epoch, entry)
+		}
+	}
+	if w.finished > 0 && i == atC && r.promise.Epoch > w.finished {
+		w.violation = "c owns the group after nothing depended on it"
+	}
+}
+
+// confirm takes notice of a read that a majority has confirmed, as a store's report on its groups asks for one. A group that
+// is then whole without c, as the wanted one, needs c no more.
+func (w *changeWorld) confirm(i int, outcomes []Outcome) {
+	m := &w.members[i]
+	for _, outcome := range outcomes {
+		if outcome.Token != readToken || !m.reading {
+			continue
+		}
+		m.reading = false
+		after := m.replica.Status()
+		if outcome.Done && isConfirmed(m.asked, after) && isWholeWithoutC(after) && w.finished == 0 {
+			w.finished = after.Epoch
+			w.checkNothingNeeds()
+		}
+	}
+}
+
+const readToken = 1 << 40
+
+// isConfirmed is what a store's report demands, see store.shard.
+func isConfirmed(before, after Status) bool {
+	return after.IsOwner && after.Epoch == before.Epoch && after.Commit >= before.Last && slices.Equal(before.Members, after.Members)
+}
+
+// isWholeWithoutC is what retire.IsEmptied demands of a group.
+func isWholeWithoutC(status Status) bool {
+	if len(status.Members) != 3 {
+		return false
+	}
+	for _, member := range status.Members {
+		if member.ID == "c" || member.Learner || !status.CaughtUp[member.ID] {
+			return false
+		}
+	}
+	return true
+}
+
+// checkNothingNeeds demands that each committed entry is on the disks of a majority of those that stay.
+func (w *changeWorld) checkNothingNeeds() {
+	for _, entry := range w.committed {
+		copies := 0
+		for _, i := range []int{atA, atB, atD} {
+			if holdsEntry(w.members[i].disk, entry.Entry) {
+				copies++
+			}
+		}
+		if copies < 2 {
+			w.violation = fmt.Sprintf("nothing depends on c, and entry %v is on %d of the other disks", entry, copies)
+		}
+	}
+}
+
+func holdsEntry(disk Recovered, entry Entry) bool {
+	if disk.Snapshot != nil && disk.Snapshot.Index >= entry.Index {
+		return true
+	}
+	return slices.ContainsFunc(disk.Entries, func(e Entry) bool { return e.Index == entry.Index && e.Epoch == entry.Epoch })
+}
+
+func (w *changeWorld) deliver(message Message, crash crashPoint) (written bool) {
+	to := slices.Index(changeIDs[:], message.To)
+	m := &w.members[to]
+	if m.down {
+		return false
+	}
+	effects := m.replica.Step(m.clock, Input{Messages: []Message{message}})
+	written = countWrites(effects) > 0
+	w.carryOut(to, effects, crash)
+	return written
+}
+
+// stand lets a member begin an epoch at once.
+func (w *changeWorld) stand(i int) Effects { return w.members[i].stand() }
+
+// successors are all worlds that one event leads to.
+func (w *changeWorld) successors() []*changeWorld {
+	var all []*changeWorld
+	for at := range w.flying {
+		if at > 0 && w.flying[at-1].key == w.flying[at].key {
+			continue
+		}
+		crashes := []crashPoint{noCrash}
+		if w.left.crashes > 0 {
+			crashes = append(crashes, beforeWrites, afterPromise, beforeAnswer)
+		}
+		for _, crash := range crashes {
+			next := w.clone()
+			message := next.flying[at].Message
+			next.flying = slices.Delete(next.flying, at, at+1)
+			if crash != noCrash {
+				next.left.crashes--
+			}
+			if written := next.deliver(message, crash); written || crash == noCrash {
+				all = append(all, next)
+			}
+		}
+	}
+	for i := range w.members {
+		if !w.members[i].down {
+			all = w.moved(all, i)
+		}
+	}
+	return all
+}
+
+// moved adds the worlds in which a member does something of itself.
+func (w *changeWorld) moved(all []*changeWorld, i int) []*changeWorld {
+	r := w.members[i].replica
+	try := func(left int, spend func(*changeAllowance), do func(*changeWorld) bool) {
+		if left == 0 {
+			return
+		}
+		next := w.clone()
+		spend(&next.left)
+		if do(next) {
+			all = append(all, next)
+		}
+	}
+	try(w.left.snapshots, func(a *changeAllowance) { a.snapshots-- }, func(w *changeWorld) bool { return w.snapshot(i) })
+	if r.role != owner {
+		try(w.left.stands, func(a *changeAllowance) { a.stands-- }, func(w *changeWorld) bool {
+			if !r.mayStand() {
+				return false
+			}
+			w.carryOut(i, w.stand(i), noCrash)
+			return true
+		})
+		return all
+	}
+	try(w.left.beats, func(a *changeAllowance) { a.beats-- }, func(w *changeWorld) bool {
+		m := &w.members[i]
+		m.clock = max(m.clock, m.wake)
+		w.carryOut(i, m.replica.Step(m.clock, Input{}), noCrash)
+		return true
+	})
+	try(w.left.proposals, func(a *changeAllowance) { a.proposals-- }, func(w *changeWorld) bool { w.propose(i); return true })
+	try(w.left.reads, func(a *changeAllowance) { a.reads-- }, func(w *changeWorld) bool {
+		m := &w.members[i]
+		m.asked, m.reading = m.replica.Status(), true
+		w.carryOut(i, m.replica.Step(m.clock, Input{Reads: []uint64{readToken}}), noCrash)
+		return true
+	})
+	return all
+}
+
+// exploreChange visits all worlds up to a depth, each only once, and returns how many there were and what was violated first.
+func exploreChange(start *changeWorld, depth int) (states, finished int, violation string) {
+	seed := maphash.MakeSeed()
+	seen := map[uint64]bool{}
+	frontier := []*changeWorld{start}
+	for ; depth > 0; depth-- {
+		var reached []*changeWorld
+		for i, w := range frontier {
+			for _, next := range w.successors() {
+				if next.violation != "" {
+					return len(seen), finished, next.violation
+				}
+				key := maphash.Bytes(seed, next.describe())
+				if seen[key] {
+					continue
+				}
+				seen[key] = true
+				if next.finished > 0 {
+					finished++
+				}
+				if depth > 1 {
+					reached = append(reached, next)
+				}
+			}
+			frontier[i] = nil
+		}
+		frontier = reached
+	}
+	return len(seen), finished, ""
+}
+
+// describe is all of a world that matters.
+func (w *changeWorld) describe() []byte {
+	var b []byte
+	for i := range w.members {
+		m := &w.members[i]
+		r := m.replica
+		b = appendReplica(b, r)
+		b = appendNumbers(b, int(r.log.offset), int(r.snapshotIndex()), len(r.groups), int(r.groups.newest().index), len(m.incoming),
+			r.incoming.wanted, len(r.ownership.reads), int(r.ownership.round))
+		for _, p := range r.ownership.peers {
+			b = appendNumbers(b, int(p.round), p.transfer.wanted, p.transfer.next)
+		}
+		b = strconv.AppendBool(b, m.reading)
+	}
+	for i := range w.flying {
+		b = append(b, w.flying[i].key...)
+	}
+	b = appendNumbers(b, len(w.committed), int(w.finished))
+	for i := range w.committed {
+		b = appendNumbers(b, int(w.committed[i].Epoch), int(w.committed[i].epoch))
+	}
+	left := w.left
+	return appendNumbers(b, left.stands, left.beats, left.crashes, left.proposals, left.snapshots, left.reads)
+}
+
+// changeExplorations are the starting points: how far the change from a, b, c to a, b, d has come, and what may happen from
+// there. Depths are what a few seconds allow.
+var changeExplorations = []struct {
+	name  string
+	begin func(t *testing.T, w *changeWorld)
+	left  changeAllowance
+	depth int
+}{
+	{
+		name: "d is to come",
+		begin: func(_ *testing.T, w *changeWorld) {
+			w.wantAll(membersNamed("a", "b", "d"))
+		},
+		left:  changeAllowance{stands: 2, crashes: 1, beats: 1},
+		depth: 6,
+	},
+	{
+		name: "d needs a snapshot",
+		begin: func(t *testing.T, w *changeWorld) {
+			w.propose(atA)
+			w.settle(t, 2)
+			w.snapshot(atA)
+			w.wantAll(membersNamed("a", "b", "d"))
+		},
+		left:  changeAllowance{stands: 1, crashes: 1, beats: 1, snapshots: 1},
+		depth: 6,
+	},
+	{
+		name: "d is about to get its vote",
+		begin: func(t *testing.T, w *changeWorld) {
+			w.learn(t)
+			w.wantAll(membersNamed("a", "b", "d"))
+		},
+		left:  changeAllowance{stands: 2, crashes: 1, beats: 1},
+		depth: 6,
+	},
+	{
+		name: "c is silent",
+		begin: func(t *testing.T, w *changeWorld) {
+			w.learn(t)
+			w.members[atC].down = true
+			w.settle(t, 6)
+			w.wantAll(membersNamed("a", "b", "d"))
+			w.members[atC].down = false
+		},
+		left:  changeAllowance{stands: 2, crashes: 1, beats: 1},
+		depth: 6,
+	},
+	{
+		name: "c has lost its vote, and somebody asks",
+		begin: func(t *testing.T, w *changeWorld) {
+			w.learn(t)
+			w.wantAll(membersNamed("a", "b", "d"))
+			for range 20 {
+				newest := w.members[atA].replica.groups.newest()
+				if newest.find("c") == nil {
+					return
+				}
+				w.settle(t, 1)
+			}
+			t.Fatal("c stays")
+		},
+		left:  changeAllowance{stands: 1, crashes: 1, reads: 1, proposals: 1},
+		depth: 7,
+	},
+}
+
+// wantAll tells all members which group is wanted.
+func (w *changeWorld) wantAll(members []Member) {
+	for i := range w.members {
+		w.want(i, members)
+	}
+}
+
+// learn makes d a learner that has all entries.
+func (w *changeWorld) learn(t *testing.T) {
+	t.Helper()
+	learner := Member{ID: "d", Address: "d", Learner: true}
+	w.wantAll(append(membersNamed("a", "b", "c"), learner))
+	w.settle(t, 4)
+}
+
+func TestEveryOrderAroundAChangeIsSafe(t *testing.T) {
+	for _, tc := range changeExplorations {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			w := newChangeWorld(t)
+			tc.begin(t, w)
+			w.left = tc.left
+			depth := tc.depth + *deeper - raceShallower
+			began := time.Now()
+			states, finished, violation := exploreChange(w, depth)
+			if violation != "" {
+				t.Errorf("after %d states: %s", states, violation)
+			}
+			t.Logf("%d states to depth %d, %d of them after the end of c, %v", states, depth, finished, time.Since(began).Round(time.Millisecond))
+		})
+	}
+}
--- /dev/null
+++ b/internal/system/retire/mutants_test.go
@@ -0,0 +1,38 @@
+package retire
+
+import (
+	"testing"
+
+	"mastusher/internal/tools/mutation"
+)
+
+// TestMutantsAreNoticed tries mistakes in the judgement that nothing depends on a machine.
+func TestMutantsAreNoticed(t *testing.T) {
+	t.Parallel()
+	const judgement = "^TestIsEmptied$"
+	mutation.Test(t, []mutation.Mutant{
+		{
+			Name:   "groups that follow another placement are believed",
+			Change: mutation.Change{File: "judge.go", Old: "if !reported || group.Placement != placement.Index {", New: "if !reported {"},
+			Run:    judgement,
+		},
+		{
+			Name: "members that lag count",
+			Change: mutation.Change{File: "judge.go", Old: " || len(group.CaughtUp) != len(wanted) {",
+				New: " {"},
+			Also: []mutation.Change{{File: "judge.go", Old: " || !slices.Contains(group.CaughtUp, replica.ID) {", New: " {"}},
+			Run:  judgement,
+		},
+		{
+			Name:   "the machine may still be wanted",
+			Change: mutation.Change{File: "judge.go", Old: " || holds(retirement, shard.Replicas) {", New: " {"},
+			Also:   []mutation.Change{{File: "judge.go", Old: "func holds(", New: "var _ = holds\n\nfunc holds("}},
+			Run:    judgement,
+		},
+		{
+			Name:   "groups with too few replicas are whole",
+			Change: mutation.Change{File: "judge.go", Old: "if len(wanted) < copies || ", New: "if "},
+			Run:    judgement,
+		},
+	})
+}
