Try again to open shards that a failing disk has kept closed

A store opened the shards of a placement once, when the placement came. One whose disk failed just then logged an error and went without its replica until the next placement, and its group without that member. It now tries again each 300 ms, by the newest placement. TestAShardThatCannotBeOpenedIsTriedAgain failed before. TestSuccessorWithADiskInTroubleCatchesUp plays a slow, a full and a stalled disk of the machine that catches up, at three steps, and a final fault.

--- a/internal/system/controller/cluster_test.go
+++ b/internal/system/controller/cluster_test.go
@@ -58,26 +58,28 @@
 
 // machineUnderTest is one machine with its disk; what runs on it is replaced at each start.
 type machineUnderTest struct {
-	cluster    *cluster
-	member     membership.Member
-	disk       *memorydisk.Disk
-	starts     int
-	running    bool
-	skew       time.Duration // of its time of day
-	frozen     bool
-	cutAt      time.Duration     // when it was cut off from all others; 0: it isn't
-	shown      membership.Member // as the others know it
-	known      bool              // to the others
-	absences   int
-	diskFree   time.Duration // when its disk has done what it was asked for
-	linkFree   time.Duration // when its link has taken what was sent
-	inboxFree  time.Duration // when its link has brought what was sent to it
-	busy       map[*group.Group]time.Duration
-	stale      *view.Piece // the placement that it hears in place of the newest
-	controller *Controller
-	placeDue   time.Duration
-	store      *store.Store
-	groups     []*group.Group
+	cluster     *cluster
+	member      membership.Member
+	disk        *memorydisk.Disk
+	starts      int
+	running     bool
+	skew        time.Duration // of its time of day
+	frozen      bool
+	cutAt       time.Duration     // when it was cut off from all others; 0: it isn't
+	shown       membership.Member // as the others know it
+	known       bool              // to the others
+	absences    int
+	diskFree    time.Duration // when its disk has done what it was asked for
+	linkFree    time.Duration // when its link has taken what was sent
+	inboxFree   time.Duration // when its link has brought what was sent to it
+	busy        map[*group.Group]time.Duration
+	broken      map[*group.Group]bool // by their disk
+	diskTrouble diskTrouble
+	stale       *view.Piece // the placement that it hears in place of the newest
+	controller  *Controller
+	placeDue    time.Duration
+	store       *store.Store
+	groups      []*group.Group
 }
 
 func newCluster(t testing.TB, stores int) *cluster {
@@ -160,6 +162,7 @@
 	m.starts++
 	m.running, m.groups, m.controller, m.store = true, nil, nil, nil
 	m.busy, m.diskFree = map[*group.Group]time.Duration{}, 0
+	m.broken = map[*group.Group]bool{}
 	m.member.Incarnation = uint64(m.starts)
 	m.appear()
 	generation := m.starts
--- /dev/null
+++ b/internal/system/controller/repair_disk_test.go
@@ -0,0 +1,33 @@
+package controller
+
+import (
+	"testing"
+	"time"
+
+	"mastusher/internal/system/membership"
+)
+
+// TestSuccessorWithADiskInTroubleCatchesUp has the machine that takes a lost one's replicas get a disk in trouble at each step.
+func TestSuccessorWithADiskInTroubleCatchesUp(t *testing.T) {
+	const lasts = 4 * time.Second
+	for _, what := range []diskTrouble{slowDisk, fullDisk, stalledDisk} {
+		for _, after := range []time.Duration{0, 700 * time.Millisecond, 1400 * time.Millisecond} {
+			t.Run(string(what)+" after "+after.String(), func(t *testing.T) {
+				t.Parallel()
+				r := newRepair(t, membership.Store, fastSite)
+				m := r.oldest(1)[0]
+				r.strike(diskLost, m)
+				r.run(downTime + after)
+				m.trouble(what)
+				r.run(lasts)
+				m.trouble(healthy)
+				r.run(r.around.catchUp())
+				if !r.allWhole() {
+					t.Error("not all groups are whole when the next loss is allowed")
+				}
+				r.finalFault()
+				r.wantAll()
+			})
+		}
+	}
+}
--- a/internal/system/controller/surroundings_test.go
+++ b/internal/system/controller/surroundings_test.go
@@ -195,16 +195,27 @@
 // turnOf has a group take its turn, unless it waits for the disk. What it sends leaves when the disk has done its part.
 func (m *machineUnderTest) turnOf(running *group.Group) error {
 	c := m.cluster
-	if c.now < m.busy[running] {
+	if c.now < m.busy[running] || m.diskTrouble == stalledDisk {
 		return nil
 	}
+	if err := m.recover(running); err != nil {
+		return err
+	}
 	before, queued := m.disk.Counts(), len(c.queue)
 	_, err := running.Turn()
+	if err != nil && m.diskTrouble != healthy {
+		m.broken[running] = true
+		m.busy[running] = c.now + reopenPause
+		return nil
+	}
 	after := m.disk.Counts()
 	cost := time.Duration(after.Syncs-before.Syncs+after.FolderSyncs-before.FolderSyncs) * c.around.sync
 	if c.around.disk > 0 {
 		cost += timeFor(int(after.BytesWritten-before.BytesWritten), c.around.disk)
 	}
+	if m.diskTrouble == slowDisk {
+		cost *= slowness
+	}
 	if cost == 0 {
 		return err
 	}
@@ -218,3 +229,44 @@
 
 // nodeOf is the name of the machine.
 func (m *machineUnderTest) node() string { return placement.NodeOf(m.member.Name) }
+
+// diskTrouble is what is wrong with a disk.
+type diskTrouble string
+
+// The troubles of disks.
+const (
+	healthy     diskTrouble = ""
+	slowDisk    diskTrouble = "slow disk"
+	fullDisk    diskTrouble = "full disk"
+	stalledDisk diskTrouble = "stalled disk"
+)
+
+const (
+	slowness    = 30                     // how many times as long a slow disk takes
+	reopenPause = 300 * time.Millisecond // from a failure of the disk until a group begins anew, as group does
+)
+
+// trouble has something go wrong with the machine's disk, or ends that.
+func (m *machineUnderTest) trouble(what diskTrouble) {
+	m.diskTrouble = what
+	m.disk.SetCapacity(0)
+	if what == fullDisk {
+		m.disk.SetCapacity(1)
+	}
+}
+
+// recover has a group begin anew that its disk has broken.
+func (m *machineUnderTest) recover(running *group.Group) error {
+	if !m.broken[running] {
+		return nil
+	}
+	err := running.Reopen()
+	switch {
+	case err == nil:
+		delete(m.broken, running)
+	case m.diskTrouble != healthy:
+		m.busy[running] = m.cluster.now + reopenPause
+		err = nil
+	}
+	return err
+}
--- a/internal/system/store/recover_test.go
+++ b/internal/system/store/recover_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"testing"
+	"time"
 
 	"github.com/go-kit/log"
 
@@ -64,3 +66,29 @@
 		t.Error("a shard whose members are not known is open")
 	}
 }
+
+// TestAShardThatCannotBeOpenedIsTriedAgain has the disk fail while a placement comes.
+func TestAShardThatCannotBeOpenedIsTriedAgain(t *testing.T) {
+	disk := memorydisk.New()
+	var later []func()
+	s := New(testContext(t), Options{ID: self.ID, Address: self.Address, Disk: disk, Logger: log.NewNopLogger(),
+		Send: func(string, group.Envelope) {}, Run: func(*group.Group) {}, After: func(_ time.Duration, run func()) { later = append(later, run) }})
+	disk.Inject(func(memorydisk.OperationKind, string) error { return errors.New("the disk fails") })
+	s.Place(4, alone(1))
+	if s.shard(0) != nil || len(later) != 1 {
+		t.Fatalf("opened %v, to be tried again %d times", s.shard(0) != nil, len(later))
+	}
+
+	// When the disk still fails, it is tried again later.
+	later[0]()
+	if len(later) != 2 {
+		t.Fatalf("tried again %d times, want 2", len(later))
+	}
+
+	// When it is well again, the shard is opened.
+	disk.Inject(nil)
+	later[1]()
+	if s.shard(0) == nil || len(later) != 2 {
+		t.Errorf("opened %v, to be tried again %d times more", s.shard(0) != nil, len(later)-2)
+	}
+}
--- a/internal/system/store/store.go
+++ b/internal/system/store/store.go
@@ -58,9 +58,11 @@
 	compacting sync.Mutex       // held by the group that compacts
 	receiving  *group.Admission // of the groups that receive snapshots
 
-	mutex    sync.Mutex
-	shards   map[int]*shard
-	failures chan error
+	mutex     sync.Mutex
+	shards    map[int]*shard
+	placed    uint64         // index of the newest placement; 0: none is known
+	placement view.Placement // that is it
+	failures  chan error
 }
 
 // New returns a store without shards; those on its disk open once the placement is known.
@@ -106,13 +108,24 @@
 	link.Handle(handlers, wire.MethodShardMembers, s.members)
 }
 
+// openPause is the time after which shards are tried again that couldn't be opened.
+const openPause = 300 * time.Millisecond
+
 // Place takes over a new placement, with the index of its entry in the configuration shard's log: shards that are this
-// store's open, and every owner moves its group to its members.
+// store's open, and every owner moves its group to its members. A shard that can't be opened, since the disk is full or
+// fails, is tried again after a pause, by the newest placement that is known then.
 func (s *Store) Place(index uint64, placement view.Placement) {
+	s.mutex.Lock()
+	if index >= s.placed {
+		s.placed, s.placement = index, placement
+	}
+	s.mutex.Unlock()
+	failed := false
 	for number, wanted := range placement.Shards {
 		if s.holds(wanted) {
 			if err := s.open(number, wanted); err != nil {
 				level.Error(s.options.Logger).Log("msg", "shard cannot be opened", "shard", number, "err", err)
+				failed = true
 				continue
 			}
 		}
@@ -120,6 +133,17 @@
 			running.place(index, membersOf(wanted.Replicas))
 		}
 	}
+	if failed {
+		s.options.After(openPause, s.placeAgain)
+	}
+}
+
+// placeAgain goes on with the newest placement.
+func (s *Store) placeAgain() {
+	s.mutex.Lock()
+	index, placement := s.placed, s.placement
+	s.mutex.Unlock()
+	s.Place(index, placement)
 }
 
 func (s *Store) holds(placement view.ShardPlacement) bool {
