--- /dev/null
+++ b/internal/system/replica/offer_test.go
@@ -0,0 +1,29 @@
+package replica
+
+import (
+	"testing"
+	"time"
+)
+
+// TestFirstPartIsOfferedOften has a member that takes no snapshot for a while, since its process receives others, and goes on
+// soon after.
+func TestFirstPartIsOfferedOften(t *testing.T) {
+	for seed := range uint64(6) {
+		s, _ := givenCompacted(t, 40+seed, 3, 1)
+		busy := true
+		s.drop = func(m Message) bool { return busy && m.Kind == InstallSnapshot }
+		s.setWanted(membersOf(s.nodes...))
+		s.runFor(7*testElection + time.Duration(seed)*7*time.Millisecond)
+
+		// When its process has room, it has the whole snapshot soon.
+		busy = false
+		begun := s.now
+		if !s.runUntil(s.now+time.Second, func() bool { return s.nodes[3].machine.Index > 0 }) {
+			t.Fatal("it gets no snapshot")
+		}
+		if took := s.now - begun; took > (offerBeats+2)*testHeartbeat {
+			t.Errorf("seed %d: the snapshot is there %v later", seed, took)
+		}
+		s.thenHolds(t)
+	}
+}
--- a/internal/system/replica/transfer.go
+++ b/internal/system/replica/transfer.go
@@ -5,6 +5,10 @@
 // installPatience is the number of election time-outs without an answer after which parts of a snapshot are sent again.
 const installPatience = 2
 
+// offerBeats is the number of heartbeats after which the first part is sent again: where the peer's process is receiving other
+// snapshots it drops that part without an answer, and is to begin soon after those are whole.
+const offerBeats = 2
+
 // transfer is the sending of a snapshot, part by part, to one peer. A part that was lost is sent again from there on.
 type transfer struct {
 	snapshot *Snapshot     // nil: none has begun
@@ -30,9 +34,10 @@
 	t := &p.transfer
 	switch {
 	case t.snapshot != r.snapshot:
-		*t = transfer{snapshot: r.snapshot, due: r.partsDue()}
+		*t = transfer{snapshot: r.snapshot}
+		t.due = r.partsDue(t)
 	case r.now >= t.due:
-		t.next, t.rewound, t.due = t.wanted, true, r.partsDue()
+		t.next, t.rewound, t.due = t.wanted, true, r.partsDue(t)
 	}
 	window := r.limits.parts
 	if t.wanted == 0 {
@@ -44,7 +49,13 @@
 	}
 }
 
-func (r *Replica) partsDue() time.Duration { return r.now + installPatience*r.options.Election }
+// partsDue is when parts are sent again unless one is acknowledged before.
+func (r *Replica) partsDue(t *transfer) time.Duration {
+	if t.wanted == 0 {
+		return r.now + offerBeats*r.options.Heartbeat
+	}
+	return r.now + installPatience*r.options.Election
+}
 
 // Sending tells whether a snapshot is on its way to a member that takes it: the disk should keep it for a while.
 func (r *Replica) Sending() bool {
@@ -76,10 +87,10 @@
 	switch {
 	case answer.Part > t.wanted:
 		t.wanted, t.next = answer.Part, max(t.next, answer.Part)
-		t.due, t.rewound = r.partsDue(), false
+		t.due, t.rewound = r.partsDue(t), false
 	case answer.Rejected && (answer.Part < t.wanted || !t.rewound):
 		t.wanted, t.next = answer.Part, answer.Part
-		t.due, t.rewound = r.partsDue(), true
+		t.due, t.rewound = r.partsDue(t), true
 	}
 }
 
