Let make mutants find the tables of external test packages too

Cause: storage's table stands in package storage_test and was passed over. Change: imports of both kinds of test files are asked; all six tables are found.

--- a/Makefile
+++ b/Makefile
@@ -60,7 +60,8 @@
 	go test -run '^$$' -fuzz FuzzBounded -fuzztime 10s ./internal/plugin/wasm
 
 # Every deliberate mistake that the packages' tests list, on a copy of the source; `make test` tries a few of them: minutes.
-MUTATED = $$(go list -f '{{range .TestImports}}{{if eq . "mastusher/internal/tools/mutation"}}{{$$.ImportPath}}{{end}}{{end}}' ./...)
+MUTATED = $$(go list -f '{{.ImportPath}} {{join .TestImports " "}} {{join .XTestImports " "}}' ./... | \
+	awk '/ mastusher\/internal\/tools\/mutation( |$$)/ { print $$1 }')
 mutants:
 	go test -count=1 -p 1 -timeout 30m -run '^TestMutantsAreNoticed$$' $(MUTATED) -args -mutants
 
