Give settings and configurations one type for what is wrong with them

Change: both use `invalid.Fault` {Place, Reason}; the key of a settings file is its place. Messages stay as they were. The two check commands list faults by one function without a type parameter. A test for faults within a group and among other errors.

--- a/internal/system/command/check.go
+++ b/internal/system/command/check.go
@@ -9,7 +9,7 @@
 
 	"github.com/google/subcommands"
 
-	"mastusher/internal/system/model"
+	"mastusher/internal/system/invalid"
 	"mastusher/internal/system/model/schema"
 	"mastusher/internal/system/settings"
 )
@@ -35,9 +35,9 @@
 
 // Execute implements subcommands.Command.
 func (c *CheckSettings) Execute(_ context.Context, flags *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	return checkFile(c.Output, flags, func(raw []byte) []error {
+	return checkFile(c.Output, flags, func(raw []byte) error {
 		_, err := settings.Parse(raw)
-		return asErrors(err, settings.Faults(err))
+		return err
 	})
 }
 
@@ -62,14 +62,11 @@
 
 // Execute implements subcommands.Command.
 func (c *CheckConfig) Execute(_ context.Context, flags *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	return checkFile(c.Output, flags, func(raw []byte) []error {
-		err := schema.Check(raw)
-		return asErrors(err, model.Faults(err))
-	})
+	return checkFile(c.Output, flags, schema.Check)
 }
 
 // checkFile reads the one file that the arguments name and writes its faults, one a line.
-func checkFile(output io.Writer, flags *flag.FlagSet, check func(raw []byte) []error) subcommands.ExitStatus {
+func checkFile(output io.Writer, flags *flag.FlagSet, check func(raw []byte) error) subcommands.ExitStatus {
 	if output == nil {
 		output = os.Stdout
 	}
@@ -82,7 +79,7 @@
 		fmt.Fprintln(output, err)
 		return subcommands.ExitFailure
 	}
-	faults := check(raw)
+	faults := asErrors(check(raw))
 	if len(faults) == 0 {
 		fmt.Fprintf(output, "%s: no faults\n", flags.Arg(0))
 		return subcommands.ExitSuccess
@@ -94,7 +91,8 @@
 }
 
 // asErrors lists the faults that an error holds; an error that holds none stands for itself.
-func asErrors[Fault error](err error, faults []Fault) []error {
+func asErrors(err error) []error {
+	faults := invalid.Faults(err)
 	if err != nil && len(faults) == 0 {
 		return []error{err}
 	}
--- a/internal/system/model/fault.go
+++ b/internal/system/invalid/fault.go
@@ -1,13 +1,14 @@
-package model
+// Package invalid lists what is wrong with a document that was read, each fault with its place.
+package invalid
 
 import (
 	"errors"
 	"fmt"
 )
 
-// Fault is one thing that is wrong with a configuration.
+// Fault is one thing that is wrong with a document.
 type Fault struct {
-	Place  string // such as routes[3].giveUpMs; empty: the configuration as a whole
+	Place  string // such as routes[3].giveUpMs or limits.memoryMb; empty: the document as a whole
 	Reason string
 }
 
@@ -19,7 +20,8 @@
 	return fmt.Sprintf("%s: %s", f.Place, f.Reason)
 }
 
-// Faults lists the faults that an error of Decode or Validate holds, in the order of the checks.
+// Faults lists the faults that an error holds, a single one or a group of multierr, in the order of the checks. Errors of other
+// types are left out.
 func Faults(err error) []*Fault {
 	var group interface{ Errors() []error }
 	if !errors.As(err, &group) {
--- /dev/null
+++ b/internal/system/invalid/fault_test.go
@@ -0,0 +1,29 @@
+package invalid
+
+import (
+	"fmt"
+	"testing"
+
+	"go.uber.org/multierr"
+)
+
+func TestFaultsReadAsPlaceAndReason(t *testing.T) {
+	if got := (&Fault{Place: "routes[0]", Reason: "is odd"}).Error(); got != "routes[0]: is odd" {
+		t.Errorf("got %q", got)
+	}
+	if got := (&Fault{Reason: "is odd"}).Error(); got != "is odd" {
+		t.Errorf("got %q", got)
+	}
+	if got := Faults(fmt.Errorf("other")); got != nil {
+		t.Errorf("got %v", got)
+	}
+}
+
+func TestFaultsOfAGroupStandInTheirOrder(t *testing.T) {
+	first, second := &Fault{Place: "a", Reason: "is odd"}, &Fault{Place: "b", Reason: "is missing"}
+	group := fmt.Errorf("settings.yaml: %w", multierr.Combine(first, fmt.Errorf("other"), second))
+	got := Faults(group)
+	if len(got) != 2 || got[0] != first || got[1] != second {
+		t.Errorf("got %v", got)
+	}
+}
--- a/internal/system/model/decode.go
+++ b/internal/system/model/decode.go
@@ -4,6 +4,8 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+
+	"mastusher/internal/system/invalid"
 )
 
 // Decode reads one whole configuration. Fields that it doesn't know are dropped; bytes after the document are refused.
@@ -32,10 +34,10 @@
 	return len(value) > len(prefix) && value[:len(prefix)] == prefix
 }
 
-func decodeFault(err error) *Fault {
+func decodeFault(err error) *invalid.Fault {
 	var mismatch *json.UnmarshalTypeError
 	if errors.As(err, &mismatch) {
-		return &Fault{Place: mismatch.Field, Reason: fmt.Sprintf("can't be a JSON %s", mismatch.Value)}
+		return &invalid.Fault{Place: mismatch.Field, Reason: fmt.Sprintf("can't be a JSON %s", mismatch.Value)}
 	}
-	return &Fault{Reason: fmt.Sprintf("can't be read whole: %v", err)}
+	return &invalid.Fault{Reason: fmt.Sprintf("can't be read whole: %v", err)}
 }
--- a/internal/system/model/model_test.go
+++ b/internal/system/model/model_test.go
@@ -6,6 +6,8 @@
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
+
+	"mastusher/internal/system/invalid"
 )
 
 // document is a valid configuration as the operator sends it, with two services and two routes.
@@ -106,7 +108,7 @@
 	for name, raw := range cases {
 		t.Run(name, func(t *testing.T) {
 			got, err := Decode([]byte(raw))
-			if got != nil || len(Faults(err)) != 1 {
+			if got != nil || len(invalid.Faults(err)) != 1 {
 				t.Errorf("got %v and %v", got, err)
 			}
 		})
@@ -173,7 +175,7 @@
 			c.change(changed)
 			err := Validate(changed)
 			var places []string
-			for _, fault := range Faults(err) {
+			for _, fault := range invalid.Faults(err) {
 				places = append(places, fault.Place)
 			}
 			if diff := cmp.Diff(c.places, places); diff != "" {
@@ -183,18 +185,6 @@
 	}
 }
 
-func TestFaultsReadAsPlaceAndReason(t *testing.T) {
-	if got := (&Fault{Place: "routes[0]", Reason: "is odd"}).Error(); got != "routes[0]: is odd" {
-		t.Errorf("got %q", got)
-	}
-	if got := (&Fault{Reason: "is odd"}).Error(); got != "is odd" {
-		t.Errorf("got %q", got)
-	}
-	if got := Faults(fmt.Errorf("other")); got != nil {
-		t.Errorf("got %v", got)
-	}
-}
-
 // Whatever comes in, Decode gives either a configuration or a fault, and the rest of the package can work with it.
 func FuzzDecode(f *testing.F) {
 	f.Add([]byte(document))
@@ -207,16 +197,16 @@
 			t.Fatalf("got %v and %v", read, err)
 		}
 		if err != nil {
-			if len(Faults(err)) == 0 {
+			if len(invalid.Faults(err)) == 0 {
 				t.Fatalf("%v holds no fault", err)
 			}
 			return
 		}
-		invalid := Validate(read)
-		if invalid != nil && len(Faults(invalid)) == 0 {
-			t.Fatalf("%v holds no fault", invalid)
+		refused := Validate(read)
+		if refused != nil && len(invalid.Faults(refused)) == 0 {
+			t.Fatalf("%v holds no fault", refused)
 		}
-		useTable(t, read, invalid == nil)
+		useTable(t, read, refused == nil)
 	})
 }
 
--- a/internal/system/model/schema/schema.go
+++ b/internal/system/model/schema/schema.go
@@ -13,6 +13,7 @@
 	cuejson "cuelang.org/go/encoding/json"
 	"go.uber.org/multierr"
 
+	"mastusher/internal/system/invalid"
 	"mastusher/internal/system/model"
 )
 
@@ -37,7 +38,7 @@
 }
 
 // Check finds everything that makes a configuration invalid by itself, and returns all faults with their places; see
-// model.Faults. Whether its number is higher than the current one is not judged here.
+// invalid.Faults. Whether its number is higher than the current one is not judged here.
 func Check(raw []byte) error {
 	decoded, unread := model.Decode(raw)
 	if unread != nil && !json.Valid(raw) {
@@ -57,13 +58,13 @@
 func checkForm(raw []byte) error {
 	document, err := cuejson.Extract("", raw)
 	if err != nil {
-		return &model.Fault{Reason: err.Error()}
+		return &invalid.Fault{Reason: err.Error()}
 	}
 	form.Lock()
 	defer form.Unlock()
 	compiled, err := compile()
 	if err != nil {
-		return &model.Fault{Reason: err.Error()}
+		return &invalid.Fault{Reason: err.Error()}
 	}
 	built := form.context.BuildExpr(document)
 	return faultsOf(compiled.Unify(built).Validate(cue.Concrete(true), cue.Final()))
--- a/internal/system/model/validate.go
+++ b/internal/system/model/validate.go
@@ -6,9 +6,11 @@
 	"strings"
 
 	"go.uber.org/multierr"
+
+	"mastusher/internal/system/invalid"
 )
 
-// Validate finds what makes a configuration invalid by itself, and returns all faults together; see Faults.
+// Validate finds what makes a configuration invalid by itself, and returns all faults together; see invalid.Faults.
 // Whether its number is higher than the current one is not judged here.
 func Validate(c *Configuration) error {
 	var check validation
@@ -25,7 +27,7 @@
 }
 
 func (v *validation) fail(place, format string, args ...any) {
-	multierr.AppendInto(&v.faults, &Fault{Place: place, Reason: fmt.Sprintf(format, args...)})
+	multierr.AppendInto(&v.faults, &invalid.Fault{Place: place, Reason: fmt.Sprintf(format, args...)})
 }
 
 func (v *validation) whole(c *Configuration) {
--- a/internal/system/settings/parse.go
+++ b/internal/system/settings/parse.go
@@ -6,6 +6,8 @@
 	"slices"
 
 	"gopkg.in/yaml.v3"
+
+	"mastusher/internal/system/invalid"
 )
 
 // The highest values that make sense.
@@ -15,11 +17,11 @@
 	highestCount    = math.MaxInt32
 )
 
-// Parse reads and checks the content of a settings file. Its error holds all faults; see Faults.
+// Parse reads and checks the content of a settings file. Its error holds all faults; see invalid.Faults.
 func Parse(raw []byte) (*Settings, error) {
 	var document yaml.Node
 	if err := yaml.Unmarshal(raw, &document); err != nil {
-		return nil, &Fault{Reason: fmt.Sprintf("is no YAML: %v", err)}
+		return nil, &invalid.Fault{Reason: fmt.Sprintf("is no YAML: %v", err)}
 	}
 	var faults error
 	top := section{faults: &faults}
