Play the test networks of gossip and membership on one loop in virtual time

Cause: both carried the same heap of events and the same clock. Ruled out for now: fleettest's, replica's and schedule's copies, which others are changing.

--- a/internal/system/gossip/figures_test.go
+++ b/internal/system/gossip/figures_test.go
@@ -45,7 +45,7 @@
 			const writes = 10
 			for i := range uint64(writes) {
 				author := w.hosts[w.random.IntN(size)]
-				begun := w.now
+				begun := w.loop.Now()
 				w.write(author, view.EndpointsSection, 1, 2+i)
 				w.runFor(longestSpread)
 				times = append(times, w.spreadTimes(t, view.Stamp{Epoch: 1, Sequence: 2 + i}, begun)...)
--- a/internal/system/gossip/network_test.go
+++ b/internal/system/gossip/network_test.go
@@ -1,21 +1,19 @@
 package gossip
 
 import (
-	"container/heap"
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"time"
 
 	"mastusher/internal/system/view"
+	"mastusher/internal/system/virtualtime"
 )
 
 // network is an in-memory network in virtual time.
 type network struct {
-	now     time.Duration
+	loop    virtualtime.Loop
 	random  *rand.Rand
-	events  eventHeap
-	count   uint64
 	hosts   []*host
 	byName  map[string]*host
 	options Options
@@ -42,26 +40,6 @@
 	at       map[view.Section]time.Duration // of the last report
 }
 
-type event struct {
-	at    time.Duration
-	order uint64
-	run   func()
-}
-
-type eventHeap []event
-
-func (h eventHeap) Len() int { return len(h) }
-func (h eventHeap) Less(i, j int) bool {
-	return h[i].at < h[j].at || h[i].at == h[j].at && h[i].order < h[j].order
-}
-func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
-func (h *eventHeap) Push(x any)   { *h = append(*h, x.(event)) }
-func (h *eventHeap) Pop() any {
-	last := (*h)[len(*h)-1]
-	*h = (*h)[:len(*h)-1]
-	return last
-}
-
 // newNetwork starts size hosts that know one another.
 func newNetwork(size int, seed uint64) *network {
 	w := &network{
@@ -105,23 +83,12 @@
 	h.version++
 }
 
-func (w *network) after(delay time.Duration, run func()) {
-	w.count++
-	heap.Push(&w.events, event{w.now + delay, w.count, run})
-}
+func (w *network) after(delay time.Duration, run func()) { w.loop.After(delay, run) }
 
-func (w *network) runFor(duration time.Duration) {
-	end := w.now + duration
-	for len(w.events) > 0 && w.events[0].at <= end {
-		next := heap.Pop(&w.events).(event)
-		w.now = next.at
-		next.run()
-	}
-	w.now = end
-}
+func (w *network) runFor(duration time.Duration) { w.loop.RunFor(duration) }
 
 func (w *network) step(h *host, input Input) {
-	effects := h.spreader.Step(w.now, input)
+	effects := h.spreader.Step(w.loop.Now(), input)
 	for _, piece := range effects.Changed {
 		w.checkReport(h, piece)
 	}
@@ -137,7 +104,7 @@
 	if effects.NextWake == never || w.busy(h, effects.NextWake) {
 		return
 	}
-	w.after(effects.NextWake-w.now, func() {
+	w.after(effects.NextWake-w.loop.Now(), func() {
 		if h.version == version && h.spreader != nil {
 			w.step(h, Input{})
 		}
@@ -147,7 +114,7 @@
 // busy tells whether a host asks to be woken at once again and again, which would never end.
 func (w *network) busy(h *host, wake time.Duration) bool {
 	const most = 100
-	if wake > w.now {
+	if wake > w.loop.Now() {
 		h.atOnce = 0
 		return false
 	}
@@ -166,17 +133,17 @@
 		w.breach("%s reported %v of %s after %v", h.address, piece.Stamp, piece.Section, last)
 	}
 	h.reported[piece.Section] = piece.Stamp
-	h.at[piece.Section] = w.now
+	h.at[piece.Section] = w.loop.Now()
 }
 
 // checkFetch sees to it that there is one fetch of a section at a time, unless the last one took too long.
 func (w *network) checkFetch(h *host, fetch Fetch) {
 	for section := range fetch.Wanted {
 		since, found := h.fetching[section]
-		if found && w.now-since < h.spreader.options.FetchTimeout {
+		if found && w.loop.Now()-since < h.spreader.options.FetchTimeout {
 			w.breach("%s fetches %s twice", h.address, section)
 		}
-		h.fetching[section] = w.now
+		h.fetching[section] = w.loop.Now()
 	}
 }
 
@@ -264,13 +231,13 @@
 
 // expectAll runs until all running hosts hold a piece.
 func (w *network) expectAll(piece view.Piece, limit time.Duration) error {
-	end := w.now + limit
+	end := w.loop.Now() + limit
 	for {
 		holding, running := w.holds(piece.Section, piece.Stamp)
 		if holding == running {
 			return w.broken
 		}
-		if w.now >= end {
+		if w.loop.Now() >= end {
 			return fmt.Errorf("%d of %d hold %s %v after %v", holding, running, piece.Section, piece.Stamp, limit)
 		}
 		w.runFor(20 * time.Millisecond)
--- a/internal/system/membership/figures_test.go
+++ b/internal/system/membership/figures_test.go
@@ -50,7 +50,7 @@
 				t.Error("a calm fleet costs too much")
 			}
 
-			killedAt := w.now
+			killedAt := w.loop.Now()
 			victim := w.hosts[size/2]
 			w.kill(victim)
 			if took, done := w.runUntil(longestDetection, w.converged); !done {
--- a/internal/system/membership/network_test.go
+++ b/internal/system/membership/network_test.go
@@ -1,20 +1,19 @@
 package membership
 
 import (
-	"container/heap"
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"mastusher/internal/system/virtualtime"
 )
 
 // network is an in-memory network in virtual time.
 type network struct {
-	now       time.Duration
+	loop      virtualtime.Loop
 	random    *rand.Rand
-	events    eventHeap
-	count     uint64
 	hosts     []*host
 	byAddress map[string]*host
 
@@ -80,26 +79,6 @@
 	}
 }
 
-type event struct {
-	at    time.Duration
-	order uint64
-	run   func()
-}
-
-type eventHeap []event
-
-func (h eventHeap) Len() int { return len(h) }
-func (h eventHeap) Less(i, j int) bool {
-	return h[i].at < h[j].at || h[i].at == h[j].at && h[i].order < h[j].order
-}
-func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
-func (h *eventHeap) Push(x any)   { *h = append(*h, x.(event)) }
-func (h *eventHeap) Pop() any {
-	last := (*h)[len(*h)-1]
-	*h = (*h)[:len(*h)-1]
-	return last
-}
-
 // newNetwork lays out size hosts that are down. The first three are the controllers and seeds.
 func newNetwork(size int, seed uint64) *network {
 	w := &network{
@@ -147,7 +126,7 @@
 // start starts the process of a host, with an incarnation by the time of day.
 func (w *network) start(h *host) {
 	h.starts++
-	h.member.Incarnation = uint64(epochMs + w.now.Milliseconds())
+	h.member.Incarnation = uint64(epochMs + w.loop.Now().Milliseconds())
 	h.node = New(Options{
 		Self:        h.member,
 		Seeds:       h.seeds,
@@ -185,39 +164,26 @@
 	})
 }
 
-func (w *network) after(delay time.Duration, run func()) {
-	w.count++
-	heap.Push(&w.events, event{w.now + delay, w.count, run})
-}
+func (w *network) after(delay time.Duration, run func()) { w.loop.After(delay, run) }
 
-func (w *network) runFor(duration time.Duration) {
-	end := w.now + duration
-	for len(w.events) > 0 && w.events[0].at <= end {
-		next := heap.Pop(&w.events).(event)
-		w.now = next.at
-		next.run()
-	}
-	w.now = end
-}
+func (w *network) runFor(duration time.Duration) { w.loop.RunFor(duration) }
 
 // runUntil runs until the condition holds, looking every 100 ms, and tells how long that took.
 func (w *network) runUntil(limit time.Duration, condition func() bool) (time.Duration, bool) {
-	begun := w.now
-	for w.now-begun < limit {
+	begun := w.loop.Now()
+	for w.loop.Now()-begun < limit {
 		if condition() {
-			return w.now - begun, true
+			return w.loop.Now() - begun, true
 		}
 		w.runFor(100 * time.Millisecond)
 	}
-	return w.now - begun, condition()
+	return w.loop.Now() - begun, condition()
 }
 
 // runUntilProbing runs until a host waits for the answer to a ping.
 func (w *network) runUntilProbing(h *host) {
 	for len(h.node.prober.pending) == 0 {
-		next := heap.Pop(&w.events).(event)
-		w.now = next.at
-		next.run()
+		w.loop.Step()
 	}
 }
 
@@ -248,10 +214,10 @@
 }
 
 func (w *network) step(h *host, input Input) {
-	effects := h.node.Step(w.now, input)
+	effects := h.node.Step(w.loop.Now(), input)
 	h.steps++
 	for _, change := range effects.Changes {
-		h.changes = append(h.changes, timedChange{w.now, change})
+		h.changes = append(h.changes, timedChange{w.loop.Now(), change})
 	}
 	for _, datagram := range effects.Datagrams {
 		w.sendDatagram(h, datagram)
@@ -267,14 +233,14 @@
 	if effects.NextWake == never {
 		return
 	}
-	if effects.NextWake > w.now {
+	if effects.NextWake > w.loop.Now() {
 		h.atOnce = 0
 	}
 	h.atOnce++
 	if h.atOnce > mostAtOnce {
 		panic(h.member.Name + " wants to be woken at once again and again")
 	}
-	w.after(effects.NextWake-w.now+h.lag, func() {
+	w.after(effects.NextWake-w.loop.Now()+h.lag, func() {
 		if h.version == version && h.node != nil && !h.frozen {
 			w.step(h, Input{})
 		}
@@ -287,7 +253,7 @@
 
 func (w *network) sendDatagram(from *host, datagram Datagram) {
 	from.sent++
-	from.noteAccusations(w.now, datagram.Message.Updates)
+	from.noteAccusations(w.loop.Now(), datagram.Message.Updates)
 	if w.measure {
 		encoded, err := json.Marshal(datagram.Message)
 		if err != nil {
--- a/internal/system/membership/scenario_test.go
+++ b/internal/system/membership/scenario_test.go
@@ -77,7 +77,7 @@
 	}
 	w.runFor(5 * time.Second)
 	victim := w.hosts[w.random.IntN(len(w.hosts))]
-	killedAt := w.now
+	killedAt := w.loop.Now()
 	w.kill(victim)
 	if err := expectConverged(w, 12*time.Second); err != nil {
 		return err
@@ -97,7 +97,7 @@
 	w.runFor(time.Duration(w.random.Int64N(int64(10 * time.Second))))
 	victim.member.ID = "after the disk was wiped"
 	w.start(victim)
-	restarted := w.now
+	restarted := w.loop.Now()
 	knowNewID := func() bool {
 		for _, h := range w.running() {
 			for _, member := range h.node.Members() {
@@ -147,7 +147,7 @@
 		w.runUntilProbing(victim)
 		w.freeze(victim, 8*time.Second)
 		w.runFor(8*time.Second + 50*time.Millisecond)
-		if accused := accusedBy(victim, w.now-51*time.Millisecond); accused > 0 {
+		if accused := accusedBy(victim, w.loop.Now()-51*time.Millisecond); accused > 0 {
 			return fmt.Errorf("%d accused by the frozen member right after its freeze", accused)
 		}
 		w.runFor(4 * time.Second)
@@ -212,7 +212,7 @@
 	w.blocked = func(from, to *host) bool { return from == victim || to == victim }
 	w.runFor(time.Duration(30+w.random.IntN(15)) * time.Second)
 	w.blocked = func(from, to *host) bool { return false }
-	healed := w.now
+	healed := w.loop.Now()
 	if err := expectConverged(w, 20*time.Second); err != nil {
 		return err
 	}
