--- a/Makefile
+++ b/Makefile
@@ -14,13 +14,10 @@
 test:
 	.ci/test.sh
 
-# What staticcheck reads; the relay's older packages are to follow.
-STATICALLY_CHECKED = ./control ./internal/system/... ./internal/tools/... ./cmd/mastusher-tier ./cmd/tierexample
-
 lint:
 	@files=$$(gofmt -l .); test -z "$$files" || { echo "gofmt: $$files" >&2; exit 1; }
 	go vet ./...
-	go tool staticcheck $(STATICALLY_CHECKED)
+	go tool staticcheck ./...
 
 size:
 	@lines=$$(cat $(POLICY) | grep -c '[^[:space:]]'); echo "$(POLICY): $$lines lines that are not blank"; \
@@ -61,7 +58,8 @@
 	go test -run '^$$' -fuzz FuzzExchange -fuzztime 10s ./internal/system/exchangetest
 
 # Every deliberate mistake that the packages' tests list, on a copy of the source; `make test` tries a few of them: minutes.
-MUTATED = $$(go list -f '{{range .TestImports}}{{if eq . "mastusher/internal/tools/mutation"}}{{$$.ImportPath}}{{end}}{{end}}' ./...)
+MUTATED = $$(go list -f '{{.ImportPath}} {{join .TestImports " "}} {{join .XTestImports " "}}' ./... | \
+	awk '/ mastusher\/internal\/tools\/mutation( |$$)/ { print $$1 }')
 mutants:
 	go test -count=1 -p 1 -timeout 30m -run '^TestMutantsAreNoticed$$' $(MUTATED) -args -mutants
 
