Reset a client of HTTP/1.0 whatever closes its connection before the end

Ruled out: holding back the answer until its length is known (no bound on memory). Change: from the head of such an answer on, every close of the connection is a reset, also the system's own when this process is killed; it is taken back once the whole answer has been written. The hijack goes.

--- a/internal/system/exchangetest/boundary_test.go
+++ b/internal/system/exchangetest/boundary_test.go
@@ -251,6 +251,24 @@
 	}
 }
 
+// TestAnswerThatAClientDoesNotTakeIsCut has a client read nothing of a long answer until the proxy gives it up: what it reads then
+// doesn't look complete, also where only the end of its connection tells the end of the answer.
+func TestAnswerThatAClientDoesNotTakeIsCut(t *testing.T) {
+	for _, old := range []bool{false, true} {
+		for _, route := range []routeKind{onceRoute, safeRoute} {
+			for _, kind := range []answerKind{success, chunked, unframed} {
+				t.Run(fmt.Sprint(route, "/", framings[kind], "/", old), func(t *testing.T) {
+					request := newRequest(route, 0, whole(kind, 200_000))
+					request.old, request.timeIn, request.stalls = old, 300*time.Millisecond, time.Second
+					if result := playAll(t, []*requestScript{request})[0]; !result.cutOff() {
+						t.Errorf("%d bytes, %v", len(result.body), result.err)
+					}
+				})
+			}
+		}
+	}
+}
+
 // mustAnswer checks that every request got a whole answer of an endpoint.
 func mustAnswer(t *testing.T, results []got) {
 	t.Helper()
--- a/internal/system/exchangetest/client_test.go
+++ b/internal/system/exchangetest/client_test.go
@@ -47,6 +47,7 @@
 			c.leave(&result)
 			keep = false
 		case keep:
+			time.Sleep(request.stalls)
 			keep = c.read(&result)
 		}
 		c.results = append(c.results, result)
--- a/internal/system/exchangetest/draw_test.go
+++ b/internal/system/exchangetest/draw_test.go
@@ -55,7 +55,10 @@
 		p.clients = append(p.clients, requests)
 	}
 	for range s.below(3) {
-		p.events = append(p.events, worldEvent{at: s.upTo(120), kind: eventKind(s.below(int(eventKinds))), endpoint: s.below(endpointCount)})
+		event := worldEvent{at: s.upTo(120), kind: eventKind(s.below(int(eventKinds))), endpoint: s.below(endpointCount)}
+		if troubled || event.kind != crash {
+			p.events = append(p.events, event)
+		}
 	}
 	return p
 }
@@ -71,7 +74,8 @@
 	}
 	if r.method == "POST" {
 		r.size = pick(s, 0, 1, 20, 3000, 40_000, 200_000)
-		if r.size > 0 {
+		r.old = s.one(8)
+		if r.size > 0 && !r.old {
 			r.chunks = pick(s, 0, 0, 1, 3)
 		}
 	}
@@ -87,6 +91,9 @@
 			r.sent = s.below(len(r.wire()))
 		}
 	}
+	if s.one(8) {
+		r.stalls = s.upTo(1500)
+	}
 	r.timeout = time.Duration(pick(s, 0, 0, 20)) * time.Millisecond
 	for range 1 + s.below(3) {
 		if s.one(3) {
@@ -111,7 +118,7 @@
 	if r.route.streaming() {
 		return pick(s, 3, 1, 8, 0)
 	}
-	return pick(s, 10, 0, 1, 5000, 40_000)
+	return pick(s, 10, 0, 1, 5000, 40_000, 200_000)
 }
 
 // drawSend draws what becomes of a send.
--- a/internal/system/exchangetest/endpoint_test.go
+++ b/internal/system/exchangetest/endpoint_test.go
@@ -48,6 +48,13 @@
 	return e.conns
 }
 
+// crash resets all connections.
+func (e *endpoint) crash() {
+	for _, conn := range e.connections() {
+		conn.Reset()
+	}
+}
+
 // exchange takes one request and answers it. It returns false when the connection ends.
 func (e *endpoint) exchange(conn *memoryConn, ordinal int) bool {
 	head := conn.peekUntil("\r\n\r\n")
@@ -90,13 +97,16 @@
 		return err == nil
 	}
 	if script.cut >= 0 && script.cut < len(wire) {
-		sendSplit(conn, wire[:script.cut], script.split, script.pause)
+		if sendSplit(conn, wire[:script.cut], script.split, script.pause) {
+			e.world.wrote(current)
+		}
 		leave(conn, script.end)
 		return false
 	}
 	if !sendSplit(conn, wire, script.split, script.pause) {
 		return false
 	}
+	e.world.wrote(current)
 	e.world.end(current)
 	if script.extra {
 		time.Sleep(script.late)
--- a/internal/system/exchangetest/oracle_test.go
+++ b/internal/system/exchangetest/oracle_test.go
@@ -177,10 +177,10 @@
 	}
 }
 
-// brokeOff tells whether an endpoint broke off the answer to a request. What of it the proxy had not passed on yet is dropped then,
-// and the client may see a close alone.
+// brokeOff tells whether an endpoint broke off the answer to a request, or its client didn't take it in time. What of it the proxy
+// had not passed on yet is dropped then, and the client may see a close alone.
 func (o *oracle) brokeOff(request *requestScript) bool {
-	return slices.ContainsFunc(o.sends[request], func(s sent) bool { return s.run != nil && s.run.isCut() })
+	return o.world.plan.has(crash) || request.stalls > 0 || slices.ContainsFunc(o.sends[request], func(s sent) bool { return s.run != nil && s.run.isCut() })
 }
 
 // judgeSends judges how often a request was sent.
--- a/internal/system/exchangetest/script_test.go
+++ b/internal/system/exchangetest/script_test.go
@@ -104,6 +104,7 @@
 	id      string
 	route   routeKind
 	method  string
+	old     bool          // it speaks HTTP/1.0: the end of its connection may be that of its answer
 	size    int           // bytes of the body
 	chunks  int           // the body comes in so many chunks; 0: with a length
 	before  time.Duration // before it is sent
@@ -111,7 +112,8 @@
 	pause   time.Duration // after those
 	sent    int           // bytes after which the client leaves; -1: it sends all
 	leave   ending        // how it leaves
-	waits   time.Duration // how long after its request it leaves; 0: it reads the answer
+	waits   time.Duration // how long after its request it leaves
+	stalls  time.Duration // it reads nothing of its answer for so long
 	timeout time.Duration // after which the proxy gives up a send; 0: never
 	timeIn  time.Duration // X-Time-Left-Ms
 	sends   []sendScript  // what becomes of each send; the last one holds for all further ones
@@ -137,8 +139,12 @@
 
 // wire returns the request's bytes.
 func (r *requestScript) wire() []byte {
-	head := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: %s\r\nX-Own: of %s\r\nX-Time-Left-Ms: %d\r\n",
-		r.method, r.target(), r.id, r.id, r.timeIn.Milliseconds())
+	version := "HTTP/1.1"
+	if r.old {
+		version = "HTTP/1.0"
+	}
+	head := fmt.Sprintf("%s %s %s\r\nHost: a.example\r\nX-Attempt-Id: %s\r\nX-Own: of %s\r\nX-Time-Left-Ms: %d\r\n",
+		r.method, r.target(), version, r.id, r.id, r.timeIn.Milliseconds())
 	body := r.body()
 	switch {
 	case r.chunks > 0:
@@ -174,6 +180,7 @@
 	conn    *memoryConn
 	ordinal int       // among the connection's requests, counted from 0
 	done    time.Time // when the endpoint had nothing more to do for it
+	written bool      // all of the answer that the endpoint was to write is on its way
 }
 
 func (r run) script() sendScript { return r.request.script(r.send) }
@@ -227,7 +234,7 @@
 // promised tells whether the head of the run's answer came, and promises that the request was not run.
 func (r run) promised() bool {
 	script := r.script()
-	if !script.kind.promises() || script.takes >= 0 {
+	if !script.kind.promises() || script.takes >= 0 || !r.written {
 		return false
 	}
 	return !r.isCut() || bytes.Contains(r.answer()[:script.cut], []byte("\r\n\r\n"))
--- a/internal/system/exchangetest/world_test.go
+++ b/internal/system/exchangetest/world_test.go
@@ -33,6 +33,7 @@
 	endpointBack
 	drain // the first step of SIGTERM
 	shutdown
+	crash // of an endpoint: it resets all its connections, and is back at once
 	eventKinds
 )
 
@@ -52,8 +53,10 @@
 }
 
 // calm tells whether the proxy is not told to end.
-func (p *plan) calm() bool {
-	return !slices.ContainsFunc(p.events, func(e worldEvent) bool { return e.kind == drain || e.kind == shutdown })
+func (p *plan) calm() bool { return !p.has(drain) && !p.has(shutdown) }
+
+func (p *plan) has(kind eventKind) bool {
+	return slices.ContainsFunc(p.events, func(e worldEvent) bool { return e.kind == kind })
 }
 
 // world is a proxy that runs with its clients and endpoints.
@@ -169,6 +172,8 @@
 		w.proxy.Drain()
 	case shutdown:
 		w.shutDown(t)
+	case crash:
+		w.endpoints[event.endpoint].crash()
 	}
 }
 
@@ -200,6 +205,13 @@
 	return &current
 }
 
+// wrote notes that an endpoint has written all of an answer that it was to write.
+func (w *world) wrote(current *run) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	current.written = true
+}
+
 // end notes that an endpoint has nothing more to do for a request.
 func (w *world) end(current *run) {
 	w.mutex.Lock()
--- a/internal/system/proxy/attempt.go
+++ b/internal/system/proxy/attempt.go
@@ -209,7 +209,7 @@
 func (c *call) giveUp() {
 	switch {
 	case c.committed:
-		c.abortAnswer()
+		abort()
 	case !c.mayHaveRun:
 		c.fail(c.refusal, c.retryIn)
 	case c.context.Err() != nil:
--- a/internal/system/proxy/call.go
+++ b/internal/system/proxy/call.go
@@ -45,6 +45,7 @@
 	mayHaveRun bool       // nothing promises that no endpoint ran the request
 	refusal    fault.Kind // why no endpoint took it, as far as nothing was sent
 	committed  bool       // the head of the answer has gone to the client
+	guarded    bool       // every close of the client's connection is a reset
 	failed     bool       // an answer of the proxy's own has gone to the client
 	retryIn    time.Duration
 }
@@ -191,6 +192,7 @@
 	if !c.committed && !c.failed {
 		abort() // the library would answer 200 by itself
 	}
+	c.releaseEnd()
 }
 
 // beginTurn has the stores take a turn. It returns false when the request has been answered.
--- a/internal/system/proxy/clientconnection.go
+++ b/internal/system/proxy/clientconnection.go
@@ -34,6 +34,15 @@
 	return n, err
 }
 
+// resetOnClose makes every close of the connection a reset, or takes that back.
+func (c *clientConnection) resetOnClose(on bool) {
+	seconds := -1
+	if on {
+		seconds = 0
+	}
+	c.TCPConn.SetLinger(seconds)
+}
+
 // rest notes that an answer has gone out and the next request may come.
 func (c *clientConnection) rest() {
 	c.mutex.Lock()
--- a/internal/system/proxy/deliver.go
+++ b/internal/system/proxy/deliver.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"net/http"
 	"strconv"
 
 	"mastusher/internal/system/model"
@@ -78,9 +79,34 @@
 	if a.answer.ContentLength >= 0 && first(a.answer.Header, "Content-Length") != "" {
 		header["Content-Length"] = []string{strconv.FormatInt(a.answer.ContentLength, 10)}
 	}
+	c.guardEnd(header)
 	c.writer.WriteHeader(a.answer.Status)
 }
 
+// guardEnd makes every close of the client's connection a reset where only that end tells the end of the answer: to a client of
+// HTTP/1.0, if no length is told. The library closes it by itself when a write fails, and the system when this process ends.
+func (c *call) guardEnd(header http.Header) {
+	if c.request.ProtoAtLeast(1, 1) || first(header, "Content-Length") != "" {
+		return
+	}
+	if client := clientOf(c.request); client != nil {
+		client.resetOnClose(true)
+		c.guarded = true
+	}
+}
+
+// releaseEnd lets the client's connection end in order once the whole answer has gone out.
+func (c *call) releaseEnd() {
+	if !c.guarded {
+		return
+	}
+	flusher, ok := c.writer.(interface{ FlushError() error })
+	if ok && flusher.FlushError() != nil {
+		abort()
+	}
+	clientOf(c.request).resetOnClose(false)
+}
+
 // deliverWhole reads a short answer to its end and passes it on in one piece.
 func (c *call) deliverWhole(a *attempt, buffer *[]byte) (again bool) {
 	data := (*buffer)[:0]
@@ -163,7 +189,7 @@
 		return c.broken(a)
 	}
 	a.outcome.Result = c.brokenResult(a)
-	c.abortAnswer()
+	abort()
 	return false
 }
 
@@ -185,5 +211,5 @@
 // lost ends a call whose client has gone.
 func (c *call) lost(a *attempt) {
 	a.outcome.Result = ClientGone
-	c.abortAnswer()
+	abort()
 }
--- a/internal/system/proxy/failure.go
+++ b/internal/system/proxy/failure.go
@@ -56,32 +56,7 @@
 	fail(c.writer, kind, wait)
 }
 
-// abort breaks off the client's connection before an answer has begun: the client sees a close and no answer.
+// abort breaks off the client's connection: the client sees a close and no answer, or one that doesn't look complete.
 func abort() {
 	panic(http.ErrAbortHandler)
 }
-
-// abortAnswer breaks off an answer that has begun, so that it doesn't look complete. To a client of HTTP/1.0 only the end of
-// the connection may tell the end of the answer: it is reset.
-func (c *call) abortAnswer() {
-	if !c.request.ProtoAtLeast(1, 1) {
-		resetConnection(c.writer)
-	}
-	abort()
-}
-
-// resetConnection ends a client's connection so that it can't be taken for an orderly close.
-func resetConnection(w http.ResponseWriter) {
-	hijacker, ok := w.(http.Hijacker)
-	if !ok {
-		return
-	}
-	connection, _, err := hijacker.Hijack()
-	if err != nil {
-		return
-	}
-	if socket, ok := connection.(interface{ SetLinger(int) error }); ok {
-		socket.SetLinger(0)
-	}
-	connection.Close()
-}
--- a/internal/system/proxy/stream.go
+++ b/internal/system/proxy/stream.go
@@ -102,7 +102,7 @@
 		if err != errUnknownTurn {
 			c.proxy.settler.settle(c.turn.key, end)
 		}
-		c.abortAnswer()
+		abort()
 	}
 	if len(c.turn.last) > 0 {
 		c.write(a, c.turn.last)
@@ -119,7 +119,7 @@
 	a.outcome.Result = c.brokenResult(a)
 	c.ran(a.outcome.Result)
 	if !c.resumable(a.answer) || !c.mayTryAgain() {
-		c.abortAnswer()
+		abort()
 	}
 	c.scanner.restart()
 	return true
