Play turns too in the exchanges, with stores that refuse, are late or lose answers

A turn's answer looks complete only once the stores have its end, with the output that the client got; a turn that they refuse is sent nowhere; endpoints get what came before it and then its own input. All of that is judged in every world now, and a turn's answer ends at each byte, with a length and in chunks.

--- a/internal/system/exchangetest/boundary_test.go
+++ b/internal/system/exchangetest/boundary_test.go
@@ -8,6 +8,7 @@
 
 var (
 	allRoutes  = []routeKind{onceRoute, safeRoute, streamRoute, resumeRoute}
+	withTurns  = append(allRoutes, turnRoute)
 	allEndings = []ending{finish, reset, halfOnly}
 	endings    = map[ending]string{finish: "closed", reset: "reset", halfOnly: "half-closed"}
 	framings   = map[answerKind]string{success: "usual", chunked: "in chunks", unframed: "unframed", informational: "after 1xx",
@@ -34,12 +35,11 @@
 	return results
 }
 
-// forEachFraming runs a test for some routes and each form of an answer: streams are in chunks as usual, and what is misdirected
-// has no form of its own.
+// forEachFraming runs a test for some routes and each form of an answer that they have of their own.
 func forEachFraming(t *testing.T, routes []routeKind, test func(t *testing.T, route routeKind, kind answerKind)) {
 	for _, route := range routes {
 		for kind, name := range framings {
-			if route.streaming() && kind == chunked || route != onceRoute && kind == misdirected {
+			if !hasOwn(route, kind) {
 				continue
 			}
 			t.Run(fmt.Sprint(route, "/", name), func(t *testing.T) { test(t, route, kind) })
@@ -47,9 +47,21 @@
 	}
 }
 
+// hasOwn tells whether a form of an answer is another one on that route than on the others: streams are in chunks as usual, what
+// is misdirected is the same for all, and turns are streams in other frames.
+func hasOwn(route routeKind, kind answerKind) bool {
+	switch {
+	case route == turnRoute:
+		return kind == success || kind == chunked
+	case route.streaming() && kind == chunked:
+		return false
+	}
+	return route == onceRoute || kind != misdirected
+}
+
 // TestAnswerMayPauseAtEachByte has an endpoint pause after each byte of its answer: it is passed on whole all the same.
 func TestAnswerMayPauseAtEachByte(t *testing.T) {
-	forEachFraming(t, []routeKind{onceRoute, resumeRoute}, func(t *testing.T, route routeKind, kind answerKind) {
+	forEachFraming(t, []routeKind{onceRoute, resumeRoute, turnRoute}, func(t *testing.T, route routeKind, kind answerKind) {
 		var requests []*requestScript
 		for at := range answerLength(newRequest(route, 0, whole(kind, 2))) {
 			paused := whole(kind, 2)
@@ -74,7 +86,7 @@
 // TestAnswerMayEndAtEachByte has an endpoint end its connection after each byte of its answer. A request that may run again is
 // served by another one; a request that may not is sent once, and no broken answer looks complete.
 func TestAnswerMayEndAtEachByte(t *testing.T) {
-	forEachFraming(t, allRoutes, func(t *testing.T, route routeKind, kind answerKind) {
+	forEachFraming(t, withTurns, func(t *testing.T, route routeKind, kind answerKind) {
 		for _, end := range allEndings {
 			if end == halfOnly && kind != success && kind != unframed {
 				continue
--- a/internal/system/exchangetest/draw_test.go
+++ b/internal/system/exchangetest/draw_test.go
@@ -66,7 +66,7 @@
 func drawRequest(s *source, id string, troubled bool) *requestScript {
 	r := &requestScript{
 		id:     id,
-		route:  pick(s, onceRoute, onceRoute, safeRoute, resumeRoute, resumeRoute, streamRoute),
+		route:  pick(s, onceRoute, onceRoute, safeRoute, resumeRoute, resumeRoute, streamRoute, turnRoute),
 		method: pick(s, "POST", "GET", "GET", "HEAD"),
 		before: s.upTo(40),
 		sent:   -1,
@@ -79,6 +79,9 @@
 			r.chunks = pick(s, 0, 0, 1, 3)
 		}
 	}
+	if r.route == turnRoute {
+		r.chain = pick(s, 0, 300, 50_000)
+	}
 	r.split, r.pause = s.below(200), s.upTo(10)
 	if !troubled {
 		r.timeIn = time.Second
@@ -91,6 +94,9 @@
 			r.sent = s.below(len(r.wire()))
 		}
 	}
+	if s.one(2) {
+		r.begin, r.end = pick(s, taken, taken, taken, beginKind(s.below(int(beginKinds)))), endKind(s.below(int(endKinds)))
+	}
 	if s.one(8) {
 		r.stalls = s.upTo(1500)
 	}
--- a/internal/system/exchangetest/endpoint_test.go
+++ b/internal/system/exchangetest/endpoint_test.go
@@ -112,7 +112,7 @@
 		time.Sleep(script.late)
 		conn.Write(wire)
 	}
-	if script.kind == unframed && script.end != reset {
+	if script.kind == unframed && script.end != reset && current.request.method != "HEAD" {
 		return false
 	}
 	if script.end != stay {
--- a/internal/system/exchangetest/mutants_test.go
+++ b/internal/system/exchangetest/mutants_test.go
@@ -43,6 +43,8 @@
 		{Name: "any stream is taken up", Run: "TestCampaign",
 			Change: change(stream, "return c.facts.Route.CanResume &&", "return "),
 			Also:   []mutation.Change{change(call, "return repeatable(c.facts.Route) && c.runs", "return c.runs")}},
+		{Name: "a turn's last byte doesn't wait for the stores", Run: "TestCampaign",
+			Change: change(stream, "return c.turn != nil && c.turn.remembered && a.answer.ContentLength > 0", "return false")},
 		{Name: "work goes on for a client that left", Run: "TestClientMayLeaveWhileItsAnswerComes",
 			Change: change(call, "context.WithDeadline(r.Context(), c.facts.Deadline)", "context.WithDeadline(context.WithoutCancel(r.Context()), c.facts.Deadline)")},
 	})
--- a/internal/system/exchangetest/oracle_test.go
+++ b/internal/system/exchangetest/oracle_test.go
@@ -47,7 +47,7 @@
 			o.judge(&c.results[i])
 		}
 	}
-	return o.faults
+	return append(o.faults, w.stores.faults...)
 }
 
 func (o *oracle) fault(request *requestScript, format string, args ...any) {
@@ -94,7 +94,7 @@
 	if err := checkHead(request, e, string(head)); err != nil {
 		return 0, err
 	}
-	want := request.body()
+	want := request.passedOn()
 	have := body[:min(len(body), len(want))]
 	if !bytes.HasPrefix(want, have) {
 		return 0, fmt.Errorf("%s: other bytes where its body is due: %.80q", request.id, have)
@@ -121,8 +121,8 @@
 		return fmt.Errorf("%s: %q, want %q", request.id, lines[0], want)
 	}
 	want := []string{"Host: a.example", "X-Attempt-Id: " + request.id, "X-Own: of " + request.id, "X-Expected-Server: " + e.id}
-	if request.size > 0 || request.chunks > 0 {
-		want = append(want, "Content-Length: "+strconv.Itoa(request.size))
+	if length := len(request.passedOn()); length > 0 || request.chunks > 0 {
+		want = append(want, "Content-Length: "+strconv.Itoa(length))
 	}
 	var have []string
 	for _, line := range lines[1:] {
@@ -151,6 +151,9 @@
 // judge judges what became of one request.
 func (o *oracle) judge(g *got) {
 	o.judgeSends(g)
+	if g.request.route == turnRoute {
+		o.judgeTurn(g)
+	}
 	if !g.left.IsZero() {
 		o.judgeLeave(g)
 	}
@@ -177,10 +180,11 @@
 	}
 }
 
-// brokeOff tells whether an endpoint broke off the answer to a request, or its client didn't take it in time. What of it the proxy
+// brokeOff tells whether an endpoint may have broken off the answer to a request, its client not taken it, or the stores not its end. What of it the proxy
 // had not passed on yet is dropped then, and the client may see a close alone.
 func (o *oracle) brokeOff(request *requestScript) bool {
-	return o.world.plan.has(crash) || request.stalls > 0 || slices.ContainsFunc(o.sends[request], func(s sent) bool { return s.run != nil && s.run.isCut() })
+	notSafe := request.route == turnRoute && request.end != safe
+	return notSafe || o.world.plan.has(crash) || request.stalls > 0 || slices.ContainsFunc(o.sends[request], func(s sent) bool { return s.run != nil && s.run.isCut() })
 }
 
 // judgeSends judges how often a request was sent.
@@ -210,6 +214,37 @@
 // isPromise tells whether a client takes a status for a promise that its request has not run and won't.
 func isPromise(status int) bool { return slices.Contains([]int{402, 408, 421, 429, 503}, status) }
 
+// refusals are the answers to turns that the stores refuse.
+var refusals = map[beginKind]int{spent: 402, noTurn: 404, noStores: 503}
+
+// judgeTurn judges what became of a turn: it runs only if the stores took it, and looks complete only once its end is safe there.
+func (o *oracle) judgeTurn(g *got) {
+	if g.request.begin != taken && len(o.sends[g.request]) > 0 {
+		o.fault(g.request, "UNASKED: the stores refused it, and it was sent")
+	}
+	if !g.answered || g.status != 200 || g.request.method == "HEAD" {
+		return
+	}
+	end, safe := o.world.stores.ended(g.request.id)
+	if g.complete() && (!safe || !end.Whole || string(end.Output) != outputOf(g.body)) {
+		o.fault(g.request, "LOST: looks complete, and the stores have %v, %+v", safe, end)
+	}
+	if events := int64(bytes.Count(g.body, []byte("\n\n"))); safe && end.Tokens < events {
+		o.fault(g.request, "BUDGET: %d events came, and the stores were told of %d tokens", events, end.Tokens)
+	}
+}
+
+// outputOf returns the data of all events with a line feed behind each line.
+func outputOf(events []byte) string {
+	var output strings.Builder
+	for line := range strings.Lines(string(events)) {
+		if data, found := strings.CutPrefix(line, "data: "); found {
+			output.WriteString(data)
+		}
+	}
+	return output.String()
+}
+
 // judgeLeave judges what was done for a client that had left.
 func (o *oracle) judgeLeave(g *got) {
 	until := g.left.Add(goneWithin)
@@ -230,7 +265,8 @@
 	seal := g.header.Get("X-Server-Seal")
 	if seal == "" {
 		inPart := g.request.sent >= 0 && g.status == 400
-		if !inPart && !slices.Contains([]int{502, 503, 504}, g.status) {
+		refused := g.request.route == turnRoute && g.status == refusals[g.request.begin]
+		if !inPart && !refused && !slices.Contains([]int{502, 503, 504}, g.status) {
 			o.fault(g.request, "MIXED: %d of the proxy's own", g.status)
 		}
 		return
@@ -273,7 +309,9 @@
 	for len(rest) > 0 {
 		event, tail, found := bytes.Cut(rest, []byte("\n\n"))
 		if !found {
-			o.fault(g.request, "ORDER: half an event, %.80q", rest)
+			if !heldBack(g, event, first, last+1) {
+				o.fault(g.request, "ORDER: half an event, %.80q", rest)
+			}
 			return
 		}
 		rest = tail
@@ -290,6 +328,11 @@
 	}
 }
 
+// heldBack tells whether the last event of a turn's cut answer lacks its last byte alone, which waits until its end is safe.
+func heldBack(g *got, event []byte, by *run, number int) bool {
+	return g.cutOff() && g.request.route == turnRoute && string(event)+"\n" == string(by.event(number))
+}
+
 // maker returns the run that an event of a request is of; nil if it isn't the event with that number.
 func (o *oracle) maker(request *requestScript, event []byte, number int) *run {
 	for _, r := range o.world.runs {
--- a/internal/system/exchangetest/script_test.go
+++ b/internal/system/exchangetest/script_test.go
@@ -16,13 +16,14 @@
 	onceRoute   routeKind = "once"
 	streamRoute routeKind = "stream"
 	resumeRoute routeKind = "resume"
+	turnRoute   routeKind = "turn" // a stream that the stores remember
 )
 
 // repeatable tells whether a request may run more than once.
 func (r routeKind) repeatable() bool { return r == safeRoute || r == resumeRoute }
 
 // streaming tells whether a success is a stream of events.
-func (r routeKind) streaming() bool { return r == streamRoute || r == resumeRoute }
+func (r routeKind) streaming() bool { return r == streamRoute || r == resumeRoute || r == turnRoute }
 
 // ending is how a side ends a connection.
 type ending int
@@ -49,7 +50,7 @@
 type answerKind int
 
 const (
-	success        answerKind = iota // with a length, or with chunks if it is a stream
+	success        answerKind = iota // with a length, or with chunks if it is a stream and no turn
 	chunked                          // with chunks
 	unframed                         // with no end but that of the connection
 	informational                    // 1xx answers, then a success
@@ -117,8 +118,36 @@
 	timeout time.Duration // after which the proxy gives up a send; 0: never
 	timeIn  time.Duration // X-Time-Left-Ms
 	sends   []sendScript  // what becomes of each send; the last one holds for all further ones
+
+	begin beginKind // what the stores say to a turn
+	chain int       // bytes of what came before it
+	end   endKind   // what the stores say to its end
 }
 
+// beginKind is what the stores say to the beginning of a turn.
+type beginKind int
+
+const (
+	taken    beginKind = iota
+	spent              // its budget is spent
+	noTurn             // it names no turn that they know
+	noStores           // they can't be reached
+	beginKinds
+)
+
+// endKind is what the stores say to the end of a turn.
+type endKind int
+
+const (
+	safe     endKind = iota
+	lateSafe         // after a while
+	failed           // the first time it doesn't reach them
+	lostSafe         // the first time their answer is lost
+	unknown          // they don't know the turn any more
+	unsafe           // it never reaches them
+	endKinds
+)
+
 // leaves tells whether the client leaves before its answer.
 func (r *requestScript) leaves() bool { return r.sent >= 0 || r.leave != stay }
 
@@ -132,6 +161,14 @@
 	return pattern("body of "+r.id+" ", r.size)
 }
 
+// passedOn is the body that endpoints get: before a turn's own, what came before it.
+func (r *requestScript) passedOn() []byte {
+	if r.route != turnRoute {
+		return r.body()
+	}
+	return append(pattern("chain of "+r.id+" ", r.chain), r.body()...)
+}
+
 // pattern repeats a text up to a length.
 func pattern(text string, size int) []byte {
 	return bytes.Repeat([]byte(text), size/len(text)+1)[:size]
@@ -301,7 +338,7 @@
 		return []byte(head + "X-Not-Run: 1\r\nContent-Length: 0\r\n\r\n")
 	case script.kind == unframed:
 		head += "\r\n"
-	case script.kind == chunked || r.request.route.streaming() && r.status() == 200:
+	case script.kind == chunked || r.request.route.streaming() && r.request.route != turnRoute && r.status() == 200:
 		head += "Transfer-Encoding: chunked\r\n\r\n"
 		body = r.chunks(body)
 	case script.kind == rejected:
--- a/internal/system/exchangetest/world_test.go
+++ b/internal/system/exchangetest/world_test.go
@@ -68,6 +68,7 @@
 	endpoints []*endpoint
 	clients   []*client
 	requests  map[string]*requestScript
+	stores    *stores
 	running   sync.WaitGroup
 
 	mutex sync.Mutex
@@ -87,6 +88,7 @@
 
 func newWorld(t *testing.T, p plan) *world {
 	w := &world{plan: p, network: newMemoryNetwork(), requests: make(map[string]*requestScript), gone: make(map[int]bool)}
+	w.stores = &stores{world: w, asked: make(map[string]bool), ends: make(map[string][]program.EndTurn)}
 	for _, requests := range p.clients {
 		w.clients = append(w.clients, &client{world: w, requests: requests})
 		for _, request := range requests {
@@ -101,7 +103,7 @@
 	}
 	w.routes.Store(proxy.NewRoutes(configuration(1)))
 	var err error
-	w.proxy, err = proxy.New(proxy.Options{FrontAddress: frontAddress, ReadinessAddress: "10.0.0.1:81", Views: w, Programs: noPrograms{},
+	w.proxy, err = proxy.New(proxy.Options{FrontAddress: frontAddress, ReadinessAddress: "10.0.0.1:81", Views: w, Programs: w.stores,
 		Chooser: w, Network: w.network})
 	if err != nil {
 		t.Fatal(err)
@@ -117,9 +119,9 @@
 		Services: []model.Service{{Name: "service", Protocol: "h1"}},
 		Limits:   model.Limits{MaxHeaderBytes: 16 << 10, MaxBodyBytes: 4 << 20, HeaderWaitMs: 3000, IdleCloseMs: int64(2000 + number)},
 	}
-	for _, kind := range []routeKind{safeRoute, onceRoute, streamRoute, resumeRoute} {
+	for _, kind := range []routeKind{safeRoute, onceRoute, streamRoute, resumeRoute, turnRoute} {
 		route := model.Route{Name: string(kind), Host: "a.example", StartsWith: "/" + string(kind) + "/", Service: "service", Tries: tries,
-			GiveUpMs: 3000, TargetMs: 200, CanResume: kind == resumeRoute}
+			GiveUpMs: 3000, TargetMs: 200, CanResume: kind == resumeRoute, Remembered: kind == turnRoute, KeepForS: 60}
 		switch {
 		case kind.streaming():
 			route.Kind = model.Streaming
@@ -258,14 +260,3 @@
 
 // Done implements proxy.Chooser.
 func (w *world) Done(proxy.Choice, proxy.Outcome) {}
-
-// noPrograms is a proxy.Programs for requests that are no turns.
-type noPrograms struct{}
-
-func (noPrograms) Begin(context.Context, string, program.BeginTurn) (program.Result, error) {
-	return program.Result{}, context.Canceled
-}
-
-func (noPrograms) End(context.Context, string, program.EndTurn) (program.Result, error) {
-	return program.Result{}, context.Canceled
-}
