Let a store's shards go on while its disk holds up the opening of one

Cause: a store opened a shard, which reads and writes the disk, with the mutex held under which messages and calls find their shard. A disk that was slow or stood still at that moment held up the readers of the link, and so every other shard of the machine. Ruled out: compaction, which only tries its mutex.

Change: opening has a mutex of its own; the shards' one is taken for a moment. The stand-ins take a listener and a dialer, and tell when a turn was sent and ended.

Test: TestOtherShardsGoOnWhileADiskHoldsUpTheOpeningOfOne, which fails on the code before.

--- a/internal/system/standin/endpoint.go
+++ b/internal/system/standin/endpoint.go
@@ -28,6 +28,7 @@
 	TellLoad       bool
 	HealthPath     string // "/health" if empty
 	Ledger         *Ledger
+	Listen         func() (net.Listener, error) // nil: at a loopback address
 	// Fault says what goes wrong with a request; nil: nothing. It may be called from several goroutines.
 	Fault func(request *http.Request) Fault
 }
@@ -60,7 +61,7 @@
 	if options.Capacity <= 0 {
 		return fmt.Errorf("endpoint %q has no slots", options.ID)
 	}
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	listener, err := listenBy(options.Listen)
 	if err != nil {
 		return err
 	}
@@ -94,12 +95,20 @@
 }
 
 func reset(socket net.Conn) {
-	if connection, ok := socket.(*net.TCPConn); ok {
+	if connection, ok := socket.(interface{ SetLinger(seconds int) error }); ok {
 		_ = connection.SetLinger(0)
 	}
 	socket.Close()
 }
 
+// listenBy listens where it is told to, and else at a loopback address.
+func listenBy(listen func() (net.Listener, error)) (net.Listener, error) {
+	if listen != nil {
+		return listen()
+	}
+	return net.Listen("tcp4", "127.0.0.1:0")
+}
+
 // Close ends the endpoint at once, as a crash would: requests at work lose their connections.
 func (e *endpoint) Close() {
 	e.server.Close()
--- a/internal/system/standin/platform.go
+++ b/internal/system/standin/platform.go
@@ -17,9 +17,10 @@
 
 // PlatformOptions describes the platform's list.
 type PlatformOptions struct {
-	PageSize int              // 50 if 0
-	RatePerS float64          // calls in any second; 0: no bound
-	Now      func() time.Time // time.Now if nil
+	PageSize int                          // 50 if 0
+	RatePerS float64                      // calls in any second; 0: no bound
+	Now      func() time.Time             // time.Now if nil
+	Listen   func() (net.Listener, error) // nil: at a loopback address
 }
 
 // Entry is one endpoint on the list.
@@ -52,7 +53,7 @@
 	if options.Now == nil {
 		options.Now = time.Now
 	}
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	listener, err := listenBy(options.Listen)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/system/standin/program.go
+++ b/internal/system/standin/program.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -29,6 +30,8 @@
 	Endless    bool
 	// GoOnFrom is a turn of an earlier program that the first one goes on from; without an Attempt: none.
 	GoOnFrom Turn
+	// Dial opens a program's connections; nil: those of the system, to Address.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// Pause waits before a failed turn is sent again; nil: it doesn't wait.
 	Pause func(ctx context.Context) error
 }
@@ -61,6 +64,8 @@
 	Events   int
 	Whole    bool
 	Problem  string // what is wrong with the answer itself
+	Sent     time.Time
+	Ended    time.Time
 }
 
 // Tool is one call of a tool.
@@ -104,7 +109,7 @@
 		client: &http.Client{
 			// A connection serves one request: a transport sends some requests again by itself when a connection that
 			// has rested turns out to be closed, and each attempt is to be sent once.
-			Transport:     &http.Transport{DisableKeepAlives: true, DisableCompression: true},
+			Transport:     &http.Transport{DisableKeepAlives: true, DisableCompression: true, DialContext: options.Dial},
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		},
 	}
--- a/internal/system/standin/programline.go
+++ b/internal/system/standin/programline.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"sync"
+	"time"
 )
 
 // lineStart is what a line of turns begins with.
@@ -81,7 +82,9 @@
 func (p *Program) turn(ctx context.Context, session, previous, history, input string) (Turn, State) {
 	for resends := 0; ; resends++ {
 		turn := Turn{Session: session, Attempt: p.attempt(), Previous: previous, Prompt: history + input}
+		turn.Sent = time.Now()
 		p.sendTurn(ctx, &turn, input)
+		turn.Ended = time.Now()
 		p.noteTurn(turn)
 		state := stateOf(turn.Status, turn.Whole)
 		if !p.again(turn.Status, state) || resends == maxResends || ctx.Err() != nil {
--- /dev/null
+++ b/internal/system/store/opening_test.go
@@ -0,0 +1,61 @@
+package store
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"mastusher/internal/system/group"
+	"mastusher/internal/system/storage"
+	"mastusher/internal/system/storage/memorydisk"
+)
+
+// stuckDisk doesn't answer for the files of one group until it is let go.
+type stuckDisk struct {
+	storage.Disk
+	group string
+	asked chan struct{}
+	let   chan struct{}
+}
+
+// Create implements storage.Disk.
+func (d *stuckDisk) Create(name string) (storage.File, error) {
+	if strings.Contains(name, d.group) {
+		select {
+		case d.asked <- struct{}{}:
+		default:
+		}
+		<-d.let
+	}
+	return d.Disk.Create(name)
+}
+
+func TestOtherShardsGoOnWhileADiskHoldsUpTheOpeningOfOne(t *testing.T) {
+	// Given a store whose disk stands still while the second shard opens,
+	disk := &stuckDisk{Disk: memorydisk.New(), group: groupName(1), asked: make(chan struct{}, 1), let: make(chan struct{})}
+	s := New(t.Context(), Options{ID: self.ID, Address: self.Address, Disk: disk, Logger: log.NewNopLogger(), Seed: 1,
+		Now: time.Now, Send: func(string, group.Envelope) {}})
+	s.Place(1, alone(1))
+	placed := make(chan struct{})
+	go func() {
+		defer close(placed)
+		s.Place(2, alone(2))
+	}()
+	<-disk.asked
+	// when a message for the first one comes,
+	delivered := make(chan struct{})
+	go func() {
+		defer close(delivered)
+		s.Deliver(group.Envelope{Group: groupName(0)})
+	}()
+	// then it is delivered at once.
+	select {
+	case <-delivered:
+	case <-time.After(patience):
+		t.Error("the message waits for the disk")
+	}
+	close(disk.let)
+	<-placed
+}
--- a/internal/system/store/store.go
+++ b/internal/system/store/store.go
@@ -52,6 +52,7 @@
 type Store struct {
 	options    Options
 	compacting sync.Mutex // held by the group that compacts
+	opening    sync.Mutex // held while a shard opens; taken before mutex
 
 	mutex    sync.Mutex
 	shards   map[int]*shard
@@ -118,11 +119,11 @@
 	return contains(placement.Replicas, s.options.ID) || contains(placement.Initial, s.options.ID)
 }
 
-// open starts the replica of a shard, if it doesn't run yet.
+// open starts the replica of a shard, if it doesn't run yet. The other shards go on meanwhile, however long the disk takes.
 func (s *Store) open(number int, placement view.ShardPlacement) error {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	if s.shards[number] != nil {
+	s.opening.Lock()
+	defer s.opening.Unlock()
+	if s.shard(number) != nil {
 		return nil
 	}
 	opening := &shard{number: number, logger: s.options.Logger, machine: newMachine()}
@@ -137,7 +138,9 @@
 		return err
 	}
 	opening.group = opened
+	s.mutex.Lock()
 	s.shards[number] = opening
+	s.mutex.Unlock()
 	s.options.Run(opened)
 	return nil
 }
