--- a/internal/system/proxy/budget_test.go
+++ b/internal/system/proxy/budget_test.go
@@ -47,6 +47,9 @@
 // A budget for one turn and two events more: the most of a turn is five events, and an event holds three tokens.
 var tightBudget = []string{"Program: p", "Budget: 21", "X-Token-Counts: 100,15"}
 
+// settlePatience is more than a turn needs to be settled.
+const settlePatience = 10 * time.Second
+
 // newKept starts a proxy whose programs a keeper keeps.
 func newKept(t *testing.T, endpoints ...*endpoint) (*fixture, *keeper) {
 	t.Helper()
@@ -62,8 +65,13 @@
 	c.ask("POST", "/"+route+"/x", id, "input", tightBudget...)
 	got := c.read("POST")
 	if got.status != 402 {
-		if end := <-k.ended; end.Turn != id {
-			f.t.Fatalf("settled %q in place of %q", end.Turn, id)
+		select {
+		case end := <-k.ended:
+			if end.Turn != id {
+				f.t.Fatalf("settled %q in place of %q", end.Turn, id)
+			}
+		case <-time.After(settlePatience):
+			f.t.Fatalf("%q isn't settled", id)
 		}
 	}
 	return got
--- a/internal/system/proxy/gone_test.go
+++ b/internal/system/proxy/gone_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 
@@ -21,6 +22,9 @@
 	}
 }
 
+// gonePatience is more than it takes until a client's leaving is noticed.
+const gonePatience = 10 * time.Second
+
 func TestNothingGoesOnForAClientThatHasGone(t *testing.T) {
 	nothing := func(received) string { return "" }
 	head := func(request received) string { return sealed(200, request, streamHead) }
@@ -49,13 +53,18 @@
 			started := make(chan struct{}, 1)
 			first, second := newEndpoint(t, workOn(started, test.part)), newEndpoint(t, answerWith(200, "good"))
 			f := newFixture(t, first, second)
+			f.giveUpAfter(10 * gonePatience.Milliseconds())
 			c := f.dial()
 			c.ask("POST", "/"+test.route+"/x", "id", "body", turnFields...)
 			<-started
 			// when the client goes
 			c.socket.Close()
-			// then the endpoint's work ends, and nothing is begun anew
-			<-first.closed
+			// then the endpoint's work ends, long before the request's time is over, and nothing is begun anew
+			select {
+			case <-first.closed:
+			case <-time.After(gonePatience):
+				t.Fatal("the endpoint works on")
+			}
 			if outcome := <-f.chooser.outcomes; outcome.Result != ClientGone {
 				t.Errorf("outcome %+v", outcome)
 			}
@@ -91,6 +100,25 @@
 	}
 }
 
+func TestPlaceThatComesAsTheClientGoesIsGivenBack(t *testing.T) {
+	// given a request that gets a place at the moment at which its client goes
+	s, held := newFullScheduler(t)
+	s.mutex.Lock()
+	id, w, refusal := s.join(newFacts(0))
+	s.mutex.Unlock()
+	if refusal != nil {
+		t.Fatal(refusal)
+	}
+	s.Done(held, Outcome{Result: Succeeded})
+	gone, leave := context.WithCancel(t.Context())
+	leave()
+	s.leave(gone, id, w)
+	// then the next one gets that place
+	if _, err := s.Choose(t.Context(), newFacts(0)); err != nil {
+		t.Errorf("the place was not free: %v", err)
+	}
+}
+
 func TestTurnWhoseClientGoesWhileItIsBegunIsNotSent(t *testing.T) {
 	// given stores that take a turn just after its client has gone
 	e := newEndpoint(t, stream(event(1, "one")))
--- /dev/null
+++ b/internal/system/proxy/mutants_test.go
@@ -0,0 +1,61 @@
+package proxy
+
+import (
+	"testing"
+
+	"mastusher/internal/tools/mutation"
+)
+
+// Tests that notice the mutants.
+const (
+	triesTest    = "^TestNoRequestRunsOnMoreEndpointsThanItsTries$"
+	timeLeftTest = "^TestTimeLeftIsNeverLongerThanTheClientsAndItsRoutes$"
+	goneTest     = "^TestNothingGoesOnForAClientThatHasGone$"
+	giveUpTest   = "^TestEveryRequestEndsAtItsRoutesGiveUpTime$"
+	budgetTest   = "^TestTurnThatDidNotRunGivesItsTokensBack$"
+)
+
+func TestMutantsAreNoticed(t *testing.T) {
+	change := func(file, from, to string) mutation.Change { return mutation.Change{File: file, Old: from, New: to} }
+	mutation.Test(t, []mutation.Mutant{
+		{Name: "one try too many", Run: triesTest, Always: true,
+			Change: change("call.go", "c.runs < c.facts.Route.Tries", "c.runs <= c.facts.Route.Tries")},
+		{Name: "one try too many after a failure", Run: triesTest,
+			Change: change("attempt.go", "c.runs+1 < c.facts.Route.Tries", "c.runs < c.facts.Route.Tries")},
+		{Name: "only failures count as tries", Run: triesTest,
+			Change: change("call.go", "\tc.runs++\n", "\tif result == Failed {\n\t\tc.runs++\n\t}\n")},
+		{Name: "503 after one run", Run: triesTest,
+			Change: change("attempt.go", "case !c.mayHaveRun:", "case c.runs < 2:")},
+		{Name: "the client's time is taken though its route's is shorter", Run: timeLeftTest,
+			Change: change("call.go", "allowed = min(allowed, told)", "allowed = told")},
+		{Name: "no time is told", Run: timeLeftTest,
+			Change: change("call.go", "\t\tDeadline:  c.facts.Deadline,\n", "")},
+		{Name: "work goes on without a client", Run: goneTest,
+			Change: change("call.go", "context.WithDeadline(r.Context(), c.facts.Deadline)",
+				"context.WithDeadline(context.WithoutCancel(r.Context()), c.facts.Deadline)")},
+		{Name: "a request whose client has gone waits on", Run: "^TestWaiterWhoseClientGoesLeavesNothing$",
+			Change: change("waiting.go", "\ts.queue(w.facts.Service.Name).Remove(id)\n", "")},
+		{Name: "a place that came too late is kept", Run: "^TestPlaceThatComesAsTheClientGoesIsGivenBack$",
+			Change: change("waiting.go", "\t\tif placed.err == nil {\n", "\t\tif placed.err != nil {\n")},
+		{Name: "nothing ends at the give-up time", Run: giveUpTest,
+			Change: change("call.go", "allowed = time.Duration(giveUpMs) * time.Millisecond", "allowed = time.Minute")},
+		{Name: "a turn that broke off costs all that it reserved", Run: budgetTest,
+			Change: change("turn.go", "Tokens: scanner.count * t.tokensPerEvent", "Tokens: 1 << 40")},
+		{Name: "a turn that is over its budget is sent", Run: budgetTest,
+			Change: change("turn.go", "\t\tt.begun = false\n\t\treturn fault.BudgetSpent, nil", "\t\treturn fault.None, nil")},
+		{Name: "a turn that was never sent isn't settled", Run: budgetTest,
+			Change: change("call.go", "\tdefer c.settle()\n", "")},
+		{Name: "ends are offered again too late", Run: "^TestEndThatIsLostIsSafeWithinTheBound$",
+			Change: change("settle.go", "settleFirstWait   = 50 * time.Millisecond", "settleFirstWait   = 500 * time.Millisecond")},
+		{Name: "requests are left to the end of the process", Run: "^TestRequestsThatAShutdownGivesUpAreAnswered$",
+			Change: change("front.go", "\tfailure := f.awaitEmpty(ctx)\n\tf.giveUp()", "\tfailure := f.awaitEmpty(ctx)")},
+		{Name: "404 without a configuration", Run: "^TestNothingIsDeniedBeforeAConfigurationIsKnown$",
+			Change: change("call.go", "\t\tfail(w, fault.NotReady, 0)", "\t\tfail(w, fault.NoRoute, 0)")},
+		{Name: "404 for what no store knows", Run: "^TestTroubleIsNoDenial$",
+			Change: change("turn.go", "\treturn fault.StateUnavailable, nil\n}", "\treturn fault.NoSuchTurn, nil\n}")},
+		{Name: "the least urgent go first", Run: "^TestMoreUrgentRequestsAreNotServedLessOften$",
+			Change: change("../schedule/queue.go", "cmp.Compare(w.Rank, o.Rank)", "cmp.Compare(o.Rank, w.Rank)")},
+		{Name: "a drain cuts streams", Run: "^TestChangesOfTheViewCutNothing$",
+			Change: change("server.go", "func (p *Proxy) Drain() { p.draining.Store(true) }", "func (p *Proxy) Drain() { p.draining.Store(true); p.front.giveUp() }")},
+	})
+}
