Begin at another store after one that gave no answer

Cause: a call whose time ended while it waited for a shard's owner told nothing to the next one, which began with the same store. A store answers within 400 ms or not at all, and a turn's beginning gets a quarter of its time, 300 ms at least: with less than 1.6 s left, each turn of that shard was answered 503 for as long as no longer call found the new owner, though the stores had one. Ruled out: a shorter time for each store (disks that are merely slow); callers that go by themselves, which say nothing of the store. Change: a store that gave no answer isn't the one that the next call begins with. Tests: the call after one whose time ended doesn't ask the silent store (without the change it does); one whose caller went leaves the owner as it was.

--- a/internal/system/programclient/client.go
+++ b/internal/system/programclient/client.go
@@ -128,13 +128,14 @@
 			c.learn(shard, address)
 			return answer, nil
 		}
+		if isSilence(err) && !errors.Is(ctx.Err(), context.Canceled) {
+			silent = address
+			c.doubt(shard, address)
+		}
 		if ctx.Err() != nil {
 			var none Answer
 			return none, fmt.Errorf("shard %d: %w", shard, err)
 		}
-		if isSilence(err) {
-			silent = address
-		}
 		if hint != "" && hint != address && hint != silent {
 			address = hint
 		} else {
@@ -218,6 +219,14 @@
 	return c.owner(shard)
 }
 
+// doubt makes the next calls begin at another store than one that gave no answer: a call whose time ends with that store's
+// would never come to the others.
+func (c *Client) doubt(shard int, address string) {
+	if c.owner(shard) == address {
+		c.learn(shard, c.other(shard, address))
+	}
+}
+
 func (c *Client) learn(shard int, address string) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
--- a/internal/system/programclient/client_test.go
+++ b/internal/system/programclient/client_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"runtime"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -213,3 +214,57 @@
 		}
 	}
 }
+
+func TestNextCallBeginsElsewhereAfterASilence(t *testing.T) {
+	// given a shard's owner that has fallen silent, and another store that owns the shard by now
+	silent, owner := newStore(t), newStore(t)
+	client := newClient(t, 1, silent, owner)
+	taken := func(context.Context, wire.BeginTurn) (program.Result, error) {
+		return program.Result{Verdict: program.Taken}, nil
+	}
+	silent.begin, owner.begin = taken, taken
+	if _, err := client.Begin(t.Context(), "key", program.BeginTurn{Turn: "before"}); err != nil {
+		t.Fatal(err)
+	}
+	silent.begin = func(ctx context.Context, _ wire.BeginTurn) (program.Result, error) {
+		<-ctx.Done()
+		return program.Result{}, ctx.Err()
+	}
+	cases := []struct {
+		name   string
+		bound  time.Duration // of a call to the silent store
+		leaves bool          // its caller goes, rather than that its time ends
+		again  bool          // the next call asks the silent store too
+	}{
+		{"given a caller that goes when it has hardly waited then the owner is still the owner", 0, true, true},
+		{"given a call whose time ends with the silent store's then the next call begins elsewhere", 350 * time.Millisecond, false, false},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			client.learn(0, silent.address)
+			before := silent.begins.Load()
+			ctx, cancel := context.WithTimeout(t.Context(), test.bound)
+			if test.leaves {
+				ctx, cancel = context.WithCancel(t.Context())
+				go func() {
+					for silent.begins.Load() == before {
+						runtime.Gosched()
+					}
+					cancel()
+				}()
+			}
+			defer cancel()
+			// when a call gets no answer
+			if _, err := client.Begin(ctx, "key", program.BeginTurn{Turn: "id"}); err == nil {
+				t.Fatal("the silent store has answered")
+			}
+			// then the next one is answered
+			if result, err := client.Begin(t.Context(), "key", program.BeginTurn{Turn: "id"}); err != nil || result.Verdict != program.Taken {
+				t.Errorf("got %+v, %v", result, err)
+			}
+			if asked := silent.begins.Load() - before; (asked > 1) != test.again {
+				t.Errorf("the silent store was asked %d times", asked)
+			}
+		})
+	}
+}
