--- a/internal/system/proxy/shutdown_test.go
+++ b/internal/system/proxy/shutdown_test.go
@@ -6,6 +6,10 @@
 	"net"
 	"net/http"
 	"testing"
+	"testing/synctest"
+	"time"
+
+	"mastusher/internal/system/program"
 )
 
 func TestRequestsThatAShutdownGivesUpAreAnswered(t *testing.T) {
@@ -95,3 +99,40 @@
 	socket.Close()
 	return false
 }
+
+func TestSettlesHaveAMomentAfterAShutdownsTime(t *testing.T) {
+	cases := []struct {
+		name  string
+		takes time.Duration // until the stores answer
+		taken bool
+	}{
+		{"given stores that answer in time when the shutdown's time is over then the turn is settled", 100 * time.Millisecond, true},
+		{"given stores that don't when it is over then the turn is given up", time.Second, false},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				stores := &programs{ended: make(chan program.EndTurn, 1), settle: func(ctx context.Context) error {
+					select {
+					case <-time.After(test.takes):
+						return nil
+					case <-ctx.Done():
+						return ctx.Err()
+					}
+				}}
+				s := newSettler(stores)
+				s.settle("key", program.EndTurn{Turn: "id"})
+				over, cancel := context.WithCancel(t.Context())
+				cancel()
+				began := time.Now()
+				s.wait(over)
+				if waited := time.Since(began); waited > lastSettlesTime {
+					t.Errorf("waited for %v", waited)
+				}
+				if taken := len(stores.ended) == 1; taken != test.taken {
+					t.Errorf("settled: %v", taken)
+				}
+			})
+		})
+	}
+}
