Keep deliberate mistakes on the search for a shard's owner as a table

Five mutants, all noticed: the silent store asked first, a caller that goes held against the owner, hints to silent stores followed, hints not followed, a turn that is missing though a shard gave no answer.

--- /dev/null
+++ b/internal/system/programclient/mutants_test.go
@@ -0,0 +1,38 @@
+package programclient
+
+import (
+	"testing"
+
+	"mastusher/internal/tools/mutation"
+)
+
+func TestMutantsAreNoticed(t *testing.T) {
+	change := func(from, to string) mutation.Change { return mutation.Change{File: "client.go", Old: from, New: to} }
+	mutation.Test(t, []mutation.Mutant{
+		{
+			Name:   "the next call begins with a silent store",
+			Change: change("\t\t\tc.doubt(shard, address)\n", ""),
+			Run:    "^TestNextCallBeginsElsewhereAfterASilence$",
+		},
+		{
+			Name:   "a caller that goes makes the owner doubtful",
+			Change: change("isSilence(err) && !errors.Is(ctx.Err(), context.Canceled)", "isSilence(err)"),
+			Run:    "^TestNextCallBeginsElsewhereAfterASilence$",
+		},
+		{
+			Name:   "a hint to a silent store is followed at once",
+			Change: change(" && hint != silent {", " && (hint != silent || true) {"),
+			Run:    "^TestSilentStoreIsAskedAgainOnlyAfterTheOthers$",
+		},
+		{
+			Name:   "hints are not followed",
+			Change: change("\t\t\taddress = hint\n", "\t\t\taddress = c.owner(shard)\n"),
+			Run:    "^TestOwnerIsFoundByTheOthersHint$",
+		},
+		{
+			Name:   "a turn is missing though a shard didn't answer",
+			Change: change("\treturn nil, false, failed\n", "\tfailed = nil\n\treturn nil, false, failed\n"),
+			Run:    "^TestTurnIsMissingOnlyIfEveryShardIsCertain$",
+		},
+	})
+}
