--- /dev/null
+++ b/internal/system/retire/mutants_test.go
@@ -0,0 +1,49 @@
+package retire_test
+
+import (
+	"testing"
+
+	"mastusher/internal/tools/mutation"
+)
+
+func TestMutantsAreNoticed(t *testing.T) {
+	t.Parallel()
+	mutation.Test(t, []mutation.Mutant{
+		{
+			Name: "a repeat is refused when too few would remain",
+			Change: mutation.Change{
+				File: "register.go",
+				Old:  "asked && known.Index > order.Settled",
+				New:  "asked && known.Index > order.Settled && order.ID == known.Node",
+			},
+			Run: "^TestRepeatsAreNeverRefused$",
+		},
+		{
+			Name: "an order is acknowledged whenever the machine was emptied before",
+			Change: mutation.Change{
+				File: "register.go",
+				Old:  "asked && known.Index > order.Settled",
+				New:  "asked",
+			},
+			Run: "^TestRepeatsAreNeverRefused$",
+		},
+		{
+			Name: "what has ended is asked for anew",
+			Change: mutation.Change{
+				File: "register.go",
+				Old:  `known.State == InService || order.ID == "" || known.has(order.ID)`,
+				New:  `known.State == InService || order.ID == ""`,
+			},
+			Run: "^TestOrderKeepsEnough|^TestRepeatsAreNever",
+		},
+		{
+			Name: "another disk counts as the same machine",
+			Change: mutation.Change{
+				File: "register.go",
+				Old:  `known.State == InService || order.ID == "" || known.has(order.ID)`,
+				New:  "true",
+			},
+			Run: "^TestRetiredIdentities",
+		},
+	})
+}
--- /dev/null
+++ b/internal/system/rollout/mutants_test.go
@@ -0,0 +1,77 @@
+package rollout_test
+
+import (
+	"testing"
+
+	"mastusher/internal/tools/mutation"
+)
+
+func TestMutantsAreNoticed(t *testing.T) {
+	t.Parallel()
+	mutation.Test(t, []mutation.Mutant{
+		{
+			Name: "only the newest order is remembered",
+			Change: mutation.Change{
+				File: "register.go",
+				Old:  "isUnderWay && roll.isRepeat(&order) || r.wasTaken(&order)",
+				New:  "known && roll.isRepeat(&order)",
+			},
+			Run:    "^TestLateRepeats$",
+			Always: true,
+		},
+		{
+			Name: "what has ended is never a repeat",
+			Change: mutation.Change{
+				File: "register.go",
+				Old:  "\tr.settle(order.Settled)\n",
+				New:  "\tr.settle(index)\n",
+			},
+			Run: "^TestAnOrderIsTaken",
+		},
+		{
+			Name: "repeats have no end",
+			Change: mutation.Change{
+				File: "register.go",
+				Old:  "\tr.settle(order.Settled)\n",
+				New:  "",
+			},
+			Run: "^TestLateRepeats$",
+		},
+		{
+			Name: "a snapshot loses the recent orders",
+			Change: mutation.Change{
+				File: "register.go",
+				Old:  "\tr.recent = slices.Clone(saved.Recent)\n",
+				New:  "",
+			},
+			Run: "^TestLateRepeats$",
+		},
+		{
+			Name: "the target alone names an order",
+			Change: mutation.Change{
+				File: "register.go",
+				Old:  "taken.Service == order.Service && taken.Target == order.Target && taken.OverMs == order.OverMs",
+				New:  "taken.Service == order.Service && taken.Target == order.Target",
+			},
+			Run: "^TestLateRepeats$",
+		},
+		{
+			Name: "a repeat of what is under way is refused after its window",
+			Change: mutation.Change{
+				File: "register.go",
+				Old:  "isUnderWay && roll.isRepeat(&order) || r.wasTaken(&order)",
+				New:  "r.wasTaken(&order)",
+			},
+			Run: "^TestARevertedTarget",
+		},
+		{
+			Name: "a decision holds for any order of the target",
+			Change: mutation.Change{
+				File: "register.go",
+				Old:  "roll.Index != decision.Order",
+				New:  "roll.Target != decision.Target",
+			},
+			Run: "^TestARevertedTarget",
+		},
+	})
+}
