--- a/internal/system/controller/cutoff_history_test.go
+++ b/internal/system/controller/cutoff_history_test.go
@@ -20,26 +20,26 @@
 	taken        bool      // of a configuration, as the group has it at the end
 }
 
-// history is all that callers got, and judges it when all is over.
-type history struct {
-	answers []*answer
+// callHistory is all that callers got, and judges it when all is over.
+type callHistory struct {
+	answers []*coreAnswer
 	orders  []*sentOrder
 	chain   []*sentOrder // the orders that were taken, each on top of the one before
 	faults  []string
 }
 
-func (h *history) fault(a *answer, format string, args ...any) {
+func (h *callHistory) fault(a *coreAnswer, format string, args ...any) {
 	h.faults = append(h.faults, fmt.Sprintf("%s %s at core-%d from %v to %v: %d %s: %s", a.method, a.path, a.first+1,
 		a.began.Format("05.000"), a.ended.Format("05.000"), a.code, strings.TrimSpace(a.body), fmt.Sprintf(format, args...)))
 }
 
 // judge checks that all answers about the configuration are those of one register that is read and replaced as a whole, in
 // an order that agrees with real time, and those about other orders likewise.
-func (h *history) judge(register *configuration.Register) []string {
+func (h *callHistory) judge(register *configuration.Register) []string {
 	for _, order := range h.orders {
 		order.taken = register.WasTaken(order.configuration())
 	}
-	slices.SortFunc(h.answers, func(a, b *answer) int { return a.ended.Compare(b.ended) })
+	slices.SortFunc(h.answers, func(a, b *coreAnswer) int { return a.ended.Compare(b.ended) })
 	h.link()
 	h.judgeKinds()
 	h.judgeConfiguration()
@@ -55,7 +55,7 @@
 }
 
 // link finds the chain of the orders taken.
-func (h *history) link() {
+func (h *callHistory) link() {
 	next := map[uint64]*sentOrder{}
 	taken := 0
 	for _, order := range h.orders {
@@ -77,7 +77,7 @@
 }
 
 // place is the number of configurations taken up to one: 0 for none at all, -1 for one that was never taken.
-func (h *history) place(number uint64) int {
+func (h *callHistory) place(number uint64) int {
 	if number == 0 {
 		return 0
 	}
@@ -90,7 +90,7 @@
 }
 
 // judgeKinds checks that no answer is of a kind that may not be.
-func (h *history) judgeKinds() {
+func (h *callHistory) judgeKinds() {
 	may := []int{0, http.StatusOK, http.StatusTemporaryRedirect, http.StatusServiceUnavailable, http.StatusNotFound, http.StatusConflict,
 		http.StatusPreconditionFailed}
 	for _, a := range h.answers {
@@ -108,7 +108,7 @@
 }
 
 // judgeConfiguration follows the lowest place in the chain that each answer allows, given all that had ended before it began.
-func (h *history) judgeConfiguration() {
+func (h *callHistory) judgeConfiguration() {
 	var floors floors
 	for _, a := range h.answers {
 		if a.path != settingsPath {
@@ -151,7 +151,7 @@
 }
 
 // ceiling is the highest place that the chain can have reached by then.
-func (h *history) ceiling(at time.Time) int {
+func (h *callHistory) ceiling(at time.Time) int {
 	for i, order := range h.chain {
 		if order.at.After(at) {
 			return i
@@ -182,7 +182,7 @@
 }
 
 // judgeRollouts checks the answers about one service, of which one caller orders version after version.
-func (h *history) judgeRollouts() {
+func (h *callHistory) judgeRollouts() {
 	first := map[int]time.Time{} // when each version was ordered
 	var ordered, finished floors
 	for _, a := range h.answers {
@@ -225,7 +225,7 @@
 }
 
 // version is the number of the version that an order names.
-func (a *answer) version() int {
+func (a *coreAnswer) version() int {
 	version, _ := strconv.Atoi(strings.TrimPrefix(a.order.target(), "v"))
 	return version
 }
@@ -233,7 +233,7 @@
 func (o *sentOrder) target() string { return fmt.Sprintf("v%d", o.number) }
 
 // judgeRetirements checks the answers about machines of which enough always remain.
-func (h *history) judgeRetirements() {
+func (h *callHistory) judgeRetirements() {
 	asked := map[string]*floors{}
 	for _, a := range h.answers {
 		if !strings.HasPrefix(a.path, retirePath) {
@@ -256,12 +256,11 @@
 }
 
 const (
-	rolloutsPath = "/mastusher/rollouts"
-	retirePath   = "/mastusher/retire/"
+	retirePath = "/mastusher/retire/"
 )
 
 // counts lists how many answers of each kind there were.
-func (h *history) counts() string {
+func (h *callHistory) counts() string {
 	counts := map[string]int{}
 	for _, a := range h.answers {
 		counts[fmt.Sprintf("%s %s %d", a.method, strings.Split(strings.TrimPrefix(a.path, "/mastusher/"), "/")[0], a.code)]++
--- a/internal/system/replica/mutants_test.go
+++ b/internal/system/replica/mutants_test.go
@@ -184,12 +184,12 @@
 		{
 			Name: "old snapshots are installed",
 			Change: mutation.Change{
-				File: "follower.go",
+				File: "transfer.go",
 				Old:  "if snapshot.Index <= r.commit {",
 				New:  "if false {",
 			},
 			Also: []mutation.Change{{
-				File: "follower.go",
+				File: "transfer.go",
 				Old:  "if r.log.holds(snapshot.Index, snapshot.Epoch) {",
 				New:  "if false {",
 			}},
