Try 18 deliberate mistakes on the stories of controllers that are cut off

The stories follow the new form of judgeAll, and send an order to the machine at the moment of its cut: without that, whether a confirmation without a majority was noticed was luck.

--- a/internal/system/controller/cutoff_fixture_test.go
+++ b/internal/system/controller/cutoff_fixture_test.go
@@ -166,10 +166,10 @@
 }
 
 func (m *coreMachine) judge(ctx context.Context) {
-	trials := map[rollout.Order]*trial{}
+	trials := map[uint64]*rollout.Trial{}
 	for ctx.Err() == nil {
 		m.pass()
-		m.controller.judgeAll(ctx, time.Now(), trials)
+		m.controller.judgeAll(ctx, trials)
 		m.sleep(ctx, judgeInterval)
 	}
 }
--- /dev/null
+++ b/internal/system/controller/cutoff_mutants_test.go
@@ -0,0 +1,125 @@
+package controller
+
+import (
+	"testing"
+
+	"mastusher/internal/tools/mutation"
+)
+
+// The tests that must notice what goes wrong at a controller that is cut off.
+const (
+	cutOffTests     = "TestAControllerThatIsCutOff"
+	successionTests = "TestAnOwnerThatDoesNotKnow"
+	listTests       = "TestTheListIsReadAlso|TestANewOwnerForgets|TestAFormerOwnerPublishes"
+)
+
+// TestMutantsOfCutOffControllersAreCaught tries the mistakes that a controller could make while it is cut off. The stories
+// notice each with one seed.
+func TestMutantsOfCutOffControllersAreCaught(t *testing.T) {
+	const unconfirmed = "err := func(_ context.Context, view func()) error { view(); return nil }(ctx, func() {"
+	const confirmed = "err := c.group.Read(ctx, func() {"
+	mutation.Test(t, []mutation.Mutant{
+		{
+			Name: "members tell the configuration that they hold",
+			Change: mutation.Change{File: "configure.go",
+				Old: "func (c *Controller) getSettings(e echo.Context) error {\n\tif redirected, err := c.redirect(e); redirected {\n\t\treturn err\n\t}",
+				New: "func (c *Controller) getSettings(e echo.Context) error {"},
+			Also: []mutation.Change{{File: "configure.go", Old: confirmed, New: unconfirmed}},
+			Run:  cutOffTests,
+		},
+		{
+			Name: "members tell the state of roll-outs that they hold",
+			Change: mutation.Change{File: "rollouts.go",
+				Old: "func (c *Controller) getRollout(e echo.Context) error {\n\tif redirected, err := c.redirect(e); redirected {\n\t\treturn err\n\t}",
+				New: "func (c *Controller) getRollout(e echo.Context) error {"},
+			Also: []mutation.Change{{File: "rollouts.go", Old: confirmed, New: unconfirmed}},
+			Run:  cutOffTests,
+		},
+		{
+			Name:   "the owner tells the configuration without asking the others",
+			Change: mutation.Change{File: "configure.go", Old: confirmed, New: unconfirmed},
+			Run:    successionTests, Always: true,
+		},
+		{
+			Name:   "any answer to a round of heartbeats confirms a read",
+			Change: mutation.Change{File: "../replica/reads.go", Old: "confirmed := r.quorum(r.ownership.round, roundOf)", New: "confirmed := r.ownership.round"},
+			Run:    successionTests,
+		},
+		{
+			Name: "an order is refused for the version that a member holds",
+			Change: mutation.Change{File: "configure.go", Old: "\tif redirected, err := c.redirect(e); redirected {\n\t\treturn err\n\t}\n\tif err != nil {",
+				New: "\tc.mutex.Lock()\n\tother := err == nil && c.agree.register.Current().Number != order.Base\n\tc.mutex.Unlock()\n" +
+					"\tif other {\n\t\treturn fault.New(fault.VersionConflict, \"another version is current\")\n\t}\n" +
+					"\tif redirected, err := c.redirect(e); redirected {\n\t\treturn err\n\t}\n\tif err != nil {"},
+			Run: cutOffTests,
+		},
+		{
+			Name: "an order is acknowledged though nothing is known of it",
+			Change: mutation.Change{File: "configure.go", Old: "\tresult, err := c.group.Propose(ctx, Command{Configure: order})\n\tif err != nil {\n\t\treturn c.unagreed(err)\n\t}",
+				New: "\tresult, err := c.group.Propose(ctx, Command{Configure: order})\n\tif err != nil {\n\t\treturn e.NoContent(http.StatusOK)\n\t}"},
+			Run: cutOffTests,
+		},
+		{
+			Name: "one vote or copy less than a majority is enough",
+			Change: mutation.Change{File: "../replica/election.go", Old: "return r.groups.newest().majority()",
+				New: "return max(1, r.groups.newest().majority()-1)"},
+			Run: cutOffTests,
+		},
+		{
+			Name: "a machine is unknown without a confirmed read",
+			Change: mutation.Change{File: "retirements.go", Old: "if err := c.group.Read(ctx, func() {}); err != nil {",
+				New: "if err := error(nil); err != nil {"},
+			Run: "TestAnOwnerWithoutItsMajority",
+		},
+		{
+			Name:   "a new owner is sure of the machines that it sees",
+			Change: mutation.Change{File: "retirements.go", Old: "return c.planner.Watch().IsSure(now, c.group.Status().Epoch)", New: "return true"},
+			Run:    cutOffTests,
+		},
+		{
+			Name:   "an owner stays one without a majority",
+			Change: mutation.Change{File: "../replica/ownership.go", Old: "if r.now-heard < r.options.Election {", New: "if r.now-heard < 1000*r.options.Election {"},
+			Run:    cutOffTests,
+		},
+		{
+			Name:   "callers are sent to an owner of which nothing is heard",
+			Change: mutation.Change{File: "../group/group.go", Old: "status.Owner != status.ID && now-status.Heard > g.options.Replica.Election", New: "false"},
+			Run:    cutOffTests,
+		},
+		{
+			Name:   "callers are sent only to owners that membership takes to run",
+			Change: mutation.Change{File: "api.go", Old: "if m.ID == id && m.Role == membership.Controller {", New: "if m.ID == id && m.Role == membership.Controller && !m.Gone() {"},
+			Run:    cutOffTests,
+		},
+		{
+			Name:   "a former owner publishes what it has read",
+			Change: mutation.Change{File: "endpoints.go", Old: "!now.IsOwner || now.Epoch != status.Epoch", New: "now.Epoch == 0"},
+			Run:    listTests,
+		},
+		{
+			Name:   "a new owner goes on from what it read long ago",
+			Change: mutation.Change{File: "endpoints.go", Old: "if publisher.epoch != epoch {", New: "if publisher.epoch == 0 {"},
+			Run:    listTests,
+		},
+		{
+			Name:   "the owner reads alone",
+			Change: mutation.Change{File: "listsource.go", Old: "&& !s.reads && len(others) > 0:", New: "&& !s.reads && len(others) > 9:"},
+			Run:    listTests, Always: true,
+		},
+		{
+			Name:   "a delegate that fails is kept",
+			Change: mutation.Change{File: "listsource.go", Old: "s.reads, s.ownDue = false, now", New: "s.reads = false"},
+			Run:    listTests,
+		},
+		{
+			Name:   "the owner never tries again to read",
+			Change: mutation.Change{File: "listsource.go", Old: "case !now.Before(s.ownDue):", New: "case false:"},
+			Run:    listTests,
+		},
+		{
+			Name:   "others are asked where the platform refuses",
+			Change: mutation.Change{File: "listsource.go", Old: "case errors.As(err, &unreachable) && !s.reads && len(others) > 0:", New: "case err != nil && !s.reads && len(others) > 0:"},
+			Run:    listTests,
+		},
+	})
+}
--- a/internal/system/controller/cutoff_story_test.go
+++ b/internal/system/controller/cutoff_story_test.go
@@ -174,10 +174,13 @@
 
 func (s *story) begin(victim int, how cutKind) {
 	s.began, s.owned = time.Now(), s.core.owner()
+	base := s.read(victim)
 	if how == frozen {
 		s.core.freeze(victim)
 	}
 	s.core.set(true, s.ways(victim, how)...)
+	// An order comes in before the machine can know.
+	s.active.Go(func() { s.replace(victim, base, s.random(victim, 5)) })
 }
 
 func (s *story) end(victim int, how cutKind) {
@@ -253,28 +256,36 @@
 	return a
 }
 
-// configure replaces the configuration again and again: read at one machine, written there, and sent again unchanged to any
-// machine where the answer isn't clear.
+// configure replaces the configuration again and again, on top of what a machine tells.
 func (s *story) configure(machine int) {
 	random := s.random(machine, 1)
 	for ; !s.isOver(); pause(random) {
-		read := s.call(machine, http.MethodGet, settingsPath, "", nil)
-		var told struct{ Number uint64 }
-		if read.code == http.StatusOK {
-			if err := json.Unmarshal([]byte(read.body), &told); err != nil {
-				s.t.Error(err)
-			}
+		s.replace(machine, s.read(machine), random)
+	}
+}
+
+// read returns the number of the configuration that a machine tells; 0: it tells none.
+func (s *story) read(machine int) uint64 {
+	var told struct{ Number uint64 }
+	if a := s.call(machine, http.MethodGet, settingsPath, "", nil); a.code == http.StatusOK {
+		if err := json.Unmarshal([]byte(a.body), &told); err != nil {
+			s.t.Error(err)
 		}
-		order := s.newOrder(told.Number)
-		at := machine
-		for range 4 {
-			a := s.call(at, http.MethodPut, settingsPath, document(int(order.number)), order)
-			if a.code == http.StatusOK || a.code == http.StatusPreconditionFailed || a.code == http.StatusBadRequest {
-				break
-			}
-			at = random.IntN(len(s.core.machines))
-			pause(random)
+	}
+	return told.Number
+}
+
+// replace sends a configuration to a machine, and again unchanged to any of them while the answer isn't clear.
+func (s *story) replace(machine int, base uint64, random *rand.Rand) {
+	const sends = 4
+	order := s.newOrder(base)
+	for range sends {
+		a := s.call(machine, http.MethodPut, settingsPath, document(int(order.number)), order)
+		if a.code == http.StatusOK || a.code == http.StatusPreconditionFailed || a.code == http.StatusBadRequest {
+			return
 		}
+		machine = random.IntN(len(s.core.machines))
+		pause(random)
 	}
 }
 
