Ask three controllers at a process's start, since one of them may be cut off

A new agent asked one controller first and took what that held: next to one that was cut off its proxy began with an old configuration, endpoints and placement for up to some 100 ms, though others were there. It asks three, as after it stood still. Whether a controller that hears no majority should go on answering was weighed: it does, see the design's section.

--- a/internal/system/node/questions.go
+++ b/internal/system/node/questions.go
@@ -7,12 +7,13 @@
 	missingInterval = 100 * time.Millisecond // while sections are missing
 	usualInterval   = 700 * time.Millisecond // so that what is lost on the way is made good well within the bound for changes
 	thawedAfter     = time.Second            // a turn that comes so late means that the process stood still
-	askedThawed     = 3                      // controllers that are asked after that
+	askedAnew       = 3                      // controllers that are asked after that, and at the start: one of them may be cut off and hold old sections
 )
 
 // questions tells when controllers are to be told what a process holds, so that they tell it what is newer. Members that
 // reach no other member but controllers depend on it.
 type questions struct {
+	asked bool
 	dueAt time.Duration
 }
 
@@ -26,9 +27,10 @@
 	if lacks {
 		next = missingInterval
 	}
-	q.dueAt = now + next
-	if late > thawedAfter {
-		return askedThawed, next
+	isAnew := !q.asked || late > thawedAfter
+	q.asked, q.dueAt = true, now+next
+	if isAnew {
+		return askedAnew, next
 	}
 	return 1, next
 }
--- a/internal/system/node/questions_test.go
+++ b/internal/system/node/questions_test.go
@@ -16,21 +16,21 @@
 		name  string
 		turns []turn
 	}{
-		{"a process that has all asks now and then, whatever wakes it", []turn{
-			{at: 0, count: 1, next: usualInterval},
+		{"a process asks several at its start, and then one now and then, whatever wakes it", []turn{
+			{at: 0, count: askedAnew, next: usualInterval},
 			{at: usualInterval / 2, count: 0, next: usualInterval / 2},
 			{at: usualInterval, count: 1, next: usualInterval},
 		}},
 		{"one that lacks a section asks often, and at once when it finds that", []turn{
-			{at: 0, lacks: true, count: 1, next: missingInterval},
+			{at: 0, lacks: true, count: askedAnew, next: missingInterval},
 			{at: missingInterval / 2, lacks: true, count: 0, next: missingInterval / 2},
 			{at: missingInterval, lacks: true, count: 1, next: missingInterval},
 			{at: 2 * missingInterval, count: 1, next: usualInterval},
 			{at: 3 * missingInterval, lacks: true, count: 1, next: missingInterval},
 		}},
 		{"one that stood still asks several", []turn{
-			{at: 0, count: 1, next: usualInterval},
-			{at: usualInterval + 2*thawedAfter, count: askedThawed, next: usualInterval},
+			{at: 0, count: askedAnew, next: usualInterval},
+			{at: usualInterval + 2*thawedAfter, count: askedAnew, next: usualInterval},
 		}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
