--- a/internal/system/controller/cutoff_story_test.go
+++ b/internal/system/controller/cutoff_story_test.go
@@ -359,6 +359,7 @@
 		s.t.Errorf("and %d more", len(faults)-most)
 	}
 	s.checkRedirects(victim, how)
+	s.checkAnswered(how)
 	s.checkServes(victim, how)
 	s.t.Logf("%d configurations were taken; %s", len(s.history.chain), s.history.counts())
 }
@@ -404,6 +405,15 @@
 	}
 }
 
+// checkAnswered checks that callers aren't left without an answer within their patience, except by a machine that is frozen.
+func (s *story) checkAnswered(how cutKind) {
+	for _, a := range s.history.answers {
+		if a.code == 0 && how != frozen {
+			s.t.Errorf("%s %s at core-%d from %v: no answer", a.method, a.path, a.first+1, a.began.Sub(s.began))
+		}
+	}
+}
+
 // service is what was served in some time.
 type service struct {
 	told  map[int]bool // whether the configuration was told, by the machine that was called
