--- a/internal/system/membership/detection_test.go
+++ b/internal/system/membership/detection_test.go
@@ -54,7 +54,7 @@
 	w.startAll()
 	w.runFor(12*time.Second + time.Duration(seed)*37*time.Millisecond)
 	victim := w.hosts[int(seed)%hostsWithReplicas]
-	killedAt := w.now
+	killedAt := w.loop.Now()
 	w.kill(victim)
 	if _, done := w.runUntil(longestDetection, w.converged); !done {
 		t.Fatalf("seed %d: the death isn't seen by all", seed)
