--- a/internal/system/placement/watch.go
+++ b/internal/system/placement/watch.go
@@ -114,19 +114,26 @@
 			missing = append(missing, holder)
 		}
 	}
+	for _, holder := range w.succeeded(now, w.spareMembers(role, holders), len(lost), missing) {
+		lost[holder.ID], w.lost[holder.ID] = true, true
+	}
+	return lost
+}
+
+// succeeded returns which of the missing holders count as lost since a spare member stands ready for each. So many spare members
+// are taken by holders that are lost anyway.
+func (w *Watch) succeeded(now time.Time, spare []membership.Member, taken int, missing []Holder) []Holder {
+	successors := max(0, len(spare)-taken)
 	w.sortByAbsence(missing)
-	spare := w.spareMembers(role, holders)
-	successors := len(spare) - len(lost)
+	missing = missing[:min(successors, len(missing))]
 	since := w.dead
 	if slices.ContainsFunc(spare, func(m membership.Member) bool { return now.Sub(w.met[m.ID]) < newcomerAge }) {
 		since = w.absent
 	}
-	for _, holder := range missing[:max(0, min(successors, len(missing)))] {
-		if begun, gone := since[w.nameOf(holder)]; gone && now.Sub(begun) >= succeededAfter {
-			lost[holder.ID], w.lost[holder.ID] = true, true
-		}
-	}
-	return lost
+	return slices.DeleteFunc(missing, func(holder Holder) bool {
+		begun, gone := since[w.nameOf(holder)]
+		return !gone || now.Sub(begun) < succeededAfter
+	})
 }
 
 // distinct names each holder once.
