--- a/internal/system/command/proxy.go
+++ b/internal/system/command/proxy.go
@@ -82,37 +82,37 @@
 
 // followProxies keeps the scheduler told of how many proxies share the connections that an endpoint takes, until ctx ends.
 func (p *process) followProxies(ctx context.Context, scheduler *proxy.Scheduler) {
-	ticker := time.NewTicker(proxiesInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
+	repeat(ctx, proxiesInterval, func() {
 		bounded, cancel := context.WithTimeout(ctx, proxiesInterval)
+		defer cancel()
 		answer, err := link.Call[wire.ProxiesRequest, wire.ProxiesAnswer](bounded, p.pool, p.address(wire.AgentPort), wire.MethodProxies,
 			wire.ProxiesRequest{})
-		cancel()
 		if err == nil && answer.Count > 0 {
 			scheduler.SetProxies(answer.Count)
 		}
-	}
+	})
 }
 
 // reportTallies tells the agent what was seen of the versions that are being rolled out, until ctx ends.
 func (p *process) reportTallies(ctx context.Context, counter *tally.Counter) {
-	ticker := time.NewTicker(reportInterval)
+	repeat(ctx, reportInterval, func() {
+		if report, due := counter.Report(); due {
+			// A report that is lost is made good by the next one: all tell the counts since the start.
+			_ = link.Notify(p.pool, p.address(wire.AgentPort), wire.MethodTallies, report)
+		}
+	})
+}
+
+// repeat runs a function at each end of an interval, until ctx ends.
+func repeat(ctx context.Context, interval time.Duration, run func()) {
+	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-		}
-		if report, due := counter.Report(); due {
-			// A report that is lost is made good by the next one: all tell the counts since the start.
-			_ = link.Notify(p.pool, p.address(wire.AgentPort), wire.MethodTallies, report)
+			run()
 		}
 	}
 }
