--- a/internal/system/gossip/scenario_test.go
+++ b/internal/system/gossip/scenario_test.go
@@ -97,56 +97,54 @@
 	}
 }
 
-func hangingSource(seed uint64) error {
-	w := newNetwork(4, seed)
+// announced is the piece that is told of in networks without exchanges.
+var announced = view.Piece{Section: view.EndpointsSection, Stamp: view.Stamp{Epoch: 1, Sequence: 1}}
+
+// withoutExchanges starts a network in which nobody sends whole digests.
+func withoutExchanges(size int, seed uint64) *network {
+	w := newNetwork(size, seed)
 	w.options.Interval = -1
 	for _, h := range w.hosts {
 		w.start(h)
 	}
+	return w
+}
+
+func hangingSource(seed uint64) error {
+	w := withoutExchanges(4, seed)
 	w.runFor(time.Second)
-	piece := view.Piece{Section: view.EndpointsSection, Stamp: view.Stamp{Epoch: 1, Sequence: 1}}
-	w.hosts[0].spreader.store.Put(piece)
+	w.hosts[0].spreader.store.Put(announced)
 	w.hosts[0].hangs = true
-	w.hosts[1].spreader.store.Put(piece)
-	w.toldOfBy(w.hosts[2], piece, w.hosts[0], w.hosts[1])
+	w.hosts[1].spreader.store.Put(announced)
+	w.toldOfBy(w.hosts[2], announced, w.hosts[0], w.hosts[1])
 	w.runFor(time.Second)
-	if w.hosts[2].spreader.store.Stamp(piece.Section) != piece.Stamp {
+	if w.hosts[2].spreader.store.Stamp(announced.Section) != announced.Stamp {
 		return fmt.Errorf("the other source was not asked")
 	}
 	return w.broken
 }
 
 func dyingSource(seed uint64) error {
-	w := newNetwork(4, seed)
-	w.options.Interval = -1
-	for _, h := range w.hosts {
-		w.start(h)
-	}
+	w := withoutExchanges(4, seed)
 	w.runFor(time.Second)
-	piece := view.Piece{Section: view.EndpointsSection, Stamp: view.Stamp{Epoch: 1, Sequence: 1}}
-	w.hosts[1].spreader.store.Put(piece)
+	w.hosts[1].spreader.store.Put(announced)
 	w.kill(w.hosts[0])
-	w.toldOfBy(w.hosts[2], piece, w.hosts[0], w.hosts[1])
+	w.toldOfBy(w.hosts[2], announced, w.hosts[0], w.hosts[1])
 	w.runFor(300 * time.Millisecond)
-	if w.hosts[2].spreader.store.Stamp(piece.Section) != piece.Stamp {
+	if w.hosts[2].spreader.store.Stamp(announced.Section) != announced.Stamp {
 		return fmt.Errorf("the other source was not asked")
 	}
 	return w.broken
 }
 
 func toldBack(seed uint64) error {
-	w := newNetwork(2, seed)
-	w.options.Interval = -1
+	w := withoutExchanges(2, seed)
 	w.loss = 0
-	for _, h := range w.hosts {
-		w.start(h)
-	}
 	w.runFor(3 * time.Second)
-	piece := view.Piece{Section: view.EndpointsSection, Stamp: view.Stamp{Epoch: 1, Sequence: 1}}
-	w.hosts[0].spreader.store.Put(piece)
+	w.hosts[0].spreader.store.Put(announced)
 	w.step(w.hosts[0], Input{Received: []Datagram{{w.hosts[1].address, w.hosts[1].spreader.Whole()}}})
 	w.runFor(100 * time.Millisecond)
-	if w.hosts[1].spreader.store.Stamp(piece.Section) != piece.Stamp {
+	if w.hosts[1].spreader.store.Stamp(announced.Section) != announced.Stamp {
 		return fmt.Errorf("the member behind was not told")
 	}
 	return w.broken
