Fuzz both sides of an exchange with any bytes

Scripts draw only answers and requests of known forms. Two fuzz targets put any bytes in place of an endpoint's answer and of a client's requests: no success without the request's id and a seal, no second send without a promise, the next request gets its own answer; endpoints get only what the client sent, framed so that nobody reads it in two ways. The campaign also judges the time left that endpoints are told.

One input of FuzzRequestBytes was reported: the check knew nothing of line ends behind a request, which the library passes over. It does now, and the input is a seed.

--- a/Makefile
+++ b/Makefile
@@ -59,6 +59,8 @@
 	go test -run '^$$' -fuzz FuzzHostFunctions -fuzztime 10s ./internal/plugin
 	go test -run '^$$' -fuzz FuzzBounded -fuzztime 10s ./internal/plugin/wasm
 	go test -run '^$$' -fuzz FuzzExchange -fuzztime 10s ./internal/system/exchangetest
+	go test -run '^$$' -fuzz FuzzAnswerBytes -fuzztime 10s ./internal/system/exchangetest
+	go test -run '^$$' -fuzz FuzzRequestBytes -fuzztime 10s ./internal/system/exchangetest
 
 # Every deliberate mistake that the packages' tests list, on a copy of the source; `make test` tries a few of them: minutes.
 MUTATED = $$(go list -f '{{range .TestImports}}{{if eq . "mastusher/internal/tools/mutation"}}{{$$.ImportPath}}{{end}}{{end}}' ./...)
--- a/internal/system/exchangetest/client_test.go
+++ b/internal/system/exchangetest/client_test.go
@@ -15,7 +15,8 @@
 // got is what a client got for a request.
 type got struct {
 	request  *requestScript
-	answered bool // a head came
+	began    time.Time // when its first byte was sent
+	answered bool      // a head came
 	status   int
 	header   http.Header
 	body     []byte
@@ -39,7 +40,7 @@
 		if c.conn == nil && !c.connect() {
 			continue
 		}
-		result := got{request: request}
+		result := got{request: request, began: time.Now()}
 		keep := c.send(request)
 		switch {
 		case request.leaves():
--- a/internal/system/exchangetest/oracle_test.go
+++ b/internal/system/exchangetest/oracle_test.go
@@ -12,13 +12,16 @@
 // goneWithin is the time after a client has left in which the work for it ends.
 const goneWithin = 500 * time.Millisecond
 
+// timeSlop is how much longer an endpoint may be told to work than its client waits: the way of the request's head.
+const timeSlop = 30 * time.Millisecond
+
 // sent is a request, or the part of one, as it arrived at an endpoint.
 type sent struct {
+	left    time.Duration // as the endpoint was told
 	request *requestScript
 	run     *run // nil: the endpoint had closed the connection
 	at      time.Time
 	conn    *memoryConn
-	whole   bool
 }
 
 // promised tells whether the endpoint promised that it didn't run it and won't.
@@ -99,7 +102,12 @@
 	if !bytes.HasPrefix(want, have) {
 		return 0, fmt.Errorf("%s: other bytes where its body is due: %.80q", request.id, have)
 	}
-	o.sends[request] = append(o.sends[request], sent{request, o.runOn(conn, ordinal), at, conn, len(have) == len(want)})
+	left, err := strconv.Atoi(header.Get("X-Time-Left-Ms"))
+	if err != nil {
+		return 0, fmt.Errorf("%s: time left: %w", request.id, err)
+	}
+	o.sends[request] = append(o.sends[request], sent{request: request, run: o.runOn(conn, ordinal), at: at, conn: conn,
+		left: time.Duration(left) * time.Millisecond})
 	return len(head) + len("\r\n\r\n") + len(have), nil
 }
 
@@ -192,6 +200,9 @@
 	request, sends := g.request, o.sends[g.request]
 	unpromised := 0
 	for i, send := range sends {
+		if until := send.at.Add(send.left); until.After(g.began.Add(request.timeIn + timeSlop)) {
+			o.fault(request, "BUDGET: an endpoint may work until %v after the client", until.Sub(g.began.Add(request.timeIn)))
+		}
 		if send.promised() {
 			continue
 		}
--- /dev/null
+++ b/internal/system/exchangetest/raw_test.go
@@ -0,0 +1,203 @@
+package exchangetest
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"regexp"
+	"slices"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// FuzzAnswerBytes has an endpoint answer with any bytes. A success reaches the client only with its request's id and a seal, a request
+// that runs once is sent again only after a promise, and the next request gets its own answer.
+func FuzzAnswerBytes(f *testing.F) {
+	for _, kind := range []answerKind{success, chunked, unframed, informational, failure, rejected, notRun, misdirected, withoutID, foreign, unsealed} {
+		request := newRequest(onceRoute, 0, whole(kind, 2))
+		request.id = sameEndpoint(0)
+		answer := run{request: request, endpoint: "e0"}.answer()
+		f.Add(answer, byte(stay))
+		f.Add(append(answer, answer...), byte(finish))
+		f.Add(answer[:len(answer)-1], byte(reset))
+	}
+	f.Fuzz(func(t *testing.T, answer []byte, end byte) {
+		for _, route := range []routeKind{onceRoute, safeRoute, resumeRoute} {
+			raw := whole(rawBytes, 0)
+			raw.raw, raw.end = answer, ending(end%4)
+			first, second := newRequest(route, 0, raw, whole(success, 2)), newRequest(safeRoute, 1, whole(success, 2))
+			first.id, second.id = sameEndpoint(0), sameEndpoint(1)
+			judgeRaw(t, play(t, plan{clients: [][]*requestScript{{first, second}}}), answer)
+		}
+	})
+}
+
+// judgeRaw judges a world whose first request was answered with any bytes.
+func judgeRaw(t *testing.T, w *world, answer []byte) {
+	t.Helper()
+	results := w.clients[0].results
+	first, second := results[0], results[1]
+	if first.answered && first.status/100 == 2 && (first.header.Get("X-Attempt-Id") != first.request.id || first.header.Get("X-Server-Seal") == "") {
+		t.Errorf("%d with %v", first.status, first.header)
+	}
+	promise := bytes.Contains(answer, []byte(" 421 ")) || bytes.Contains(bytes.ToLower(answer), []byte("x-not-run"))
+	sends := 0
+	for _, r := range w.runs {
+		if r.request == first.request {
+			sends++
+		}
+	}
+	if !first.request.route.repeatable() && sends > 1 && !promise {
+		t.Errorf("sent %d times after %q", sends, answer)
+	}
+	if !second.complete() || second.status != 200 || second.header.Get("X-Attempt-Id") != second.request.id {
+		t.Errorf("the next request got %d, %v, %v", second.status, second.header, second.err)
+	}
+}
+
+var (
+	requestLine = regexp.MustCompile(`^[!-~]+ [!-~]+ HTTP/1\.1$`)
+	headerLine  = regexp.MustCompile("^[!#$%&'*+.^_`|~0-9A-Za-z-]+: ?[^\r\n\x00]*$")
+)
+
+// FuzzRequestBytes has a client send any bytes. What endpoints get are requests that nobody could read in two ways, each one that the
+// client sent, with its method, target and body.
+func FuzzRequestBytes(f *testing.F) {
+	inner := newRequest(onceRoute, 7).wire()
+	for _, chunks := range []int{0, 2} {
+		request := newRequest(onceRoute, 0)
+		request.chunks = chunks
+		f.Add(request.wire())
+		f.Add(append(request.wire(), request.wire()...))
+		f.Add(request.wire()[:len(request.wire())-1])
+	}
+	head := "POST /once/x HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: x\r\n"
+	f.Add([]byte(head + "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n" + string(inChunks(inner, 1))))
+	f.Add([]byte(head + "Content-Length: 4\r\nContent-Length: 5\r\n\r\nabcd" + string(inner)))
+	f.Add([]byte(head + "Connection: X-Attempt-Id, Content-Length\r\nContent-Length: 4\r\n\r\nabcd"))
+	f.Add([]byte("POST /00000 HTTP/1.1\nHost:0\nContent-Length:4\n\n0000\n0 /once/ HTTP/1.0\nHost:A.eXAmple\n\n"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var arrived [][]byte
+		synctest.Test(t, func(t *testing.T) {
+			w := newWorld(t, plan{})
+			conn, err := w.network.dial(context.Background(), frontAddress)
+			if err != nil {
+				t.Fatal(err)
+			}
+			conn.Write(data)
+			conn.SetReadDeadline(time.Now().Add(settleTime))
+			io.Copy(io.Discard, struct{ io.Reader }{conn})
+			conn.Close()
+			w.run(t)
+			for _, e := range w.endpoints {
+				for _, conn := range e.connections() {
+					arrived = append(arrived, conn.seen().tap)
+				}
+			}
+		})
+		sent := requestsIn(data)
+		for _, tap := range arrived {
+			checkRequests(t, tap, sent)
+		}
+	})
+}
+
+// requestsIn reads the requests that a client's bytes are, each in the form of sentForm.
+func requestsIn(data []byte) []string {
+	var sent []string
+	reader := bufio.NewReader(bytes.NewReader(data))
+	for {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return sent
+		}
+		body, err := io.ReadAll(request.Body)
+		if err != nil {
+			return sent
+		}
+		sent = append(sent, sentForm(request, body))
+		skipLineEnds(reader)
+	}
+}
+
+// skipLineEnds passes over line ends behind a request, which old clients send.
+func skipLineEnds(reader *bufio.Reader) {
+	for {
+		next, err := reader.Peek(1)
+		if err != nil || next[0] != '\r' && next[0] != '\n' {
+			return
+		}
+		reader.Discard(1)
+	}
+}
+
+// sentForm is what must be the same of a request at both ends.
+func sentForm(request *http.Request, body []byte) string {
+	target := request.RequestURI
+	if !strings.HasPrefix(target, "/") {
+		target = request.URL.RequestURI()
+	}
+	return fmt.Sprintf("%s %s %q", request.Method, target, body)
+}
+
+// checkRequests checks all bytes that came on a connection to an endpoint.
+func checkRequests(t *testing.T, tap []byte, sent []string) {
+	t.Helper()
+	for len(tap) > 0 {
+		head, _, found := bytes.Cut(tap, []byte("\r\n\r\n"))
+		if !found {
+			t.Errorf("half a head: %q", tap)
+			return
+		}
+		checkLines(t, strings.Split(string(head), "\r\n"))
+		counted := &countingReader{Reader: bytes.NewReader(tap)}
+		buffered := bufio.NewReader(counted)
+		request, err := http.ReadRequest(buffered)
+		if err != nil {
+			t.Errorf("%q: %v", tap, err)
+			return
+		}
+		body, err := io.ReadAll(request.Body)
+		if form := sentForm(request, body); err != nil || !slices.Contains(sent, form) {
+			t.Errorf("no client sent %s, %v; sent were %q", form, err, sent)
+			return
+		}
+		tap = tap[counted.count-buffered.Buffered():]
+	}
+}
+
+// checkLines checks the form of a request's head.
+func checkLines(t *testing.T, lines []string) {
+	t.Helper()
+	if !requestLine.MatchString(lines[0]) {
+		t.Errorf("request line %q", lines[0])
+	}
+	counts := make(map[string]int)
+	for _, line := range lines[1:] {
+		if !headerLine.MatchString(line) {
+			t.Errorf("header line %q", line)
+		}
+		name, _, _ := strings.Cut(line, ":")
+		counts[strings.ToLower(name)]++
+	}
+	if counts["host"] != 1 || counts["x-expected-server"] != 1 || counts["content-length"] > 1 || counts["transfer-encoding"] > 0 {
+		t.Errorf("fields %v in %q", counts, lines)
+	}
+}
+
+// countingReader counts the bytes read.
+type countingReader struct {
+	io.Reader
+	count int
+}
+
+func (r *countingReader) Read(buffer []byte) (int, error) {
+	n, err := r.Reader.Read(buffer)
+	r.count += n
+	return n, err
+}
--- a/internal/system/exchangetest/script_test.go
+++ b/internal/system/exchangetest/script_test.go
@@ -66,6 +66,7 @@
 	garbage                          // bytes that are no answer
 	silence                          // nothing
 	answerKinds
+	rawBytes // those of the script
 )
 
 // promises tells whether an answer says that the request was not run and won't be.
@@ -92,6 +93,7 @@
 	endWait time.Duration // before that end
 	extra   bool          // a second answer to the same request follows
 	late    time.Duration // before that
+	raw     []byte        // the answer, with rawBytes
 	anew    bool          // a stream begins with its first event, whichever the client has
 }
 
@@ -323,6 +325,8 @@
 	switch script.kind {
 	case silence:
 		return nil
+	case rawBytes:
+		return script.raw
 	case garbage:
 		return []byte("\x16\x03\x01 garbage for " + r.seal() + "\r\n\r\n")
 	case withoutID:
