--- a/internal/system/controller/orders_campaign_test.go
+++ b/internal/system/controller/orders_campaign_test.go
@@ -140,7 +140,7 @@
 
 // playHistory lets operators work while machines have trouble, and returns what they saw.
 func playHistory(t testing.TB, seed uint64) []linearizability.Operation {
-	c := newTroubledCluster(t, seed)
+	c := newTroubledCluster(t, seed, 0)
 	c.lostPart = []float64{0, 0.1, 0.5}[c.random.IntN(3)]
 	padding := strings.Repeat(" ", []int{0, 0, 0, 0, 0, paddedBytes}[c.random.IntN(6)])
 	seen := &recorder{}
--- a/internal/system/controller/orders_story_test.go
+++ b/internal/system/controller/orders_story_test.go
@@ -27,7 +27,7 @@
 	{"killed", func(c *troubledCluster, owner *machineUnderTest) { c.restart(owner, false) }},
 	{"without power", func(c *troubledCluster, owner *machineUnderTest) { c.restart(owner, true) }},
 	{"all without power", func(c *troubledCluster, _ *machineUnderTest) {
-		for _, m := range c.sorted() {
+		for _, m := range c.controllers() {
 			c.restart(m, true)
 		}
 	}},
@@ -125,7 +125,7 @@
 	for _, loss := range losses {
 		inBubble(t, loss.name, func(t *testing.T) {
 			for step := range mostSteps {
-				c := newTroubledCluster(t, uint64(step))
+				c := newTroubledCluster(t, uint64(step), 0)
 				seen := begins{}
 				event := func(now int) {
 					if now == step {
@@ -158,6 +158,39 @@
 	}
 }
 
+// TestARetirementsAnswerLostAtAnyStep is the same for an order to empty a machine: it is acknowledged, carried out once, and
+// acknowledged again after its end.
+func TestARetirementsAnswerLostAtAnyStep(t *testing.T) {
+	t.Parallel()
+	const path = "/mastusher/retire/storage-1"
+	for _, loss := range losses {
+		inBubble(t, loss.name, func(t *testing.T) {
+			for _, step := range []int{2, 5, 8, 11} {
+				c := newTroubledCluster(t, uint64(step), 4)
+				c.wait("the stores are whole", 15*time.Second, c.cluster.isWhole)
+				event := func(now int) {
+					if now == step {
+						loss.lose(c, c.owner())
+					}
+					if now == step+200 {
+						c.heal()
+					}
+				}
+				order := func(o *operator) {
+					wantClear(t, o, "retiring", func() reply { return o.call(http.MethodPost, path, `{"overS":10}`) })
+				}
+				c.play(event, order, order)
+				c.heal()
+				c.wait("the machine is empty", 20*time.Second, c.isFinished("storage-1"))
+				c.play(func(int) {}, order)
+				if c.state("storage-1") != retire.Finished || c.holds("s-1") {
+					t.Errorf("at step %d: after a repeat the machine is %s", step, c.state("storage-1"))
+				}
+			}
+		})
+	}
+}
+
 // TestARepeatWhileTheFirstIsBeingAgreedOn has copies of an order arrive at the same time, at all members, while the owner can't
 // reach a majority for some time, or loses its power.
 func TestARepeatWhileTheFirstIsBeingAgreedOn(t *testing.T) {
@@ -165,7 +198,7 @@
 	for _, loss := range losses {
 		inBubble(t, loss.name, func(t *testing.T) {
 			for _, heals := range []int{1, 40, 150, 400} {
-				c := newTroubledCluster(t, uint64(heals))
+				c := newTroubledCluster(t, uint64(heals), 0)
 				copies := func(method, path, body string) []func(o *operator) {
 					var does []func(o *operator)
 					for range 2 * len(c.machines) {
@@ -209,7 +242,7 @@
 func TestARepeatToAMemberThatLags(t *testing.T) {
 	for _, wiped := range []bool{false, true} {
 		inBubble(t, fmt.Sprint("wiped: ", wiped), func(t *testing.T) {
-			c := newTroubledCluster(t, 1)
+			c := newTroubledCluster(t, 1, 0)
 			var lagging *machineUnderTest
 			for _, m := range c.sorted() {
 				if m != c.owner() {
@@ -302,7 +335,7 @@
 		owner.start()
 	}},
 	{"a restart of all", func(c *troubledCluster) {
-		for _, m := range c.sorted() {
+		for _, m := range c.controllers() {
 			c.restart(m, true)
 		}
 		c.wait("all run", 5*time.Second, func() bool {
@@ -338,7 +371,7 @@
 	for _, end := range []rollout.State{rollout.Finished, rollout.Reverted} {
 		for _, interlude := range interludes {
 			inBubble(t, fmt.Sprint(end, ", ", interlude.name), func(t *testing.T) {
-				c := newTroubledCluster(t, 1)
+				c := newTroubledCluster(t, 1, 0)
 				order := func(target string, want int) {
 					t.Helper()
 					c.play(func(int) {}, func(o *operator) {
--- a/internal/system/controller/rollout_campaign_test.go
+++ b/internal/system/controller/rollout_campaign_test.go
@@ -80,7 +80,7 @@
 
 func playRollouts(t testing.TB, seed uint64) (map[string]*rolloutAnswers, begins) {
 	const ordersEach = 8
-	c := newTroubledCluster(t, seed)
+	c := newTroubledCluster(t, seed, 0)
 	c.lostPart = []float64{0, 0.1, 0.5}[c.random.IntN(3)]
 	known := make([]map[string]*rolloutAnswers, operatorCount)
 	var working sync.WaitGroup
--- a/internal/system/controller/troubled_cluster_test.go
+++ b/internal/system/controller/troubled_cluster_test.go
@@ -6,11 +6,13 @@
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"mastusher/internal/system/membership"
 	"mastusher/internal/system/replica"
 )
 
@@ -37,8 +39,9 @@
 	wiped    bool
 }
 
-func newTroubledCluster(t testing.TB, seed uint64) *troubledCluster {
-	c := &troubledCluster{cluster: newCluster(t, 0), random: rand.New(rand.NewPCG(seed, 42)),
+// newTroubledCluster starts three controllers and some stores.
+func newTroubledCluster(t testing.TB, seed uint64, stores int) *troubledCluster {
+	c := &troubledCluster{cluster: newCluster(t, stores), random: rand.New(rand.NewPCG(seed, 42)),
 		cuts: map[[2]string]bool{}, frozen: map[*machineUnderTest]bool{}}
 	c.wait("an owner", 5*time.Second, func() bool { return c.owner() != nil })
 	return c
@@ -132,13 +135,18 @@
 		return false
 	}
 	status := owner.controller.Group().Status()
-	return len(status.Members) == len(c.machines) && len(caughtUp(status)) == len(c.machines)
+	return len(status.Members) == len(c.controllers()) && len(caughtUp(status)) == len(status.Members)
+}
+
+// controllers lists the machines that the operators reach.
+func (c *troubledCluster) controllers() []*machineUnderTest {
+	return slices.DeleteFunc(c.sorted(), func(m *machineUnderTest) bool { return m.member.Role != membership.Controller })
 }
 
 // disturb lets something happen by chance to a machine, often the owner. A disk is lost once at most, and only while all others
 // have theirs.
 func (c *troubledCluster) disturb() {
-	machines := c.sorted()
+	machines := c.controllers()
 	m := machines[c.random.IntN(len(machines))]
 	if owner := c.owner(); owner != nil && c.random.IntN(2) == 0 {
 		m = owner
@@ -216,7 +224,7 @@
 
 // call asks a controller drawn by lot, and follows redirects.
 func (o *operator) call(method, path, body string, headers ...string) reply {
-	machines := o.cluster.sorted()
+	machines := o.cluster.controllers()
 	return o.callOne(machines[o.random.IntN(len(machines))], method, path, body, headers...)
 }
 
@@ -240,7 +248,7 @@
 
 // at is the machine that a redirect names.
 func (c *troubledCluster) at(location string) *machineUnderTest {
-	for _, m := range c.sorted() {
+	for _, m := range c.controllers() {
 		if strings.HasPrefix(location, "http://"+m.member.Control+"/") {
 			return m
 		}
