--- a/internal/system/retire/mutants_test.go
+++ b/internal/system/retire/repeat_mutants_test.go
@@ -6,7 +6,7 @@
 	"mastusher/internal/tools/mutation"
 )
 
-func TestMutantsAreNoticed(t *testing.T) {
+func TestRepeatMutantsAreNoticed(t *testing.T) {
 	t.Parallel()
 	mutation.Test(t, []mutation.Mutant{
 		{
