Put clocks that jump at a restart and an owner that stands still before late repeats

All machines lose their power and come back 2 s ahead or behind; the owner stands still for 2 s. A repeat of a roll-out stays one. The window is confirmMs + stretchMs, as the settings have them.

--- a/internal/system/controller/orders_story_test.go
+++ b/internal/system/controller/orders_story_test.go
@@ -334,27 +334,18 @@
 		c.wait("another owner", 5*time.Second, func() bool { return c.owner() != nil })
 		owner.start()
 	}},
-	{"a restart of all", func(c *troubledCluster) {
-		for _, m := range c.controllers() {
-			c.restart(m, true)
-		}
-		c.wait("all run", 5*time.Second, func() bool {
-			return !slices.ContainsFunc(c.sorted(), func(m *machineUnderTest) bool { return !m.running })
-		})
-	}},
+	{"a restart of all", func(c *troubledCluster) { c.restartAll(0) }},
 	{"clocks that go ahead", func(c *troubledCluster) {
 		for _, m := range c.sorted() {
 			m.skew = 2 * time.Second
 		}
 	}},
-	{"clocks that go back, and a restart of all", func(c *troubledCluster) {
-		for _, m := range c.sorted() {
-			m.skew = -2 * time.Second
-			c.restart(m, false)
-		}
-		c.wait("all run", 5*time.Second, func() bool {
-			return !slices.ContainsFunc(c.sorted(), func(m *machineUnderTest) bool { return !m.running })
-		})
+	{"clocks that go ahead, and a restart of all", func(c *troubledCluster) { c.restartAll(2 * time.Second) }},
+	{"clocks that go back, and a restart of all", func(c *troubledCluster) { c.restartAll(-2 * time.Second) }},
+	{"an owner that stands still", func(c *troubledCluster) {
+		c.frozen[c.owner()] = true
+		c.passBy(2 * time.Second)
+		clear(c.frozen)
 	}},
 	{"a lost disk", func(c *troubledCluster) {
 		c.owner().wipe()
@@ -362,6 +353,18 @@
 	}},
 }
 
+// restartAll has all machines lose their power and come back with another time of day.
+func (c *troubledCluster) restartAll(skew time.Duration) {
+	c.t.Helper()
+	for _, m := range c.sorted() {
+		m.skew = skew
+		c.restart(m, true)
+	}
+	c.wait("all run", 5*time.Second, func() bool {
+		return !slices.ContainsFunc(c.sorted(), func(m *machineUnderTest) bool { return !m.running })
+	})
+}
+
 // TestALateRepeatOfARollout has v2 ordered, v3 after it, and v2 again: within confirmMs that is a repeat, long after it is an
 // order to go back. What ends in reverting is tried again.
 func TestALateRepeatOfARollout(t *testing.T) {
--- a/internal/system/controller/rollouts_test.go
+++ b/internal/system/controller/rollouts_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"mastusher/internal/system/rollout"
+	"mastusher/internal/system/settings"
 	"mastusher/internal/system/storage/memorydisk"
 	"mastusher/internal/system/wire"
 )
@@ -127,3 +128,12 @@
 		}
 	}
 }
+
+func TestTheWindowOfRepeatsFollowsTheSettings(t *testing.T) {
+	if got := repeatWindow(settings.Bounds{"confirmMs": 5000, "stretchMs": 6000}); got != 11*time.Second {
+		t.Errorf("the window is %v, want 11 s", got)
+	}
+	if got := repeatWindow(nil); got != 9*time.Second {
+		t.Errorf("without settings the window is %v, want 9 s", got)
+	}
+}
