Run the tier's real roles in virtual time

Cause: fleettest drives copies of the flow of store, spread and proxy: what only these do wrong it does not find. Change: package simulation starts controllers, stores, agents and proxies as their commands run them, over a network and disks in memory, with the platform's list, endpoints, an operator and programs around them, inside a bubble of testing/synctest. Settings are files as the platform writes them; SIGTERM, SIGHUP, kills, losses of power and of disks are those of the machines.

--- /dev/null
+++ b/internal/system/simulation/clients.go
@@ -0,0 +1,126 @@
+package simulation
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"mastusher/internal/system/standin"
+)
+
+// What clients do.
+const (
+	ingressPace     = time.Second
+	mostMisses      = 2
+	programPatience = 30 * time.Second
+	mostTokens      = 12 // of one turn, which generates all of them
+	resendPause     = 200 * time.Millisecond
+)
+
+// clients send programs through the proxies that the platform's ingress takes for ready.
+type clients struct {
+	fleet    *Fleet
+	client   *http.Client
+	misses   map[*machine]int // the fleet's mutex guards it
+	programs int
+}
+
+func newClients(f *Fleet) *clients {
+	transport := &http.Transport{DisableKeepAlives: true, DialContext: dialFrom(f.around.client)}
+	return &clients{fleet: f, client: &http.Client{Timeout: callPatience, Transport: transport}, misses: map[*machine]int{}}
+}
+
+// follow asks each proxy each second whether it is ready, until the fleet is over.
+func (c *clients) follow() {
+	for !c.fleet.isOver() {
+		for _, m := range c.fleet.of(edgeClass) {
+			c.fleet.running.Go(func() { c.ask(m) })
+		}
+		time.Sleep(ingressPace)
+	}
+}
+
+// ask asks one proxy.
+func (c *clients) ask(m *machine) {
+	ready := c.isReady(m)
+	c.fleet.mutex.Lock()
+	defer c.fleet.mutex.Unlock()
+	if ready {
+		c.misses[m] = 0
+	} else {
+		c.misses[m]++
+	}
+}
+
+func (c *clients) isReady(m *machine) bool {
+	response, err := c.client.Get("http://" + m.address(readinessPort) + "/mastusher/ready")
+	if err != nil {
+		return false
+	}
+	response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+// dial opens a connection to a proxy as the ingress does: one of those that are in, or any where none is.
+func (c *clients) dial(ctx context.Context, network, _ string) (net.Conn, error) {
+	edges := c.fleet.of(edgeClass)
+	c.fleet.mutex.Lock()
+	var in []*machine
+	for _, m := range edges {
+		if c.misses[m] < mostMisses {
+			in = append(in, m)
+		}
+	}
+	if len(in) == 0 {
+		in = edges
+	}
+	chosen := in[c.fleet.random.IntN(len(in))]
+	c.fleet.mutex.Unlock()
+	return c.fleet.around.client.Dial(ctx, new(net.Dialer), network, chosen.address(frontPort))
+}
+
+// play plays one program to its end.
+func (c *clients) play(turns int, budget int64, from standin.Turn) standin.Outcome {
+	c.fleet.mutex.Lock()
+	c.programs++
+	name := fmt.Sprintf("p%d", c.programs)
+	c.fleet.mutex.Unlock()
+	options := standin.ProgramOptions{Name: name, Address: net.JoinHostPort(clientAddress, "80"), Host: host, TurnPath: turnPath, ToolPath: toolPath,
+		Model: modelName, Turns: turns, Tools: 1, MostTokens: mostTokens, Budget: budget, Finish: programPatience, TimeLeft: requestTime, Remembered: true,
+		GoOnFrom: from, Dial: c.dial, Pause: pause}
+	outcome := standin.NewProgram(options).Play(context.Background())
+	c.fleet.trace("program %s: %s after %d turns", name, outcome.State, len(outcome.Turns))
+	c.fleet.history.program(played{Name: name, Budget: budget, Outcome: outcome})
+	return outcome
+}
+
+// pause waits before a turn is sent again.
+func pause(ctx context.Context) error {
+	timer := time.NewTimer(resendPause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// get sends one request to a path straight to a proxy, and returns the status; 0: no answer.
+func (c *clients) get(m *machine, path, attempt string) int {
+	request, err := http.NewRequestWithContext(context.Background(), http.MethodGet, "http://"+m.address(frontPort)+path, nil)
+	if err != nil {
+		return 0
+	}
+	request.Host = host
+	request.Header.Set("X-Attempt-Id", attempt)
+	request.Header.Set("X-Time-Left-Ms", fmt.Sprint(callPatience.Milliseconds()))
+	response, err := c.client.Do(request)
+	if err != nil {
+		return 0
+	}
+	response.Body.Close()
+	return response.StatusCode
+}
--- /dev/null
+++ b/internal/system/simulation/disk.go
@@ -0,0 +1,135 @@
+package simulation
+
+import (
+	"time"
+
+	"mastusher/internal/system/storage"
+	"mastusher/internal/system/storage/memorydisk"
+)
+
+// stallPoll is the pace at which an operation looks whether its disk answers again.
+const stallPoll = 10 * time.Millisecond
+
+// disk is the disk of a machine. The fleet's mutex guards its fields.
+type disk struct {
+	memory   *memorydisk.Disk
+	syncTime time.Duration
+	stalled  bool
+}
+
+// processDisk is a machine's disk as one process sees it: each sync takes its time, and nothing is answered while the machine
+// or the disk stands still or once the process has ended.
+type processDisk struct {
+	process *process
+	memory  *memorydisk.Disk
+}
+
+var _ storage.Disk = (*processDisk)(nil)
+
+// enter waits until an operation may be done. All waiting is outside of the disk's own lock.
+func (d *processDisk) enter(sync bool) error {
+	p := d.process
+	if sync {
+		time.Sleep(p.machine.syncTime())
+	}
+	for p.machine.diskStalls() && !p.isDead() {
+		time.Sleep(stallPoll)
+	}
+	if err := p.network.AwaitThaw(); err != nil {
+		return memorydisk.ErrStopped
+	}
+	return nil
+}
+
+// Open implements storage.Disk.
+func (d *processDisk) Open(name string) (storage.File, error) {
+	if err := d.enter(false); err != nil {
+		return nil, err
+	}
+	return d.wrap(d.memory.Open(name))
+}
+
+// Create implements storage.Disk.
+func (d *processDisk) Create(name string) (storage.File, error) {
+	if err := d.enter(false); err != nil {
+		return nil, err
+	}
+	return d.wrap(d.memory.Create(name))
+}
+
+func (d *processDisk) wrap(opened storage.File, err error) (storage.File, error) {
+	if err != nil {
+		return nil, err
+	}
+	return &processFile{File: opened, disk: d}, nil
+}
+
+// Rename implements storage.Disk.
+func (d *processDisk) Rename(from, to string) error {
+	if err := d.enter(false); err != nil {
+		return err
+	}
+	return d.memory.Rename(from, to)
+}
+
+// Remove implements storage.Disk.
+func (d *processDisk) Remove(name string) error {
+	if err := d.enter(false); err != nil {
+		return err
+	}
+	return d.memory.Remove(name)
+}
+
+// List implements storage.Disk.
+func (d *processDisk) List() ([]string, error) {
+	if err := d.enter(false); err != nil {
+		return nil, err
+	}
+	return d.memory.List()
+}
+
+// SyncFolder implements storage.Disk.
+func (d *processDisk) SyncFolder() error {
+	if err := d.enter(true); err != nil {
+		return err
+	}
+	return d.memory.SyncFolder()
+}
+
+// processFile is an open file of a process.
+type processFile struct {
+	storage.File
+	disk *processDisk
+}
+
+// ReadAll implements storage.File.
+func (f *processFile) ReadAll() ([]byte, error) {
+	if err := f.disk.enter(false); err != nil {
+		return nil, err
+	}
+	return f.File.ReadAll()
+}
+
+// Write implements storage.File.
+func (f *processFile) Write(data []byte) (int, error) {
+	if err := f.disk.enter(false); err != nil {
+		return 0, err
+	}
+	return f.File.Write(data)
+}
+
+// Truncate implements storage.File.
+func (f *processFile) Truncate(size int64) error {
+	if err := f.disk.enter(false); err != nil {
+		return err
+	}
+	return f.File.Truncate(size)
+}
+
+// Sync implements storage.File.
+func (f *processFile) Sync() error {
+	if err := f.disk.enter(true); err != nil {
+		return err
+	}
+	return f.File.Sync()
+}
--- /dev/null
+++ b/internal/system/simulation/fleet.go
@@ -0,0 +1,214 @@
+package simulation
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"slices"
+	"sync"
+	"time"
+
+	"mastusher/internal/system/network/memorynetwork"
+	"mastusher/internal/system/storage/memorydisk"
+)
+
+// Options describe a fleet. A zero field takes its default.
+type Options struct {
+	Seed        uint64
+	Controllers int    // 3
+	Stores      int    // 4
+	Edges       int    // 2
+	Zones       int    // 3
+	Folder      string // for settings files
+	Trace       func(format string, arguments ...any)
+}
+
+func (o Options) withDefaults() Options {
+	for field, value := range map[*int]int{&o.Controllers: 3, &o.Stores: 4, &o.Edges: 2, &o.Zones: 3} {
+		if *field == 0 {
+			*field = value
+		}
+	}
+	return o
+}
+
+// Conditions of the network and the disks.
+const (
+	usualDelay  = 300 * time.Microsecond
+	usualJitter = 400 * time.Microsecond
+	usualSync   = 2 * time.Millisecond
+)
+
+// Fleet is a whole system with those who use it.
+type Fleet struct {
+	options Options
+	began   time.Time
+	network *memorynetwork.Network
+	around  *surroundings
+	history *history
+	running sync.WaitGroup // processes and what has been put off
+
+	mutex         sync.Mutex
+	random        *rand.Rand
+	machines      []*machine
+	hosts         int // that were ever added
+	seedAddresses []string
+	over          bool
+	violations    []string
+	endpoints     endpointTrouble
+}
+
+// New returns a fleet whose machines are down.
+func New(options Options) (*Fleet, error) {
+	options = options.withDefaults()
+	f := &Fleet{options: options, began: time.Now(), history: &history{}, random: rand.New(rand.NewPCG(options.Seed, 0x666c6565)),
+		network: memorynetwork.New(memorynetwork.Options{Delay: usualDelay, Jitter: usualJitter, Seed: options.Seed})}
+	for class, count := range map[class]int{coreClass: options.Controllers, storageClass: options.Stores, edgeClass: options.Edges} {
+		for range count {
+			f.add(class).initial = true
+		}
+	}
+	f.seedAddresses = f.controlAddresses()
+	around, err := f.surround()
+	f.around = around
+	return f, err
+}
+
+// add makes a machine that is down.
+func (f *Fleet) add(class class) *machine {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.hosts++
+	m := &machine{fleet: f, name: fmt.Sprintf("%s-%d", class, f.hosts), class: class, zone: zoneName(f.hosts % f.options.Zones), roles: rolesOf[class],
+		host: f.network.Machine(fmt.Sprintf("10.1.0.%d", f.hosts)), processes: map[role]*process{}, down: true,
+		disk: &disk{memory: memorydisk.New(), syncTime: usualSync}}
+	f.machines = append(f.machines, m)
+	return m
+}
+
+// of lists the machines of a class that haven't been removed.
+func (f *Fleet) of(classes ...class) []*machine {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	var found []*machine
+	for _, m := range f.machines {
+		if !m.removed && slices.Contains(classes, m.class) {
+			found = append(found, m)
+		}
+	}
+	return found
+}
+
+// counting lists the machines whose loss is counted.
+func (f *Fleet) counting() []*machine { return f.of(coreClass, storageClass) }
+
+func (f *Fleet) controlAddresses() []string {
+	var addresses []string
+	for _, m := range f.of(coreClass) {
+		addresses = append(addresses, m.address(controlPort))
+	}
+	return addresses
+}
+
+// StartAll starts all machines that are down.
+func (f *Fleet) StartAll() {
+	for _, m := range f.of(coreClass, storageClass, edgeClass) {
+		m.startAll()
+	}
+}
+
+// Close ends all processes with SIGTERM, and those who use them. What still runs then is a leak, which the bubble finds.
+func (f *Fleet) Close() {
+	f.mutex.Lock()
+	f.over = true
+	f.mutex.Unlock()
+	var ending sync.WaitGroup
+	for _, m := range f.of(coreClass, storageClass, edgeClass) {
+		ending.Go(m.terminateAll)
+	}
+	ending.Wait()
+	f.around.close()
+	f.running.Wait()
+	time.Sleep(lingering)
+}
+
+// lingering is how long goroutines of the library may outlive the end of their processes.
+const lingering = time.Minute
+
+func (f *Fleet) now() time.Duration { return time.Since(f.began) }
+
+func (f *Fleet) trace(format string, arguments ...any) {
+	if f.options.Trace != nil {
+		f.options.Trace("%9.3f "+format, append([]any{f.now().Seconds()}, arguments...)...)
+	}
+}
+
+// report notes a breach of a rule.
+func (f *Fleet) report(rule, format string, arguments ...any) {
+	f.trace("BREACH "+rule+" "+format, arguments...)
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.violations = append(f.violations, fmt.Sprintf("%s at %.3f s: %s", rule, f.now().Seconds(), fmt.Sprintf(format, arguments...)))
+}
+
+// after does something later, in a goroutine of its own that Close waits for.
+func (f *Fleet) after(pause time.Duration, run func()) {
+	f.running.Go(func() {
+		time.Sleep(pause)
+		run()
+	})
+}
+
+// intN draws a number below n.
+func (f *Fleet) intN(n int) int {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.random.IntN(n)
+}
+
+// until waits until something holds; false means that it doesn't within the time.
+func (f *Fleet) until(patience time.Duration, holds func() bool) bool {
+	for end := time.Now().Add(patience); ; {
+		if holds() {
+			return true
+		}
+		if time.Now().After(end) {
+			return false
+		}
+		time.Sleep(pollPace)
+	}
+}
+
+// pollPace is the pace at which until looks.
+const pollPace = 50 * time.Millisecond
+
+// dialFrom opens connections for a process that is no part of the tier.
+func dialFrom(from *memorynetwork.Process) func(ctx context.Context, network, address string) (net.Conn, error) {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		return from.Dial(ctx, new(net.Dialer), network, address)
+	}
+}
+
+func (f *Fleet) isOver() bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.over
+}
+
+// Violations lists the breaches so far.
+func (f *Fleet) Violations() []string {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return slices.Clone(f.violations)
+}
+
+// allReady tells whether all proxies say that they are ready.
+func (f *Fleet) allReady(users *clients) bool {
+	for _, m := range f.of(edgeClass) {
+		if !users.isReady(m) {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/system/simulation/fleet_test.go
@@ -0,0 +1,54 @@
+package simulation
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"mastusher/internal/system/standin"
+)
+
+// startPatience bounds the start of a fleet.
+const startPatience = 20 * time.Second
+
+// newFleet starts a fleet that has its first configuration and whose proxies are ready.
+func newFleet(t *testing.T, options Options) (*Fleet, *operator, *clients) {
+	t.Helper()
+	options.Folder = t.TempDir()
+	if testing.Verbose() {
+		options.Trace = t.Logf
+	}
+	f, err := New(options)
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.StartAll()
+	first, users := newOperator(f, "a"), newClients(f)
+	if status := first.order(0, first.next(1)); status != statusOK {
+		t.Fatalf("the first configuration was answered %d", status)
+	}
+	if !f.until(startPatience, func() bool { return f.allReady(users) }) {
+		t.Fatal("the proxies aren't ready")
+	}
+	f.running.Go(users.follow)
+	return f, first, users
+}
+
+func TestAFleetStartsTakesAConfigurationAndServes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, orders, users := newFleet(t, Options{Seed: 1})
+		if outcome := users.play(4, 0, standin.Turn{}); outcome.State != standin.Finished {
+			t.Errorf("the program ended as %s: %+v", outcome.State, outcome)
+		}
+		if status := orders.order(1, orders.next(3)); status != statusOK {
+			t.Errorf("the second configuration was answered %d", status)
+		}
+		if got, ok := orders.readBack(); !ok || got.Number != 3 {
+			t.Errorf("read back %v", got)
+		}
+		f.Close()
+		for _, violation := range f.Violations() {
+			t.Error(violation)
+		}
+	})
+}
--- /dev/null
+++ b/internal/system/simulation/operator.go
@@ -0,0 +1,172 @@
+package simulation
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"mastusher/internal/system/model"
+)
+
+const (
+	statusOK      = http.StatusOK
+	host          = "h.example"
+	turnPath      = "/turns/"
+	toolPath      = "/tools/"
+	markPrefix    = "mark-"
+	callPatience  = time.Second // of the operator with one controller
+	orderPatience = 20 * time.Second
+	firstPause    = 50 * time.Millisecond
+	mostPause     = 800 * time.Millisecond
+	requestTime   = 4 * time.Second
+	keepFor       = 60 * time.Second
+	mostReadBack  = 1 << 20
+)
+
+// operator gives orders over a connection for each call.
+type operator struct {
+	fleet  *Fleet
+	name   string
+	client *http.Client
+	orders int
+}
+
+func newOperator(f *Fleet, name string) *operator {
+	transport := &http.Transport{DisableKeepAlives: true, DialContext: dialFrom(f.around.operator)}
+	return &operator{fleet: f, name: name, client: &http.Client{Timeout: callPatience, Transport: transport}}
+}
+
+// next names a configuration that nobody has sent.
+func (o *operator) next(number uint64) content {
+	o.orders++
+	return content{Number: number, Mark: fmt.Sprintf("%s-%d", o.name, o.orders)}
+}
+
+// order sends a configuration until it is answered clearly, and returns the status; 0: it never was.
+func (o *operator) order(base uint64, ordered content) int {
+	end := o.fleet.now() + orderPatience
+	for pause := firstPause; o.fleet.now() < end; pause = min(2*pause, mostPause) {
+		status := o.put(o.someController(), base, ordered)
+		if status == http.StatusOK || status == http.StatusPreconditionFailed || status == http.StatusBadRequest || status == http.StatusConflict {
+			return status
+		}
+		time.Sleep(pause)
+	}
+	return 0
+}
+
+// someController draws one from the list that operators have.
+func (o *operator) someController() string {
+	o.fleet.mutex.Lock()
+	defer o.fleet.mutex.Unlock()
+	return o.fleet.seedAddresses[o.fleet.random.IntN(len(o.fleet.seedAddresses))]
+}
+
+// put sends a configuration once.
+func (o *operator) put(controller string, base uint64, ordered content) int {
+	body, err := json.Marshal(configuration(ordered))
+	if err != nil {
+		o.fleet.report("HARNESS", "%v", err)
+		return 0
+	}
+	call := sent{Base: base, Content: ordered, Valid: true, Started: o.fleet.now()}
+	call.Status, call.Answered, _ = o.call(http.MethodPut, controller, "/mastusher/settings", body, base)
+	call.Ended = o.fleet.now()
+	o.fleet.trace("%s: PUT %v on %d at %s: %d", o.name, ordered, base, controller, call.Status)
+	o.fleet.history.call(call)
+	return call.Status
+}
+
+// read asks for the configuration once; false means that there was no clear answer.
+func (o *operator) read(controller string) (content, bool) {
+	call := sent{IsRead: true, Started: o.fleet.now()}
+	status, answered, body := o.call(http.MethodGet, controller, "/mastusher/settings", nil, 0)
+	call.Status, call.Answered, call.Ended = status, answered, o.fleet.now()
+	if status == http.StatusOK {
+		call.Content = contentOf(body)
+	}
+	o.fleet.trace("%s: GET at %s: %d %v", o.name, controller, status, call.Content)
+	o.fleet.history.call(call)
+	return call.Content, status == http.StatusOK
+}
+
+// readBack asks again and again.
+func (o *operator) readBack() (content, bool) {
+	end := o.fleet.now() + orderPatience
+	for o.fleet.now() < end {
+		if got, ok := o.read(o.someController()); ok {
+			return got, true
+		}
+		time.Sleep(firstPause)
+	}
+	return content{}, false
+}
+
+// call makes one call, redirects included, and returns the status, who answered and the body.
+func (o *operator) call(method, controller, path string, body []byte, base uint64) (int, string, []byte) {
+	request, err := http.NewRequestWithContext(context.Background(), method, "http://"+controller+path, bytes.NewReader(body))
+	if err != nil {
+		return 0, "", nil
+	}
+	request.Header.Set("Content-Type", "application/json")
+	request.Header.Set("If-Match", strconv.FormatUint(base, 10))
+	response, err := o.client.Do(request)
+	if err != nil {
+		return 0, "", nil
+	}
+	defer response.Body.Close()
+	answer, err := io.ReadAll(io.LimitReader(response.Body, mostReadBack))
+	if err != nil {
+		return 0, "", nil
+	}
+	return response.StatusCode, response.Request.URL.Host, answer
+}
+
+// configuration is what is sent for a content: its mark is the name of a route.
+func configuration(c content) model.Configuration {
+	return model.Configuration{
+		Number: c.Number,
+		Routes: []model.Route{
+			{Name: "turns", Host: host, StartsWith: turnPath, Kind: model.Streaming, GiveUpMs: requestTime.Milliseconds(), TargetMs: 500,
+				Service: modelService, Tries: 2, Remembered: true, KeepForS: keepFor.Seconds(), Pinned: true, GapAimMs: 250},
+			toolRoute("tools", toolPath),
+			toolRoute(markPrefix+c.Mark, markPath(c)),
+		},
+		Services: []model.Service{
+			{Name: modelService, HealthPath: "/health", MaxConnections: maxConnections, Protocol: "h1",
+				Engine: &model.Engine{Capacity: batch, CacheTokens: cacheTokens, TokensPerEvent: tokensPerEvent, Models: []model.Model{{Name: modelName}}}},
+			{Name: toolService, HealthPath: "/health", MaxConnections: maxConnections, Protocol: "h1"},
+		},
+		Limits: model.Limits{MaxHeaderBytes: 16 << 10, MaxBodyBytes: 4 << 20, HeaderWaitMs: 3000, IdleCloseMs: 15000},
+	}
+}
+
+// markPath is the prefix of a route that only this content has.
+func markPath(c content) string { return "/" + markPrefix + c.Mark + "/" }
+
+// toolRoute is a route whose requests run at most once.
+func toolRoute(name, prefix string) model.Route {
+	return model.Route{Name: name, Host: host, StartsWith: prefix, Kind: model.OnceOnly, GiveUpMs: requestTime.Milliseconds(), TargetMs: 300,
+		Service: toolService, Tries: 2}
+}
+
+// contentOf names the configuration in an answer.
+func contentOf(body []byte) content {
+	var read model.Configuration
+	if json.Unmarshal(body, &read) != nil {
+		return content{}
+	}
+	named := content{Number: read.Number}
+	for _, route := range read.Routes {
+		if mark, ok := strings.CutPrefix(route.Name, markPrefix); ok {
+			named.Mark = mark
+		}
+	}
+	return named
+}
--- /dev/null
+++ b/internal/system/simulation/settings.go
@@ -0,0 +1,98 @@
+package simulation
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"strconv"
+	"time"
+
+	"gopkg.in/yaml.v3"
+
+	"mastusher/internal/system/settings"
+)
+
+// Ports of all machines.
+const (
+	controlPort   = 8144
+	frontPort     = 8080
+	readinessPort = 8081
+	firstPort     = 7380
+	lastPort      = 7395
+	endpointPort  = 9000
+	platformPort  = 8000
+)
+
+// What the settings say of the system.
+const (
+	grace       = 8 * time.Second
+	survive     = 1 // machines
+	copies      = 2*survive + 1
+	catchUp     = 4300 * time.Millisecond
+	seedDelay   = 3 * time.Second
+	listRate    = 20.0
+	memoryMb    = 256
+	openFiles   = 4096
+	settingMode = 0o644
+)
+
+// writeSettings writes the settings file of a process, as the platform does, and returns its path.
+func (f *Fleet) writeSettings(m *machine, r role) string {
+	path := f.settingsPath(m, r)
+	raw, err := yaml.Marshal(f.settingsOf(m, r))
+	if err == nil {
+		err = os.WriteFile(path, raw, settingMode)
+	}
+	if err != nil {
+		f.report("HARNESS", "settings of %s: %v", m.name, err)
+	}
+	return path
+}
+
+// settingsOf gives the content of a settings file. The whole system starts for the first time once only.
+func (f *Fleet) settingsOf(m *machine, r role) map[string]any {
+	listenOn, serves := map[string]any{}, []string{}
+	switch r {
+	case proxyRole:
+		serves = append(serves, settings.ServesEdge)
+		listenOn["frontHttp"], listenOn["readiness"] = m.address(frontPort), m.address(readinessPort)
+	case controllerRole:
+		serves = append(serves, settings.ServesControl)
+		listenOn["control"] = m.address(controlPort)
+	case storeRole:
+		serves = append(serves, settings.ServesStorage)
+	}
+	regions := map[string]any{}
+	for zone := range f.options.Zones {
+		regions[zoneName(zone)] = "region"
+	}
+	f.mutex.Lock()
+	firstBoot := m.initial && m.starts <= len(m.roles)
+	seeds := f.seedAddresses
+	f.mutex.Unlock()
+	file := map[string]any{
+		"nodeName":        m.name,
+		"role":            string(r),
+		"machineClass":    string(m.class),
+		"serves":          serves,
+		"ip":              m.host.Address(),
+		"zone":            m.zone,
+		"zones":           regions,
+		"listenOn":        listenOn,
+		"portRange":       []int{firstPort, lastPort},
+		"seedNodes":       seeds,
+		"firstBoot":       firstBoot,
+		"countsForQuorum": m.counts(),
+		"limits":          map[string]any{"memoryMb": memoryMb, "openFiles": openFiles},
+		"findBy":          "cloud_api",
+		"survive":         map[string]any{"machines": survive, "zones": 0, "regions": 0},
+		"bounds":          map[string]any{"graceS": grace.Seconds(), "catchUpS": catchUp.Seconds()},
+		"cloudApi":        map[string]any{"address": net.JoinHostPort(platformAddress, strconv.Itoa(platformPort)), "ratePerS": listRate},
+	}
+	if m.counts() {
+		file["dataFolder"] = "/disk"
+	}
+	return file
+}
+
+func zoneName(number int) string { return fmt.Sprintf("zone-%d", number) }
--- /dev/null
+++ b/internal/system/simulation/surroundings.go
@@ -0,0 +1,115 @@
+package simulation
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"time"
+
+	"mastusher/internal/system/network/memorynetwork"
+	"mastusher/internal/system/standin"
+)
+
+// Addresses of those around the tier.
+const (
+	platformAddress = "10.9.0.1"
+	operatorAddress = "10.9.0.2"
+	clientAddress   = "10.9.0.3"
+)
+
+// What endpoints there are.
+const (
+	modelService   = "lm"
+	toolService    = "tools"
+	modelName      = "m"
+	endpointsEach  = 3 // of a service
+	batch          = 32
+	tokensPerEvent = 3
+	cacheTokens    = 200_000
+	prefill        = 30 * time.Millisecond
+	eventGap       = 15 * time.Millisecond
+	toolWork       = 20 * time.Millisecond
+	maxConnections = 200
+	pageSize       = 4
+)
+
+// surroundings are those whom the tier talks to: the platform's list, the endpoints, the operator and the clients.
+type surroundings struct {
+	ledger    *standin.Ledger
+	platform  *standin.Platform
+	endpoints []*endpoint
+	operator  *memorynetwork.Process
+	client    *memorynetwork.Process
+	processes []*memorynetwork.Process
+	ends      []func()
+}
+
+// endpoint is a stand-in for one, with the machine that it runs on.
+type endpoint struct {
+	id   string
+	host *memorynetwork.Machine
+}
+
+func (f *Fleet) surround() (*surroundings, error) {
+	around := &surroundings{ledger: standin.NewLedger()}
+	around.operator = f.network.Machine(operatorAddress).Start()
+	around.client = f.network.Machine(clientAddress).Start()
+	around.processes = append(around.processes, around.operator, around.client)
+	platform, err := standin.NewPlatform(standin.PlatformOptions{PageSize: pageSize, RatePerS: listRate, Listen: around.listen(f.network.Machine(platformAddress), platformPort)})
+	if err != nil {
+		return nil, err
+	}
+	around.platform = platform
+	around.ends = append(around.ends, platform.Close)
+	for number := range 2 * endpointsEach {
+		if err := around.addEndpoint(f, number); err != nil {
+			return nil, err
+		}
+	}
+	return around, nil
+}
+
+// listen returns what opens a port on a machine.
+func (s *surroundings) listen(host *memorynetwork.Machine, port int) func() (net.Listener, error) {
+	process := host.Start()
+	s.processes = append(s.processes, process)
+	return func() (net.Listener, error) {
+		return process.Listen(context.Background(), new(net.ListenConfig), "tcp4", fmt.Sprintf("%s:%d", host.Address(), port))
+	}
+}
+
+// addEndpoint starts a model server or a plain endpoint.
+func (s *surroundings) addEndpoint(f *Fleet, number int) error {
+	host := f.network.Machine(fmt.Sprintf("10.8.0.%d", number+1))
+	options := standin.EndpointOptions{ID: fmt.Sprintf("e-%d", number), Service: toolService, Zone: zoneName(number % f.options.Zones), Number: "v1",
+		Capacity: batch, Queue: batch, MaxConnections: maxConnections, Ledger: s.ledger, Listen: s.listen(host, endpointPort), Fault: f.endpointFault}
+	if number%2 == 0 {
+		options.Service = modelService
+		engine, err := standin.NewEngine(standin.EngineOptions{EndpointOptions: options, Models: []string{modelName}, CacheTokens: cacheTokens,
+			TokensPerEvent: tokensPerEvent, Prefill: prefill, Gap: eventGap})
+		if err != nil {
+			return err
+		}
+		s.platform.PutEntry(standin.Entry{Endpoint: engine.Entry(), Phase: "both", Models: []standin.ReportModel{{Name: modelName, Number: 1, Adapters: []string{}}}})
+		s.ends = append(s.ends, engine.Close)
+	} else {
+		plain, err := standin.NewPlain(standin.PlainOptions{EndpointOptions: options, Work: toolWork})
+		if err != nil {
+			return err
+		}
+		s.platform.Put(plain.Entry())
+		s.ends = append(s.ends, plain.Close)
+	}
+	s.endpoints = append(s.endpoints, &endpoint{id: options.ID, host: host})
+	return nil
+}
+
+// close ends all of them.
+func (s *surroundings) close() {
+	for _, end := range s.ends {
+		end()
+	}
+	for _, process := range s.processes {
+		process.Kill()
+	}
+}
