--- /dev/null
+++ b/internal/system/simulation/campaign_test.go
@@ -0,0 +1,89 @@
+package simulation
+
+import (
+	"flag"
+	"fmt"
+	"runtime"
+	"runtime/debug"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+var (
+	daysFlag  = flag.Uint64("days", 3, "days of the random campaign")
+	firstFlag = flag.Uint64("first", 1, "seed of its first day")
+	traceFlag = flag.Bool("trace", false, "log what happens")
+)
+
+const (
+	shrinkDays = 30
+	// stuckAfter is the real time after which a day is taken for stuck: some goroutine waits for a mutex whose holder sleeps.
+	stuckAfter = 2 * time.Minute
+)
+
+// playDay plays a plan and judges it.
+func playDay(t *testing.T, plan Plan) (violations []string, played *Fleet) {
+	t.Helper()
+	watchdog := time.AfterFunc(stuckAfter, func() {
+		debug.SetTraceback("all")
+		stacks := make([]byte, 1<<24)
+		panic(fmt.Sprintf("stuck: %s\n%s", plan.Text(), stacks[:runtime.Stack(stacks, true)]))
+	})
+	defer watchdog.Stop()
+	defer func() {
+		if leak := recover(); leak != nil {
+			violations = append(violations, fmt.Sprintf("LEAK: %v", leak))
+			if played != nil {
+				violations = append(violations, played.Violations()...)
+			}
+		}
+	}()
+	folder := t.TempDir()
+	var trace func(format string, arguments ...any)
+	if *traceFlag {
+		trace = t.Logf
+	}
+	var done atomic.Pointer[Fleet]
+	synctest.Test(t, func(t *testing.T) {
+		f, err := play(plan, folder, trace)
+		if err != nil {
+			t.Fatal(err)
+		}
+		done.Store(f)
+	})
+	played = done.Load()
+	violations = append(played.Violations(), checkConfiguration(played.history)...)
+	return append(violations, checkTurns(played.history, played.around.ledger)...), played
+}
+
+func TestRandomDays(t *testing.T) {
+	orders, programs, turns, runs := 0, 0, 0, 0
+	breached := uint64(0)
+	for seed := *firstFlag; seed < *firstFlag+*daysFlag; seed++ {
+		plan := RandomPlan(seed)
+		violations, played := playDay(t, plan)
+		if played != nil {
+			orders += len(played.history.orders())
+			programs += len(played.history.programs)
+			turns += len(played.history.wholeTurns())
+			runs += len(played.around.ledger.All())
+		}
+		if len(violations) == 0 {
+			continue
+		}
+		breached++
+		t.Errorf("seed %d: %s\n%s", seed, plan.Text(), strings.Join(violations[:min(5, len(violations))], "\n"))
+		if breached == 1 {
+			shrunk := Shrink(plan, shrinkDays, func(p Plan) bool { found, _ := playDay(t, p); return len(found) > 0 })
+			found, _ := playDay(t, shrunk)
+			t.Errorf("smallest plan: %s\n%s", shrunk.Text(), strings.Join(found, "\n"))
+		}
+	}
+	t.Logf("%d days, %d with a breach: %d orders sent, %d programs, %d turns whole, %d runs at endpoints", *daysFlag, breached, orders, programs, turns, runs)
+	if turns < 20*int(*daysFlag) || orders < 5*int(*daysFlag) {
+		t.Error("the days test too little")
+	}
+}
--- a/internal/system/simulation/fleet.go
+++ b/internal/system/simulation/fleet.go
@@ -57,6 +57,8 @@
 	over          bool
 	violations    []string
 	endpoints     endpointTrouble
+	lostAcks      float64              // share of the answers to operators that are lost
+	onAnswer      func(address string) // told of each acknowledgement; set before any
 }
 
 // New returns a fleet whose machines are down.
--- a/internal/system/simulation/history.go
+++ b/internal/system/simulation/history.go
@@ -93,3 +93,16 @@
 	}
 	return number
 }
+
+// orders lists what was ordered so far, each sending by itself.
+func (h *history) orders() []sent {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	var orders []sent
+	for _, s := range h.sent {
+		if !s.IsRead {
+			orders = append(orders, s)
+		}
+	}
+	return orders
+}
--- a/internal/system/simulation/operator.go
+++ b/internal/system/simulation/operator.go
@@ -78,11 +78,24 @@
 	call := sent{Base: base, Content: ordered, Valid: true, Started: o.fleet.now()}
 	call.Status, call.Answered, _ = o.call(http.MethodPut, controller, "/mastusher/settings", body, base)
 	call.Ended = o.fleet.now()
+	if call.Status == http.StatusOK && o.fleet.onAnswer != nil {
+		o.fleet.onAnswer(call.Answered)
+	}
+	if o.fleet.losesAnswer() {
+		call.Status = 0
+	}
 	o.fleet.trace("%s: PUT %v on %d at %s: %d", o.name, ordered, base, controller, call.Status)
 	o.fleet.history.call(call)
 	return call.Status
 }
 
+// losesAnswer draws whether an answer to an operator is lost.
+func (f *Fleet) losesAnswer() bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.random.Float64() < f.lostAcks
+}
+
 // read asks for the configuration once; false means that there was no clear answer.
 func (o *operator) read(controller string) (content, bool) {
 	call := sent{IsRead: true, Started: o.fleet.now()}
