--- a/internal/system/simulation/fleet_test.go
+++ b/internal/system/simulation/fleet_test.go
@@ -15,7 +15,7 @@
 func newFleet(t *testing.T, options Options) (*Fleet, *operator, *clients) {
 	t.Helper()
 	options.Folder = t.TempDir()
-	if testing.Verbose() {
+	if *traceFlag {
 		options.Trace = t.Logf
 	}
 	f, err := New(options)
--- a/internal/system/simulation/history.go
+++ b/internal/system/simulation/history.go
@@ -81,19 +81,6 @@
 	return turns
 }
 
-// numberInForce returns what came in force last at a start of a proxy.
-func (h *history) numberInForce(p *process) uint64 {
-	h.mutex.Lock()
-	defer h.mutex.Unlock()
-	number := uint64(0)
-	for _, seen := range h.versions {
-		if seen.Proxy == p.machine.name && seen.Incarnation == p.incarnation {
-			number = seen.Number
-		}
-	}
-	return number
-}
-
 // orders lists what was ordered so far, each sending by itself.
 func (h *history) orders() []sent {
 	h.mutex.Lock()
--- a/internal/system/simulation/process.go
+++ b/internal/system/simulation/process.go
@@ -115,16 +115,6 @@
 	return p.dead
 }
 
-// hasEnded tells whether the role has returned.
-func (p *process) hasEnded() bool {
-	select {
-	case <-p.ended:
-		return true
-	default:
-		return false
-	}
-}
-
 // stop sends SIGTERM, and kills the process once its grace is over. It returns when the process has ended.
 func (p *process) stop() {
 	p.machine.fleet.mutex.Lock()
