--- a/internal/system/controller/cluster_test.go
+++ b/internal/system/controller/cluster_test.go
@@ -181,7 +181,8 @@
 			Seed: uint64(c.starts), Now: c.time, Send: send, Clock: clock, Run: func(opened *group.Group) { m.groups = append(m.groups, opened) },
 			After: c.after})
 		if err := m.store.Recover(); err != nil {
-			c.t.Fatal(err)
+			m.startAgain(err)
+			return
 		}
 		c.after(spreadDelay, m.take)
 		return
@@ -201,7 +202,8 @@
 			}
 		}})
 	if err != nil {
-		c.t.Fatal(err)
+		m.startAgain(err)
+		return
 	}
 	m.controller, m.placeDue = opened, c.now
 	m.groups = []*group.Group{opened.Group()}
--- a/internal/system/controller/repair_test.go
+++ b/internal/system/controller/repair_test.go
@@ -22,12 +22,13 @@
 
 // Times of the bench's troubles.
 const (
-	downTime     = 2 * time.Second // from a loss of power until the machine starts again
-	comesAfter   = time.Second     // from a loss for good until an empty machine starts; of a planned one, until the old one is told to end
-	cutTime      = 4500 * time.Millisecond
-	freezeTime   = 3200 * time.Millisecond
-	loadInterval = 100 * time.Millisecond
-	recoveryTime = 12 * time.Second // until all is whole again after the last loss
+	downTime      = 2 * time.Second // from a loss of power until the machine starts again
+	comesAfter    = time.Second     // from a loss for good until an empty machine starts; of a planned one, until the old one is told to end
+	cutTime       = 4500 * time.Millisecond
+	freezeTime    = 3200 * time.Millisecond
+	loadInterval  = 100 * time.Millisecond
+	orderPatience = 2 * time.Second  // with an order that nobody has answered
+	recoveryTime  = 12 * time.Second // until all is whole again after the last loss
 )
 
 // catchUpS is how long a machine stays lost after its start.
@@ -72,7 +73,7 @@
 	sent    int
 	orders  []configuration.Order // acknowledged
 	order   configuration.Order   // the next one, sent again until it is
-	waiting bool
+	again   time.Duration         // when that is sent again, should nobody answer: its owner may have been killed
 	last    map[int]time.Duration // by shard, when it took something last; the configuration is configurationShard
 	gap     time.Duration         // the longest that any of them took nothing
 }
@@ -128,13 +129,16 @@
 
 func (l *load) configure() {
 	owner := l.cluster.owner()
-	if owner == nil || l.waiting {
+	if owner == nil || l.cluster.now < l.again {
 		return
 	}
-	l.waiting = true
+	l.again = l.cluster.now + orderPatience
 	order := l.order
 	owner.controller.Group().Start(Command{Configure: &order}, func(answer any, err error) {
-		l.waiting = false
+		if order.Number != l.order.Number {
+			return
+		}
+		l.again = l.cluster.now
 		if err != nil || answer != configuration.Taken {
 			return
 		}
--- a/internal/system/controller/surroundings_test.go
+++ b/internal/system/controller/surroundings_test.go
@@ -255,6 +255,20 @@
 	}
 }
 
+// startAgain tries a start again that a disk in trouble has kept from going on, as the process does.
+func (m *machineUnderTest) startAgain(err error) {
+	if m.diskTrouble == healthy {
+		m.cluster.t.Fatal(err)
+	}
+	m.kill()
+	generation := m.starts
+	m.cluster.after(reopenPause, func() {
+		if m.starts == generation {
+			m.start()
+		}
+	})
+}
+
 // recover has a group begin anew that its disk has broken.
 func (m *machineUnderTest) recover(running *group.Group) error {
 	if !m.broken[running] {
