--- a/internal/system/command/store.go
+++ b/internal/system/command/store.go
@@ -15,6 +15,9 @@
 	"mastusher/internal/system/wire"
 )
 
+// waitingShare is the part of the memory that messages and commands may take that wait for the turns of a store's shards.
+const waitingShare = 10
+
 // Store runs on storage machines and holds shards of programs' state.
 type Store struct{}
 
@@ -55,7 +58,8 @@
 	}
 	groups := newReplicas(ctx)
 	shards := store.New(ctx, store.Options{ID: id, Address: address, Disk: disk, Pool: p.pool, Logger: p.logger, Seed: p.seed, Now: time.Now,
-		Run: groups.run})
+		WaitingBytes: int(p.settings.Limits.MemoryMb << 20 / waitingShare),
+		Run:          groups.run})
 	member := p.newNode(p.member(membership.Store, id, address), shards.Take)
 	if err := p.persist(ctx, "shards on the disk", shards.Recover); err != nil {
 		return err
--- /dev/null
+++ b/internal/system/group/budget_test.go
@@ -0,0 +1,132 @@
+package group
+
+import (
+	"encoding/json"
+	"errors"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"mastusher/internal/system/replica"
+	"mastusher/internal/system/storage/memorydisk"
+)
+
+// openAlone opens the only member of a group, in virtual time.
+func openAlone(t *testing.T, name string, machine Machine, waiting *Budget, now *time.Duration) *Group {
+	t.Helper()
+	own := replica.Member{ID: "a", Address: "a:1"}
+	opened, err := Open(Options{Name: name, Disk: memorydisk.New(), Machine: machine, Logger: log.NewNopLogger(), Waiting: waiting,
+		Clock: func() time.Duration { return *now }, Send: func(string, Envelope) {},
+		Replica: replica.Options{ID: own.ID, Address: own.Address, Initial: []replica.Member{own}, Heartbeat: time.Second, Election: 5 * time.Second, Seed: 1}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return opened
+}
+
+func TestCommandsThatWaitForATurnAreBounded(t *testing.T) {
+	// Given a member that has no turn,
+	now := time.Duration(0)
+	g := openAlone(t, "g", &emptyMachine{}, nil, &now)
+	refused := 0
+	propose := func() {
+		g.Start(strings.Repeat("x", 1<<20), func(_ any, err error) {
+			var not *OwnershipError
+			if errors.As(err, &not) && not.Never {
+				refused++
+			}
+		})
+	}
+	// when commands come all the same,
+	for range 10 {
+		propose()
+	}
+	// then those beyond the bound are certainly not proposed,
+	if refused < 6 || refused > 8 {
+		t.Errorf("%d of 10 commands of 1 MB were refused", refused)
+	}
+	// and once it has had its turn, more are taken.
+	if _, err := g.Turn(); err != nil {
+		t.Fatal(err)
+	}
+	before := refused
+	propose()
+	if refused != before {
+		t.Error("a command was refused though nothing waits")
+	}
+}
+
+func TestMembersOfOneProcessShareWhatMayWait(t *testing.T) {
+	// Given two members of a process that may have 3 MB waiting together,
+	now := time.Duration(0)
+	budget := NewBudget(3 << 20)
+	first, second := openAlone(t, "g", &emptyMachine{}, budget, &now), openAlone(t, "h", &emptyMachine{}, budget, &now)
+	message := func() replica.Message {
+		data, _ := json.Marshal(strings.Repeat("x", 1<<20))
+		return replica.Message{Kind: replica.Append, From: "b", To: "a", Entries: []replica.Entry{{Index: 1, Data: data}}}
+	}
+	// when the first one is sent more than that,
+	for range 5 {
+		first.Deliver(message())
+	}
+	if got := len(first.input.Messages); got != 2 {
+		t.Errorf("%d messages of 1 MB wait, want 2", got)
+	}
+	// then the second one still has room for one message, and for no more,
+	second.Deliver(message())
+	second.Deliver(message())
+	if got := len(second.input.Messages); got != 1 {
+		t.Errorf("%d messages wait at the second one, want 1", got)
+	}
+	// until the first one has had its turn.
+	if _, err := first.Turn(); err != nil {
+		t.Fatal(err)
+	}
+	second.Deliver(message())
+	if got := len(second.input.Messages); got != 2 {
+		t.Errorf("%d messages wait at the second one, want 2", got)
+	}
+	if _, err := second.Turn(); err != nil {
+		t.Fatal(err)
+	}
+	if used := budget.used.Load(); used != 0 {
+		t.Errorf("%d bytes of the budget are in use though nothing waits", used)
+	}
+}
+
+// replayingMachine counts how commands were folded in.
+type replayingMachine struct {
+	emptyMachine
+	applied, replayed int
+}
+
+func (m *replayingMachine) Apply(uint64, json.RawMessage) any { m.applied++; return m.applied }
+
+func (m *replayingMachine) Replay(uint64, json.RawMessage) { m.replayed++ }
+
+func TestOnlyAProposersMachineGivesResults(t *testing.T) {
+	// Given a member whose log holds a command of another one and one of its own,
+	now := time.Duration(0)
+	machine := &replayingMachine{}
+	g := openAlone(t, "g", machine, nil, &now)
+	foreign, _ := json.Marshal(proposed{Origin: "other", Token: 1, Command: json.RawMessage(`1`)})
+	var told any
+	proposedBoth := false
+	for range 8 {
+		now += time.Second
+		if !proposedBoth && g.Status().IsOwner {
+			proposedBoth = true
+			g.input.Proposals = append(g.input.Proposals, replica.Proposal{Token: 1 << 40, Data: foreign})
+			g.Start(7, func(result any, _ error) { told = result })
+		}
+		if _, err := g.Turn(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	// then the first one is replayed, and its own is applied and told.
+	if machine.replayed != 1 || machine.applied != 1 || told != 1 {
+		t.Errorf("%d commands were replayed, %d applied, told %v", machine.replayed, machine.applied, told)
+	}
+}
--- a/internal/system/group/calls.go
+++ b/internal/system/group/calls.go
@@ -44,6 +44,9 @@
 	}
 	return g.enter(call{done: done}, func(token uint64) error {
 		wrapped, err := json.Marshal(proposed{Origin: g.origin, Token: token, Command: data})
+		if err == nil && !g.takeRoom(len(wrapped)+messageBytes, false) {
+			return &OwnershipError{Group: g.options.Name, Never: true, Cause: errTooMuchWaits}
+		}
 		g.input.Proposals = append(g.input.Proposals, replica.Proposal{Token: token, Data: wrapped})
 		return err
 	})
--- a/internal/system/group/compaction.go
+++ b/internal/system/group/compaction.go
@@ -8,9 +8,9 @@
 // state isn't written for little.
 const stateShare = 0.25
 
-// mostLogs is the number of times over that a log may be too long while a snapshot is on its way to or from another member:
+// mostLogs is the number of times its bound that a log may be long while a snapshot is on its way to or from another member:
 // a compaction takes the place on the disk where that lies, so that it would have to begin anew.
-const mostLogs = 3
+const mostLogs = 2
 
 // compact replaces a long log by a snapshot and what remains after it. Entries that remain count as little as the snapshot:
 // only what has been saved since makes the next compaction due. The state is written part by part; no copy of it is in memory.
--- a/internal/system/group/errors.go
+++ b/internal/system/group/errors.go
@@ -1,6 +1,12 @@
 package group
 
-import "fmt"
+import (
+	"errors"
+	"fmt"
+)
+
+// errTooMuchWaits refuses a command since the member hasn't had its turn for too long.
+var errTooMuchWaits = errors.New("too much waits for the member's turn")
 
 // OwnershipError says that this member could not see a call through.
 type OwnershipError struct {
--- a/internal/system/group/group.go
+++ b/internal/system/group/group.go
@@ -30,6 +30,7 @@
 	Send         func(address string, envelope Envelope) // must not block
 	Compacting   *sync.Mutex                             // held while a member compacts, so that those of one process do so in turn; nil: its own
 	Receiving    *Admission                              // bounds the snapshots that members of one process receive at once; nil: its own
+	Waiting      *Budget                                 // bounds what waits for the turns of all members of one process; nil: its own
 	CompactBytes int64                                   // length of the log from which on a snapshot replaces it
 	Logger       log.Logger
 	Clock        func() time.Duration        // steady; nil: time since Open
@@ -59,7 +60,7 @@
 
 	mutex   sync.Mutex
 	input   replica.Input
-	waiting int // bytes of messages in input
+	waiting int // bytes of messages and commands in input
 	calls   map[uint64]call
 	token   uint64
 	broken  error // what has broken the member; nil: it works
@@ -78,7 +79,8 @@
 // Name returns the group's name.
 func (g *Group) Name() string { return g.options.Name }
 
-// mostWaitingBytes bounds the messages that wait for the member's turn; those beyond are lost like any other message.
+// mostWaitingBytes bounds what waits for the member's turn: messages beyond it are lost like any other message, commands are
+// refused.
 const mostWaitingBytes = 4 << 20
 
 // messageBytes is about what a message takes beside what it brings.
@@ -109,13 +111,8 @@
 // hasRoom takes a message into account, unless too much waits. One part of a snapshot may always wait, however large: a member
 // that needs it gets on by nothing else, and its owner goes on sending other messages meanwhile.
 func (g *Group) hasRoom(message *replica.Message) bool {
-	size := sizeOf(message)
-	isFull := g.waiting > 0 && g.waiting+size > mostWaitingBytes
-	if isFull && (message.Kind != replica.InstallSnapshot || slices.ContainsFunc(g.input.Messages, isPart)) {
-		return false
-	}
-	g.waiting += size
-	return true
+	needed := isPart(*message) && !slices.ContainsFunc(g.input.Messages, isPart)
+	return g.takeRoom(sizeOf(message), needed)
 }
 
 func isPart(message replica.Message) bool { return message.Kind == replica.InstallSnapshot }
--- a/internal/system/group/machine.go
+++ b/internal/system/group/machine.go
@@ -16,6 +16,12 @@
 	Restore(state json.RawMessage) error
 }
 
+// Replayer is a Machine that saves work where nobody waits for a command's result.
+type Replayer interface {
+	// Replay folds the command in as Apply does.
+	Replay(index uint64, command json.RawMessage)
+}
+
 // PartsMachine is a Machine whose state may be large: it is taken and set in parts of bounded size, so that no copy of it is
 // in memory.
 type PartsMachine interface {
--- a/internal/system/group/recovery.go
+++ b/internal/system/group/recovery.go
@@ -26,6 +26,9 @@
 	if options.Receiving == nil {
 		options.Receiving = NewAdmission(1)
 	}
+	if options.Waiting == nil {
+		options.Waiting = NewBudget(defaultBudgetBytes)
+	}
 	g := &Group{options: options, origin: options.Replica.ID + "@" + strconv.FormatUint(options.Replica.Seed, 16),
 		machine: inParts(options.Machine), heard: map[string]string{}, wake: make(chan struct{}, 1), calls: map[uint64]call{}}
 	if err := g.machine.Parts(g.keepBlank); err != nil {
@@ -48,8 +51,8 @@
 	if err := g.recover(true); err != nil {
 		return err
 	}
+	g.takeInput()
 	g.mutex.Lock()
-	g.input, g.waiting = replica.Input{}, 0
 	g.broken = nil
 	g.mutex.Unlock()
 	g.publish()
--- a/internal/system/group/turn.go
+++ b/internal/system/group/turn.go
@@ -102,10 +102,7 @@
 }
 
 func (g *Group) turn() (time.Duration, error) {
-	g.mutex.Lock()
-	input := g.input
-	g.input, g.waiting = replica.Input{}, 0
-	g.mutex.Unlock()
+	input := g.takeInput()
 	g.hear(input.Messages)
 	g.admit(input.Messages)
 	effects := g.member.Step(g.options.Clock(), input)
@@ -199,10 +196,11 @@
 			level.Error(g.options.Logger).Log("msg", "entry cannot be read", "group", g.options.Name, "index", entry.Index, "err", err)
 			continue
 		}
-		result := g.options.Machine.Apply(entry.Index, p.Command)
 		if p.Origin != g.origin {
+			g.replay(entry.Index, p.Command)
 			continue
 		}
+		result := g.machine.Apply(entry.Index, p.Command)
 		if results == nil {
 			results = map[uint64]any{}
 		}
@@ -211,6 +209,15 @@
 	return results
 }
 
+// replay folds a command in whose result nobody here waits for.
+func (g *Group) replay(index uint64, command json.RawMessage) {
+	if replaying, ok := g.options.Machine.(Replayer); ok {
+		replaying.Replay(index, command)
+		return
+	}
+	g.machine.Apply(index, command)
+}
+
 // publish tells what the member now sees of its group.
 func (g *Group) publish() { g.tell(g.member.Status()) }
 
--- a/internal/system/replica/log.go
+++ b/internal/system/replica/log.go
@@ -86,6 +86,20 @@
 	l.offset, l.offsetEpoch = index, epoch
 }
 
+// tailOf is the index below which entries may go once a snapshot stands for those up to index: so many of the newest are
+// kept, as far as they take no more than the bytes.
+func (l *entryLog) tailOf(index, count uint64, bytes int) uint64 {
+	for index > l.offset && count > 0 {
+		bytes -= entrySize(&l.entries[index-l.offset-1])
+		if bytes < 0 {
+			break
+		}
+		index--
+		count--
+	}
+	return index
+}
+
 // reset empties the log; it goes on after the entry that a snapshot ends with.
 func (l *entryLog) reset(index, epoch uint64) {
 	*l = entryLog{offset: index, offsetEpoch: epoch}
--- a/internal/system/replica/log_test.go
+++ b/internal/system/replica/log_test.go
@@ -28,6 +28,12 @@
 			"compact": func(t *rapid.T) {
 				log.compact(rapid.Uint64Range(0, log.last()).Draw(t, "index"))
 			},
+			"tail": func(t *rapid.T) {
+				index := rapid.Uint64Range(log.offset, log.last()).Draw(t, "index")
+				count := rapid.Uint64Range(0, 9).Draw(t, "count")
+				bytes := rapid.IntRange(0, 600).Draw(t, "bytes")
+				checkTail(t, &log, index, count, bytes)
+			},
 			"": func(t *rapid.T) {
 				checkLog(t, &log, all)
 			},
@@ -81,3 +87,21 @@
 		t.Fatalf("agreement up to %d in epoch %d: %d, want %d", limit, epoch, got, want)
 	}
 }
+
+// checkTail demands the longest tail within both bounds.
+func checkTail(t *rapid.T, log *entryLog, index, count uint64, bytes int) {
+	got := log.tailOf(index, count, bytes)
+	sizeFrom := func(first uint64) int {
+		size := 0
+		for _, entry := range log.between(first+1, index) {
+			size += entrySize(&entry)
+		}
+		return size
+	}
+	if got > index || got < log.offset || index-got > count || sizeFrom(got) > bytes {
+		t.Fatalf("tail of %d, %d entries and %d bytes at most, from %d with %d bytes", index, count, bytes, got, sizeFrom(got))
+	}
+	if got > log.offset && index-got < count && sizeFrom(got-1) <= bytes {
+		t.Fatalf("tail of %d, %d entries and %d bytes at most, could begin before %d", index, count, bytes, got)
+	}
+}
--- a/internal/system/replica/ownership.go
+++ b/internal/system/replica/ownership.go
@@ -69,7 +69,7 @@
 	for i := range proposals {
 		proposal := &proposals[i]
 		size := len(proposal.Data) + entryOverhead
-		if r.role != owner || r.ownership.resigning || r.ownership.openBytes+size > r.limits.open {
+		if r.role != owner || r.ownership.resigning || r.ownership.openBytes > 0 && r.ownership.openBytes+size > r.limits.open {
 			r.step.effects.Outcomes = append(r.step.effects.Outcomes, Outcome{Token: proposal.Token, Never: true})
 			continue
 		}
--- a/internal/system/replica/replica.go
+++ b/internal/system/replica/replica.go
@@ -297,9 +297,11 @@
 		return
 	}
 	r.snapshot = snapshot
-	if snapshot.Index > r.limits.tail {
-		r.log.compact(snapshot.Index - r.limits.tail)
+	bytes := r.limits.trail
+	if r.role == owner {
+		bytes = max(bytes, r.limits.flight)
 	}
+	r.log.compact(r.log.tailOf(snapshot.Index, r.limits.tail, bytes))
 }
 
 func (r *Replica) snapshotIndex() uint64 {
--- a/internal/system/replica/snapshot_test.go
+++ b/internal/system/replica/snapshot_test.go
@@ -178,3 +178,30 @@
 		t.Errorf("last %d", got)
 	}
 }
+
+func TestCompactionKeepsATailOfBoundedBytes(t *testing.T) {
+	// Given an owner with 20 large commands, of which those that fit into what may be in flight are kept,
+	const size = 100 << 10
+	p := givenOwnerByHand(t, "a", "b", "c")
+	for token := range uint64(20) {
+		p.step(Input{Proposals: []Proposal{command(token, size)}})
+	}
+	p.acknowledge("b", 21)
+	mark := p.r.Mark()
+	p.step(Input{Compact: &mark})
+	if got, want := p.r.log.offset, uint64(21-usualLimits.flight/size); got != want {
+		t.Errorf("the owner's log is compacted to %d, want %d", got, want)
+	}
+	// and a follower with the same, which keeps less.
+	r := givenFollower(t, 2)
+	entries := make([]Entry, 20)
+	for i := range entries {
+		entries[i] = Entry{Index: uint64(i + 1), Epoch: 2, Data: command(1, size).Data}
+	}
+	r.Step(0, Input{Messages: []Message{{Kind: Append, From: "a", To: "b", Epoch: 2, Commit: 20, Entries: entries}}})
+	mark = r.Mark()
+	r.Step(0, Input{Compact: &mark})
+	if got, want := r.log.offset, uint64(20-usualLimits.trail/size); got != want {
+		t.Errorf("the follower's log is compacted to %d, want %d", got, want)
+	}
+}
--- a/internal/system/store/machine.go
+++ b/internal/system/store/machine.go
@@ -28,15 +28,33 @@
 
 // Apply implements group.Machine; it returns a program.Result.
 func (m *machine) Apply(_ uint64, raw json.RawMessage) any {
+	applied, err := m.take(raw)
+	switch {
+	case err != nil:
+		return program.Result{Verdict: program.Unknown}
+	case applied.Placement > 0:
+		return program.Result{Verdict: program.Taken}
+	}
+	return m.programs.Apply(applied.Command)
+}
+
+// Replay implements group.Replayer: it saves putting a chain together.
+func (m *machine) Replay(_ uint64, raw json.RawMessage) {
+	if applied, err := m.take(raw); err == nil && applied.Placement == 0 {
+		m.programs.Replay(applied.Command)
+	}
+}
+
+// take reads a command, and takes note of a placement.
+func (m *machine) take(raw json.RawMessage) (command, error) {
 	var applied command
 	if err := json.Unmarshal(raw, &applied); err != nil {
-		return program.Result{Verdict: program.Unknown}
+		return command{}, err
 	}
 	if applied.Placement > 0 {
 		m.placement.Store(max(m.placement.Load(), applied.Placement))
-		return program.Result{Verdict: program.Taken}
 	}
-	return m.programs.Apply(applied.Command)
+	return applied, nil
 }
 
 // placementField begins the field that Snapshot adds. It can't occur inside a value, since quotes are escaped there.
--- /dev/null
+++ b/internal/system/store/memory_test.go
@@ -0,0 +1,391 @@
+package store_test
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"runtime/debug"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"mastusher/internal/system/link"
+	"mastusher/internal/system/program"
+	"mastusher/internal/system/storage"
+	"mastusher/internal/system/store"
+	"mastusher/internal/system/view"
+	"mastusher/internal/system/wire"
+)
+
+// What the stores of the measurement hold.
+const (
+	measuredShards  = 8
+	leastInput      = 16 << 10 // bytes of a turn's input; its output has a quarter of that
+	mostTurns       = 1000     // that make up the state: a larger one has larger turns
+	measuredClients = 16
+	collectorGrowth = 25 // percent, as the command sets it
+)
+
+// settlePatience is how long stores may take until all members are caught up.
+const settlePatience = 90 * time.Second
+
+// storeVariable holds the options of a store process, which is this test binary started again.
+const storeVariable = "MASTUSHER_TEST_STORE"
+
+// processOptions set a store process up.
+type processOptions struct {
+	ID      string
+	Address string
+	Folder  string
+}
+
+// placed is a line that a store process reads: a placement, or a question for the peak of its memory since the last one.
+type placed struct {
+	Index     uint64
+	Placement view.Placement
+	Peak      bool
+}
+
+// TestStoreProcess is the store process; in the process of the tests there is nothing to do.
+func TestStoreProcess(t *testing.T) {
+	text := os.Getenv(storeVariable)
+	if text == "" {
+		return
+	}
+	var options processOptions
+	if err := json.Unmarshal([]byte(text), &options); err != nil {
+		t.Fatal(err)
+	}
+	if err := runStoreProcess(t.Context(), options); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func runStoreProcess(ctx context.Context, options processOptions) error {
+	debug.SetGCPercent(collectorGrowth)
+	disk, err := storage.NewOS(options.Folder)
+	if err != nil {
+		return err
+	}
+	running := store.New(ctx, store.Options{ID: options.ID, Address: options.Address, Disk: disk, Pool: link.NewPool(),
+		Logger: log.NewNopLogger(), Seed: uint64(os.Getpid()), Now: time.Now})
+	if err := running.Recover(); err != nil {
+		return err
+	}
+	handlers := link.NewHandlers()
+	running.Register(handlers)
+	server, err := link.Listen(options.Address, handlers, log.NewNopLogger())
+	if err != nil {
+		return err
+	}
+	defer server.Close()
+	lines := bufio.NewReader(os.Stdin)
+	for {
+		line, err := lines.ReadBytes('\n')
+		if err != nil {
+			return nil
+		}
+		var told placed
+		if err := json.Unmarshal(line, &told); err != nil {
+			return err
+		}
+		if told.Peak {
+			peak, err := peakOfMemory()
+			if err != nil {
+				return err
+			}
+			fmt.Printf("peak %d\n", peak)
+			continue
+		}
+		running.Place(told.Index, told.Placement)
+	}
+}
+
+// peakOfMemory returns the most bytes that the process had in memory since the last call.
+func peakOfMemory() (int64, error) {
+	status, err := os.ReadFile("/proc/self/status")
+	if err != nil {
+		return 0, err
+	}
+	for line := range strings.Lines(string(status)) {
+		if fields := strings.Fields(line); len(fields) > 1 && fields[0] == "VmHWM:" {
+			kilobytes, err := strconv.ParseInt(fields[1], 10, 64)
+			if err != nil {
+				return 0, err
+			}
+			return kilobytes << 10, os.WriteFile("/proc/self/clear_refs", []byte("5"), 0)
+		}
+	}
+	return 0, errors.New("the process has no peak of memory")
+}
+
+// storeProcess is a store process, seen from outside.
+type storeProcess struct {
+	options processOptions
+	command *exec.Cmd
+	input   io.Writer
+	output  *bufio.Reader
+}
+
+func startStore(b *testing.B, options processOptions) *storeProcess {
+	b.Helper()
+	text, err := json.Marshal(options)
+	if err != nil {
+		b.Fatal(err)
+	}
+	p := &storeProcess{options: options, command: exec.Command(os.Args[0], "-test.run=^TestStoreProcess$")}
+	p.command.Env = append(os.Environ(), storeVariable+"="+string(text))
+	p.command.Stderr = os.Stderr
+	input, err := p.command.StdinPipe()
+	if err != nil {
+		b.Fatal(err)
+	}
+	output, err := p.command.StdoutPipe()
+	if err != nil {
+		b.Fatal(err)
+	}
+	p.input, p.output = input, bufio.NewReader(output)
+	if err := p.command.Start(); err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(p.kill)
+	return p
+}
+
+func (p *storeProcess) kill() {
+	_ = p.command.Process.Kill()
+	_ = p.command.Wait()
+}
+
+func (p *storeProcess) tell(b *testing.B, told placed) {
+	b.Helper()
+	if err := json.NewEncoder(p.input).Encode(told); err != nil {
+		b.Fatal(err)
+	}
+}
+
+func (p *storeProcess) peak(b *testing.B) int64 {
+	b.Helper()
+	p.tell(b, placed{Peak: true})
+	for {
+		line, err := p.output.ReadString('\n')
+		if err != nil {
+			b.Fatal(err)
+		}
+		if number, found := strings.CutPrefix(strings.TrimSpace(line), "peak "); found {
+			bytes, err := strconv.ParseInt(number, 10, 64)
+			if err != nil {
+				b.Fatal(err)
+			}
+			return bytes
+		}
+	}
+}
+
+// fleet is the stores of a measurement and their clients.
+type fleet struct {
+	b         *testing.B
+	processes []*storeProcess
+	pool      *link.Pool
+	index     uint64
+	owners    [measuredShards]atomic.Pointer[string]
+	turns     atomic.Int64
+	input     int // bytes of a turn's input
+}
+
+func newFleet(b *testing.B, bytes int) *fleet {
+	f := &fleet{b: b, pool: link.NewPool(), index: 1, input: max(leastInput, bytes/mostTurns)}
+	b.Cleanup(f.pool.Close)
+	for i := range 3 {
+		f.processes = append(f.processes, startStore(b, f.newOptions(fmt.Sprint("store-", i))))
+	}
+	f.place()
+	f.settle()
+	return f
+}
+
+// newOptions are those of a store with an empty disk.
+func (f *fleet) newOptions(id string) processOptions {
+	folder := filepath.Join(f.b.TempDir(), id)
+	if err := os.MkdirAll(folder, 0o700); err != nil {
+		f.b.Fatal(err)
+	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		f.b.Fatal(err)
+	}
+	defer listener.Close()
+	return processOptions{ID: id, Address: listener.Addr().String(), Folder: folder}
+}
+
+// place tells all stores that each shard lies on all of them.
+func (f *fleet) place() {
+	var replicas []view.Replica
+	for _, p := range f.processes {
+		replicas = append(replicas, view.Replica{ID: p.options.ID, Node: p.options.ID, Address: p.options.Address})
+	}
+	told := placed{Index: f.index}
+	for range measuredShards {
+		shard := view.ShardPlacement{Replicas: replicas}
+		if f.index == 1 {
+			shard.Initial = replicas
+		}
+		told.Placement.Shards = append(told.Placement.Shards, shard)
+	}
+	for _, p := range f.processes {
+		p.tell(f.b, told)
+	}
+}
+
+// settle waits until each shard has an owner at which all members are caught up by the newest placement, and returns how long
+// that took.
+func (f *fleet) settle() time.Duration {
+	f.b.Helper()
+	began := time.Now()
+	for time.Since(began) < settlePatience {
+		if f.settled() == measuredShards {
+			return time.Since(began)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	f.b.Fatalf("the stores do not settle: %d of %d shards do", f.settled(), measuredShards)
+	return 0
+}
+
+func (f *fleet) settled() int {
+	settled := 0
+	for _, p := range f.processes {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		answer, err := link.Call[wire.ShardMembersRequest, wire.ShardMembersAnswer](ctx, f.pool, p.options.Address, wire.MethodShardMembers, wire.ShardMembersRequest{})
+		cancel()
+		if err != nil {
+			continue
+		}
+		for _, told := range answer.Shards {
+			if told.Placement == f.index && len(told.IDs) == len(f.processes) && len(told.CaughtUp) == len(f.processes) {
+				settled++
+				f.owners[told.Shard].Store(&p.options.Address)
+			}
+		}
+	}
+	return settled
+}
+
+// fill has whole turns kept until so many more bytes of contents are held.
+func (f *fleet) fill(bytes int) time.Duration {
+	f.b.Helper()
+	began := time.Now()
+	each := f.input + f.input/4
+	turns := (bytes + each - 1) / each
+	var waiting sync.WaitGroup
+	var next atomic.Int64
+	for range measuredClients {
+		waiting.Go(func() {
+			for next.Add(1) <= int64(turns) {
+				f.turn()
+			}
+		})
+	}
+	waiting.Wait()
+	return time.Since(began)
+}
+
+// turn begins and ends one turn, whoever owns its shard.
+func (f *fleet) turn() {
+	number := f.turns.Add(1)
+	shard := int(number % measuredShards)
+	name := fmt.Sprintf("%032x", number)
+	f.ask(shard, wire.MethodBeginTurn, wire.BeginTurn{Shard: shard, Turn: program.BeginTurn{Turn: name, Program: name, Budget: 1000, Most: 100,
+		Remembered: true, KeepForS: 3600, Input: contents(number, f.input)}})
+	f.ask(shard, wire.MethodEndTurn, wire.EndTurn{Shard: shard, Turn: program.EndTurn{Turn: name, Whole: true, Tokens: 100, Output: contents(number, f.input/4)}})
+}
+
+// contents are bytes as no two turns have them.
+func contents(number int64, size int) []byte {
+	text := make([]byte, 0, size+20)
+	for len(text) < size {
+		text = strconv.AppendInt(text, number*int64(size)+int64(len(text)), 36)
+	}
+	return text[:size]
+}
+
+// ask calls the owner of a shard until it answers.
+func (f *fleet) ask(shard int, method string, request any) {
+	for try := 0; ; try++ {
+		address := f.processes[try%len(f.processes)].options.Address
+		if known := f.owners[shard].Load(); known != nil && try == 0 {
+			address = *known
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		result, err := link.Call[any, program.Result](ctx, f.pool, address, method, request)
+		cancel()
+		if err == nil && result.Verdict == program.Taken {
+			f.owners[shard].Store(&address)
+			return
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+// peaks returns the most memory that any of the processes had since the last call.
+func peaks(b *testing.B, processes ...*storeProcess) float64 {
+	most := int64(0)
+	for _, p := range processes {
+		most = max(most, p.peak(b))
+	}
+	return float64(most) / (1 << 20)
+}
+
+// BenchmarkMemoryOfStores measures the most memory (RSS) that a store process takes, in MiB, for three stores of eight shards
+// that hold so much: while it is written, while one of them comes back with an empty disk, and when all power comes back.
+func BenchmarkMemoryOfStores(b *testing.B) {
+	for _, megabytes := range []int{1, 10, 50, 200} {
+		b.Run(fmt.Sprintf("state=%dMB", megabytes), func(b *testing.B) {
+			for b.Loop() {
+				measureMemory(b, megabytes<<20)
+			}
+		})
+	}
+}
+
+func measureMemory(b *testing.B, bytes int) {
+	f := newFleet(b, bytes)
+	f.fill(bytes)
+	b.ReportMetric(peaks(b, f.processes...), "write-MiB")
+
+	f.fill(bytes / 2)
+	b.ReportMetric(peaks(b, f.processes...), "compact-MiB")
+
+	f.processes[2].kill()
+	f.processes[2] = startStore(b, f.newOptions("store-3"))
+	f.index++
+	f.place()
+	b.ReportMetric(f.settle().Seconds(), "join-s")
+	b.ReportMetric(peaks(b, f.processes[2]), "joining-MiB")
+	b.ReportMetric(peaks(b, f.processes[:2]...), "sending-MiB")
+
+	for _, p := range f.processes {
+		p.kill()
+	}
+	for i, p := range f.processes {
+		f.processes[i] = startStore(b, p.options)
+	}
+	f.place() // a member that has no snapshot yet waits for the placement
+	b.ReportMetric(f.settle().Seconds(), "power-s")
+	b.ReportMetric(peaks(b, f.processes...), "power-MiB")
+	for _, p := range f.processes {
+		p.kill()
+	}
+}
--- a/internal/system/store/store.go
+++ b/internal/system/store/store.go
@@ -32,6 +32,9 @@
 	eager     = 120 * time.Millisecond // until an owner has been heard since the start
 )
 
+// defaultWaitingBytes bounds what waits for the turns of all shards where the options say nothing.
+const defaultWaitingBytes = 8 << 20
+
 // mostReceiving is the number of shards that receive snapshots at the same time.
 const mostReceiving = 2
 
@@ -45,6 +48,8 @@
 	Seed    uint64
 	Now     func() time.Time
 
+	WaitingBytes int // of messages and commands that wait for the turns of all shards; 0: 8 MiB
+
 	// In place of the pool, the process's own clock and goroutines, where a test runs the store in memory; nil: those.
 	Send  func(address string, envelope group.Envelope) // must not block
 	Clock func() time.Duration
@@ -56,6 +61,7 @@
 	options    Options
 	compacting sync.Mutex       // held by the group that compacts
 	receiving  *group.Admission // of the groups that receive snapshots
+	waiting    *group.Budget    // of what waits for the groups' turns
 
 	mutex    sync.Mutex
 	shards   map[int]*shard
@@ -64,10 +70,14 @@
 
 // New returns a store without shards; those on its disk open once the placement is known.
 func New(ctx context.Context, options Options) *Store {
+	if options.WaitingBytes == 0 {
+		options.WaitingBytes = defaultWaitingBytes
+	}
 	if options.Send == nil {
 		options.Send = sendByLink(options.Pool)
 	}
-	s := &Store{options: options, receiving: group.NewAdmission(mostReceiving), shards: map[int]*shard{}, failures: make(chan error, 1)}
+	s := &Store{options: options, receiving: group.NewAdmission(mostReceiving), waiting: group.NewBudget(options.WaitingBytes),
+		shards: map[int]*shard{}, failures: make(chan error, 1)}
 	if options.Run == nil {
 		s.options.Run = func(opened *group.Group) { go s.run(ctx, opened) }
 	}
@@ -136,7 +146,7 @@
 		options.Initial = membersOf(placement.Initial)
 	}
 	opened, err := group.Open(group.Options{Name: groupName(number), Replica: options, Disk: s.options.Disk,
-		Machine: opening.machine, Compacting: &s.compacting, Receiving: s.receiving, Send: s.options.Send, Logger: s.options.Logger, Clock: s.options.Clock, Changed: opening.changed})
+		Machine: opening.machine, Compacting: &s.compacting, Receiving: s.receiving, Waiting: s.waiting, Send: s.options.Send, Logger: s.options.Logger, Clock: s.options.Clock, Changed: opening.changed})
 	if err != nil {
 		return err
 	}
