--- a/internal/system/command/store.go
+++ b/internal/system/command/store.go
@@ -11,6 +11,9 @@
 	"mastusher/internal/system/wire"
 )
 
+// waitingShare is the part of the memory that messages and commands may take that wait for the turns of a store's shards.
+const waitingShare = 10
+
 // runStore runs the role until ctx ends, and then until its groups have other owners; or until one of them can't go on.
 func (p *process) runStore(ctx context.Context) error {
 	address := p.address(wire.StorePort)
@@ -20,7 +23,8 @@
 	}
 	groups := newReplicas(ctx)
 	shards := store.New(ctx, store.Options{ID: id, Address: address, Disk: disk, Pool: p.pool, Logger: p.logger, Seed: p.seed, Now: p.around.TimeOfDay,
-		Run: groups.run})
+		WaitingBytes: int(p.settings.Limits.MemoryMb << 20 / waitingShare),
+		Run:          groups.run})
 	member := p.newNode(p.member(membership.Store, id, address), shards.Take)
 	if err := p.persist(ctx, "shards on the disk", shards.Recover); err != nil {
 		return err
