--- a/internal/system/store/store.go
+++ b/internal/system/store/store.go
@@ -32,6 +32,9 @@
 	eager     = 120 * time.Millisecond // until an owner has been heard since the start
 )
 
+// mostReceiving is the number of shards that receive snapshots at the same time.
+const mostReceiving = 2
+
 // Options sets a store up.
 type Options struct {
 	ID      string // identity on its disk
@@ -45,13 +48,15 @@
 	// In place of the pool, the process's own clock and goroutines, where a test runs the store in memory; nil: those.
 	Send  func(address string, envelope group.Envelope) // must not block
 	Clock func() time.Duration
-	Run   func(opened *group.Group) // drives a group; must not block
+	Run   func(opened *group.Group)             // drives a group; must not block
+	After func(delay time.Duration, run func()) // calls run after a while
 }
 
 // Store holds the replicas of one machine.
 type Store struct {
 	options    Options
-	compacting sync.Mutex // held by the group that compacts
+	compacting sync.Mutex       // held by the group that compacts
+	receiving  *group.Admission // of the groups that receive snapshots
 
 	mutex    sync.Mutex
 	shards   map[int]*shard
@@ -63,7 +68,10 @@
 	if options.Send == nil {
 		options.Send = sendByLink(options.Pool)
 	}
-	s := &Store{options: options, shards: map[int]*shard{}, failures: make(chan error, 1)}
+	s := &Store{options: options, receiving: group.NewAdmission(mostReceiving), shards: map[int]*shard{}, failures: make(chan error, 1)}
+	if options.After == nil {
+		s.options.After = func(delay time.Duration, run func()) { time.AfterFunc(delay, run) }
+	}
 	if options.Run == nil {
 		s.options.Run = func(opened *group.Group) { go s.run(ctx, opened) }
 	}
@@ -125,14 +133,14 @@
 	if s.shards[number] != nil {
 		return nil
 	}
-	opening := &shard{number: number, logger: s.options.Logger, machine: newMachine()}
+	opening := &shard{number: number, logger: s.options.Logger, machine: newMachine(), after: s.options.After}
 	options := replica.Options{ID: s.options.ID, Address: s.options.Address, Heartbeat: heartbeat, Election: election, Eager: eager,
 		Seed: s.options.Seed + uint64(number)}
 	if contains(placement.Initial, s.options.ID) {
 		options.Initial = membersOf(placement.Initial)
 	}
 	opened, err := group.Open(group.Options{Name: groupName(number), Replica: options, Disk: s.options.Disk,
-		Machine: opening.machine, Compacting: &s.compacting, Send: s.options.Send, Logger: s.options.Logger, Clock: s.options.Clock, Changed: opening.changed})
+		Machine: opening.machine, Compacting: &s.compacting, Receiving: s.receiving, Send: s.options.Send, Logger: s.options.Logger, Clock: s.options.Clock, Changed: opening.changed})
 	if err != nil {
 		return err
 	}
