--- a/internal/system/controller/cutoff_fixture_test.go
+++ b/internal/system/controller/cutoff_fixture_test.go
@@ -30,8 +30,8 @@
 	heldByCut    = 64                   // messages on each way that a cut holds up until it ends; those before are lost
 	noticedAfter = 2 * time.Second      // until membership takes a machine that is out of reach for dead
 	reunitedIn   = 10 * time.Second     // after the end of a cut, until membership takes it for alive again
-	callPatience = time.Second          // of a caller, until it moves on
 	mostFollowed = 2                    // redirects that a caller follows
+	groupSize    = 3                    // controllers that begin as the group; those after them stand by
 	idlePoll     = 5 * time.Millisecond
 )
 
@@ -80,7 +80,7 @@
 		running := make(chan struct{})
 		close(running)
 		c.machines = append(c.machines, &coreMachine{core: c, number: number, member: member, wake: make(chan struct{}, 1), thawed: running})
-		if number < 3 {
+		if number < groupSize {
 			initial = append(initial, replica.Member{ID: member.ID, Address: member.Address})
 		}
 	}
@@ -165,10 +165,10 @@
 }
 
 func (m *coreMachine) judge(ctx context.Context) {
-	trials := map[rollout.Order]*trial{}
+	trials := map[uint64]*rollout.Trial{}
 	for ctx.Err() == nil {
 		m.pass()
-		m.controller.judgeAll(ctx, time.Now(), trials)
+		m.controller.judgeAll(ctx, trials)
 		m.sleep(ctx, judgeInterval)
 	}
 }
@@ -333,8 +333,8 @@
 // Publish implements Fleet.
 func (m *coreMachine) Publish(view.Piece) {}
 
-// answer is what a caller got at the end of a call, after redirects.
-type answer struct {
+// coreAnswer is what a caller got at the end of a call, after redirects.
+type coreAnswer struct {
 	method, path string
 	order        *sentOrder // of a PUT
 	began, ended time.Time
@@ -352,8 +352,8 @@
 }
 
 // call makes a call as the operator does.
-func (c *core) call(first int, method, path, body string, base string) *answer {
-	a := &answer{method: method, path: path, began: time.Now(), first: first}
+func (c *core) call(first int, method, path, body string, base string) *coreAnswer {
+	a := &coreAnswer{method: method, path: path, began: time.Now(), first: first}
 	defer func() { a.ended = time.Now() }()
 	machine := c.machines[first]
 	for range mostFollowed + 1 {
--- a/internal/system/exchangetest/draw_test.go
+++ b/internal/system/exchangetest/draw_test.go
@@ -55,7 +55,10 @@
 		p.clients = append(p.clients, requests)
 	}
 	for range s.below(3) {
-		p.events = append(p.events, worldEvent{at: s.upTo(120), kind: eventKind(s.below(int(eventKinds))), endpoint: s.below(endpointCount)})
+		event := worldEvent{at: s.upTo(120), kind: eventKind(s.below(int(eventKinds))), endpoint: s.below(endpointCount)}
+		if troubled || event.kind != crash {
+			p.events = append(p.events, event)
+		}
 	}
 	return p
 }
@@ -63,7 +66,7 @@
 func drawRequest(s *source, id string, troubled bool) *requestScript {
 	r := &requestScript{
 		id:     id,
-		route:  pick(s, onceRoute, onceRoute, safeRoute, resumeRoute, resumeRoute, streamRoute),
+		route:  pick(s, onceRoute, onceRoute, safeRoute, resumeRoute, resumeRoute, streamRoute, turnRoute),
 		method: pick(s, "POST", "GET", "GET", "HEAD"),
 		before: s.upTo(40),
 		sent:   -1,
@@ -71,10 +74,14 @@
 	}
 	if r.method == "POST" {
 		r.size = pick(s, 0, 1, 20, 3000, 40_000, 200_000)
-		if r.size > 0 {
+		r.old = s.one(8)
+		if r.size > 0 && !r.old {
 			r.chunks = pick(s, 0, 0, 1, 3)
 		}
 	}
+	if r.route == turnRoute {
+		r.chain = pick(s, 0, 300, 50_000)
+	}
 	r.split, r.pause = s.below(200), s.upTo(10)
 	if !troubled {
 		r.timeIn = time.Second
@@ -87,6 +94,12 @@
 			r.sent = s.below(len(r.wire()))
 		}
 	}
+	if s.one(2) {
+		r.begin, r.end = pick(s, taken, taken, taken, beginKind(s.below(int(beginKinds)))), endKind(s.below(int(endKinds)))
+	}
+	if s.one(8) {
+		r.stalls = s.upTo(1500)
+	}
 	r.timeout = time.Duration(pick(s, 0, 0, 20)) * time.Millisecond
 	for range 1 + s.below(3) {
 		if s.one(3) {
@@ -111,7 +124,7 @@
 	if r.route.streaming() {
 		return pick(s, 3, 1, 8, 0)
 	}
-	return pick(s, 10, 0, 1, 5000, 40_000)
+	return pick(s, 10, 0, 1, 5000, 40_000, 200_000)
 }
 
 // drawSend draws what becomes of a send.
--- a/internal/system/history/history.go
+++ b/internal/system/linearizability/operation.go
@@ -1,7 +1,7 @@
-// Package history checks what operators have seen of the configuration: whether all their calls can have taken effect one
+// Package linearizability checks what operators have seen of the configuration: whether all their calls can have taken effect one
 // after the other, each between its call and its answer, on a register with compare-and-set whose orders count once. It is
 // pure.
-package history
+package linearizability
 
 import (
 	"fmt"
@@ -77,7 +77,7 @@
 	Stuck      []int // the operations of which one had to come next
 }
 
-// Error lists the history.
+// Error lists the linearizability.
 func (e *ViolationError) Error() string {
 	var text strings.Builder
 	fmt.Fprintf(&text, "the history is not linearizable: after %v, none of %v explains its answer\n", e.Placed, e.Stuck)
--- a/internal/system/storage/export_test.go
+++ b/internal/system/storage/export_test.go
@@ -3,6 +3,6 @@
 // Frame returns a whole frame.
 func Frame(generation, sequence uint64, payload string) []byte {
 	buffer := append(beginFrame(nil, generation, sequence), payload...)
-	finishFrame(buffer, nil)
+	finishFrame(buffer)
 	return buffer
 }
