Serve a request that was read with the one before also when a shutdown comes

Change: a request that is handed on has begun. The question whether the connection was closed before is asked in the same step, and no longer only while the proxy drains.

--- a/internal/system/exchangetest/draw_test.go
+++ b/internal/system/exchangetest/draw_test.go
@@ -52,6 +52,9 @@
 		for number := range 1 + s.below(4) {
 			requests = append(requests, drawRequest(s, fmt.Sprintf("r%d-%d", client, number), troubled))
 		}
+		for i := range requests[1:] {
+			requests[i].ahead = s.one(6) && !requests[i].old && !requests[i].leaves() && !requests[i+1].leaves()
+		}
 		p.clients = append(p.clients, requests)
 	}
 	for range s.below(3) {
--- a/internal/system/exchangetest/script_test.go
+++ b/internal/system/exchangetest/script_test.go
@@ -115,6 +115,7 @@
 	pause   time.Duration // after those
 	sent    int           // bytes after which the client leaves; -1: it sends all
 	leave   ending        // how it leaves
+	ahead   bool          // the next request follows at once, before this one's answer
 	waits   time.Duration // how long after its request it leaves
 	stalls  time.Duration // it reads nothing of its answer for so long
 	timeout time.Duration // after which the proxy gives up a send; 0: never
--- a/internal/system/proxy/call.go
+++ b/internal/system/proxy/call.go
@@ -53,12 +53,10 @@
 // serve takes one request of a client.
 func (p *Proxy) serve(w http.ResponseWriter, r *http.Request) {
 	arrived := p.options.Now()
-	if p.draining.Load() {
-		if client := clientOf(r); client != nil && client.closedUnread() {
-			abort()
-		}
-		p.closeIfDraining(w.Header())
+	if client := clientOf(r); client != nil && !client.begin() {
+		abort()
 	}
+	p.closeIfDraining(w.Header())
 	boundReading(w, r, arrived.Add(timeAllowed(r.Header, 0)))
 	routes := p.options.Views.Routes()
 	if routes == nil {
--- a/internal/system/proxy/clientconnection.go
+++ b/internal/system/proxy/clientconnection.go
@@ -63,12 +63,16 @@
 	}
 }
 
-// closedUnread tells whether the connection was closed before its present request began. The library may have had that
-// request in its buffer already.
-func (c *clientConnection) closedUnread() bool {
+// begin notes that a request has been read. It returns false if the connection was closed before: the library may have had the
+// request in its buffer already, and then no byte of it has passed here.
+func (c *clientConnection) begin() bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	return c.closing && c.idle
+	if c.closing && c.idle {
+		return false
+	}
+	c.idle = false
+	return true
 }
 
 // clientKey finds the clientConnection in a request's context.
--- a/internal/system/proxy/server_test.go
+++ b/internal/system/proxy/server_test.go
@@ -190,3 +190,30 @@
 		})
 	}
 }
+
+func TestShutdownServesARequestThatWasReadWithTheOneBefore(t *testing.T) {
+	// given two requests that came together, of which the second one is at work
+	started, release := make(chan struct{}), make(chan struct{})
+	f := newFixture(t, newEndpoint(t, func(socket net.Conn, request received) bool {
+		if request.id() == "second" {
+			close(started)
+			<-release
+		}
+		return answerWith(200, "body")(socket, request)
+	}))
+	c := f.dial()
+	head := "GET /once/x HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: "
+	c.send(head + "first\r\n\r\n" + head + "second\r\n\r\n")
+	c.read("GET")
+	<-started
+	// when the proxy is shut down, and the endpoint answers then
+	down := f.shutDown()
+	close(release)
+	// then the client gets the answer
+	if got := c.read("GET"); got.status != 200 || got.body != "body" || got.err != nil {
+		t.Errorf("got %+v", got)
+	}
+	if err := <-down; err != nil {
+		t.Errorf("shutdown: %v", err)
+	}
+}
--- a/internal/system/upstream/pool_test.go
+++ b/internal/system/upstream/pool_test.go
@@ -537,3 +537,74 @@
 		t.Errorf("connections used (-want +got):\n%s", diff)
 	}
 }
+
+func TestEndpointThatReadsOnAfterAnEarlyAnswerGetsNothingElse(t *testing.T) {
+	// given an endpoint that answers once it has the head of a long request, and reads the rest when it is told to
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	readOn, all := make(chan struct{}), make(chan []byte, 2)
+	go func() {
+		for {
+			socket, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer socket.Close()
+				head := make([]byte, 4)
+				io.ReadFull(socket, head)
+				io.WriteString(socket, "HTTP/1.1 503 Full\r\nX-Attempt-Id: "+map[string]string{"POST": "1", "GET ": "2"}[string(head)]+
+					"\r\nX-Not-Run: 1\r\nKeep-Alive: timeout=30\r\nContent-Length: 0\r\n\r\n")
+				<-readOn
+				rest, _ := io.ReadAll(socket)
+				all <- append(head, rest...)
+			}()
+		}
+	}()
+	pool := newPool(t, upstream.Options{})
+	target := upstream.Endpoint{ID: "e", Address: listener.Addr().String()}
+	long := newRequest("POST", "/", "1", strings.Repeat("x", 32<<20))
+	// when its answer has been taken, and another request is sent
+	for _, request := range []*upstream.Request{long, newRequest("GET", "/", "2")} {
+		if _, err := exchange(t, pool, target, request); err != nil {
+			t.Fatal(err)
+		}
+	}
+	pool.Close()
+	close(readOn)
+	// then what it reads on the first connection is the beginning of the long request
+	for range 2 {
+		got := string(<-all)
+		if posts, gets := strings.Count(got, "POST / "), strings.Count(got, "GET / "); posts+gets != 1 {
+			t.Errorf("%d and %d requests on one connection", posts, gets)
+		}
+		if _, body, _ := strings.Cut(got, "\r\n\r\n"); strings.Trim(body, "x") != "" {
+			t.Errorf("other bytes in the place of the body: %.80q", strings.Trim(body, "x"))
+		}
+	}
+}
+
+func TestHalfClosedConnectionIsNotUsedAgain(t *testing.T) {
+	halfClosed := make(chan struct{})
+	e := newEndpoint(t, func(socket net.Conn, request received) bool {
+		answerShortly(socket, request)
+		if request.connection == 1 {
+			socket.(*net.TCPConn).CloseWrite()
+			close(halfClosed)
+		}
+		return true
+	})
+	pool := newPool(t, upstream.Options{})
+	for _, id := range []string{"1", "2"} {
+		if body, err := exchange(t, pool, e.target("e"), newRequest("POST", "/", id, "body")); err != nil || body != "body of "+id {
+			t.Errorf("%s: %q, %v", id, body, err)
+		}
+		<-halfClosed
+	}
+	if requests, connections := e.seen(); len(requests) != 2 || connections != 2 {
+		t.Errorf("%d requests on %d connections", len(requests), connections)
+	}
+}
