--- a/internal/system/controller/cutoff_story_test.go
+++ b/internal/system/controller/cutoff_story_test.go
@@ -39,20 +39,20 @@
 type cutKind string
 
 const (
-	fromAll      cutKind = "from all"
-	fromMajority cutKind = "from the majority"
-	fromOne      cutKind = "from one zone"
-	inward       cutKind = "so that it hears nobody"
-	outward      cutKind = "so that nobody hears it"
-	frozen       cutKind = "frozen"
-	apart        cutKind = "as all are from each other"
+	fromAll       cutKind = "from all"
+	fromMajority  cutKind = "from the majority"
+	fromOne       cutKind = "from one zone"
+	inward        cutKind = "so that it hears nobody"
+	outward       cutKind = "so that nobody hears it"
+	standingStill cutKind = "frozen"
+	apart         cutKind = "as all are from each other"
 )
 
 // TestAControllerThatIsCutOff has each kind of controller cut off in each way, while operators go on at every machine. Every
 // answer must be of the newest state that a majority has confirmed, or send on, or say that it can't be told.
 func TestAControllerThatIsCutOff(t *testing.T) {
 	for _, who := range []role{owning, formerly, following, standing} {
-		for _, how := range []cutKind{fromAll, fromMajority, fromOne, inward, outward, frozen} {
+		for _, how := range []cutKind{fromAll, fromMajority, fromOne, inward, outward, standingStill} {
 			t.Run(fmt.Sprintf("given the %s, when it is cut off %s", who, how), func(t *testing.T) { playCut(t, who, how) })
 		}
 	}
@@ -140,7 +140,7 @@
 			}
 		}
 		return ways
-	case frozen:
+	case standingStill:
 		return nil
 	}
 	for _, other := range others {
@@ -158,7 +158,7 @@
 func (s *story) members(victim int) []int {
 	owner := s.core.owner()
 	members := []int{owner}
-	for number := range 3 {
+	for number := range groupSize {
 		if number != owner {
 			members = append(members, number)
 		}
@@ -174,15 +174,18 @@
 
 func (s *story) begin(victim int, how cutKind) {
 	s.began, s.owned = time.Now(), s.core.owner()
-	if how == frozen {
+	base := s.read(victim)
+	if how == standingStill {
 		s.core.freeze(victim)
 	}
 	s.core.set(true, s.ways(victim, how)...)
+	// An order comes in before the machine can know.
+	s.active.Go(func() { s.replace(victim, base, s.random(victim, 5)) })
 }
 
 func (s *story) end(victim int, how cutKind) {
 	s.ended = time.Now()
-	if how == frozen {
+	if how == standingStill {
 		s.core.thaw(victim)
 	}
 	var blocked []way
@@ -253,28 +256,36 @@
 	return a
 }
 
-// configure replaces the configuration again and again: read at one machine, written there, and sent again unchanged to any
-// machine where the answer isn't clear.
+// configure replaces the configuration again and again, on top of what a machine tells.
 func (s *story) configure(machine int) {
 	random := s.random(machine, 1)
 	for ; !s.isOver(); pause(random) {
-		read := s.call(machine, http.MethodGet, settingsPath, "", nil)
-		var told struct{ Number uint64 }
-		if read.code == http.StatusOK {
-			if err := json.Unmarshal([]byte(read.body), &told); err != nil {
-				s.t.Error(err)
-			}
+		s.replace(machine, s.read(machine), random)
+	}
+}
+
+// read returns the number of the configuration that a machine tells; 0: it tells none.
+func (s *story) read(machine int) uint64 {
+	var told struct{ Number uint64 }
+	if a := s.call(machine, http.MethodGet, settingsPath, "", nil); a.code == http.StatusOK {
+		if err := json.Unmarshal([]byte(a.body), &told); err != nil {
+			s.t.Error(err)
 		}
-		order := s.newOrder(told.Number)
-		at := machine
-		for range 4 {
-			a := s.call(at, http.MethodPut, settingsPath, document(int(order.number)), order)
-			if a.code == http.StatusOK || a.code == http.StatusPreconditionFailed || a.code == http.StatusBadRequest {
-				break
-			}
-			at = random.IntN(len(s.core.machines))
-			pause(random)
+	}
+	return told.Number
+}
+
+// replace sends a configuration to a machine, and again unchanged to any of them while the answer isn't clear.
+func (s *story) replace(machine int, base uint64, random *rand.Rand) {
+	const sends = 4
+	order := s.newOrder(base)
+	for range sends {
+		a := s.call(machine, http.MethodPut, settingsPath, document(int(order.number)), order)
+		if a.code == http.StatusOK || a.code == http.StatusPreconditionFailed || a.code == http.StatusBadRequest {
+			return
 		}
+		machine = random.IntN(len(s.core.machines))
+		pause(random)
 	}
 }
 
@@ -348,54 +359,79 @@
 		s.t.Errorf("and %d more", len(faults)-most)
 	}
 	s.checkRedirects(victim, how)
+	s.checkAnswered(how)
 	s.checkServes(victim, how)
 	s.t.Logf("%d configurations were taken; %s", len(s.history.chain), s.history.counts())
 }
 
-// checkRedirects checks that nobody is sent to a machine that has long been out of reach, and that such a member sends
-// nobody on.
+// checkRedirects checks that nobody is sent to a machine that is out of reach, and that such a machine sends nobody on: from
+// an election time-out on by members, which have heard nothing for so long, and by others from when membership notices.
 func (s *story) checkRedirects(victim int, how cutKind) {
-	if how != fromAll && how != frozen {
+	if how != fromAll && how != standingStill {
 		return
 	}
+	const slack = 4 * coreLatency
 	control := s.core.machines[victim].member.Control
 	for _, a := range s.history.answers {
 		for _, hop := range a.hops {
-			if hop.at.Before(s.began.Add(noticedAfter+election)) || hop.at.After(s.ended) {
-				continue
+			known := s.began.Add(election + slack)
+			if hop.from >= groupSize {
+				known = s.began.Add(noticedAfter + slack)
 			}
-			if strings.Contains(hop.to, control) {
-				s.t.Errorf("core-%d sends to core-%d %v after that was cut off", hop.from+1, victim+1, hop.at.Sub(s.began))
+			if hop.at.Before(known) || hop.at.After(s.ended) {
+				continue
 			}
-			if hop.from == victim && how == fromAll {
-				s.t.Errorf("core-%d sends to %s %v after it was cut off", victim+1, hop.to, hop.at.Sub(s.began))
+			if strings.Contains(hop.to, control) || hop.from == victim && how == fromAll {
+				s.t.Errorf("core-%d sends to %s %v after core-%d was cut off", hop.from+1, hop.to, hop.at.Sub(s.began), victim+1)
 			}
 		}
 	}
 }
 
-// checkServes checks that those that aren't cut off take orders during the cut, and all of them after it.
+// checkServes checks that those that aren't cut off tell the configuration during the cut, and all of them after it, and that
+// orders are taken in both times.
 func (s *story) checkServes(victim int, how cutKind) {
-	during, after := map[int]int{}, map[int]int{}
-	for _, a := range s.history.answers {
-		if a.code != http.StatusOK || a.method != http.MethodPut {
-			continue
-		}
-		if a.began.After(s.began.Add(servesIn)) && a.ended.Before(s.ended) {
-			during[a.first]++
+	during, after := s.served(s.began.Add(servesIn), s.ended), s.served(s.ended.Add(servesIn), time.Now())
+	for _, m := range s.core.machines {
+		if m.number != victim && how != apart && !s.isCutFromOwner(m.number, victim, how) && !during.told[m.number] {
+			s.t.Errorf("core-%d told nothing while core-%d was cut off", m.number+1, victim+1)
 		}
-		if a.began.After(s.ended.Add(servesIn)) {
-			after[a.first]++
+		if !after.told[m.number] && !s.wasTakenOut(m) {
+			s.t.Errorf("core-%d told nothing after the cut", m.number+1)
 		}
 	}
-	for _, m := range s.core.machines {
-		if m.number != victim && how != apart && !s.isCutFromOwner(m.number, victim, how) && during[m.number] == 0 {
-			s.t.Errorf("core-%d took nothing while core-%d was cut off", m.number+1, victim+1)
+	if how != apart && during.taken == 0 || after.taken == 0 {
+		s.t.Errorf("%d orders were taken during the cut, %d after it", during.taken, after.taken)
+	}
+}
+
+// checkAnswered checks that callers aren't left without an answer within their patience, except by a machine that is frozen.
+func (s *story) checkAnswered(how cutKind) {
+	for _, a := range s.history.answers {
+		if a.code == 0 && how != standingStill {
+			s.t.Errorf("%s %s at core-%d from %v: no answer", a.method, a.path, a.first+1, a.began.Sub(s.began))
 		}
-		if after[m.number] == 0 && !s.wasTakenOut(m) {
-			s.t.Errorf("core-%d took nothing after the cut", m.number+1)
+	}
+}
+
+// service is what was served in some time.
+type service struct {
+	told  map[int]bool // whether the configuration was told, by the machine that was called
+	taken int          // configurations
+}
+
+func (s *story) served(from, to time.Time) service {
+	served := service{told: map[int]bool{}}
+	for _, a := range s.history.answers {
+		switch {
+		case a.path != settingsPath || a.code != http.StatusOK || a.began.Before(from) || a.ended.After(to):
+		case a.method == http.MethodGet:
+			served.told[a.first] = true
+		default:
+			served.taken++
 		}
 	}
+	return served
 }
 
 // isCutFromOwner tells whether a member hears nothing of an owner that all others hear: it can't be elected, and answers 503.
--- a/internal/system/fleettest/mutants_test.go
+++ b/internal/system/fleettest/mutants_test.go
@@ -60,7 +60,7 @@
 		},
 		{
 			Name:   "repeated orders are judged anew",
-			Change: mutation.Change{File: "../configuration/register.go", Old: "\tif r.taken[name] {\n", New: "\tif false {\n"},
+			Change: mutation.Change{File: "../configuration/register.go", Old: "\tcase same:\n\t\treturn Taken\n", New: "\tcase same:\n"},
 			Run:    randomDays,
 		},
 		{
