--- a/internal/system/controller/repair_mutants_test.go
+++ b/internal/system/controller/repair_mutants_test.go
@@ -27,9 +27,12 @@
 			Run:    "^TestTwoLossesAtOnceAreBothMadeGood$",
 		},
 		{
-			Name:   "a lost controller is waited for",
-			Change: mutation.Change{File: "../placement/watch.go", Old: "successors := len(spare) - len(lost)", New: "successors := (len(spare) - len(lost)) * len(role) % len(\"controller\")"},
-			Run:    "^TestSecondLossRightAfterARepair$/^controller",
+			Name: "a lost controller is waited for",
+			Change: mutation.Change{File: "../placement/watch.go",
+				Old: "\tfor _, holder := range w.succeeded(now, w.spareMembers(role, holders), len(lost), missing) {",
+				New: "\tspare := w.spareMembers(role, holders)\n\tif role == membership.Controller {\n\t\tspare = nil\n\t}\n" +
+					"\tfor _, holder := range w.succeeded(now, spare, len(lost), missing) {"},
+			Run: "^TestSecondLossRightAfterARepair$/^controller",
 		},
 	})
 }
--- a/internal/system/placement/mutants_test.go
+++ b/internal/system/placement/mutants_test.go
@@ -22,7 +22,7 @@
 		},
 		{
 			Name:   "one newcomer stands for all that are missing",
-			Change: mutation.Change{File: "watch.go", Old: "missing[:max(0, min(successors, len(missing)))]", New: "missing[:max(0, min(successors*9, len(missing)))]"},
+			Change: mutation.Change{File: "watch.go", Old: "missing[:min(successors, len(missing))]", New: "missing[:min(successors*9, len(missing))]"},
 			Run:    "^TestOneNewcomerStandsForOneLoss$",
 		},
 		{
