--- a/internal/system/replica/explore_test.go
+++ b/internal/system/replica/explore_test.go
@@ -42,6 +42,7 @@
 type explored struct {
 	replica *Replica
 	disk    Recovered
+	parts   [][]byte // of a snapshot that is being received
 	clock   time.Duration
 	wake    time.Duration
 }
@@ -69,8 +70,8 @@
 func (w *world) restart(i int, id string, with faults) {
 	options := Options{ID: id, Initial: explorationGroup(), Heartbeat: testHeartbeat, Election: testElection}
 	m := &w.members[i]
-	m.clock, m.wake = 0, 0
-	replica, err := New(options, cloneRecovered(m.disk), 0)
+	m.clock, m.wake, m.parts = 0, 0, nil
+	replica, err := New(options, withoutStates(m.disk), 0)
 	if err != nil {
 		w.violation = err.Error()
 		return
@@ -126,6 +127,7 @@
 // carryOut does the effects of a step at a member.
 func (w *world) carryOut(i int, effects Effects, crash crashPoint) {
 	m := &w.members[i]
+	w.receiveParts(i, &effects)
 	w.launch(effects.Early)
 	writes := countWrites(effects)
 	switch crash {
@@ -139,14 +141,48 @@
 		w.restart(i, explorationIDs[i], m.replica.faults)
 		return
 	}
+	w.checkAnswers(i, effects.AfterSync)
 	w.launch(effects.AfterSync)
 	w.apply(i, effects.Committed)
 	m.wake = effects.NextWake
 	w.checkOwner(i)
 }
 
+// receiveParts keeps the parts of snapshots that a step has received. One that is installed has to be the whole state.
+func (w *world) receiveParts(i int, effects *Effects) {
+	m := &w.members[i]
+	parts, wrong := receiveParts(m.parts, effects)
+	m.parts = parts
+	if wrong != "" {
+		w.violation = fmt.Sprintf("%s: %s", explorationIDs[i], wrong)
+	}
+	if installed := effects.Install; installed != nil && string(installed.State) != string(exploredState(installed.Index)) {
+		w.violation = fmt.Sprintf("%s installs %q as the state at %d", explorationIDs[i], installed.State, installed.Index)
+	}
+}
+
+// exploredState is the state that a snapshot up to index stands for.
+func exploredState(index uint64) []byte { return fmt.Appendf(nil, "the state at %d", index) }
+
+// checkAnswers demands that a member acknowledges nothing that its disk doesn't hold.
+func (w *world) checkAnswers(i int, messages []Message) {
+	disk := &w.members[i].disk
+	last := uint64(len(disk.Entries))
+	if disk.Snapshot != nil {
+		last += disk.Snapshot.Index
+	}
+	for _, message := range messages {
+		if message.Kind == AnswerAppend && !message.Rejected && message.Index > last {
+			w.violation = fmt.Sprintf("%s acknowledges entry %d, and its disk ends at %d", explorationIDs[i], message.Index, last)
+		}
+	}
+}
+
 func (w *world) launch(messages []Message) {
 	for _, message := range messages {
+		if !addPart(&message, w.members[slices.Index(explorationIDs[:], message.From)].disk) {
+			continue
+		}
 		if message.Kind == Append {
 			if known := w.owners[message.Epoch]; known != "" && known != message.From {
 				w.violation = fmt.Sprintf("epoch %d has the owners %s and %s", message.Epoch, known, message.From)
@@ -184,7 +220,8 @@
 		return
 	}
 	for _, entry := range w.committed {
-		if entry.epoch < r.promise.Epoch && !r.log.holds(entry.Index, entry.Epoch) {
+		isInSnapshot := entry.Index < r.log.offset
+		if entry.epoch < r.promise.Epoch && !isInSnapshot && !r.log.holds(entry.Index, entry.Epoch) {
 			w.violation = fmt.Sprintf("%s owns epoch %d without entry %v", r.options.ID, r.promise.Epoch, entry)
 		}
 	}
@@ -342,7 +379,11 @@
 	for _, p := range r.ownership.peers {
 		b = appendNumbers(b, int(p.match), int(p.next), int(p.state), len(p.flights), int(p.heard))
 		b = strconv.AppendBool(b, p.probed)
+		b = appendNumbers(b, p.transfer.wanted, p.transfer.next, int(p.transfer.due))
+		b = strconv.AppendBool(b, p.transfer.rewound)
 	}
+	b = appendNumbers(b, int(r.snapshotIndex()), r.incoming.wanted, int(r.incoming.epoch), int(r.incoming.due))
+	b = append(b, r.incoming.from...)
 	return append(b, r.owner.id...)
 }
 
@@ -351,7 +392,10 @@
 	b = append(b, m.From...)
 	b = append(b, m.To...)
 	b = strconv.AppendBool(b, m.Rejected)
-	b = appendNumbers(b, int(m.Epoch), int(m.Index), int(m.LogEpoch), int(m.Commit), int(m.Hint))
+	b = appendNumbers(b, int(m.Epoch), int(m.Index), int(m.LogEpoch), int(m.Commit), int(m.Hint), m.Part)
+	if m.Snapshot != nil {
+		b = appendNumbers(b, int(m.Snapshot.Index))
+	}
 	return appendEntries(b, m.Entries)
 }
 
--- a/internal/system/storage/slot_test.go
+++ b/internal/system/storage/slot_test.go
@@ -117,6 +117,33 @@
 	}
 }
 
+// Given a member that has received a part of a snapshot, when another one than the next comes, or it is to be installed before it is
+// whole, then that is refused and what was saved stays.
+func TestAPartThatDoesNotFollowIsRefused(t *testing.T) {
+	snapshot := snapshotAt(9, 1, 3)
+	parts := partsOf(snapshot)
+	for name, effects := range map[string]replica.Effects{
+		"a gap":             {Received: parts[2:3]},
+		"the same again":    {Received: []replica.Part{{Number: 1, State: parts[1].State}, {Number: 1, State: parts[1].State}}},
+		"installed early":   {Received: parts[1:2], Install: snapshot},
+		"installed shorter": {Received: parts[1:4], Install: snapshotAt(9, 1, 2)},
+		"installed and cut": {Received: parts[1:4], Install: snapshot, Truncate: 10},
+	} {
+		t.Run(name, func(t *testing.T) {
+			m := newMember(asItIs)
+			group := mustPlay(t, m, []step{{Raise: 1, Entries: 3, Bytes: 9}, {Compact: true, Keep: 2}})
+			if err := group.Save(&replica.Effects{Received: parts[:1]}); err != nil {
+				t.Fatal(err)
+			}
+			wantBroken(t, group.Save(&effects))
+			m.disk.Kill()
+			if err := m.recoverTwice(); err != nil {
+				t.Fatal(err)
+			}
+		})
+	}
+}
+
 // Given a slot of several frames, when it is cut at any length, or frames of it are missing, repeated or of another
 // generation, then the disk is refused.
 func TestASlotThatIsNotWholeIsRefused(t *testing.T) {
