Let time go on in the test of former owners only while the handler waits

The test stepped the cluster beside the handler's goroutine, which read the clock meanwhile: -race said so. In a synctest bubble each step begins once the handler waits for its group.

--- a/internal/system/controller/succession_test.go
+++ b/internal/system/controller/succession_test.go
@@ -5,12 +5,14 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"mastusher/internal/system/configuration"
 )
 
-// answerWhile has a controller of the cluster answer while time goes on.
+// answerWhile has a controller of the cluster answer while time goes on, step by step, each time the handler waits for its
+// group. It runs in a synctest bubble.
 func (c *cluster) answerWhile(m *machineUnderTest, method, path, body, base string) *httptest.ResponseRecorder {
 	c.t.Helper()
 	recorder, answered := httptest.NewRecorder(), make(chan struct{})
@@ -20,22 +22,25 @@
 		defer close(answered)
 		m.controller.Handler().ServeHTTP(recorder, request)
 	}()
-	for deadline := time.Now().Add(patience); time.Now().Before(deadline); {
+	for end := c.now + agreeTimeout; c.now < end; c.step() {
+		synctest.Wait()
 		select {
 		case <-answered:
 			return recorder
-		case <-time.After(time.Millisecond): // the handler may not have asked its group yet
-			c.step()
+		default:
 		}
 	}
 	c.t.Fatal("no answer")
 	return nil
 }
 
+// formerOwnerCall is what an owner is asked that has a successor.
+type formerOwnerCall struct{ method, path, body, base string }
+
 // TestAnOwnerThatDoesNotKnowOfItsSuccessorTellsNothing freezes an owner for less than an election time-out. Meanwhile the others
 // have begun anew, so that they didn't wait for it, and have taken another configuration.
 func TestAnOwnerThatDoesNotKnowOfItsSuccessorTellsNothing(t *testing.T) {
-	for _, call := range []struct{ method, path, body, base string }{
+	for _, call := range []formerOwnerCall{
 		{http.MethodGet, settingsPath, "", ""},
 		{http.MethodGet, rolloutsPath + "/lm", "", ""},
 		{http.MethodGet, retirePath + "storage-1", "", ""},
@@ -44,37 +49,42 @@
 		{http.MethodPut, settingsPath, document(9), "8"},
 	} {
 		t.Run(call.method+" "+call.path+" "+call.base, func(t *testing.T) {
-			// Given an owner that is frozen, and others that have elected another one and gone on,
-			c := newCluster(t, 0)
-			c.until("an owner", 5*time.Second, func() bool { return c.owner() != nil })
-			c.propose(Command{Configure: &configuration.Order{Number: 3, Raw: mustMarshal(t, []byte(document(3)))}})
-			c.run(time.Second)
-			former := c.owner()
-			former.running = false
-			for _, m := range c.sorted() {
-				if m != former {
-					m.kill()
-					m.start()
-				}
-			}
-			began := c.now
-			c.propose(Command{Configure: &configuration.Order{Base: 3, Number: 8, Raw: mustMarshal(t, []byte(document(8)))}})
-			if frozen := c.now - began; frozen >= election || !former.controller.Group().Status().IsOwner {
-				t.Fatalf("it knows after %v that it isn't the owner", frozen)
-			}
-			// when it goes on, and is asked before it has heard of that,
-			former.running = true
-			answer := c.answerWhile(former, call.method, call.path, call.body, call.base)
-			// then it tells nothing, and refuses nothing.
-			switch answer.Code {
-			case http.StatusServiceUnavailable, http.StatusTemporaryRedirect:
-			case http.StatusGatewayTimeout:
-				if call.method == http.MethodGet {
-					t.Errorf("answer %d", answer.Code)
-				}
-			default:
-				t.Errorf("answer %d %s", answer.Code, answer.Body)
-			}
+			synctest.Test(t, func(t *testing.T) { askFormerOwner(t, call) })
 		})
 	}
 }
+
+// askFormerOwner asks an owner that doesn't know yet that it isn't one any more.
+func askFormerOwner(t *testing.T, call formerOwnerCall) {
+	// Given an owner that is frozen, and others that have elected another one and gone on,
+	c := newCluster(t, 0)
+	c.until("an owner", 5*time.Second, func() bool { return c.owner() != nil })
+	c.propose(Command{Configure: &configuration.Order{Number: 3, Raw: mustMarshal(t, []byte(document(3)))}})
+	c.run(time.Second)
+	former := c.owner()
+	former.running = false
+	for _, m := range c.sorted() {
+		if m != former {
+			m.kill()
+			m.start()
+		}
+	}
+	began := c.now
+	c.propose(Command{Configure: &configuration.Order{Base: 3, Number: 8, Raw: mustMarshal(t, []byte(document(8)))}})
+	if frozen := c.now - began; frozen >= election || !former.controller.Group().Status().IsOwner {
+		t.Fatalf("it knows after %v that it isn't the owner", frozen)
+	}
+	// when it goes on, and is asked before it has heard of that,
+	former.running = true
+	answer := c.answerWhile(former, call.method, call.path, call.body, call.base)
+	// then it tells nothing, and refuses nothing.
+	switch answer.Code {
+	case http.StatusServiceUnavailable, http.StatusTemporaryRedirect:
+	case http.StatusGatewayTimeout:
+		if call.method == http.MethodGet {
+			t.Errorf("answer %d", answer.Code)
+		}
+	default:
+		t.Errorf("answer %d %s", answer.Code, answer.Body)
+	}
+}
