--- a/internal/system/proxy/call.go
+++ b/internal/system/proxy/call.go
@@ -45,6 +45,7 @@
 	mayHaveRun bool       // nothing promises that no endpoint ran the request
 	refusal    fault.Kind // why no endpoint took it, as far as nothing was sent
 	committed  bool       // the head of the answer has gone to the client
+	guarded    bool       // every close of the client's connection is a reset
 	failed     bool       // an answer of the proxy's own has gone to the client
 	retryIn    time.Duration
 }
@@ -52,12 +53,10 @@
 // serve takes one request of a client.
 func (p *Proxy) serve(w http.ResponseWriter, r *http.Request) {
 	arrived := p.options.Now()
-	if p.draining.Load() {
-		if client := clientOf(r); client != nil && client.closedUnread() {
-			abort()
-		}
-		p.closeIfDraining(w.Header())
+	if client := clientOf(r); client != nil && !client.begin() {
+		abort()
 	}
+	p.closeIfDraining(w.Header())
 	boundReading(w, r, arrived.Add(timeAllowed(r.Header, 0)))
 	routes := p.options.Views.Routes()
 	if routes == nil {
@@ -191,6 +190,7 @@
 	if !c.committed && !c.failed {
 		abort() // the library would answer 200 by itself
 	}
+	c.releaseEnd()
 }
 
 // beginTurn has the stores take a turn. It returns false when the request has been answered.
--- a/internal/system/store/store.go
+++ b/internal/system/store/store.go
@@ -32,6 +32,9 @@
 	eager     = 120 * time.Millisecond // until an owner has been heard since the start
 )
 
+// defaultWaitingBytes bounds what waits for the turns of all shards where the options say nothing.
+const defaultWaitingBytes = 8 << 20
+
 // mostReceiving is the number of shards that receive snapshots at the same time.
 const mostReceiving = 2
 
@@ -45,6 +48,8 @@
 	Seed    uint64
 	Now     func() time.Time
 
+	WaitingBytes int // of messages and commands that wait for the turns of all shards; 0: 8 MiB
+
 	// In place of the pool, the process's own clock and goroutines, where a test runs the store in memory; nil: those.
 	Send  func(address string, envelope group.Envelope) // must not block
 	Clock func() time.Duration
@@ -57,18 +62,26 @@
 	options    Options
 	compacting sync.Mutex       // held by the group that compacts
 	receiving  *group.Admission // of the groups that receive snapshots
-
-	mutex    sync.Mutex
-	shards   map[int]*shard
-	failures chan error
+	opening    sync.Mutex       // held while a shard opens; taken before mutex
+	waiting    *group.Budget    // of what waits for the groups' turns
+
+	mutex     sync.Mutex
+	shards    map[int]*shard
+	placed    uint64         // index of the newest placement; 0: none is known
+	placement view.Placement // that is it
+	failures  chan error
 }
 
 // New returns a store without shards; those on its disk open once the placement is known.
 func New(ctx context.Context, options Options) *Store {
+	if options.WaitingBytes == 0 {
+		options.WaitingBytes = defaultWaitingBytes
+	}
 	if options.Send == nil {
 		options.Send = sendByLink(options.Pool)
 	}
-	s := &Store{options: options, receiving: group.NewAdmission(mostReceiving), shards: map[int]*shard{}, failures: make(chan error, 1)}
+	s := &Store{options: options, receiving: group.NewAdmission(mostReceiving), waiting: group.NewBudget(options.WaitingBytes),
+		shards: map[int]*shard{}, failures: make(chan error, 1)}
 	if options.After == nil {
 		s.options.After = func(delay time.Duration, run func()) { time.AfterFunc(delay, run) }
 	}
@@ -106,13 +119,24 @@
 	link.Handle(handlers, wire.MethodShardMembers, s.members)
 }
 
+// openPause is the time after which shards are tried again that couldn't be opened.
+const openPause = 300 * time.Millisecond
+
 // Place takes over a new placement, with the index of its entry in the configuration shard's log: shards that are this
-// store's open, and every owner moves its group to its members.
+// store's open, and every owner moves its group to its members. A shard that can't be opened, since the disk is full or
+// fails, is tried again after a pause, by the newest placement that is known then.
 func (s *Store) Place(index uint64, placement view.Placement) {
+	s.mutex.Lock()
+	if index >= s.placed {
+		s.placed, s.placement = index, placement
+	}
+	s.mutex.Unlock()
+	failed := false
 	for number, wanted := range placement.Shards {
 		if s.holds(wanted) {
 			if err := s.open(number, wanted); err != nil {
 				level.Error(s.options.Logger).Log("msg", "shard cannot be opened", "shard", number, "err", err)
+				failed = true
 				continue
 			}
 		}
@@ -120,17 +144,28 @@
 			running.place(index, membersOf(wanted.Replicas))
 		}
 	}
+	if failed {
+		s.options.After(openPause, s.placeAgain)
+	}
+}
+
+// placeAgain goes on with the newest placement.
+func (s *Store) placeAgain() {
+	s.mutex.Lock()
+	index, placement := s.placed, s.placement
+	s.mutex.Unlock()
+	s.Place(index, placement)
 }
 
 func (s *Store) holds(placement view.ShardPlacement) bool {
 	return contains(placement.Replicas, s.options.ID) || contains(placement.Initial, s.options.ID)
 }
 
-// open starts the replica of a shard, if it doesn't run yet.
+// open starts the replica of a shard, if it doesn't run yet. The other shards go on meanwhile, however long the disk takes.
 func (s *Store) open(number int, placement view.ShardPlacement) error {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	if s.shards[number] != nil {
+	s.opening.Lock()
+	defer s.opening.Unlock()
+	if s.shard(number) != nil {
 		return nil
 	}
 	opening := &shard{number: number, logger: s.options.Logger, machine: newMachine(), after: s.options.After}
@@ -140,12 +175,14 @@
 		options.Initial = membersOf(placement.Initial)
 	}
 	opened, err := group.Open(group.Options{Name: groupName(number), Replica: options, Disk: s.options.Disk,
-		Machine: opening.machine, Compacting: &s.compacting, Receiving: s.receiving, Send: s.options.Send, Logger: s.options.Logger, Clock: s.options.Clock, Changed: opening.changed})
+		Machine: opening.machine, Compacting: &s.compacting, Receiving: s.receiving, Waiting: s.waiting, Send: s.options.Send, Logger: s.options.Logger, Clock: s.options.Clock, Changed: opening.changed})
 	if err != nil {
 		return err
 	}
 	opening.group = opened
+	s.mutex.Lock()
 	s.shards[number] = opening
+	s.mutex.Unlock()
 	s.options.Run(opened)
 	return nil
 }
