Kill the proxy in the middle of answers, and check that none looks complete

A killed process has its connections closed by the system, in order where nothing waits to be read: to a client that may be the end of its answer. The campaign now kills the proxy too, and a test does so at each millisecond of a slow answer, for clients of both versions.

--- a/internal/system/exchangetest/boundary_test.go
+++ b/internal/system/exchangetest/boundary_test.go
@@ -281,6 +281,32 @@
 	}
 }
 
+// TestKilledProxyLeavesNothingThatLooksComplete kills the proxy at each millisecond of a slow answer: the system closes its
+// connections in order then, and what the client has got doesn't look complete.
+func TestKilledProxyLeavesNothingThatLooksComplete(t *testing.T) {
+	for _, old := range []bool{false, true} {
+		for _, kind := range []answerKind{success, chunked, unframed} {
+			t.Run(fmt.Sprint(framings[kind], "/", old), func(t *testing.T) {
+				cut := 0
+				for at := range 40 {
+					slow := whole(kind, 10_000)
+					slow.split, slow.pause = 9000, 20*time.Millisecond
+					request := newRequest(onceRoute, 0, slow)
+					request.old = old
+					killed := worldEvent{at: time.Duration(at) * time.Millisecond, kind: kill}
+					w := check(t, plan{clients: [][]*requestScript{{request}}, events: []worldEvent{killed}})
+					if results := w.clients[0].results; len(results) > 0 && results[0].cutOff() {
+						cut++
+					}
+				}
+				if cut == 0 && kind != success {
+					t.Error("no answer was cut")
+				}
+			})
+		}
+	}
+}
+
 // mustAnswer checks that every request got a whole answer of an endpoint.
 func mustAnswer(t *testing.T, results []got) {
 	t.Helper()
--- a/internal/system/exchangetest/draw_test.go
+++ b/internal/system/exchangetest/draw_test.go
@@ -59,7 +59,7 @@
 	}
 	for range s.below(3) {
 		event := worldEvent{at: s.upTo(120), kind: eventKind(s.below(int(eventKinds))), endpoint: s.below(endpointCount)}
-		if troubled || event.kind != crash {
+		if troubled || event.kind < crash {
 			p.events = append(p.events, event)
 		}
 	}
--- a/internal/system/exchangetest/memory_test.go
+++ b/internal/system/exchangetest/memory_test.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"os"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -23,10 +24,13 @@
 	windowBytes = 64 << 10
 )
 
-// memoryNetwork is a network in memory.
+// memoryNetwork is a network in memory. Dial and the front address are the proxy's.
 type memoryNetwork struct {
 	mutex     sync.Mutex
 	listeners map[string]*memoryListener
+	fronts    []*memoryConn // the proxy's sides of its connections to clients
+	backs     []*memoryConn // and to endpoints
+	killed    bool
 }
 
 func newMemoryNetwork() *memoryNetwork {
@@ -53,7 +57,34 @@
 
 // Dial implements network.Network.
 func (m *memoryNetwork) Dial(ctx context.Context, _ *net.Dialer, _, address string) (net.Conn, error) {
-	return m.dial(ctx, address)
+	conn, err := m.dial(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	if !m.keep(&m.backs, conn) {
+		conn.Close()
+		return nil, syscall.ECONNABORTED
+	}
+	return conn, nil
+}
+
+// keep notes one of the proxy's sockets. It returns false if the proxy has been killed.
+func (m *memoryNetwork) keep(list *[]*memoryConn, conn *memoryConn) bool {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	*list = append(*list, conn)
+	return !m.killed
+}
+
+// kill closes all of the proxy's sockets, as the system does when a process is killed.
+func (m *memoryNetwork) kill() {
+	m.mutex.Lock()
+	m.killed = true
+	conns := append(slices.Clone(m.fronts), m.backs...)
+	m.mutex.Unlock()
+	for _, conn := range conns {
+		conn.Close()
+	}
 }
 
 func (m *memoryNetwork) dial(ctx context.Context, address string) (*memoryConn, error) {
@@ -71,6 +102,9 @@
 		return nil, syscall.ECONNREFUSED
 	}
 	near, far := newConnPair(l.address)
+	if address == frontAddress && !m.keep(&m.fronts, far) {
+		return nil, syscall.ECONNREFUSED
+	}
 	select {
 	case l.waiting <- far:
 		return near, nil
--- a/internal/system/exchangetest/mutants_test.go
+++ b/internal/system/exchangetest/mutants_test.go
@@ -13,6 +13,7 @@
 		answer   = "../upstream/answer.go"
 		attempt  = "../proxy/attempt.go"
 		call     = "../proxy/call.go"
+		deliver  = "../proxy/deliver.go"
 		stream   = "../proxy/stream.go"
 		events   = "../proxy/events.go"
 	)
@@ -45,6 +46,10 @@
 			Also:   []mutation.Change{change(call, "return repeatable(c.facts.Route) && c.runs", "return c.runs")}},
 		{Name: "a turn's last byte doesn't wait for the stores", Run: "TestCampaign",
 			Change: change(stream, "return c.turn != nil && c.turn.remembered && a.answer.ContentLength > 0", "return false")},
+		{Name: "an unframed answer goes on unframed", Run: "TestKilledProxyLeavesNothingThatLooksComplete",
+			Change: change(deliver, "	c.guardEnd(header)\n", "	if a.answer.UntilClose {\n		header[\"Transfer-Encoding\"] = []string{\"identity\"}\n	}\n")},
+		{Name: "a client of HTTP/1.0 sees every close as orderly", Run: "TestAnswerThatAClientDoesNotTakeIsCut",
+			Change: change(deliver, "		client.resetOnClose(true)\n", "")},
 		{Name: "work goes on for a client that left", Run: "TestClientMayLeaveWhileItsAnswerComes",
 			Change: change(call, "context.WithDeadline(r.Context(), c.facts.Deadline)", "context.WithDeadline(context.WithoutCancel(r.Context()), c.facts.Deadline)")},
 	})
--- a/internal/system/exchangetest/world_test.go
+++ b/internal/system/exchangetest/world_test.go
@@ -34,6 +34,7 @@
 	drain // the first step of SIGTERM
 	shutdown
 	crash // of an endpoint: it resets all its connections, and is back at once
+	kill  // of the proxy
 	eventKinds
 )
 
@@ -53,7 +54,7 @@
 }
 
 // calm tells whether the proxy is not told to end.
-func (p *plan) calm() bool { return !p.has(drain) && !p.has(shutdown) }
+func (p *plan) calm() bool { return !p.has(drain) && !p.has(shutdown) && !p.has(kill) }
 
 func (p *plan) has(kind eventKind) bool {
 	return slices.ContainsFunc(p.events, func(e worldEvent) bool { return e.kind == kind })
@@ -176,6 +177,8 @@
 		w.shutDown(t)
 	case crash:
 		w.endpoints[event.endpoint].crash()
+	case kill:
+		w.network.kill()
 	}
 }
 
