--- /dev/null
+++ b/internal/system/simulation/mutants_test.go
@@ -0,0 +1,97 @@
+package simulation
+
+import (
+	"encoding/json"
+	"flag"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+var mutantsFlag = flag.Bool("mutants", false, "try whether the stories catch deliberate mistakes in the code")
+
+// sourceMutant is a deliberate mistake: a source file's text that is replaced, and the tests of which one must fail then.
+type sourceMutant struct {
+	name string
+	file string // from this package's folder
+	old  string
+	new  string
+	run  string
+}
+
+var mutants = []sourceMutant{
+	{"a read is answered without a majority", "../replica/reads.go", "confirmed := r.quorum(r.ownership.round, roundOf)",
+		"confirmed := r.ownership.round", "TestAControlMachine"},
+	{"a minority decides", "../replica/members.go", "return g.voters/2 + 1", "return max(1, g.voters/2)", "TestAControlMachine"},
+	{"few repeats are known", "../configuration/register.go", "const historyBound = 32768", "const historyBound = 16", "TestAnOrderThatIs"},
+	{"two orders win on one version", "../configuration/register.go", "if order.Base != r.current.Number {", "if order.Base > r.current.Number {",
+		"TestOneOfTwo|TestTheFirstMachine"},
+	{"entries are acknowledged before they last", "../storage/group.go", "if err := g.log.Sync(); err != nil {", "if err := error(nil); err != nil {",
+		"TestTheFirstMachine|TestRandomDays"},
+	{"a new member's snapshot isn't taken over", "../group/turn.go", "if err := g.options.Machine.Restore(effects.Install.State); err != nil {",
+		"if err := error(nil); err != nil {", "TestASecondLoss"},
+	{"there are too few copies", "../controller/controller.go", "return 2*c.options.Settings.Survive.Machines + 1",
+		"return c.options.Settings.Survive.Machines + 1", "TestASecondLoss"},
+	{"all requests may be repeated", "../proxy/call.go", "return route.Kind == model.Retryable || route.Kind == model.Streaming && route.CanResume",
+		"return true", "TestOnceOnly"},
+}
+
+// TestMutants runs the stories on each mistake, which one of them must catch.
+func TestMutants(t *testing.T) {
+	if !*mutantsFlag {
+		return // some minutes: on demand only
+	}
+	for _, mutant := range mutants {
+		t.Run(mutant.name, func(t *testing.T) {
+			output, err := mutant.try(t)
+			if err == nil || !strings.Contains(output, "FAIL") {
+				t.Errorf("not caught: %v\n%s", err, output)
+			}
+			if strings.Contains(output, "[build failed]") {
+				t.Errorf("doesn't build:\n%s", output)
+			}
+			for line := range strings.Lines(output) {
+				if strings.Contains(line, "_test.go:") {
+					t.Logf("caught: %.200s", strings.TrimSpace(line))
+					break
+				}
+			}
+		})
+	}
+}
+
+// try runs the tests on a copy of the source that holds the mistake.
+func (m sourceMutant) try(t *testing.T) (output string, err error) {
+	t.Helper()
+	path, err := filepath.Abs(m.file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	source, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if strings.Count(string(source), m.old) != 1 {
+		t.Fatalf("%s doesn't hold the text once", m.file)
+	}
+	changed := filepath.Join(t.TempDir(), "changed.go")
+	overlay := filepath.Join(t.TempDir(), "overlay.json")
+	replaced, err := json.Marshal(map[string]map[string]string{"Replace": {path: changed}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	write(t, changed, strings.Replace(string(source), m.old, m.new, 1))
+	write(t, overlay, string(replaced))
+	text, err := exec.CommandContext(t.Context(), "go", "test", "-count=1", "-timeout=300s", "-overlay="+overlay, "-run="+m.run, ".",
+		"-args", "-days", "10").CombinedOutput()
+	return string(text), err
+}
+
+func write(t *testing.T, path, text string) {
+	t.Helper()
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+}
