--- a/internal/system/controller/cutoff_fixture_test.go
+++ b/internal/system/controller/cutoff_fixture_test.go
@@ -31,7 +31,7 @@
 	noticedAfter = 2 * time.Second      // until membership takes a machine that is out of reach for dead
 	reunitedIn   = 10 * time.Second     // after the end of a cut, until membership takes it for alive again
 	mostFollowed = 2                    // redirects that a caller follows
-	groupSize    = 3                    // controllers that begin as the group; those after them stand by
+	mostStores   = 8                    // of which two, and the one that joins, are emptied: enough remain
 	idlePoll     = 5 * time.Millisecond
 )
 
@@ -39,6 +39,7 @@
 // network and disks in memory.
 type core struct {
 	t        *testing.T
+	kind     coreKind
 	random   *rand.Rand // of the network; under mutex
 	machines []*coreMachine
 	stores   []membership.Member // all that run
@@ -52,6 +53,16 @@
 	back    map[way]time.Time
 }
 
+// coreKind tells how large a core is, and what it has to bear beside cuts.
+type coreKind struct {
+	group    int           // controllers that begin as the group; one more stands by
+	lost     float64       // share of messages
+	slowDisk time.Duration // a sync takes up to so long
+}
+
+// coreKinds are played in turn, seed by seed.
+var coreKinds = []coreKind{{group: 3}, {group: 5, lost: 0.02}, {group: 3, lost: 0.05, slowDisk: 60 * time.Millisecond}}
+
 // way is one direction between two machines.
 type way struct{ from, to int }
 
@@ -67,20 +78,21 @@
 	thawed     chan struct{} // closed while it runs; under core.mutex
 }
 
-// newCore starts controllers, of which the first three are the group.
-func newCore(t *testing.T, count int, seed uint64) *core {
-	c := &core{t: t, random: rand.New(rand.NewPCG(seed, 7)), stores: storeMembers(6), joiner: storeMember(7),
+// newCore starts controllers: the group, and one that stands by.
+func newCore(t *testing.T, seed uint64) *core {
+	kind := coreKinds[seed%uint64(len(coreKinds))]
+	c := &core{t: t, kind: kind, random: rand.New(rand.NewPCG(seed, 7)), stores: storeMembers(mostStores), joiner: storeMember(mostStores + 1),
 		blocked: map[way]bool{}, held: map[way][]group.Envelope{}, unseen: map[way]time.Time{}, back: map[way]time.Time{}}
 	ctx, cancel := context.WithCancel(t.Context())
 	var initial []replica.Member
-	for number := range count {
+	for number := range kind.group + 1 {
 		name := fmt.Sprintf("core-%d", number+1)
 		member := controllerMember(name, name+"-id", fmt.Sprintf("10.0.0.%d:7000", number+1), fmt.Sprintf("10.0.0.%d:8144", number+1))
 		member.Incarnation = uint64(number + 1)
 		running := make(chan struct{})
 		close(running)
 		c.machines = append(c.machines, &coreMachine{core: c, number: number, member: member, wake: make(chan struct{}, 1), thawed: running})
-		if number < groupSize {
+		if number < kind.group {
 			initial = append(initial, replica.Member{ID: member.ID, Address: member.Address})
 		}
 	}
@@ -91,6 +103,8 @@
 			first = nil
 		}
 		m.open(first, seed)
+	}
+	for _, m := range c.machines {
 		for _, loop := range []func(context.Context){m.drive, m.publishAndPlace, m.judge} {
 			running.Go(func() { loop(ctx) })
 		}
@@ -103,8 +117,19 @@
 }
 
 func (m *coreMachine) open(initial []replica.Member, seed uint64) {
-	opened, err := Open(Options{ID: m.member.ID, Address: m.member.Address, Settings: &settings.Settings{Survive: settings.Survive{Machines: 1}},
-		Initial: initial, Disk: memorydisk.New(), Fleet: m, Reader: &list{endpoints: []model.Endpoint{endpoint("e", 0)}}, Logger: log.NewNopLogger(),
+	disk := memorydisk.New()
+	if slow := m.core.kind.slowDisk; slow > 0 {
+		random := rand.New(rand.NewPCG(seed, uint64(m.number)))
+		disk.Inject(func(kind memorydisk.OperationKind, _ string) error {
+			if kind == memorydisk.Sync {
+				time.Sleep(time.Duration(random.Int64N(int64(slow))))
+			}
+			return nil
+		})
+	}
+	survive := settings.Survive{Machines: m.core.kind.group / 2}
+	opened, err := Open(Options{ID: m.member.ID, Address: m.member.Address, Settings: &settings.Settings{Survive: survive},
+		Initial: initial, Disk: disk, Fleet: m, Reader: &list{endpoints: []model.Endpoint{endpoint("e", 0)}}, Logger: log.NewNopLogger(),
 		Seed: seed + uint64(m.number), Send: m.send, Ask: func(string, func(wire.ShardMembersAnswer, error)) {}})
 	if err != nil {
 		m.core.t.Fatal(err)
@@ -206,6 +231,9 @@
 		}
 		return
 	}
+	if c.random.Float64() < c.kind.lost {
+		return
+	}
 	delay := coreLatency + time.Duration(c.random.Int64N(int64(coreLatency)))
 	time.AfterFunc(delay, func() {
 		to := c.machines[w.to]
