--- a/internal/system/replica/explore_snapshot_test.go
+++ b/internal/system/replica/explore_snapshot_test.go
@@ -14,7 +14,7 @@
 // newInstallingWorld is one in which a owns the group and the first part of its snapshot is on its way to c, which has less than that.
 func newInstallingWorld(t *testing.T, c Recovered, left allowance) *world {
 	t.Helper()
-	w := newWorld(t, [3]Recovered{snapshotDisk(3), snapshotDisk(3), c}, left, faults{})
+	w := newWorld(t, [3]Recovered{snapshotDisk(3), snapshotDisk(3), c}, left)
 	for _, entry := range logOf(1, 1, 1) {
 		w.committed = append(w.committed, committedEntry{Entry: entry, epoch: 1})
 	}
