--- a/internal/system/controller/listsource_test.go
+++ b/internal/system/controller/listsource_test.go
@@ -10,6 +10,10 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/go-kit/log"
+	"github.com/google/go-cmp/cmp"
+
+	"mastusher/internal/system/link"
 	"mastusher/internal/system/model"
 	"mastusher/internal/system/platformlist"
 	"mastusher/internal/system/storage/memorydisk"
@@ -272,3 +276,31 @@
 type readerFunc func() ([]model.Endpoint, error)
 
 func (f readerFunc) ReadAll(context.Context) ([]model.Endpoint, error) { return f() }
+
+// TestAnotherControllerReadsOverTheLink has a list read by another process's controller.
+func TestAnotherControllerReadsOverTheLink(t *testing.T) {
+	reader := &list{endpoints: []model.Endpoint{endpoint("a", 900), endpoint("b", 0)}}
+	asked := newBed(t, memorydisk.New(), func(options *Options) { options.Reader = reader })
+	handlers := link.NewHandlers()
+	asked.Register(handlers)
+	server, err := link.Listen("127.0.0.1:0", handlers, log.NewNopLogger())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer server.Close()
+	pool := link.NewPool()
+	defer pool.Close()
+	ctx, cancel := context.WithTimeout(t.Context(), patience)
+	defer cancel()
+	got, err := askListByLink(pool)(ctx, server.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(reader.endpoints, got); diff != "" {
+		t.Errorf("list (-held +read):\n%s", diff)
+	}
+	reader.err = errors.New("not reached")
+	if _, err := askListByLink(pool)(ctx, server.Address()); err == nil {
+		t.Error("a read that failed brought a list")
+	}
+}
