--- a/internal/system/command/store.go
+++ b/internal/system/command/store.go
@@ -2,11 +2,7 @@
 
 import (
 	"context"
-	"flag"
 	"sync"
-	"time"
-
-	"github.com/google/subcommands"
 
 	"mastusher/internal/system/group"
 	"mastusher/internal/system/link"
@@ -18,37 +14,6 @@
 // waitingShare is the part of the memory that messages and commands may take that wait for the turns of a store's shards.
 const waitingShare = 10
 
-// Store runs on storage machines and holds shards of programs' state.
-type Store struct{}
-
-// Name implements subcommands.Command.
-func (*Store) Name() string { return "store" }
-
-// Synopsis implements subcommands.Command.
-func (*Store) Synopsis() string { return "hold shards of programs' state on a storage machine" }
-
-// Usage implements subcommands.Command.
-func (*Store) Usage() string {
-	return "store\n\tRun on a storage machine. " + settingsVariable + " holds the path of the settings file.\n"
-}
-
-// SetFlags implements subcommands.Command.
-func (*Store) SetFlags(*flag.FlagSet) {}
-
-// Execute implements subcommands.Command.
-func (*Store) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	p, err := newProcess("store")
-	if err != nil {
-		return fail(standardLogger("store"), err)
-	}
-	running, end := terminated(ctx)
-	defer end()
-	if err := p.runStore(running); err != nil {
-		return fail(p.logger, err)
-	}
-	return subcommands.ExitSuccess
-}
-
 // runStore runs the role until ctx ends, and then until its groups have other owners; or until one of them can't go on.
 func (p *process) runStore(ctx context.Context) error {
 	address := p.address(wire.StorePort)
@@ -57,7 +22,7 @@
 		return err
 	}
 	groups := newReplicas(ctx)
-	shards := store.New(ctx, store.Options{ID: id, Address: address, Disk: disk, Pool: p.pool, Logger: p.logger, Seed: p.seed, Now: time.Now,
+	shards := store.New(ctx, store.Options{ID: id, Address: address, Disk: disk, Pool: p.pool, Logger: p.logger, Seed: p.seed, Now: p.around.TimeOfDay,
 		WaitingBytes: int(p.settings.Limits.MemoryMb << 20 / waitingShare),
 		Run:          groups.run})
 	member := p.newNode(p.member(membership.Store, id, address), shards.Take)
--- a/internal/system/gossip/figures_test.go
+++ b/internal/system/gossip/figures_test.go
@@ -25,7 +25,7 @@
 		}
 		t.Run(fmt.Sprint(size), func(t *testing.T) {
 			t.Parallel()
-			w := newNetwork(size, 11, none)
+			w := newNetwork(size, 11)
 			for _, section := range []view.Section{view.ConfigurationSection, view.EndpointsSection, view.RolloutsSection, view.PlacementSection} {
 				w.write(w.hosts[0], section, 1, 1)
 			}
@@ -45,7 +45,7 @@
 			const writes = 10
 			for i := range uint64(writes) {
 				author := w.hosts[w.random.IntN(size)]
-				begun := w.now
+				begun := w.loop.Now()
 				w.write(author, view.EndpointsSection, 1, 2+i)
 				w.runFor(longestSpread)
 				times = append(times, w.spreadTimes(t, view.Stamp{Epoch: 1, Sequence: 2 + i}, begun)...)
--- a/internal/system/program/restore.go
+++ b/internal/system/program/restore.go
@@ -38,9 +38,7 @@
 
 // BeginRestore begins to set the machine to the state of a snapshot.
 func (m *Machine) BeginRestore() *Restorer {
-	restored := New()
-	restored.rules = m.rules
-	return &Restorer{machine: m, restored: restored, reserved: make(map[*program]int64), goesOn: true}
+	return &Restorer{machine: m, restored: New(), reserved: make(map[*program]int64), goesOn: true}
 }
 
 // Add takes the next part in. It keeps nothing of data.
--- a/internal/system/proxy/call.go
+++ b/internal/system/proxy/call.go
@@ -45,19 +45,18 @@
 	mayHaveRun bool       // nothing promises that no endpoint ran the request
 	refusal    fault.Kind // why no endpoint took it, as far as nothing was sent
 	committed  bool       // the head of the answer has gone to the client
-	untilClose bool       // the answer ends with the connection
+	guarded    bool       // every close of the client's connection is a reset
+	failed     bool       // an answer of the proxy's own has gone to the client
 	retryIn    time.Duration
 }
 
 // serve takes one request of a client.
 func (p *Proxy) serve(w http.ResponseWriter, r *http.Request) {
 	arrived := p.options.Now()
-	if p.draining.Load() {
-		if client := clientOf(r); client != nil && client.closedUnread() {
-			abort()
-		}
-		p.closeIfDraining(w.Header())
+	if client := clientOf(r); client != nil && !client.begin() {
+		abort()
 	}
+	p.closeIfDraining(w.Header())
 	boundReading(w, r, arrived.Add(timeAllowed(r.Header, 0)))
 	routes := p.options.Views.Routes()
 	if routes == nil {
@@ -170,6 +169,7 @@
 		Body:      [][]byte{*c.body},
 		HasBody:   c.request.ContentLength != 0 || first(c.request.Header, "Content-Length") != "",
 		AttemptID: c.facts.AttemptID,
+		Deadline:  c.facts.Deadline,
 	}
 	c.facts.BodyBytes = len(*c.body)
 }
@@ -187,6 +187,10 @@
 	defer c.settle()
 	for c.attempt() {
 	}
+	if !c.committed && !c.failed {
+		abort() // the library would answer 200 by itself
+	}
+	c.releaseEnd()
 }
 
 // beginTurn has the stores take a turn. It returns false when the request has been answered.
--- a/internal/system/proxy/clientconnection.go
+++ b/internal/system/proxy/clientconnection.go
@@ -5,12 +5,14 @@
 	"net"
 	"net/http"
 	"sync"
+
+	"mastusher/internal/system/network"
 )
 
 // clientConnection is a connection of a client. It knows whether a request has begun on it, so that a shutdown closes it
 // only while none of a request's bytes have been read.
 type clientConnection struct {
-	*net.TCPConn
+	network.TCPConn
 
 	mutex   sync.Mutex
 	idle    bool // no byte of a next request has been read
@@ -32,6 +34,15 @@
 	return n, err
 }
 
+// resetOnClose makes every close of the connection a reset, or takes that back.
+func (c *clientConnection) resetOnClose(on bool) {
+	seconds := -1
+	if on {
+		seconds = 0
+	}
+	c.TCPConn.SetLinger(seconds)
+}
+
 // rest notes that an answer has gone out and the next request may come.
 func (c *clientConnection) rest() {
 	c.mutex.Lock()
@@ -52,12 +63,16 @@
 	}
 }
 
-// closedUnread tells whether the connection was closed before its present request began. The library may have had that
-// request in its buffer already.
-func (c *clientConnection) closedUnread() bool {
+// begin notes that a request has been read. It returns false if the connection was closed before: the library may have had the
+// request in its buffer already, and then no byte of it has passed here.
+func (c *clientConnection) begin() bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	return c.closing && c.idle
+	if c.closing && c.idle {
+		return false
+	}
+	c.idle = false
+	return true
 }
 
 // clientKey finds the clientConnection in a request's context.
--- a/internal/system/replica/change.go
+++ b/internal/system/replica/change.go
@@ -27,10 +27,10 @@
 	if len(r.wanted) == 0 || r.ownership.resigning || r.isAsWanted() {
 		return
 	}
-	if !r.isOpen() && !r.faults.changeUnopened {
+	if !r.isOpen() {
 		return
 	}
-	if r.groups.newest().index > r.commit && !r.faults.changeTwice {
+	if r.groups.newest().index > r.commit {
 		return
 	}
 	members := r.nextMembers()
@@ -112,8 +112,12 @@
 	return nil
 }
 
-// promoteLearner gives a vote to a wanted voter that has caught up.
+// promoteLearner gives a vote to a wanted voter that has caught up. Where it comes for a voter of which this owner can't tell
+// yet whether it still answers, it waits until that is known: one that doesn't is to go first.
 func (r *Replica) promoteLearner() []Member {
+	if r.hasUnknownLeaver() {
+		return nil
+	}
 	for _, p := range r.ownership.peers {
 		if p.learner && r.wantsVoter(p.id) && r.isCaughtUp(p) {
 			return r.withLearner(p.id, false)
@@ -122,6 +126,13 @@
 	return nil
 }
 
+// hasUnknownLeaver tells whether a voter is not wanted that has neither answered this owner nor been silent for long enough.
+func (r *Replica) hasUnknownLeaver() bool {
+	return slices.ContainsFunc(r.ownership.peers, func(p *peer) bool {
+		return !p.learner && !r.wantsVoter(p.id) && !p.answered && r.hears(p)
+	})
+}
+
 // dropLearner removes a learner that is not wanted.
 func (r *Replica) dropLearner() []Member {
 	for _, p := range r.ownership.peers {
@@ -132,14 +143,15 @@
 	return nil
 }
 
-// dropSilentVoter removes an unwanted voter that does not answer, once those that are to come have caught up: with it
-// the majority would need every other member.
+// dropSilentVoter removes an unwanted voter that does not answer, once one that is to come has caught up and can vote in its
+// place: a vote more beside the silent one would make the majority larger by one that answers. Each such pair is exchanged as
+// soon as it is ready, so that a successor that is slow, or lost too, keeps none of the others waiting.
 func (r *Replica) dropSilentVoter() []Member {
 	for _, p := range r.ownership.peers {
 		if p.learner || r.wantsVoter(p.id) || r.hears(p) {
 			continue
 		}
-		if r.wantedAreNear() {
+		if r.hasSuccessor() {
 			return r.withoutVote(p.id)
 		}
 	}
@@ -202,19 +214,20 @@
 	return wanted != nil && !wanted.Learner
 }
 
-// wantedAreNear tells whether each wanted voter has its vote or has caught up.
-func (r *Replica) wantedAreNear() bool {
-	newest := r.groups.newest()
+// hasSuccessor tells whether a voter may go without being missed: the group has more than it is to have, or just as many and
+// a wanted one has caught up and gets its vote next.
+func (r *Replica) hasSuccessor() bool {
+	wantedVoters, ready := 0, false
 	for _, wanted := range r.wanted {
-		if wanted.Learner || newest.votes(wanted.ID) {
+		if wanted.Learner {
 			continue
 		}
+		wantedVoters++
 		p := findPeer(r.ownership.peers, wanted.ID)
-		if p == nil || !r.isCaughtUp(p) {
-			return false
-		}
+		ready = ready || p != nil && p.learner && r.isCaughtUp(p)
 	}
-	return true
+	voters := r.groups.newest().voters
+	return voters > wantedVoters || voters == wantedVoters && ready
 }
 
 // isCaughtUp tells whether a peer answers and has all but the newest entries. It must have the newest list of members,
--- a/internal/system/replica/peer.go
+++ b/internal/system/replica/peer.go
@@ -27,6 +27,8 @@
 	sent      bool   // something since the last heartbeat
 	sentRound uint64 // newest round that was sent to it
 
+	answered bool // this owner; until then heard tells since when it is a peer
+
 	transfer transfer // installing: of a snapshot
 }
 
@@ -181,7 +183,7 @@
 	if p == nil {
 		return
 	}
-	p.heard = r.now
+	p.heard, p.answered = r.now, true
 	p.round = max(p.round, answer.Round)
 	if answer.Rejected {
 		r.repair(p, answer)
--- a/internal/system/storage/frame.go
+++ b/internal/system/storage/frame.go
@@ -19,8 +19,8 @@
 
 var castagnoli = crc32.MakeTable(crc32.Castagnoli)
 
-// checksum is replaced by tests only.
-var checksum = func(header, payload []byte) uint32 {
+// checksum covers the header from the generation up to itself, and the payload.
+func checksum(header, payload []byte) uint32 {
 	return crc32.Update(crc32.Update(0, castagnoli, header), castagnoli, payload)
 }
 
--- a/internal/system/upstream/pool_test.go
+++ b/internal/system/upstream/pool_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -443,3 +444,167 @@
 	defer c.mutex.Unlock()
 	c.time = c.time.Add(by)
 }
+
+// leaving is a Permit that ends a request's context as it is asked, the last thing before the request is written.
+type leaving struct{ leave context.CancelFunc }
+
+func (l leaving) Granted() bool {
+	l.leave()
+	return true
+}
+
+func TestNothingIsSentForACallerThatLeftWhileAConnectionWasMade(t *testing.T) {
+	e := newEndpoint(t, answerShortly)
+	pool := newPool(t, upstream.Options{})
+	for _, kept := range []bool{false, true} {
+		if kept {
+			if _, err := exchange(t, pool, e.target("e"), newRequest("GET", "/", "first")); err != nil {
+				t.Fatal(err)
+			}
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		target := e.target("e")
+		target.Permit = leaving{cancel}
+		_, err := pool.Do(ctx, target, newRequest("GET", "/", "left"))
+		expectError(t, err, upstream.NeverSent, upstream.Cancelled)
+		<-e.closed
+	}
+	if requests, _ := e.seen(); len(requests) != 1 {
+		t.Errorf("%d requests, want 1", len(requests))
+	}
+}
+
+func TestNoBodyIsTakenForAnAnswerAfterAHeadRequest(t *testing.T) {
+	// The late answer to a HEAD request tells a length and has no body: whoever skipped one would skip the own answer, and
+	// go on in its middle. The late answer to a GET has one: whoever reads no body after a HEAD would take it for an answer.
+	for name, methods := range map[string][2]string{"a late answer to a HEAD": {"HEAD", "GET"}, "a late answer to a GET": {"GET", "HEAD"}} {
+		t.Run(name, func(t *testing.T) {
+			inner := "HTTP/1.1 200 OK\r\nX-Attempt-Id: 2\r\nContent-Length: 0\r\n\r\n"
+			late := "HTTP/1.1 200 OK\r\nX-Attempt-Id: 1\r\nContent-Length: " + strconv.Itoa(len(inner)) + "\r\n\r\n"
+			e := newEndpoint(t, func(socket net.Conn, request received) bool {
+				if request.header.Get("X-Attempt-Id") == "2" {
+					io.WriteString(socket, late+inner+inner)
+					return true
+				}
+				io.WriteString(socket, "HTTP/1.1 204 No Content\r\nX-Attempt-Id: 1\r\nKeep-Alive: timeout=30\r\n\r\n")
+				return true
+			})
+			pool := newPool(t, upstream.Options{})
+			if _, err := exchange(t, pool, e.target("e"), newRequest(methods[0], "/", "1")); err != nil {
+				t.Fatal(err)
+			}
+			_, err := exchange(t, pool, e.target("e"), newRequest(methods[1], "/", "2"))
+			expectError(t, err, upstream.MayHaveRun, upstream.Foreign)
+		})
+	}
+}
+
+func TestAnswerWithSeveralIDsIsNobodys(t *testing.T) {
+	e := newEndpoint(t, func(socket net.Conn, request received) bool {
+		respond(socket, request, "x", "X-Attempt-Id: other", "Connection: close")
+		return false
+	})
+	pool := newPool(t, upstream.Options{})
+	_, err := exchange(t, pool, e.target("e"), newRequest("GET", "/", "1"))
+	expectError(t, err, upstream.MayHaveRun, upstream.Foreign)
+}
+
+func TestRequestWithoutIDHasItsOwnConnection(t *testing.T) {
+	e := newEndpoint(t, func(socket net.Conn, request received) bool {
+		if request.header.Get("X-Attempt-Id") == "" {
+			io.WriteString(socket, "HTTP/1.1 400 Bad Request\r\nX-Not-Run: 1\r\nKeep-Alive: timeout=30\r\nContent-Length: 0\r\n\r\n")
+			return true
+		}
+		return answerShortly(socket, request)
+	})
+	for _, most := range []int{0, 1} {
+		pool := newPool(t, upstream.Options{})
+		target := e.target("e")
+		target.MaxConnections = most
+		without := &upstream.Request{Method: "GET", Target: "/", Host: "service.example"}
+		for _, request := range []*upstream.Request{newRequest("GET", "/", "1"), without, newRequest("GET", "/", "2"), without} {
+			if _, err := exchange(t, pool, target, request); err != nil {
+				t.Fatalf("at most %d connections: %v", most, err)
+			}
+		}
+	}
+	var used []int
+	requests, _ := e.seen()
+	for _, request := range requests {
+		used = append(used, request.connection)
+	}
+	if diff := cmp.Diff([]int{1, 2, 1, 3, 4, 5, 6, 7}, used); diff != "" {
+		t.Errorf("connections used (-want +got):\n%s", diff)
+	}
+}
+
+func TestEndpointThatReadsOnAfterAnEarlyAnswerGetsNothingElse(t *testing.T) {
+	// given an endpoint that answers once it has the head of a long request, and reads the rest when it is told to
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	readOn, all := make(chan struct{}), make(chan []byte, 2)
+	go func() {
+		for {
+			socket, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer socket.Close()
+				head := make([]byte, 4)
+				io.ReadFull(socket, head)
+				io.WriteString(socket, "HTTP/1.1 503 Full\r\nX-Attempt-Id: "+map[string]string{"POST": "1", "GET ": "2"}[string(head)]+
+					"\r\nX-Not-Run: 1\r\nKeep-Alive: timeout=30\r\nContent-Length: 0\r\n\r\n")
+				<-readOn
+				rest, _ := io.ReadAll(socket)
+				all <- append(head, rest...)
+			}()
+		}
+	}()
+	pool := newPool(t, upstream.Options{})
+	target := upstream.Endpoint{ID: "e", Address: listener.Addr().String()}
+	long := newRequest("POST", "/", "1", strings.Repeat("x", 32<<20))
+	// when its answer has been taken, and another request is sent
+	for _, request := range []*upstream.Request{long, newRequest("GET", "/", "2")} {
+		if _, err := exchange(t, pool, target, request); err != nil {
+			t.Fatal(err)
+		}
+	}
+	pool.Close()
+	close(readOn)
+	// then what it reads on the first connection is the beginning of the long request
+	for range 2 {
+		got := string(<-all)
+		if posts, gets := strings.Count(got, "POST / "), strings.Count(got, "GET / "); posts+gets != 1 {
+			t.Errorf("%d and %d requests on one connection", posts, gets)
+		}
+		if _, body, _ := strings.Cut(got, "\r\n\r\n"); strings.Trim(body, "x") != "" {
+			t.Errorf("other bytes in the place of the body: %.80q", strings.Trim(body, "x"))
+		}
+	}
+}
+
+func TestHalfClosedConnectionIsNotUsedAgain(t *testing.T) {
+	halfClosed := make(chan struct{})
+	e := newEndpoint(t, func(socket net.Conn, request received) bool {
+		answerShortly(socket, request)
+		if request.connection == 1 {
+			socket.(*net.TCPConn).CloseWrite()
+			close(halfClosed)
+		}
+		return true
+	})
+	pool := newPool(t, upstream.Options{})
+	for _, id := range []string{"1", "2"} {
+		if body, err := exchange(t, pool, e.target("e"), newRequest("POST", "/", id, "body")); err != nil || body != "body of "+id {
+			t.Errorf("%s: %q, %v", id, body, err)
+		}
+		<-halfClosed
+	}
+	if requests, connections := e.seen(); len(requests) != 2 || connections != 2 {
+		t.Errorf("%d requests on %d connections", len(requests), connections)
+	}
+}
