--- /dev/null
+++ b/internal/system/replica/transfer_mutants_test.go
@@ -0,0 +1,71 @@
+package replica
+
+import (
+	"testing"
+
+	"mastusher/internal/tools/mutation"
+)
+
+// Tests that notice mistakes in the transfer of snapshots.
+const (
+	orderOfParts    = "^TestEveryOrderOfPartsIsSafe$"
+	answersToParts  = "^TestFollowerAndPartsOfSnapshots$"
+	partsSent       = "^TestOwnerSendsAFewPartsAhead$"
+	compactedMiddle = "^TestCompactionGivesUpASnapshotThatIsReceived$"
+)
+
+func TestMutantsOfTransfersAreNoticed(t *testing.T) {
+	t.Parallel()
+	mutation.Test(t, []mutation.Mutant{
+		{
+			Name:   "a gap is taken over",
+			Change: mutation.Change{File: "transfer.go", Old: "if message.Part != i.wanted {", New: "if message.Part < i.wanted {"},
+			Run:    orderOfParts,
+		},
+		{
+			Name:   "parts of different owners are mixed",
+			Change: mutation.Change{File: "transfer.go", Old: "return i.from == message.From && i.epoch == message.Epoch &&\n\t\ti.snapshot", New: "return i.snapshot"},
+			Also:   []mutation.Change{{File: "election.go", Old: "		r.incoming = incoming{}\n", New: ""}},
+			Run:    answersToParts,
+		},
+		{
+			Name:   "installed without the last part",
+			Change: mutation.Change{File: "transfer.go", Old: "if i.wanted < i.snapshot.Parts {", New: "if i.wanted < i.snapshot.Parts-1 {"},
+			Run:    orderOfParts,
+		},
+		{
+			Name: "half a snapshot counts as a match",
+			Change: mutation.Change{
+				File: "transfer.go",
+				Old:  "		r.wantPart(message, i.wanted, false)\n",
+				New:  "		r.accept(message, message.Snapshot.Index)\n",
+			},
+			Run: orderOfParts,
+		},
+		{
+			Name:   "lost parts are never sent again",
+			Change: mutation.Change{File: "transfer.go", Old: "case r.now >= t.due:", New: "case false:"},
+			Run:    partsSent,
+		},
+		{
+			Name:   "a part of an older snapshot ends the newer one",
+			Change: mutation.Change{File: "transfer.go", Old: "if r.incoming.outdates(message) {", New: "if false {"},
+			Run:    answersToParts,
+		},
+		{
+			Name:   "a compaction keeps what was being received",
+			Change: mutation.Change{File: "replica.go", Old: "	r.incoming = incoming{}\n", New: ""},
+			Run:    compactedMiddle,
+		},
+		{
+			Name:   "a snapshot that ceased to come is never given up",
+			Change: mutation.Change{File: "transfer.go", Old: "if r.Receiving() && r.now >= r.incoming.due {", New: "if false {"},
+			Run:    "^TestFollowerGivesUpASnapshotWhenNoMoreOfItComes$",
+		},
+		{
+			Name:   "all parts are sent at once",
+			Change: mutation.Change{File: "transfer.go", Old: "min(t.wanted+window, t.snapshot.Parts)", New: "t.snapshot.Parts+0*window"},
+			Run:    partsSent,
+		},
+	})
+}
