--- a/internal/system/simulation/campaign_test.go
+++ b/internal/system/simulation/campaign_test.go
@@ -72,6 +72,7 @@
 }
 
 func TestRandomDays(t *testing.T) {
+	t.Parallel()
 	orders, programs, turns, runs := 0, 0, 0, 0
 	breached := uint64(0)
 	for seed := *firstFlag; seed < *firstFlag+*daysFlag; seed++ {
--- a/internal/system/simulation/operator.go
+++ b/internal/system/simulation/operator.go
@@ -35,6 +35,7 @@
 	name   string
 	client *http.Client
 	orders int
+	bytes  int // by which each configuration is made longer
 }
 
 func newOperator(f *Fleet, name string) *operator {
@@ -70,7 +71,7 @@
 
 // put sends a configuration once.
 func (o *operator) put(controller string, base uint64, ordered content) int {
-	body, err := json.Marshal(configuration(ordered))
+	body, err := json.Marshal(configuration(ordered, o.bytes))
 	if err != nil {
 		o.fleet.report("HARNESS", "%v", err)
 		return 0
@@ -141,8 +142,8 @@
 	return response.StatusCode, response.Request.URL.Host, answer
 }
 
-// configuration is what is sent for a content: its mark is the name of a route.
-func configuration(c content) model.Configuration {
+// configuration is what is sent for a content: its mark is the name of a route. A service that no route names makes it longer.
+func configuration(c content, longer int) model.Configuration {
 	return model.Configuration{
 		Number: c.Number,
 		Routes: []model.Route{
@@ -155,6 +156,7 @@
 			{Name: modelService, HealthPath: "/health", MaxConnections: maxConnections, Protocol: "h1",
 				Engine: &model.Engine{Capacity: batch, CacheTokens: cacheTokens, TokensPerEvent: tokensPerEvent, Models: []model.Model{{Name: modelName}}}},
 			{Name: toolService, HealthPath: "/health", MaxConnections: maxConnections, Protocol: "h1"},
+			{Name: "unused", HealthPath: "/" + strings.Repeat("x", longer), MaxConnections: maxConnections, Protocol: "h1"},
 		},
 		Limits: model.Limits{MaxHeaderBytes: 16 << 10, MaxBodyBytes: 4 << 20, HeaderWaitMs: 3000, IdleCloseMs: 15000},
 	}
