--- a/internal/system/simulation/stories_test.go
+++ b/internal/system/simulation/stories_test.go
@@ -1,7 +1,6 @@
 package simulation
 
 import (
-	"flag"
 	"fmt"
 	"net/http"
 	"sync"
@@ -174,19 +173,13 @@
 	})
 }
 
-// openFlag also tells the stories that the code doesn't pass yet; docs/design/control-safety.md has what was seen.
-var openFlag = flag.Bool("open", false, "tell the stories too that are known to fail")
-
-// replacedUnplanned is the replacement that isn't yet made up for in time.
-const replacedUnplanned = "replaced"
-
 // Point 3. Given a machine that was replaced or whose disk was lost, when another one loses its disk as soon as the rules allow,
 // then nothing acknowledged is lost.
 func TestASecondLossRightAfterAReplacementLosesNothing(t *testing.T) {
 	t.Parallel()
 	firsts := map[string]func(d *day, m *machine){
 		"disk lost": func(d *day, m *machine) { m.loseDisk(1); time.Sleep(time.Second); m.startAll() },
-		replacedUnplanned: func(d *day, m *machine) {
+		"replaced": func(d *day, m *machine) {
 			d.replace(m, Fault{Kind: ReplaceFault, For: time.Second})
 			time.Sleep(time.Second)
 		},
@@ -197,9 +190,6 @@
 	}
 	for name, lose := range firsts {
 		for _, of := range []class{coreClass, storageClass} {
-			if name == replacedUnplanned && !*openFlag {
-				continue
-			}
 			t.Run(fmt.Sprintf("%s, %s", name, of), func(t *testing.T) {
 				story(t, Options{Seed: 14}, func(t *testing.T, d *day) {
 					kept := d.users.play(3, 0, standin.Turn{}).Turns
