Tell what each endpoint got where a request ran on too many

Cause: the test of tries failed in one of four whole checks ("runs on 2 endpoints, at most 1", a turn whose first endpoint answers garbage), and its message doesn't say which requests were counted. Ruled out: nothing for certain. Change: the message names each endpoint's requests. What is checked stays as it is.

--- a/internal/system/proxy/tries_test.go
+++ b/internal/system/proxy/tries_test.go
@@ -77,7 +77,7 @@
 				most = tries
 			}
 			if ran > most {
-				t.Errorf("runs on %d endpoints, at most %d", ran, most)
+				t.Errorf("runs on %d endpoints, at most %d; they got:%s", ran, most, receivedBy(list))
 			}
 			if ran > 0 && !repeatable(&route) && clientPromise(status) {
 				t.Errorf("answered by %d, and has run", status)
@@ -89,6 +89,18 @@
 	}
 }
 
+// receivedBy tells what each endpoint got.
+func receivedBy(list []*endpoint) string {
+	var text strings.Builder
+	for i, e := range list {
+		for len(e.requests) > 0 {
+			request := <-e.requests
+			fmt.Fprintf(&text, "\n  e%d: %s %v, connection %d", i+1, request.line, request.header, request.connection)
+		}
+	}
+	return text.String()
+}
+
 // statusIfAny returns the status of an answer, or 0 if the connection ends without one.
 func (c *client) statusIfAny() int {
 	var version, status int
