Begin the link of a role and its member in one place

Cause: controllers, stores and agents registered their member, opened their link, closed it and left in the same lines.

--- a/internal/system/command/agent.go
+++ b/internal/system/command/agent.go
@@ -20,17 +20,14 @@
 	id := strconv.FormatUint(p.seed, 16)
 	member := p.newNode(p.member(membership.Agent, id, address), nil)
 	handlers := link.NewHandlers()
-	member.Register(handlers)
 	link.HandleNotice(handlers, wire.MethodTallies, func(_ string, tallies wire.Tallies) { p.forward(member, tallies) })
 	link.Handle(handlers, wire.MethodProxies, func(context.Context, string, wire.ProxiesRequest) (wire.ProxiesAnswer, error) {
 		return wire.ProxiesAnswer{Count: countProxies(member.Members())}, nil
 	})
-	server, err := p.listen(stopping, address, handlers)
+	leave, err := p.serve(stopping, address, member, handlers)
 	if err != nil {
 		return err
 	}
-	defer server.Close()
-	leave := p.join(stopping, member, server)
 	defer leave()
 	<-stopping.Done()
 	time.Sleep(part(p.settings.Bounds.Grace(), agentLinger))
--- a/internal/system/command/controller.go
+++ b/internal/system/command/controller.go
@@ -39,14 +39,11 @@
 		return err
 	}
 	handlers := link.NewHandlers()
-	member.Register(handlers)
 	running.Register(handlers)
-	server, err := p.listen(ctx, address, handlers)
+	leave, err := p.serve(ctx, address, member, handlers)
 	if err != nil {
 		return err
 	}
-	defer server.Close()
-	leave := p.join(ctx, member, server)
 	defer leave()
 	ended := make(chan error, 2)
 	go func() { ended <- running.Run(ctx) }()
--- a/internal/system/command/start.go
+++ b/internal/system/command/start.go
@@ -8,6 +8,7 @@
 	"github.com/go-kit/log/level"
 
 	"mastusher/internal/system/link"
+	"mastusher/internal/system/node"
 	"mastusher/internal/system/storage"
 )
 
@@ -46,3 +47,18 @@
 	})
 	return server, err
 }
+
+// serve answers what other processes ask of the role and its member, and has the member run with the others, until leave is
+// called.
+func (p *process) serve(ctx context.Context, address string, member *node.Node, handlers *link.Handlers) (leave func(), err error) {
+	member.Register(handlers)
+	server, err := p.listen(ctx, address, handlers)
+	if err != nil {
+		return nil, err
+	}
+	leaveMembers := p.join(ctx, member, server)
+	return func() {
+		leaveMembers()
+		server.Close()
+	}, nil
+}
--- a/internal/system/command/store.go
+++ b/internal/system/command/store.go
@@ -30,14 +30,11 @@
 		return err
 	}
 	handlers := link.NewHandlers()
-	member.Register(handlers)
 	shards.Register(handlers)
-	server, err := p.listen(ctx, address, handlers)
+	leave, err := p.serve(ctx, address, member, handlers)
 	if err != nil {
 		return err
 	}
-	defer server.Close()
-	leave := p.join(ctx, member, server)
 	defer leave()
 	select {
 	case err := <-groups.failed:
