Tell what stores, groups and proxies do between a start and the first request served

Hypotheses of the incident RECOVER (docs/incidents) could not be told apart by what is logged. Now a store logs how long it took to read its disk and what it holds, each 5 s with the collector's part; a group logs turns of 200 ms and more by their phases; a proxy logs each second how many requests it answered by itself, by kind, and why turns could not be begun.

--- a/internal/system/command/store.go
+++ b/internal/system/command/store.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"sync"
+	"time"
+
+	"github.com/go-kit/log/level"
 
 	"mastusher/internal/system/group"
 	"mastusher/internal/system/link"
@@ -22,6 +25,7 @@
 		return err
 	}
 	groups := newReplicas(ctx)
+	began := time.Now()
 	shards := store.New(ctx, store.Options{ID: id, Address: address, Disk: disk, Pool: p.pool, Logger: p.logger, Seed: p.seed, Now: p.around.TimeOfDay,
 		WaitingBytes: int(p.settings.Limits.MemoryMb << 20 / waitingShare),
 		Run:          groups.run})
@@ -29,6 +33,13 @@
 	if err := p.persist(ctx, "shards on the disk", shards.Recover); err != nil {
 		return err
 	}
+	logStoreVitals := func() []any {
+		count, held := shards.Vitals()
+		return []any{"shards", count, "stateKB", held.StateBytes >> 10, "snapshotKB", held.SnapshotBytes >> 10, "logKB", held.LogBytes >> 10,
+			"entries", held.Entries}
+	}
+	level.Info(p.logger).Log(append([]any{"msg", "shards recovered", "took", time.Since(began)}, logStoreVitals()...)...)
+	go logVitals(ctx, p.logger, logStoreVitals)
 	handlers := link.NewHandlers()
 	shards.Register(handlers)
 	leave, err := p.serve(ctx, address, member, handlers)
--- /dev/null
+++ b/internal/system/command/vitals.go
@@ -0,0 +1,42 @@
+package command
+
+import (
+	"context"
+	"runtime/metrics"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+)
+
+// vitalsInterval is the pace at which a process logs how it is.
+const vitalsInterval = 5 * time.Second
+
+// Names of the runtime's own figures.
+const (
+	heapLive      = "/gc/heap/live:bytes"
+	heapObjects   = "/memory/classes/heap/objects:bytes"
+	mappedMemory  = "/memory/classes/total:bytes"
+	givenBack     = "/memory/classes/heap/released:bytes"
+	collectorTime = "/cpu/classes/gc/total:cpu-seconds"
+	allTime       = "/cpu/classes/total:cpu-seconds"
+	idleTime      = "/cpu/classes/idle:cpu-seconds"
+)
+
+// logVitals logs the process's memory and the collector's part of its time at each interval, with what the role adds, until
+// ctx ends.
+func logVitals(ctx context.Context, logger log.Logger, add func() []any) {
+	repeat(ctx, vitalsInterval, func() {
+		level.Info(logger).Log(append(append([]any{"msg", "vitals"}, runtimeVitals()...), add()...)...)
+	})
+}
+
+// runtimeVitals returns the memory in KiB and the collector's time in s.
+func runtimeVitals() []any {
+	samples := []metrics.Sample{{Name: heapLive}, {Name: heapObjects}, {Name: mappedMemory}, {Name: givenBack}, {Name: collectorTime},
+		{Name: allTime}, {Name: idleTime}}
+	metrics.Read(samples)
+	kilobytes := func(i int) uint64 { return samples[i].Value.Uint64() >> 10 }
+	return []any{"liveKB", kilobytes(0), "heapKB", kilobytes(1), "memoryKB", kilobytes(2) - kilobytes(3),
+		"collectorS", samples[4].Value.Float64(), "busyS", samples[5].Value.Float64() - samples[6].Value.Float64()}
+}
--- a/internal/system/group/group.go
+++ b/internal/system/group/group.go
@@ -54,6 +54,7 @@
 	admitted  bool              // to receive a snapshot
 	heard     map[string]string // address by identity, as messages told it
 	status    atomic.Pointer[replica.Status]
+	vitals    atomic.Pointer[Vitals]
 	due       atomic.Int64 // when the next turn was due, as the last one told
 	wake      chan struct{}
 	blank     []json.RawMessage // the state of a machine that has applied nothing
--- a/internal/system/group/turn.go
+++ b/internal/system/group/turn.go
@@ -105,22 +105,31 @@
 	input := g.takeInput()
 	g.hear(input.Messages)
 	g.admit(input.Messages)
-	effects := g.member.Step(g.options.Clock(), input)
+	spent := beginPhases(g.options.Clock)
+	effects := g.member.Step(spent.began, input)
 	if err := g.send(effects.Early); err != nil {
 		return 0, err
 	}
 	if err := g.save(&effects); err != nil {
 		return 0, err
 	}
+	spent.save = spent.lap()
 	g.release(g.member.Receiving())
 	if err := g.send(effects.AfterSync); err != nil {
 		return 0, err
 	}
 	g.due.Store(int64(effects.NextWake))
 	results := g.apply(effects.Committed)
+	spent.apply = spent.lap()
 	g.publish()
 	g.answer(effects.Outcomes, results)
-	return effects.NextWake, g.compact()
+	if err := g.compact(); err != nil {
+		return 0, err
+	}
+	spent.write = spent.lap()
+	g.noteVitals()
+	g.logLongTurn(&spent, &effects)
+	return effects.NextWake, nil
 }
 
 // send sends messages. An error is one of the disk, from which parts of snapshots are read.
--- a/internal/system/proxy/call.go
+++ b/internal/system/proxy/call.go
@@ -60,6 +60,7 @@
 	boundReading(w, r, arrived.Add(timeAllowed(r.Header, 0)))
 	routes := p.options.Views.Routes()
 	if routes == nil {
+		p.refusals.add(fault.NotReady)
 		fail(w, fault.NotReady, 0)
 		return
 	}
@@ -203,7 +204,10 @@
 	c.scanner.collect = c.turn.remembered
 	bounded, cancel := context.WithTimeout(c.context, beginTime(c.facts.Deadline.Sub(c.proxy.options.Now())))
 	defer cancel()
-	kind, chain := c.turn.begin(bounded, c.proxy.options.Programs, &c.facts, budget, *c.body)
+	kind, chain, err := c.turn.begin(bounded, c.proxy.options.Programs, &c.facts, budget, *c.body)
+	if err != nil {
+		c.proxy.refusals.noteCause(err)
+	}
 	if kind != fault.None {
 		c.settle()
 		c.fail(kind, 0)
--- a/internal/system/proxy/failure.go
+++ b/internal/system/proxy/failure.go
@@ -52,6 +52,7 @@
 // fail answers the call, as fail does.
 func (c *call) fail(kind fault.Kind, wait time.Duration) {
 	c.failed = true
+	c.proxy.refusals.add(kind)
 	c.proxy.closeIfDraining(c.writer.Header())
 	fail(c.writer, kind, wait)
 }
--- a/internal/system/proxy/server.go
+++ b/internal/system/proxy/server.go
@@ -22,6 +22,7 @@
 	options  Options
 	pool     *upstream.Pool
 	settler  *settler
+	refusals *refusals
 	front    *front
 	ready    *http.Server
 	readyAt  net.Listener
@@ -35,7 +36,7 @@
 	}
 	options.Network = network.OrSystem(options.Network)
 	options.Upstream.Network = options.Network
-	p := &Proxy{options: options, pool: upstream.NewPool(options.Upstream), settler: newSettler(options.Programs)}
+	p := &Proxy{options: options, pool: upstream.NewPool(options.Upstream), settler: newSettler(options.Programs), refusals: newRefusals()}
 	frontListener, err := options.Network.Listen(context.Background(), new(net.ListenConfig), "tcp4", options.FrontAddress)
 	if err != nil {
 		return nil, err
@@ -58,6 +59,11 @@
 
 // Serve takes requests until Shutdown.
 func (p *Proxy) Serve() error {
+	if p.options.Logger != nil {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		go p.refusals.run(ctx, p.options.Logger)
+	}
 	failed := make(chan error, 2)
 	go func() { failed <- p.ready.Serve(p.readyAt) }()
 	go func() { failed <- p.front.serve() }()
--- a/internal/system/proxy/turn.go
+++ b/internal/system/proxy/turn.go
@@ -59,8 +59,9 @@
 	return facts.AttemptID
 }
 
-// begin has the turn's budget reserved and returns its chain, or why it isn't to be sent.
-func (t *turn) begin(ctx context.Context, programs Programs, facts *Facts, budget int64, input []byte) (fault.Kind, []byte) {
+// begin has the turn's budget reserved and returns its chain, or why it isn't to be sent, with the error if the
+// stores gave no verdict.
+func (t *turn) begin(ctx context.Context, programs Programs, facts *Facts, budget int64, input []byte) (fault.Kind, []byte, error) {
 	t.begun = true
 	result, err := programs.Begin(ctx, t.key, program.BeginTurn{
 		Turn:       t.id,
@@ -73,19 +74,19 @@
 		Input:      input,
 	})
 	if err != nil {
-		return fault.StateUnavailable, nil
+		return fault.StateUnavailable, nil, err
 	}
 	switch result.Verdict {
 	case program.Taken:
-		return fault.None, result.Chain
+		return fault.None, result.Chain, nil
 	case program.BudgetSpent:
 		t.begun = false
-		return fault.BudgetSpent, nil
+		return fault.BudgetSpent, nil, nil
 	case program.NoSuchTurn:
 		t.begun = false
-		return fault.NoSuchTurn, nil
+		return fault.NoSuchTurn, nil, nil
 	}
-	return fault.StateUnavailable, nil
+	return fault.StateUnavailable, nil, nil
 }
 
 // end returns what the stores are told at the end of the turn.
--- a/internal/system/store/machine.go
+++ b/internal/system/store/machine.go
@@ -38,6 +38,9 @@
 	return m.programs.Apply(applied.Command)
 }
 
+// Bytes implements group.Sized.
+func (m *machine) Bytes() int64 { return m.programs.Stats().Bytes }
+
 // Replay implements group.Replayer: it saves putting a chain together.
 func (m *machine) Replay(_ uint64, raw json.RawMessage) {
 	if applied, err := m.take(raw); err == nil && applied.Placement == 0 {
--- a/internal/system/store/store.go
+++ b/internal/system/store/store.go
@@ -293,6 +293,19 @@
 	}
 }
 
+// Vitals adds up what the replicas of this store hold.
+func (s *Store) Vitals() (shards int, sum group.Vitals) {
+	running := s.running()
+	for _, shard := range running {
+		held := shard.group.Vitals()
+		sum.StateBytes += held.StateBytes
+		sum.SnapshotBytes += held.SnapshotBytes
+		sum.LogBytes += held.LogBytes
+		sum.Entries += held.Entries
+	}
+	return len(running), sum
+}
+
 // Report tells done the members of all groups that this store owns, as a majority of each has confirmed them. It doesn't
 // block.
 func (s *Store) Report(done func(answer wire.ShardMembersAnswer)) {
