Show that stores hold far more than their share of the state (red)

Placement gives each shard one replica in each zone before it looks at what a store holds. Ruled out so far: groups that stand still (no turn of a store took 200 ms in 31 s).

--- /dev/null
+++ b/internal/system/placement/share_test.go
@@ -0,0 +1,98 @@
+package placement_test
+
+import (
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"mastusher/internal/system/placement"
+	"mastusher/internal/system/view"
+)
+
+// loads counts the replicas of each store that runs, by identity.
+func loads(shards []view.ShardPlacement, stores []placement.Store) map[string]int {
+	load := map[string]int{}
+	for _, store := range stores {
+		load[store.ID] = 0
+	}
+	for _, shard := range shards {
+		for _, r := range shard.Replicas {
+			load[r.ID]++
+		}
+	}
+	return load
+}
+
+// checkShare checks that no store holds more than its share, rounded up, and that no zone holds a majority of a shard's
+// replicas where that can be had.
+func checkShare(t rapid.TB, shards []view.ShardPlacement, stores []placement.Store, copies int) {
+	t.Helper()
+	share := (len(shards)*copies + len(stores) - 1) / len(stores)
+	for id, count := range loads(shards, stores) {
+		if count > share {
+			t.Errorf("store %s holds %d of %d replicas, its share is %d", id, count, len(shards)*copies, share)
+		}
+	}
+	most := (copies - 1) / 2
+	for number, shard := range shards {
+		inZone := map[string]int{}
+		for _, r := range shard.Replicas {
+			inZone[r.Zone]++
+			if inZone[r.Zone] > max(most, 1) {
+				t.Errorf("shard %d: %d of %d replicas are in %s", number, inZone[r.Zone], copies, r.Zone)
+			}
+		}
+	}
+}
+
+// inZones are stores in zones of the given sizes.
+func inZones(sizes ...int) []placement.Store {
+	var stores []placement.Store
+	for zone, size := range sizes {
+		for range size {
+			stores = append(stores, machine(len(stores), fmt.Sprint("zone-", zone), 1))
+		}
+	}
+	return stores
+}
+
+func TestNoStoreHoldsMoreThanItsShare(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		sizes  []int
+		copies int
+	}{
+		{"four zones of one", []int{1, 1, 1, 1}, 3},
+		{"zones of three and two", []int{3, 2, 2, 2}, 5},
+		{"two zones of one", []int{2, 2, 2, 1, 1}, 5},
+		{"one small zone of four", []int{6, 6, 6, 2}, 5},
+		{"zones of many", []int{7, 6, 6, 6}, 5},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			// Given stores in zones of different sizes, when their shards are placed for the first time, then
+			stores := inZones(c.sizes...)
+			checkShare(t, placement.First(stores, c.copies), stores, c.copies)
+		})
+	}
+}
+
+func TestReplicasOfALostStoreGoToThoseWithTheLeast(t *testing.T) {
+	// Given stores of which the one that is alone in its zone is lost for good, and another one in its place
+	stores := inZones(2, 2, 2, 1, 1)
+	shards := placement.First(stores, 5)
+	lost := stores[7]
+	newcomer := machine(8, lost.Zone, 1)
+	running := append(append([]placement.Store(nil), stores[:7]...), newcomer)
+	now := placement.Situation{Stores: running, Lost: map[string]bool{lost.ID: true}, Copies: 5}
+	// when all its replicas have moved
+	for range 10 {
+		next, changed := placement.Next(shards, now)
+		if !changed {
+			break
+		}
+		shards = next
+	}
+	// then the newcomer has its share, and no more.
+	checkShare(t, shards, running, 5)
+}
