Place replicas by what stores hold, within what a zone's loss may take

Now the store with the fewest replicas goes first, as long as a majority of the shard's copies stays outside each zone; a pass after the first placement evens out what is left. Ruled out: dropping zones altogether, since a zone's loss would take some shards' majorities.

--- /dev/null
+++ b/internal/system/controller/excess_story_test.go
@@ -0,0 +1,44 @@
+package controller
+
+import (
+	"testing"
+	"time"
+)
+
+// holdsMoreThanPlaced names a store that runs replicas of shards which the newest placement doesn't want there; empty: none.
+func (c *cluster) holdsMoreThanPlaced() string {
+	for _, m := range c.sorted() {
+		if m.store == nil || !m.running {
+			continue
+		}
+		if count, _ := m.store.Vitals(); count > len(shardsOf(c.placement(), m.member.ID)) {
+			return m.member.Name
+		}
+	}
+	return ""
+}
+
+func TestAStoreThatComesBackKeepsNoReplicasThatHaveMovedAway(t *testing.T) {
+	// Given a store that was away for so long that others have its replicas,
+	c := newCluster(t, 5)
+	c.settle()
+	turns := turnsOf(c, 0)
+	c.storage(1).kill()
+	c.run(deathDelay + 6*time.Second)
+	c.until("groups are whole", 5*time.Second, c.isWhole)
+
+	// when it comes back, then it holds only what it is to hold: what it had takes no memory.
+	c.storage(1).start()
+	c.until("no store holds more than it is to hold", 10*time.Second, func() bool { return c.holdsMoreThanPlaced() == "" })
+	c.wantTurns(turns)
+
+	// And when another one is lost, then it takes replicas again, also of shards that it once held, and nothing is lost.
+	c.storage(2).kill()
+	c.run(deathDelay + 6*time.Second)
+	c.until("groups are whole again", 5*time.Second, c.isWhole)
+	if len(shardsOf(c.placement(), c.storage(1).member.ID)) == 0 {
+		t.Error("the store that came back holds nothing")
+	}
+	c.until("no store holds more than it is to hold", 10*time.Second, func() bool { return c.holdsMoreThanPlaced() == "" })
+	c.wantTurns(turns)
+}
--- a/internal/system/placement/placement.go
+++ b/internal/system/placement/placement.go
@@ -4,6 +4,7 @@
 import (
 	"cmp"
 	"hash/fnv"
+	"maps"
 	"slices"
 
 	"mastusher/internal/system/view"
@@ -22,8 +23,9 @@
 	return int(hash.Sum64() % uint64(shards))
 }
 
-// First makes the first placement over the stores: as many shards as the next power of two, each with copies replicas in
-// different zones as far as there are. It returns nil while there are too few stores.
+// First makes the first placement over the stores: as many shards as the next power of two, each with copies replicas, so
+// that all stores hold about as many and no zone holds a majority of a shard's, as far as there are zones enough. It returns
+// nil while there are too few stores.
 func First(stores []Store, copies int) []view.ShardPlacement {
 	usable := sorted(stores)
 	if len(usable) < copies {
@@ -36,12 +38,33 @@
 	load := map[string]int{}
 	shards := make([]view.ShardPlacement, count)
 	for i := range shards {
-		chosen := pick(usable, nil, copies, load, i)
-		shards[i] = view.ShardPlacement{Initial: chosen, Replicas: chosen}
+		shards[i].Replicas = pick(usable, nil, copies, copies, load, i)
+	}
+	for even(shards, usable, copies, load) {
+	}
+	for i := range shards {
+		shards[i].Initial = shards[i].Replicas
 	}
 	return shards
 }
 
+// even makes one change, if there is one, by which a store holds fewer replicas than another did before. Choosing shard by
+// shard can leave such a difference where zones are of different sizes.
+func even(shards []view.ShardPlacement, usable []Store, copies int, load map[string]int) bool {
+	for i := range shards {
+		for at, replica := range shards[i].Replicas {
+			kept := slices.Delete(slices.Clone(shards[i].Replicas), at, at+1)
+			if chosen := pick(usable, kept, 1, copies, maps.Clone(load), i); load[chosen[0].ID]+1 < load[replica.ID] {
+				load[replica.ID]--
+				load[chosen[0].ID]++
+				shards[i].Replicas[at] = chosen[0]
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // Situation is what the next placement follows from.
 type Situation struct {
 	Stores   []Store         // that run and may take replicas
@@ -91,7 +114,7 @@
 			return append(kept, same), true
 		}
 	}
-	added := pick(usable, kept, 1, load, shard)
+	added := pick(usable, kept, 1, now.Copies, load, shard)
 	if len(added) == 0 {
 		return current, false
 	}
@@ -122,15 +145,18 @@
 	return slices.SortedFunc(slices.Values(stores), func(a, b Store) int { return cmp.Compare(a.Node, b.Node) })
 }
 
-// pick chooses count stores besides those kept: in a zone of their own first, then those with the fewest replicas; the
-// shard's number breaks ties, so that owners spread.
-func pick(usable []Store, kept []view.Replica, count int, load map[string]int, shard int) []view.Replica {
+// pick chooses count stores besides those kept, for a shard of so many copies: those with the fewest replicas, as long as a
+// majority of the copies stays outside their zone. So no store holds more than its share of the state because its zone has
+// few stores. Of stores that hold as many, those in zones with fewer of the shard's replicas go first; the shard's number
+// breaks ties, so that owners spread.
+func pick(usable []Store, kept []view.Replica, count, copies int, load map[string]int, shard int) []view.Replica {
 	zones := map[string]int{}
 	taken := map[string]bool{}
 	for _, r := range kept {
 		zones[r.Zone]++
 		taken[r.Node] = true
 	}
+	bound := mostInZone(copies)
 	var chosen []view.Replica
 	for len(chosen) < count {
 		best := -1
@@ -139,7 +165,7 @@
 			if taken[usable[i].Node] {
 				continue
 			}
-			if best < 0 || better(usable[i], usable[best], zones, load) {
+			if best < 0 || better(usable[i], usable[best], bound, zones, load) {
 				best = i
 			}
 		}
@@ -155,9 +181,17 @@
 	return chosen
 }
 
-func better(a, b Store, zones, load map[string]int) bool {
-	if zones[a.Zone] != zones[b.Zone] {
-		return zones[a.Zone] < zones[b.Zone]
+// mostInZone is the number of a shard's replicas that one zone may hold, so that a majority is left without it.
+func mostInZone(copies int) int { return max(1, (copies-1)/2) }
+
+// better tells whether a is to be chosen rather than b: in a zone that may take another replica, then with fewer replicas,
+// then in a zone with fewer of the shard's.
+func better(a, b Store, bound int, zones, load map[string]int) bool {
+	if full := zones[a.Zone] >= bound; full != (zones[b.Zone] >= bound) {
+		return !full
+	}
+	if load[a.ID] != load[b.ID] {
+		return load[a.ID] < load[b.ID]
 	}
-	return load[a.ID] < load[b.ID]
+	return zones[a.Zone] < zones[b.Zone]
 }
