Stop replicas that have moved to other stores

Now a store asks the stores that are to have such a shard; once its owner tells, confirmed by a majority, that the group has just the wanted members, all caught up, and not this store, the replica is stopped. That is the proof by which a machine counts as emptied. Its files stay, so that it can be opened again as a member that was down: no promise is forgotten. Weighed and not done: removing the files, after which the same identity could vote twice in an epoch.

--- a/internal/system/controller/cluster_test.go
+++ b/internal/system/controller/cluster_test.go
@@ -179,7 +179,7 @@
 	if m.member.Role == membership.Store {
 		m.store = store.New(c.t.Context(), store.Options{ID: m.member.ID, Address: m.member.Address, Disk: m.disk, Logger: log.NewNopLogger(),
 			Seed: uint64(c.starts), Now: c.time, Send: send, Clock: clock, Run: func(opened *group.Group) { m.groups = append(m.groups, opened) },
-			After: c.after})
+			After: c.after, Ask: m.ask})
 		if err := m.store.Recover(); err != nil {
 			m.startAgain(err)
 			return
@@ -196,11 +196,7 @@
 	opened, err := Open(Options{ID: m.member.ID, Address: m.member.Address, Settings: &settings.Settings{Survive: settings.Survive{Machines: c.around.survive}},
 		Initial: initial, Disk: m.disk, Fleet: surroundingsOf{m}, Reader: &list{}, Logger: log.NewNopLogger(), Seed: uint64(c.starts), Send: send, Clock: clock,
 		Now: func() time.Time { return c.time().Add(m.skew) },
-		Ask: func(address string, done func(wire.ShardMembersAnswer, error)) {
-			if asked := c.machines[address]; asked != nil && asked.isReachable() && !asked.frozen && asked.store != nil && m.isReachable() {
-				asked.store.Report(func(answer wire.ShardMembersAnswer) { done(answer, nil) })
-			}
-		}})
+		Ask: m.ask})
 	if err != nil {
 		m.startAgain(err)
 		return
@@ -209,6 +205,14 @@
 	m.groups = []*group.Group{opened.Group()}
 }
 
+// ask has a store report on the groups that it owns; one that is out of reach doesn't answer.
+func (m *machineUnderTest) ask(address string, done func(wire.ShardMembersAnswer, error)) {
+	asked := m.cluster.machines[address]
+	if asked != nil && asked.isReachable() && !asked.frozen && asked.store != nil && m.isReachable() {
+		asked.store.Report(func(answer wire.ShardMembersAnswer) { done(answer, nil) })
+	}
+}
+
 // kill ends the machine's process; membership notices later.
 func (m *machineUnderTest) kill() {
 	m.running, m.frozen = false, false
--- a/internal/system/group/calls.go
+++ b/internal/system/group/calls.go
@@ -150,6 +150,11 @@
 // fail breaks the member: all calls under way end, and nobody is its owner as far as it knows.
 func (g *Group) fail(cause error) {
 	level.Error(g.options.Logger).Log("msg", "replica stopped", "group", g.options.Name, "err", cause)
+	g.disable(cause)
+}
+
+// disable breaks the member without a word.
+func (g *Group) disable(cause error) {
 	g.mutex.Lock()
 	g.broken = cause
 	g.release(false)
--- a/internal/system/group/group.go
+++ b/internal/system/group/group.go
@@ -59,12 +59,13 @@
 	wake      chan struct{}
 	blank     []json.RawMessage // the state of a machine that has applied nothing
 
-	mutex   sync.Mutex
-	input   replica.Input
-	waiting int // bytes of messages and commands in input
-	calls   map[uint64]call
-	token   uint64
-	broken  error // what has broken the member; nil: it works
+	mutex    sync.Mutex
+	input    replica.Input
+	waiting  int // bytes of messages and commands in input
+	calls    map[uint64]call
+	token    uint64
+	broken   error  // what has broken the member; nil: it works
+	stopping func() // told when the member has ended; nil: it goes on
 }
 
 // Status returns the member's last view of the group. A member that hasn't had its turn for an election time-out says that it
--- a/internal/system/group/turn.go
+++ b/internal/system/group/turn.go
@@ -26,7 +26,7 @@
 	if err := g.drive(ctx, func() bool { return false }); err != nil {
 		return err
 	}
-	if status := g.Status(); !status.IsOwner || len(status.Members) < 2 {
+	if status := g.Status(); g.isStopped() || !status.IsOwner || len(status.Members) < 2 {
 		return nil
 	}
 	g.Resign()
@@ -59,7 +59,7 @@
 			}
 			next = 0
 		}
-		if until() {
+		if until() || g.isStopped() {
 			return nil
 		}
 		timer.Reset(max(0, next-g.options.Clock()))
@@ -89,8 +89,11 @@
 
 // Turn takes in what has come, and does what follows from it in the order that keeps every promise. It returns when it is
 // to be called again at the latest. After an error, which is the disk's, the member is broken until Reopen succeeds: it sends
-// nothing and knows no owner, and all calls fail.
+// nothing and knows no owner, and all calls fail. A member that was stopped has nothing to do.
 func (g *Group) Turn() (time.Duration, error) {
+	if g.stop() || g.isStopped() {
+		return g.options.Clock() + idle, nil
+	}
 	if err := g.brokenBy(); err != nil {
 		return 0, err
 	}
--- a/internal/system/store/store.go
+++ b/internal/system/store/store.go
@@ -55,6 +55,8 @@
 	Clock func() time.Duration
 	Run   func(opened *group.Group)             // drives a group; must not block
 	After func(delay time.Duration, run func()) // calls run after a while
+	// Ask has the store at an address report on the groups that it owns; must not block.
+	Ask func(address string, done func(answer wire.ShardMembersAnswer, err error))
 }
 
 // Store holds the replicas of one machine.
@@ -69,6 +71,8 @@
 	shards    map[int]*shard
 	placed    uint64         // index of the newest placement; 0: none is known
 	placement view.Placement // that is it
+	departed  map[int]bool   // shards whose replicas have moved away since the start
+	reviewing bool           // a look at replicas in excess is planned
 	failures  chan error
 }
 
@@ -81,7 +85,10 @@
 		options.Send = sendByLink(options.Pool)
 	}
 	s := &Store{options: options, receiving: group.NewAdmission(mostReceiving), waiting: group.NewBudget(options.WaitingBytes),
-		shards: map[int]*shard{}, failures: make(chan error, 1)}
+		shards: map[int]*shard{}, departed: map[int]bool{}, failures: make(chan error, 1)}
+	if options.Ask == nil {
+		s.options.Ask = askByLink(options.Pool)
+	}
 	if options.After == nil {
 		s.options.After = func(delay time.Duration, run func()) { time.AfterFunc(delay, run) }
 	}
@@ -133,7 +140,7 @@
 	s.mutex.Unlock()
 	failed := false
 	for number, wanted := range placement.Shards {
-		if s.holds(wanted) {
+		if s.holds(number, wanted) {
 			if err := s.open(number, wanted); err != nil {
 				level.Error(s.options.Logger).Log("msg", "shard cannot be opened", "shard", number, "err", err)
 				failed = true
@@ -147,6 +154,9 @@
 	if failed {
 		s.options.After(openPause, s.placeAgain)
 	}
+	if len(s.excess()) > 0 {
+		s.reviewSoon()
+	}
 }
 
 // placeAgain goes on with the newest placement.
@@ -157,8 +167,14 @@
 	s.Place(index, placement)
 }
 
-func (s *Store) holds(placement view.ShardPlacement) bool {
-	return contains(placement.Replicas, s.options.ID) || contains(placement.Initial, s.options.ID)
+// holds tells whether a shard's replica is to run here: it is wanted here, or the group begins with it and it hasn't moved away.
+func (s *Store) holds(number int, placement view.ShardPlacement) bool {
+	if contains(placement.Replicas, s.options.ID) {
+		return true
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return contains(placement.Initial, s.options.ID) && !s.departed[number]
 }
 
 // open starts the replica of a shard, if it doesn't run yet. The other shards go on meanwhile, however long the disk takes.
