End a proxy that gives up within its grace time where that is short, too

Of the 3 s that the example's test allows, the race detector sleeps one before each exit, so a proxy with a turn to settle, which took all of its grace time of 2 s, came too late.

Ruled out: SIGTERM before its handler is there (it would end the process at once); connections and hanging clients (in the trials none was open, and all waits end with the context, or 150 ms for answers and 150 ms for settles after it); the loop of settles (by reading: its calls end with their context).

Change: a proxy gives up at 0.92 of its grace time, but leaves its last words (0.3 s) and 0.1 s for the exit. From a grace time of 5 s on nothing changes. Processes log when they are told to end and how long their end took; a proxy logs its phases with what is left open. The example asks, beside its 3 s, that each process says that it has ended within its grace time of 2 s. The test of the end asks that 2 % of the grace time stay free, so that the mutant of stopPart is still noticed; the mutant of Drain has the new text.

--- a/internal/system/command/mutants_test.go
+++ b/internal/system/command/mutants_test.go
@@ -22,5 +22,10 @@
 			Change: mutation.Change{File: "proxy.go", Old: "stopPart  = 0.92", New: "stopPart  = 1.0"},
 			Run:    "^TestProxyEndsWithinItsGraceTime$",
 		},
+		{
+			Name:   "a proxy keeps no time for what it says last",
+			Change: mutation.Change{File: "proxy.go", Old: "grace-proxy.LastWords-exitTime)", New: "grace+proxy.LastWords)"},
+			Run:    "^TestProxyEndsWithinAShortGraceTime$",
+		},
 	})
 }
--- a/internal/system/command/process.go
+++ b/internal/system/command/process.go
@@ -28,6 +28,9 @@
 // settingsVariable names the environment variable that holds the path of the settings file.
 const settingsVariable = "MASTUSHER_NODE_FILE"
 
+// EndMessage is what a process logs last when it has been told to end, with the time since then under the key "after".
+const EndMessage = "process has ended"
+
 // Use of memory: the collector keeps the heap below this part of the limit, and runs when it has grown by so much.
 const (
 	memoryShare   = 0.75
@@ -135,6 +138,20 @@
 	return signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 }
 
+// tellEnd runs a role, and logs how long after it was told to end it did so.
+func (p *process) tellEnd(stopping context.Context, run func() error) error {
+	told := make(chan time.Time, 1)
+	context.AfterFunc(stopping, func() {
+		told <- time.Now()
+		level.Info(p.logger).Log("msg", "process is told to end", "grace", p.settings.Bounds.Grace())
+	})
+	err := run()
+	if stopping.Err() != nil { // else it ended by itself
+		level.Info(p.logger).Log("msg", EndMessage, "after", time.Since(<-told))
+	}
+	return err
+}
+
 // fail logs an error that ends the process.
 func fail(logger log.Logger, err error) subcommands.ExitStatus {
 	level.Error(logger).Log("msg", "process ends", "err", err)
--- a/internal/system/command/proxy.go
+++ b/internal/system/command/proxy.go
@@ -15,12 +15,13 @@
 )
 
 // The end of a proxy: how long it still takes requests after it has said that it is not ready, until the platform, which asks
-// each second, has missed it twice, and the part of the grace time that this may take at most; and the part of it after which
-// the proxy stops waiting for the requests under way.
+// each second, has missed it twice, and the part of the grace time that this may take at most; the part of it after which
+// the proxy stops waiting for the requests under way; and the time for the exit of its process, also on a busy machine.
 const (
 	drainTime = 2400 * time.Millisecond
 	drainPart = 0.4
 	stopPart  = 0.92
+	exitTime  = 100 * time.Millisecond
 )
 
 // reportInterval is the pace at which a proxy tells what it has seen of a version that is being rolled out.
@@ -72,7 +73,7 @@
 // endProxy ends a data path within the grace time. At once it says that it isn't ready; it takes requests until the platform has
 // noticed, and waits for those under way.
 func endProxy(ctx context.Context, carrier drainer, grace time.Duration) error {
-	bounded, cancel := context.WithTimeout(ctx, part(grace, stopPart))
+	bounded, cancel := context.WithTimeout(ctx, waitFor(grace))
 	defer cancel()
 	carrier.Drain()
 	time.Sleep(drainFor(grace))
@@ -82,6 +83,12 @@
 // drainFor returns how long a proxy with that grace time still takes requests after SIGTERM.
 func drainFor(grace time.Duration) time.Duration { return min(drainTime, part(grace, drainPart)) }
 
+// waitFor returns how long after SIGTERM a proxy with that grace time stops waiting for the requests under way. What it still
+// says to those that are left, and the exit of its process, are to be within the grace time, too.
+func waitFor(grace time.Duration) time.Duration {
+	return min(part(grace, stopPart), grace-proxy.LastWords-exitTime)
+}
+
 // mostClients returns how many connections of clients a proxy takes: the other descriptors are for endpoints, stores and
 // files. 0: no bound.
 func mostClients(openFiles int64) int {
--- a/internal/system/command/proxy_test.go
+++ b/internal/system/command/proxy_test.go
@@ -24,6 +24,9 @@
 // lastWords is for the answers to what is given up, and for the turns of those requests.
 const lastWords = 300 * time.Millisecond
 
+// leastRest is the part of the grace time that is left over in any case.
+const leastRest = 0.02
+
 func TestProxyEndsWithinItsGraceTime(t *testing.T) {
 	const (
 		noticed     = 2 * time.Second // the platform asks each second, and twice
@@ -44,7 +47,7 @@
 			if taken := c.shut.Sub(began); taken < noticed || taken >= countsReady {
 				t.Errorf("grace %v: takes requests for %v", grace, taken)
 			}
-			if took := c.ended.Sub(began); took < grace/2 || took+lastWords > grace {
+			if took := c.ended.Sub(began); took < grace/2 || took+lastWords > part(grace, 1-leastRest) {
 				t.Errorf("grace %v: through after %v", grace, took)
 			}
 		})
--- a/internal/system/command/role.go
+++ b/internal/system/command/role.go
@@ -67,7 +67,7 @@
 	}
 	stopping, stop := terminated(ctx)
 	defer stop()
-	if err := r.run(p, stopping); err != nil {
+	if err := p.tellEnd(stopping, func() error { return r.run(p, stopping) }); err != nil {
 		return fail(p.logger, err)
 	}
 	return subcommands.ExitSuccess
--- a/internal/system/command/signals_test.go
+++ b/internal/system/command/signals_test.go
@@ -12,6 +12,7 @@
 	"net/http/httptest"
 	"os"
 	"os/exec"
+	"regexp"
 	"strings"
 	"syscall"
 	"testing"
@@ -48,6 +49,12 @@
 
 // newMachine starts a proxy beside an agent that feeds it a view.
 func newMachine(t *testing.T, pieces ...view.Piece) *machine {
+	t.Helper()
+	return newMachineWith(t, proxySettings, pieces...)
+}
+
+// newMachineWith is newMachine with other settings.
+func newMachineWith(t *testing.T, settings string, pieces ...view.Piece) *machine {
 	t.Helper()
 	m := &machine{t: t, ip: fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(250), rand.IntN(250), 1+rand.IntN(250)), ended: make(chan error, 1)}
 	handlers := link.NewHandlers()
@@ -66,7 +73,7 @@
 	}
 	t.Cleanup(func() { agent.Close() })
 	m.process = exec.Command(os.Args[0])
-	m.process.Env = append(os.Environ(), roleVariable+"=proxy", settingsVariable+"="+writeFile(t, strings.ReplaceAll(proxySettings, "IP", m.ip)))
+	m.process.Env = append(os.Environ(), roleVariable+"=proxy", settingsVariable+"="+writeFile(t, strings.ReplaceAll(settings, "IP", m.ip)))
 	m.process.Stdout, m.process.Stderr = &m.output, &m.output
 	if err := m.process.Start(); err != nil {
 		t.Fatal(err)
@@ -107,7 +114,13 @@
 // ask sends a request on a connection of its own; its answer comes later.
 func (m *machine) ask(id string) <-chan answered {
 	m.t.Helper()
-	request, err := http.NewRequest("GET", "http://"+m.ip+":8149/a/x", nil)
+	return m.send("GET", "/a/x", id)
+}
+
+// send sends a request of any kind on a connection of its own; its answer comes later.
+func (m *machine) send(method, path, id string) <-chan answered {
+	m.t.Helper()
+	request, err := http.NewRequest(method, "http://"+m.ip+":8149"+path, nil)
 	if err != nil {
 		m.t.Fatal(err)
 	}
@@ -188,10 +201,91 @@
 	}
 }
 
+func TestProxyThatGivesUpSaysThatItEndedWithinAShortGraceTime(t *testing.T) {
+	t.Parallel()
+	const grace = 2 * time.Second
+	// given a proxy with a request that its endpoint doesn't answer, and a turn whose end no store takes
+	begun, over := make(chan struct{}, 2), make(chan struct{})
+	endpoint := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		begun <- struct{}{}
+		<-over
+	}))
+	defer endpoint.Close()
+	defer close(over)
+	m := newMachineWith(t, strings.Replace(proxySettings, "graceS: 6", "graceS: 2", 1),
+		turnsConfigurationPiece(), listPiece(endpoint.Listener.Addr()), silentStoresPiece(t))
+	m.awaitReady()
+	hangs := m.ask("hangs")
+	<-begun
+	if got := <-m.turn("turn"); got.status != http.StatusServiceUnavailable {
+		t.Fatalf("a turn without stores: %+v", got)
+	}
+	// when it is told to end
+	m.signal(syscall.SIGTERM)
+	// then the client is told that its request was given up, the process ends, and by its own account in time
+	if got := <-hangs; got.status != http.StatusGatewayTimeout {
+		t.Errorf("what was given up: %+v", got)
+	}
+	<-m.ended
+	logged := m.output.String()
+	for _, phase := range []string{
+		`msg="process is told to end" grace=2s`,
+		`msg="proxy is not ready any more"`,
+		`msg="proxy takes no more connections"`,
+		`msg="proxy gives up the requests that are left"`,
+		`msg="proxy has ended its connections"`,
+		`msg="proxy has ended the settling of turns"`,
+	} {
+		if !strings.Contains(logged, phase) {
+			t.Errorf("%s isn't logged", phase)
+		}
+	}
+	if !strings.Contains(logged, "given_up=1") {
+		t.Error("no settle was given up")
+	}
+	account := regexp.MustCompile(`msg="process has ended" after=(\S+)`).FindStringSubmatch(logged)
+	if account == nil {
+		t.Fatalf("no account of the end: %s", logged)
+	}
+	if took, err := time.ParseDuration(account[1]); err != nil || took < grace/2 || took > grace {
+		t.Errorf("ended after %s: %s", account[1], logged)
+	}
+}
+
+// turn sends the turn of a program.
+func (m *machine) turn(id string) <-chan answered {
+	return m.send("POST", "/turns/x", id)
+}
+
+// silentStoresPiece is the section of a view that has all programs at a store that takes connections and says nothing.
+func silentStoresPiece(t *testing.T) view.Piece {
+	t.Helper()
+	store, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { store.Close() })
+	replicas := fmt.Sprintf(`[{"id":"r","node":"storage-1","address":%q,"zone":"north"}]`, store.Addr())
+	body := fmt.Sprintf(`{"shards":[{"initial":%s,"replicas":%s}]}`, replicas, replicas)
+	return view.Piece{Section: view.PlacementSection, Stamp: view.Stamp{Epoch: 1, Sequence: 1}, Body: json.RawMessage(body)}
+}
+
 // configurationPiece is the section of a view that holds goodConfiguration, with more time and more connections.
 func configurationPiece() view.Piece {
-	raw := strings.NewReplacer(`"giveUpMs":900`, `"giveUpMs":9000`, `"maxConnections":9`, `"maxConnections":90`).Replace(goodConfiguration)
-	return view.Piece{Section: view.ConfigurationSection, Stamp: view.Stamp{Epoch: 1, Sequence: 1}, Body: json.RawMessage(`{"raw":` + raw + `}`)}
+	return configurationPieceOf(strings.NewReplacer(`"giveUpMs":900`, `"giveUpMs":9000`, `"maxConnections":9`, `"maxConnections":90`))
+}
+
+// turnsConfigurationPiece is configurationPiece with a route of turns that are kept, too.
+func turnsConfigurationPiece() view.Piece {
+	const turns = `{"name":"turns","host":"h.example","startsWith":"/turns/","kind":"streaming","giveUpMs":1200,"targetMs":100,` +
+		`"rank":0,"service":"s","tries":2,"remembered":true,"keepForS":60}`
+	return configurationPieceOf(strings.NewReplacer(`"giveUpMs":900`, `"giveUpMs":9000`, `"tries":2}]`, `"tries":2},`+turns+`]`))
+}
+
+// configurationPieceOf is the section of a view that holds goodConfiguration with changes.
+func configurationPieceOf(changes *strings.Replacer) view.Piece {
+	body := json.RawMessage(`{"raw":` + changes.Replace(goodConfiguration) + `}`)
+	return view.Piece{Section: view.ConfigurationSection, Stamp: view.Stamp{Epoch: 1, Sequence: 1}, Body: body}
 }
 
 // listPiece is the section of a view that holds one endpoint.
--- a/internal/system/example/doc.go
+++ b/internal/system/example/doc.go
@@ -30,7 +30,7 @@
 	programPatience  = 12 * time.Second
 	requestPatience  = 4 * time.Second
 	callPatience     = time.Second
-	stopPatience     = 3 * time.Second // after SIGTERM
+	stopPatience     = 3 * time.Second // after SIGTERM; the race detector sleeps for one of them before each exit
 	pollInterval     = 50 * time.Millisecond
 	resendPause      = 300 * time.Millisecond
 	processGrace     = 2.0 // seconds that a process is told it has after SIGTERM
--- a/internal/system/example/example_test.go
+++ b/internal/system/example/example_test.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 
@@ -103,6 +104,50 @@
 	}
 }
 
+func TestEndOfAProcessIsReadFromItsLog(t *testing.T) {
+	cases := []struct {
+		name, logged string
+		took         time.Duration
+		told         bool
+	}{
+		{name: "nothing"},
+		{name: "another line", logged: "level=info msg=\"process is told to end\" grace=2s\n"},
+		{name: "a line that breaks off", logged: "level=info msg=\"process has ended\""},
+		{name: "the time of another line", logged: "level=info msg=\"process has ended\"\nlevel=info msg=other after=1s\n"},
+		{name: "its line", logged: "level=info msg=start after=1s\nlevel=info role=proxy msg=\"process has ended\" after=1.75s\nlevel=error\n",
+			took: 1750 * time.Millisecond, told: true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			if took, told := endedAfter(c.logged); took != c.took || told != c.told {
+				t.Errorf("got %v, %v", took, told)
+			}
+		})
+	}
+}
+
+func TestProcessMustSayThatItEndedWithinItsGraceTime(t *testing.T) {
+	cases := map[string]string{
+		"":                                       "doesn't say how long its end took",
+		"msg=\"process has ended\" after=2.1s\n": "took 2.1s for its end, with a grace time of 2s",
+		"msg=\"process has ended\" after=1.9s\n": "",
+	}
+	for logged, want := range cases {
+		log, err := os.Create(filepath.Join(t.TempDir(), "log"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer log.Close()
+		if _, err := log.WriteString(logged); err != nil {
+			t.Fatal(err)
+		}
+		p := &process{log: log}
+		if got := strings.Join(p.checkEnd(), "\n"); !strings.HasSuffix(got, want) || (got == "") != (want == "") {
+			t.Errorf("logged %q: got %q", logged, got)
+		}
+	}
+}
+
 func TestLastFinished(t *testing.T) {
 	whole := standin.Turn{Attempt: "a", Status: 200, Whole: true}
 	cases := []struct {
--- a/internal/system/example/process.go
+++ b/internal/system/example/process.go
@@ -7,8 +7,12 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
+	"strings"
 	"syscall"
 	"time"
+
+	"mastusher/internal/system/command"
 )
 
 // process is one running process of the tier.
@@ -71,7 +75,7 @@
 }
 
 // stop ends all processes: with SIGTERM, and with SIGKILL those that go on. It gives a sentence for each that did not end
-// in order.
+// in order, and for each that by its own account took longer than its grace time.
 func stop(processes []*process) []string {
 	var running []*process
 	for _, p := range processes {
@@ -99,6 +103,8 @@
 			problems = append(problems, fmt.Sprintf("%v did not end within %v of SIGTERM", p, stopPatience))
 		case p.err != nil:
 			problems = append(problems, fmt.Sprintf("%v ended with %v", p, p.err))
+		default:
+			problems = append(problems, p.checkEnd()...)
 		}
 	}
 	for _, p := range processes {
@@ -107,6 +113,31 @@
 	return problems
 }
 
+// checkEnd gives a sentence if the process doesn't say that it has ended within its grace time.
+func (p *process) checkEnd() []string {
+	content, err := os.ReadFile(p.log.Name())
+	if err != nil {
+		return []string{fmt.Sprintf("%v: %v", p, err)}
+	}
+	took, told := endedAfter(string(content))
+	switch grace := time.Duration(processGrace * float64(time.Second)); {
+	case !told:
+		return []string{fmt.Sprintf("%v doesn't say how long its end took", p)}
+	case took > grace:
+		return []string{fmt.Sprintf("%v took %v for its end, with a grace time of %v", p, took, grace)}
+	}
+	return nil
+}
+
+// endedAfter reads from what a process has logged how long after SIGTERM it had ended.
+func endedAfter(logged string) (took time.Duration, told bool) {
+	_, line, _ := strings.Cut(logged, strconv.Quote(command.EndMessage))
+	line, _, _ = strings.Cut(line, "\n")
+	_, value, _ := strings.Cut(line, " after=")
+	took, err := time.ParseDuration(value)
+	return took, err == nil
+}
+
 // unexpected gives a sentence for each process that has ended by itself.
 func unexpected(processes []*process) []string {
 	var problems []string
--- a/internal/system/proxy/front.go
+++ b/internal/system/proxy/front.go
@@ -204,16 +204,18 @@
 // shutdown closes the listener and the connections without a request, and waits until the requests under way have been
 // answered and their connections have ended. What is left when the context ends is given up, and told so. The library's own
 // Shutdown isn't used: it takes a kept connection for idle until the whole head of its next request has been read, and closes
-// it in the middle.
-func (f *front) shutdown(ctx context.Context) error {
+// it in the middle. Each phase is told.
+func (f *front) shutdown(ctx context.Context, tell func(message string)) error {
 	f.listener.Close()
 	generations, clients := f.close()
 	for _, client := range clients {
 		client.closeUnread()
 	}
+	tell("proxy takes no more connections")
 	failure := f.awaitEmpty(ctx)
 	f.giveUp()
 	if failure != nil {
+		tell("proxy gives up the requests that are left")
 		bounded, cancel := context.WithTimeout(context.Background(), lastAnswersTime)
 		defer cancel()
 		f.awaitEmpty(bounded)
@@ -221,9 +223,17 @@
 	for _, g := range generations {
 		g.feed.Close()
 	}
+	tell("proxy has ended its connections")
 	return failure
 }
 
+// open returns how many connections there are.
+func (f *front) open() int {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return len(f.clients)
+}
+
 // awaitEmpty returns nil once no connection is left and none will come, or the context's error.
 func (f *front) awaitEmpty(ctx context.Context) error {
 	select {
--- a/internal/system/proxy/mutants_test.go
+++ b/internal/system/proxy/mutants_test.go
@@ -56,6 +56,8 @@
 		{Name: "the least urgent go first", Run: "^TestMoreUrgentRequestsAreNotServedLessOften$",
 			Change: change("../schedule/queue.go", "cmp.Compare(w.Rank, o.Rank)", "cmp.Compare(o.Rank, w.Rank)")},
 		{Name: "a drain cuts streams", Run: "^TestChangesOfTheViewCutNothing$",
-			Change: change("server.go", "func (p *Proxy) Drain() { p.draining.Store(true) }", "func (p *Proxy) Drain() { p.draining.Store(true); p.front.giveUp() }")},
+			Change: change("server.go", "if p.draining.CompareAndSwap(false, true) {\n", "if p.draining.CompareAndSwap(false, true) {\n\t\tp.front.giveUp()\n")},
+		{Name: "the ends of turns hold up the end of the proxy", Run: "^TestShutdownThatGivesUpTakesItsLastWordsAtMost$",
+			Change: change("settle.go", "awaitFor(done, lastSettlesTime)", "awaitFor(done, 2*LastWords)")},
 	})
 }
--- a/internal/system/proxy/options.go
+++ b/internal/system/proxy/options.go
@@ -19,6 +19,6 @@
 	Upstream         upstream.Options
 	Network          network.Network  // nil: the system's
 	MaxClients       int              // connections of clients at once; 0: no bound
-	Logger           log.Logger       // of faults in the library or a handler; nil: none
+	Logger           log.Logger       // of faults in the library or a handler, and of the phases of the end; nil: none
 	Now              func() time.Time // nil: the system's clock
 }
--- a/internal/system/proxy/server.go
+++ b/internal/system/proxy/server.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
 	"github.com/labstack/echo/v4"
 
 	"mastusher/internal/system/network"
@@ -17,6 +19,9 @@
 // readyPath is what the platform asks for.
 const readyPath = "/mastusher/ready"
 
+// LastWords is how much longer than its context Shutdown takes at most, when requests and ends of turns go on.
+const LastWords = lastAnswersTime + lastSettlesTime
+
 // Proxy is the HTTP data path.
 type Proxy struct {
 	options  Options
@@ -33,6 +38,9 @@
 	if options.Now == nil {
 		options.Now = time.Now
 	}
+	if options.Logger == nil {
+		options.Logger = log.NewNopLogger()
+	}
 	options.Network = network.OrSystem(options.Network)
 	options.Upstream.Network = options.Network
 	p := &Proxy{options: options, pool: upstream.NewPool(options.Upstream), settler: newSettler(options.Programs)}
@@ -70,7 +78,17 @@
 
 // Drain makes the proxy say that it is not ready, and end each client's connection with its next answer. New connections
 // are still taken.
-func (p *Proxy) Drain() { p.draining.Store(true) }
+func (p *Proxy) Drain() {
+	if p.draining.CompareAndSwap(false, true) {
+		p.tellPhase("proxy is not ready any more")
+	}
+}
+
+// tellPhase logs a phase of the proxy's end, and what is left to end.
+func (p *Proxy) tellPhase(message string, more ...any) {
+	pairs := []any{"msg", message, "connections", p.front.open(), "settles", p.settler.open()}
+	level.Info(p.options.Logger).Log(append(pairs, more...)...)
+}
 
 // closeIfDraining makes an answer the last one of its connection while the proxy drains, so that none is kept by its client.
 func (p *Proxy) closeIfDraining(header http.Header) {
@@ -81,11 +99,13 @@
 
 // Shutdown takes no more connections, and returns when the requests under way and the turns being settled have ended. When
 // the context ends before, the requests that are left are answered at once that they were given up, and what can be settled
-// in a moment is.
+// in a moment is; that takes no more than LastWords.
 func (p *Proxy) Shutdown(ctx context.Context) error {
 	p.Drain()
-	err := p.front.shutdown(ctx)
-	p.settler.wait(ctx)
+	began := time.Now()
+	err := p.front.shutdown(ctx, func(message string) { p.tellPhase(message, "took", time.Since(began)) })
+	givenUp := p.settler.wait(ctx)
+	p.tellPhase("proxy has ended the settling of turns", "took", time.Since(began), "given_up", givenUp)
 	p.ready.Close()
 	p.pool.Close()
 	return err
--- a/internal/system/proxy/settle.go
+++ b/internal/system/proxy/settle.go
@@ -58,8 +58,11 @@
 	}()
 }
 
-// wait returns when all settles are done, or some time after the context has ended; the rest is then given up.
-func (s *settler) wait(ctx context.Context) {
+// open returns how many turns are being settled.
+func (s *settler) open() int { return len(s.places) }
+
+// wait returns when all settles are done, or some time after the context has ended; the rest, so many, is then given up.
+func (s *settler) wait(ctx context.Context) (givenUp int) {
 	done := make(chan struct{})
 	go func() {
 		s.running.Wait()
@@ -70,8 +73,10 @@
 	case <-ctx.Done():
 		awaitFor(done, lastSettlesTime)
 	}
+	givenUp = s.open()
 	s.cancel()
 	<-done
+	return givenUp
 }
 
 // awaitFor returns when done is closed, or after so long.
--- a/internal/system/proxy/shutdown_test.go
+++ b/internal/system/proxy/shutdown_test.go
@@ -9,7 +9,10 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/go-kit/log"
+
 	"mastusher/internal/system/program"
+	"mastusher/internal/system/upstream"
 )
 
 func TestRequestsThatAShutdownGivesUpAreAnswered(t *testing.T) {
@@ -136,3 +139,32 @@
 		})
 	}
 }
+
+func TestShutdownThatGivesUpTakesItsLastWordsAtMost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		// given a client that doesn't take its answer, and a turn whose end no store takes
+		stores := &programs{ended: make(chan program.EndTurn, 1), settle: func(ctx context.Context) error {
+			<-ctx.Done()
+			return ctx.Err()
+		}}
+		p := &Proxy{options: Options{Logger: log.NewNopLogger()}, pool: upstream.NewPool(upstream.Options{}), settler: newSettler(stores),
+			ready: new(http.Server), front: newFront(noListener{}, nil, func() limits { return defaultLimits }, Options{})}
+		p.front.clients[&clientConnection{}] = struct{}{}
+		p.settler.settle("key", program.EndTurn{Turn: "id"})
+		over, cancel := context.WithCancel(t.Context())
+		cancel()
+		// when a shutdown comes to the end of its time, then it takes no longer than it says
+		began := time.Now()
+		if err := p.Shutdown(over); err == nil {
+			t.Error("the shutdown says that all requests have ended by themselves")
+		}
+		if took := time.Since(began); took > LastWords {
+			t.Errorf("took %v more", took)
+		}
+	})
+}
+
+// noListener is a listener that can be closed.
+type noListener struct{ net.Listener }
+
+func (noListener) Close() error { return nil }
