Have a store take part while it still reads its other shards

Now whether a group has begun is told by the first frame of its log, and the store listens before it reads: each shard takes part as soon as it is open. Passed: storage with its crashes at any change, each recovery also asked the short way; store, command, simulation.

--- a/internal/system/command/store.go
+++ b/internal/system/command/store.go
@@ -30,6 +30,13 @@
 		WaitingBytes: int(p.settings.Limits.MemoryMb << 20 / waitingShare),
 		Run:          groups.run})
 	member := p.newNode(p.member(membership.Store, id, address), shards.Take)
+	handlers := link.NewHandlers()
+	shards.Register(handlers)
+	leave, err := p.serve(ctx, address, member, handlers)
+	if err != nil {
+		return err
+	}
+	defer leave()
 	if err := p.persist(ctx, "shards on the disk", shards.Recover); err != nil {
 		return err
 	}
@@ -40,13 +47,6 @@
 	}
 	level.Info(p.logger).Log(append([]any{"msg", "shards recovered", "took", time.Since(began)}, logStoreVitals()...)...)
 	go logVitals(ctx, p.logger, logStoreVitals)
-	handlers := link.NewHandlers()
-	shards.Register(handlers)
-	leave, err := p.serve(ctx, address, member, handlers)
-	if err != nil {
-		return err
-	}
-	defer leave()
 	select {
 	case err := <-groups.failed:
 		return err
--- a/internal/system/storage/script_test.go
+++ b/internal/system/storage/script_test.go
@@ -229,10 +229,14 @@
 
 // open recovers the member and checks that it is in one of the possible states.
 func (m *member) open() (*storage.Group, error) {
+	hasSnapshot, seenErr := storage.HasSnapshot(m.seen, groupName)
 	group, recovered, err := storage.Open(m.seen, groupName)
 	if err != nil {
 		return nil, err
 	}
+	if seenErr != nil || hasSnapshot != (recovered.Snapshot != nil) {
+		return nil, fmt.Errorf("the first frames of the logs tell that a snapshot is there: %v, %v", hasSnapshot, seenErr)
+	}
 	if recovered, err = withState(group, recovered); err != nil {
 		return nil, err
 	}
--- a/internal/system/store/recover.go
+++ b/internal/system/store/recover.go
@@ -9,7 +9,7 @@
 )
 
 // Recover opens the shards whose members this store's disk knows, so that their groups elect owners while the placement is
-// still on its way.
+// still on its way. Those whose members it doesn't know wait for the placement. Each takes part as soon as it is open.
 func (s *Store) Recover() error {
 	names, err := storage.Groups(s.options.Disk)
 	if err != nil {
@@ -20,7 +20,7 @@
 		if !ok {
 			continue
 		}
-		begun, err := hasBegun(s.options.Disk, name)
+		begun, err := storage.HasSnapshot(s.options.Disk, name)
 		if err != nil {
 			return err
 		}
@@ -43,13 +43,3 @@
 	number, err := strconv.Atoi(digits)
 	return number, err == nil && number >= 0
 }
-
-// hasBegun tells whether the disk knows the group's members. A group that doesn't waits for the placement, which tells
-// them.
-func hasBegun(disk storage.Disk, name string) (bool, error) {
-	opened, recovered, err := storage.Open(disk, name)
-	if err != nil {
-		return false, err
-	}
-	return recovered.Snapshot != nil, opened.Close()
-}
--- a/internal/system/store/store.go
+++ b/internal/system/store/store.go
@@ -64,7 +64,7 @@
 	options    Options
 	compacting sync.Mutex       // held by the group that compacts
 	receiving  *group.Admission // of the groups that receive snapshots
-	opening    sync.Mutex       // held while a shard opens; taken before mutex
+	opening    chan struct{}    // holds a token while a shard opens; taken before mutex
 	waiting    *group.Budget    // of what waits for the groups' turns
 
 	mutex     sync.Mutex
@@ -85,7 +85,7 @@
 		options.Send = sendByLink(options.Pool)
 	}
 	s := &Store{options: options, receiving: group.NewAdmission(mostReceiving), waiting: group.NewBudget(options.WaitingBytes),
-		shards: map[int]*shard{}, departed: map[int]bool{}, failures: make(chan error, 1)}
+		opening: make(chan struct{}, 1), shards: map[int]*shard{}, departed: map[int]bool{}, failures: make(chan error, 1)}
 	if options.Ask == nil {
 		s.options.Ask = askByLink(options.Pool)
 	}
@@ -179,8 +179,8 @@
 
 // open starts the replica of a shard, if it doesn't run yet. The other shards go on meanwhile, however long the disk takes.
 func (s *Store) open(number int, placement view.ShardPlacement) error {
-	s.opening.Lock()
-	defer s.opening.Unlock()
+	s.opening <- struct{}{}
+	defer func() { <-s.opening }()
 	if s.shard(number) != nil {
 		return nil
 	}
