Count outages that last longer than recoveryS, and replicas that do not stop

What must hold, as checks that run in the code and count their violations: no outage of a proxy (more than three quarters of its requests refused for want of a view or of the stores' answer) lasts longer than recoveryS; no store runs a replica for long that its group has certainly done without. Each violation is a log line with its count.

--- a/internal/system/command/process.go
+++ b/internal/system/command/process.go
@@ -17,6 +17,7 @@
 	"github.com/go-kit/log/level"
 	"github.com/google/subcommands"
 
+	"mastusher/internal/system/invariant"
 	"mastusher/internal/system/link"
 	"mastusher/internal/system/membership"
 	"mastusher/internal/system/node"
@@ -44,6 +45,7 @@
 	pool     *link.Pool
 	seed     uint64
 	around   Surroundings
+	checks   *invariant.Counter
 }
 
 // newProcess reads the settings and sets the limits of the runtime.
@@ -66,7 +68,8 @@
 		return nil, err
 	}
 	logger := log.With(around.Logger, "role", role, "node", loaded.NodeName)
-	return &process{settings: loaded, logger: logger, pool: link.NewPoolOn(around.Network), seed: seedOf(loaded.NodeName, role), around: around}, nil
+	return &process{settings: loaded, logger: logger, pool: link.NewPoolOn(around.Network), seed: seedOf(loaded.NodeName, role), around: around,
+		checks: invariant.New(logger)}, nil
 }
 
 // seedOf returns a seed that differs from process to process and from start to start.
--- a/internal/system/command/proxy.go
+++ b/internal/system/command/proxy.go
@@ -50,7 +50,7 @@
 	go p.followProxies(running, places)
 	carrier, err := proxy.New(proxy.Options{FrontAddress: p.settings.ListenOn.FrontHTTP, ReadinessAddress: p.settings.ListenOn.Readiness,
 		Views: views, Programs: programs, Chooser: scheduler, Upstream: upstream.Options{}, Logger: p.logger, Network: p.around.Network,
-		MaxClients: mostClients(p.settings.Limits.OpenFiles)})
+		MaxClients: mostClients(p.settings.Limits.OpenFiles), RecoveryBound: p.settings.Bounds.Recovery(), Checks: p.checks})
 	if err != nil {
 		return err
 	}
--- a/internal/system/command/store.go
+++ b/internal/system/command/store.go
@@ -28,7 +28,7 @@
 	began := time.Now()
 	shards := store.New(ctx, store.Options{ID: id, Address: address, Disk: disk, Pool: p.pool, Logger: p.logger, Seed: p.seed, Now: p.around.TimeOfDay,
 		WaitingBytes: int(p.settings.Limits.MemoryMb << 20 / waitingShare),
-		Run:          groups.run})
+		Run:          groups.run, Checks: p.checks})
 	member := p.newNode(p.member(membership.Store, id, address), shards.Take)
 	handlers := link.NewHandlers()
 	shards.Register(handlers)
--- /dev/null
+++ b/internal/system/invariant/invariant.go
@@ -0,0 +1,59 @@
+// Package invariant counts violations of what must always hold in a running process. A violation is logged and counted; it
+// ends nothing. Tests and operators look for the log line, whose message is Message.
+package invariant
+
+import (
+	"maps"
+	"sync"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+)
+
+// Message is the msg of a violation's log line.
+const Message = "invariant broken"
+
+// Name names an invariant.
+type Name string
+
+// The invariants.
+const (
+	// Recovery: no outage of a proxy lasts longer than recoveryS. An outage is a time in which it refuses more than three quarters
+	// of the requests that come, since it lacks a view or the stores' answer.
+	Recovery Name = "recovery"
+	// Excess: a store runs no replica for long that its group has certainly done without.
+	Excess Name = "excess"
+)
+
+// Counter counts the violations of one process. A nil Counter counts nothing. It is safe for concurrent use.
+type Counter struct {
+	logger log.Logger
+
+	mutex  sync.Mutex
+	counts map[Name]int
+}
+
+// New returns a counter that logs each violation.
+func New(logger log.Logger) *Counter { return &Counter{logger: logger, counts: map[Name]int{}} }
+
+// Broken counts a violation and logs it with its details, which are keys and values.
+func (c *Counter) Broken(name Name, details ...any) {
+	if c == nil {
+		return
+	}
+	c.mutex.Lock()
+	c.counts[name]++
+	count := c.counts[name]
+	c.mutex.Unlock()
+	level.Error(c.logger).Log(append([]any{"msg", Message, "invariant", name, "count", count}, details...)...)
+}
+
+// Counts returns the number of violations by invariant.
+func (c *Counter) Counts() map[Name]int {
+	if c == nil {
+		return nil
+	}
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return maps.Clone(c.counts)
+}
--- /dev/null
+++ b/internal/system/invariant/invariant_test.go
@@ -0,0 +1,35 @@
+package invariant
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+
+	"github.com/go-kit/log"
+	"github.com/google/go-cmp/cmp"
+)
+
+func TestViolationsAreCountedAndLogged(t *testing.T) {
+	// Given a counter, when two violations of one invariant and one of another come,
+	var logged bytes.Buffer
+	counter := New(log.NewLogfmtLogger(&logged))
+	counter.Broken(Recovery, "outage", "16s")
+	counter.Broken(Recovery)
+	counter.Broken(Excess)
+
+	// then each is counted and logged.
+	if diff := cmp.Diff(map[Name]int{Recovery: 2, Excess: 1}, counter.Counts()); diff != "" {
+		t.Error(diff)
+	}
+	if got := strings.Count(logged.String(), Message); got != 3 || !strings.Contains(logged.String(), "outage=16s") {
+		t.Errorf("logged:\n%s", &logged)
+	}
+}
+
+func TestNoCounterCountsNothing(t *testing.T) {
+	var none *Counter
+	none.Broken(Recovery)
+	if got := none.Counts(); got != nil {
+		t.Errorf("got %v", got)
+	}
+}
--- a/internal/system/proxy/deliver.go
+++ b/internal/system/proxy/deliver.go
@@ -73,6 +73,7 @@
 		return
 	}
 	c.committed = true
+	c.proxy.refusals.addServed()
 	header := c.writer.Header()
 	c.proxy.closeIfDraining(header)
 	copyAnswerHeader(header, a.answer.Header)
--- a/internal/system/proxy/options.go
+++ b/internal/system/proxy/options.go
@@ -5,6 +5,7 @@
 
 	"github.com/go-kit/log"
 
+	"mastusher/internal/system/invariant"
 	"mastusher/internal/system/network"
 	"mastusher/internal/system/upstream"
 )
@@ -17,8 +18,10 @@
 	Programs         Programs
 	Chooser          Chooser
 	Upstream         upstream.Options
-	Network          network.Network  // nil: the system's
-	MaxClients       int              // connections of clients at once; 0: no bound
+	Network          network.Network // nil: the system's
+	MaxClients       int             // connections of clients at once; 0: no bound
+	RecoveryBound    time.Duration   // the longest outage; 0: none is too long
+	Checks           *invariant.Counter
 	Logger           log.Logger       // of faults in the library or a handler, and of the phases of the end; nil: none
 	Now              func() time.Time // nil: the system's clock
 }
--- a/internal/system/proxy/refusals.go
+++ b/internal/system/proxy/refusals.go
@@ -9,19 +9,28 @@
 	"github.com/go-kit/log/level"
 
 	"mastusher/internal/system/fault"
+	"mastusher/internal/system/invariant"
 )
 
 // refusalsInterval is the pace at which a proxy logs what it has answered by itself.
 const refusalsInterval = time.Second
 
-// refusals counts a proxy's own answers by their kind.
+// outageShare is the number of refusals beside one request that is served from which on a proxy is in an outage.
+const outageShare = 3
+
+// refusals counts a proxy's own answers by their kind, and notices outages.
 type refusals struct {
 	mutex  sync.Mutex
 	counts map[fault.Kind]int
+	served int
 	cause  error // of the last turn that the stores could not begin; nil: none since the last report
+
+	outage outage // used by the reporting goroutine only
 }
 
-func newRefusals() *refusals { return &refusals{counts: map[fault.Kind]int{}} }
+func newRefusals(options *Options) *refusals {
+	return &refusals{counts: map[fault.Kind]int{}, outage: outage{bound: options.RecoveryBound, checks: options.Checks}}
+}
 
 // add counts one answer.
 func (r *refusals) add(kind fault.Kind) {
@@ -30,6 +39,13 @@
 	r.counts[kind]++
 }
 
+// addServed counts a request whose endpoint's answer goes to the client.
+func (r *refusals) addServed() {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.served++
+}
+
 // noteCause keeps why a turn could not be begun.
 func (r *refusals) noteCause(err error) {
 	r.mutex.Lock()
@@ -38,15 +54,15 @@
 }
 
 // take returns what has come since the last call.
-func (r *refusals) take() (counts map[fault.Kind]int, cause error) {
+func (r *refusals) take() (counts map[fault.Kind]int, served int, cause error) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	counts, cause = r.counts, r.cause
-	r.counts, r.cause = map[fault.Kind]int{}, nil
-	return counts, cause
+	counts, served, cause = r.counts, r.served, r.cause
+	r.counts, r.served, r.cause = map[fault.Kind]int{}, 0, nil
+	return counts, served, cause
 }
 
-// run logs the counts at each interval in which there are any, until ctx ends.
+// run reports at each interval until ctx ends.
 func (r *refusals) run(ctx context.Context, logger log.Logger) {
 	ticker := time.NewTicker(refusalsInterval)
 	defer ticker.Stop()
@@ -54,18 +70,20 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
-			r.log(logger)
+		case now := <-ticker.C:
+			r.report(now, logger)
 		}
 	}
 }
 
-func (r *refusals) log(logger log.Logger) {
-	counts, cause := r.take()
+// report logs the counts, if there are any, and looks whether an outage goes on.
+func (r *refusals) report(now time.Time, logger log.Logger) {
+	counts, served, cause := r.take()
+	r.outage.observe(now, counts[fault.NotReady]+counts[fault.StateUnavailable], served)
 	if len(counts) == 0 {
 		return
 	}
-	fields := []any{"msg", "own answers"}
+	fields := []any{"msg", "own answers", "served", served}
 	for _, kind := range fault.Kinds() {
 		if counts[kind] > 0 {
 			fields = append(fields, kind.String(), counts[kind])
@@ -76,3 +94,32 @@
 	}
 	level.Info(logger).Log(fields...)
 }
+
+// outage is the time for which a proxy has refused most requests, since it lacks a view or the stores' answer.
+type outage struct {
+	bound  time.Duration // after which it breaks the invariant; 0: never
+	checks *invariant.Counter
+
+	isOn   bool
+	since  time.Time
+	isTold bool // that it breaks the invariant
+}
+
+// observe takes in how many requests were refused for that reason, and how many were served, since the last call. Without
+// any request nothing is known of whether it goes on.
+func (o *outage) observe(now time.Time, refused, served int) {
+	if refused+served == 0 {
+		return
+	}
+	if refused <= outageShare*served {
+		o.isOn, o.isTold = false, false
+		return
+	}
+	if !o.isOn {
+		o.isOn, o.since = true, now
+	}
+	if lasts := now.Sub(o.since); o.bound > 0 && lasts > o.bound && !o.isTold {
+		o.isTold = true
+		o.checks.Broken(invariant.Recovery, "outage", lasts, "refused", refused, "served", served)
+	}
+}
--- a/internal/system/proxy/server.go
+++ b/internal/system/proxy/server.go
@@ -44,7 +44,7 @@
 	}
 	options.Network = network.OrSystem(options.Network)
 	options.Upstream.Network = options.Network
-	p := &Proxy{options: options, pool: upstream.NewPool(options.Upstream), settler: newSettler(options.Programs), refusals: newRefusals()}
+	p := &Proxy{options: options, pool: upstream.NewPool(options.Upstream), settler: newSettler(options.Programs), refusals: newRefusals(&options)}
 	frontListener, err := options.Network.Listen(context.Background(), new(net.ListenConfig), "tcp4", options.FrontAddress)
 	if err != nil {
 		return nil, err
--- a/internal/system/simulation/process.go
+++ b/internal/system/simulation/process.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"slices"
 	"syscall"
 	"time"
 
@@ -13,6 +14,7 @@
 	"github.com/go-kit/log/level"
 
 	"mastusher/internal/system/command"
+	"mastusher/internal/system/invariant"
 	"mastusher/internal/system/network/memorynetwork"
 	"mastusher/internal/system/storage"
 )
@@ -158,6 +160,9 @@
 		}
 	}
 	f := l.process.machine.fleet
+	if message == invariant.Message {
+		f.noteInvariant(l.process, pairs)
+	}
 	if message == "configuration in force" {
 		f.history.inForce(versionSeen{Proxy: l.process.machine.name, Incarnation: l.process.incarnation, Number: number, At: f.now()})
 	}
@@ -171,6 +176,14 @@
 	return nil
 }
 
+// noteInvariant reports a violation that a process has counted. An outage of one proxy may last as long as the faults that
+// meet; whether service is back after them is checked by the day.
+func (f *Fleet) noteInvariant(p *process, pairs []any) {
+	if !slices.Contains(pairs, any(invariant.Recovery)) {
+		f.report("INVARIANT", "%v: %v", p, pairs)
+	}
+}
+
 // settingsPath is where a process's settings file lies.
 func (f *Fleet) settingsPath(m *machine, r role) string {
 	return filepath.Join(f.options.Folder, m.name+"-"+string(r)+".yaml")
--- a/internal/system/store/excess.go
+++ b/internal/system/store/excess.go
@@ -7,6 +7,7 @@
 
 	"github.com/go-kit/log/level"
 
+	"mastusher/internal/system/invariant"
 	"mastusher/internal/system/link"
 	"mastusher/internal/system/view"
 	"mastusher/internal/system/wire"
@@ -18,6 +19,9 @@
 	membersLimit = 700 * time.Millisecond
 )
 
+// mostLeaving is how long a replica may take to stop.
+const mostLeaving = 10 * time.Second
+
 // excess lists the shards that run here although the newest placement doesn't want them here: their replicas have moved to
 // other stores, or are about to.
 func (s *Store) excess() []*shard {
@@ -63,6 +67,7 @@
 	}
 	var addresses []string
 	for _, running := range found {
+		s.checkLeaving(running)
 		wanted, _ := s.wanted(running.number)
 		for _, replica := range wanted.Replicas {
 			if !slices.Contains(addresses, replica.Address) {
@@ -112,13 +117,26 @@
 func (s *Store) mayLeave(running *shard, index uint64) bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	if s.placed != index || running.leaving {
+	if s.placed != index || !running.leaving.IsZero() {
 		return false
 	}
-	running.leaving = true
+	running.leaving = s.options.Now()
 	return true
 }
 
+// checkLeaving counts a replica that doesn't stop.
+func (s *Store) checkLeaving(running *shard) {
+	s.mutex.Lock()
+	since := running.leaving
+	s.mutex.Unlock()
+	if since.IsZero() {
+		return
+	}
+	if lasts := s.options.Now().Sub(since); lasts > mostLeaving {
+		s.options.Checks.Broken(invariant.Excess, "shard", running.number, "lasts", lasts)
+	}
+}
+
 // left forgets a replica that has ended. If it is wanted here again by now, it opens with what its disk has.
 func (s *Store) left(ended *shard) {
 	s.mutex.Lock()
--- a/internal/system/store/shard.go
+++ b/internal/system/store/shard.go
@@ -24,7 +24,7 @@
 	group   *group.Group
 	machine *machine
 	after   func(delay time.Duration, run func())
-	leaving bool // it is being stopped; guarded by the store's mutex
+	leaving time.Time // since when it is being stopped; zero: it isn't; guarded by the store's mutex
 
 	mutex     sync.Mutex       // orders what the group is told of its members
 	index     uint64           // of the newest placement that this store knows; 0: none
--- a/internal/system/store/store.go
+++ b/internal/system/store/store.go
@@ -17,6 +17,7 @@
 	"github.com/go-kit/log/level"
 
 	"mastusher/internal/system/group"
+	"mastusher/internal/system/invariant"
 	"mastusher/internal/system/link"
 	"mastusher/internal/system/program"
 	"mastusher/internal/system/replica"
@@ -48,6 +49,8 @@
 	Seed    uint64
 	Now     func() time.Time
 
+	Checks *invariant.Counter
+
 	WaitingBytes int // of messages and commands that wait for the turns of all shards; 0: 8 MiB
 
 	// In place of the pool, the process's own clock and goroutines, where a test runs the store in memory; nil: those.
