Have a shard that opens after the placement follow it, and tell of damage (red)

A placement that comes first isn't told to a shard that opens later: it follows placement 0, as an owner it keeps its group from moving, and no look at what is in excess is planned.

--- /dev/null
+++ b/internal/system/store/recover_late_test.go
@@ -0,0 +1,97 @@
+package store
+
+import (
+	"errors"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"mastusher/internal/system/group"
+	"mastusher/internal/system/storage"
+	"mastusher/internal/system/storage/memorydisk"
+	"mastusher/internal/system/view"
+)
+
+// TestAShardThatOpensAfterThePlacementFollowsIt has the placement come while the store hasn't read its shards.
+func TestAShardThatOpensAfterThePlacementFollowsIt(t *testing.T) {
+	// Given a store on whose disk there is a shard,
+	disk := memorydisk.New()
+	before := []view.Replica{{ID: "a", Address: "a:1"}, {ID: "b", Address: "b:1"}, {ID: "c", Address: "c:1"}}
+	newQuietStore(disk).Place(1, view.Placement{Shards: []view.ShardPlacement{{Initial: before, Replicas: before}}})
+	disk.LosePower(7)
+
+	// when it starts and hears of a placement that wants the shard elsewhere, and only then opens it,
+	planned := 0
+	restarted := New(t.Context(), Options{ID: "a", Address: "a:1", Disk: disk, Logger: log.NewNopLogger(), Seed: 1,
+		Send: func(string, group.Envelope) {}, Run: func(*group.Group) {}, After: func(time.Duration, func()) { planned++ }})
+	after := []view.Replica{{ID: "b", Address: "b:1"}, {ID: "c", Address: "c:1"}, {ID: "d", Address: "d:1"}}
+	restarted.Place(2, view.Placement{Shards: []view.ShardPlacement{{Initial: after, Replicas: after}}})
+	if err := restarted.Recover(); err != nil {
+		t.Fatal(err)
+	}
+
+	// then the replica knows which members are wanted, should it own the group, and it is looked at whether it may go.
+	opened := restarted.shard(0)
+	if opened == nil {
+		t.Fatal("the shard on its disk isn't open")
+	}
+	if opened.index != 2 || len(opened.wanted) != len(after) {
+		t.Errorf("the replica follows placement %d with %d members, want 2 with %d", opened.index, len(opened.wanted), len(after))
+	}
+	if planned != 1 {
+		t.Errorf("a look at what is in excess is planned %d times, want once", planned)
+	}
+}
+
+// TestRecoverTellsOfDamage has the files of a shard be damaged before any of its log was read whole.
+func TestRecoverTellsOfDamage(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		damage func(t *testing.T, disk *memorydisk.Disk, names []string)
+	}{
+		{"a log's first frame", func(t *testing.T, disk *memorydisk.Disk, names []string) {
+			for _, name := range names {
+				if !strings.Contains(name, ".log") {
+					continue
+				}
+				if err := disk.Damage(name, 3); err != nil {
+					t.Fatal(err)
+				}
+			}
+		}},
+		{"no log", func(t *testing.T, disk *memorydisk.Disk, names []string) {
+			for _, name := range names {
+				if strings.Contains(name, ".log") {
+					if err := disk.Remove(name); err != nil {
+						t.Fatal(err)
+					}
+				}
+			}
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			disk := memorydisk.New()
+			members := []view.Replica{{ID: "a", Address: "a:1"}}
+			first := newQuietStore(disk)
+			first.Place(1, view.Placement{Shards: []view.ShardPlacement{{Initial: members, Replicas: members}}})
+			for range 400 {
+				if _, err := first.shard(0).group.Turn(); err != nil {
+					t.Fatal(err)
+				}
+				time.Sleep(time.Millisecond)
+			}
+			names, err := disk.List()
+			if err != nil {
+				t.Fatal(err)
+			}
+			c.damage(t, disk, names)
+			disk.Kill()
+			var damage *storage.DamageError
+			if err := newQuietStore(disk).Recover(); !errors.As(err, &damage) {
+				t.Errorf("recovered with %v, want that the disk is damaged", err)
+			}
+		})
+	}
+}
