Place shards over stores in zones of any sizes

Exactly the share isn't always reached: in zones of 1, 1, 1, 2, 3 and 6 with five copies a store holds 7 where 6 is its share, since even makes single moves alone.

--- a/internal/system/placement/share_test.go
+++ b/internal/system/placement/share_test.go
@@ -96,3 +96,106 @@
 	// then the newcomer has its share, and no more.
 	checkShare(t, shards, running, 5)
 }
+
+// TestSharesInAnyZones places shards over stores in zones of any sizes. Where there is room for it, no store holds more than one
+// replica above its share, and no zone more of a shard than it may.
+func TestSharesInAnyZones(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		copies := rapid.SampledFrom([]int{1, 3, 5}).Draw(t, "copies")
+		sizes := rapid.SliceOfN(rapid.IntRange(1, 6), 1, 8).Draw(t, "sizes")
+		stores := inZones(sizes...)
+		shards := placement.First(stores, copies)
+		if shards == nil || !isRoomy(sizes, copies, len(shards)) {
+			return
+		}
+		share := (len(shards)*copies + len(stores) - 1) / len(stores)
+		for id, count := range loads(shards, stores) {
+			if count > share+1 {
+				t.Errorf("store %s holds %d replicas, its share is %d", id, count, share)
+			}
+		}
+		checkSpread(t, shards, copies)
+	})
+}
+
+// isRoomy tells whether the zones have room for so many shards, with no more than its share on each store.
+func isRoomy(sizes []int, copies, shards int) bool {
+	stores := 0
+	for _, size := range sizes {
+		stores += size
+	}
+	share := (shards*copies + stores - 1) / stores
+	room, perShard := 0, 0
+	for _, size := range sizes {
+		most := min(size, max(1, (copies-1)/2))
+		perShard += most
+		room += min(size*share, shards*most)
+	}
+	return room >= shards*copies && perShard >= copies
+}
+
+// checkSpread checks that no zone holds more of a shard than a majority can do without.
+func checkSpread(t rapid.TB, shards []view.ShardPlacement, copies int) {
+	t.Helper()
+	for number, shard := range shards {
+		inZone := map[string]int{}
+		nodes := map[string]bool{}
+		for _, r := range shard.Replicas {
+			inZone[r.Zone]++
+			nodes[r.Node] = true
+		}
+		for zone, count := range inZone {
+			if count > max(1, (copies-1)/2) {
+				t.Errorf("shard %d: %d of %d replicas are in %s", number, count, copies, zone)
+			}
+		}
+		if len(nodes) != copies {
+			t.Errorf("shard %d is on %d machines, want %d", number, len(nodes), copies)
+		}
+	}
+}
+
+// TestPlacementComesToRestInAnyZones loses and adds stores in any order.
+func TestPlacementComesToRestInAnyZones(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		copies := rapid.SampledFrom([]int{3, 5}).Draw(t, "copies")
+		sizes := rapid.SliceOfN(rapid.IntRange(1, 4), 3, 6).Draw(t, "sizes")
+		stores := inZones(sizes...)
+		shards := placement.First(stores, copies)
+		if shards == nil {
+			return
+		}
+		lost := map[string]bool{}
+		for step := range rapid.IntRange(1, 8).Draw(t, "steps") {
+			gone := rapid.IntRange(0, len(stores)-1).Draw(t, "gone")
+			lost[stores[gone].ID] = true
+			if rapid.Bool().Draw(t, "comes back empty") {
+				stores[gone].ID = fmt.Sprint("anew-", step, "-", stores[gone].ID)
+			} else {
+				stores = append(append([]placement.Store(nil), stores[:gone]...), stores[gone+1:]...)
+			}
+			if len(stores) < copies {
+				return
+			}
+			changes := 0
+			for changed := true; changed; changes++ {
+				if changes > copies {
+					t.Fatalf("not at rest after %d changes", changes)
+				}
+				shards, changed = placement.Next(shards, placement.Situation{Stores: stores, Lost: lost, Copies: copies})
+			}
+		}
+		for number, shard := range shards {
+			nodes := map[string]bool{}
+			for _, r := range shard.Replicas {
+				nodes[r.Node] = true
+				if lost[r.ID] {
+					t.Errorf("shard %d is still on lost store %s", number, r.ID)
+				}
+			}
+			if len(nodes) != copies {
+				t.Errorf("shard %d is on %d machines, want %d", number, len(nodes), copies)
+			}
+		}
+	})
+}
