--- a/internal/system/group/stop.go
+++ b/internal/system/group/stop.go
@@ -34,7 +34,9 @@
 	}
 	g.disable(errStopped)
 	g.takeInput()
-	_ = g.disk.Close() // all that counts has been synced
+	if g.disk != nil { // else a broken disk has been given up already
+		_ = g.disk.Close() // all that counts has been synced
+	}
 	done()
 	return true
 }
