--- a/internal/system/store/excess.go
+++ b/internal/system/store/excess.go
@@ -40,6 +40,13 @@
 	return s.placement.Shards[number], true
 }
 
+// reviewExcess has replicas in excess looked at after a pause, if there are any.
+func (s *Store) reviewExcess() {
+	if len(s.excess()) > 0 {
+		s.reviewSoon()
+	}
+}
+
 // reviewSoon has replicas in excess looked at after a pause, once.
 func (s *Store) reviewSoon() {
 	s.mutex.Lock()
--- a/internal/system/store/recover.go
+++ b/internal/system/store/recover.go
@@ -9,8 +9,10 @@
 )
 
 // Recover opens the shards whose members this store's disk knows, so that their groups elect owners while the placement is
-// still on its way. Those whose members it doesn't know wait for the placement. Each takes part as soon as it is open.
+// still on its way. Those whose members it doesn't know wait for the placement. Each takes part as soon as it is open, and follows
+// the placement that is known by then.
 func (s *Store) Recover() error {
+	defer s.reviewExcess()
 	names, err := storage.Groups(s.options.Disk)
 	if err != nil {
 		return err
@@ -30,10 +32,21 @@
 		if err := s.open(number, view.ShardPlacement{}); err != nil {
 			return err
 		}
+		s.follow(number)
 	}
 	return nil
 }
 
+// follow tells a shard of the newest placement, which may have come before the shard was open.
+func (s *Store) follow(number int) {
+	s.mutex.Lock()
+	index, placement, opened := s.placed, s.placement, s.shards[number]
+	s.mutex.Unlock()
+	if opened != nil && number < len(placement.Shards) {
+		opened.place(index, membersOf(placement.Shards[number].Replicas))
+	}
+}
+
 // shardNumber returns the number of the shard whose group has the name.
 func shardNumber(name string) (int, bool) {
 	digits, ok := strings.CutPrefix(name, groupPrefix)
--- a/internal/system/store/store.go
+++ b/internal/system/store/store.go
@@ -154,9 +154,7 @@
 	if failed {
 		s.options.After(openPause, s.placeAgain)
 	}
-	if len(s.excess()) > 0 {
-		s.reviewSoon()
-	}
+	s.reviewExcess()
 }
 
 // placeAgain goes on with the newest placement.
