Have a store that starts not read again what has moved away (red)

After it has given up 4 replicas, a store that starts again reads all 4 though it is to hold none, and keeps them until the placement has come and a look of every 2 s is answered. After a loss of all power that is when memory is short.

--- a/internal/system/store/recover_late_test.go
+++ b/internal/system/store/recover_late_test.go
@@ -61,6 +61,16 @@
 				}
 			}
 		}},
+		{"the slot", func(t *testing.T, disk *memorydisk.Disk, names []string) {
+			for _, name := range names {
+				if !strings.Contains(name, ".slot") {
+					continue
+				}
+				if err := disk.Damage(name, 3); err != nil {
+					t.Fatal(err)
+				}
+			}
+		}},
 		{"no log", func(t *testing.T, disk *memorydisk.Disk, names []string) {
 			for _, name := range names {
 				if strings.Contains(name, ".log") {
