Mark replicas that have moved away on the disk

A start doesn't read what is marked; the mark is gone, for good, before the replica takes part again. A mark that can't be written costs the next start the memory.

--- a/internal/system/store/excess.go
+++ b/internal/system/store/excess.go
@@ -128,9 +128,9 @@
 
 // left forgets a replica that has ended. If it is wanted here again by now, it opens with what its disk has.
 func (s *Store) left(ended *shard) {
+	s.depart(ended.number)
 	s.mutex.Lock()
 	delete(s.shards, ended.number)
-	s.departed[ended.number] = true
 	s.mutex.Unlock()
 	s.options.After(openPause, s.placeAgain)
 }
--- a/internal/system/store/recover.go
+++ b/internal/system/store/recover.go
@@ -10,7 +10,7 @@
 
 // Recover opens the shards whose members this store's disk knows, so that their groups elect owners while the placement is
 // still on its way. Those whose members it doesn't know wait for the placement. Each takes part as soon as it is open, and follows
-// the placement that is known by then.
+// the placement that is known by then. Replicas that have moved away stay closed.
 func (s *Store) Recover() error {
 	defer s.reviewExcess()
 	names, err := storage.Groups(s.options.Disk)
@@ -19,7 +19,7 @@
 	}
 	for _, name := range names {
 		number, ok := shardNumber(name)
-		if !ok {
+		if !ok || s.hasDeparted(number) {
 			continue
 		}
 		begun, err := storage.HasSnapshot(s.options.Disk, name)
--- a/internal/system/store/store.go
+++ b/internal/system/store/store.go
@@ -71,7 +71,7 @@
 	shards    map[int]*shard
 	placed    uint64         // index of the newest placement; 0: none is known
 	placement view.Placement // that is it
-	departed  map[int]bool   // shards whose replicas have moved away since the start
+	departed  map[int]bool   // shards whose replicas have moved away since the start; the disk has marks of all
 	reviewing bool           // a look at replicas in excess is planned
 	failures  chan error
 }
@@ -170,9 +170,7 @@
 	if contains(placement.Replicas, s.options.ID) {
 		return true
 	}
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	return contains(placement.Initial, s.options.ID) && !s.departed[number]
+	return contains(placement.Initial, s.options.ID) && !s.hasDeparted(number)
 }
 
 // open starts the replica of a shard, if it doesn't run yet. The other shards go on meanwhile, however long the disk takes.
@@ -182,6 +180,9 @@
 	if s.shard(number) != nil {
 		return nil
 	}
+	if err := s.comeBack(number); err != nil {
+		return err
+	}
 	opening := &shard{number: number, logger: s.options.Logger, machine: newMachine(), after: s.options.After}
 	options := replica.Options{ID: s.options.ID, Address: s.options.Address, Heartbeat: heartbeat, Election: election, Eager: eager,
 		Seed: s.options.Seed + uint64(number)}
