--- a/internal/system/store/excess.go
+++ b/internal/system/store/excess.go
@@ -44,6 +44,13 @@
 	return s.placement.Shards[number], true
 }
 
+// reviewExcess has replicas in excess looked at after a pause, if there are any.
+func (s *Store) reviewExcess() {
+	if len(s.excess()) > 0 {
+		s.reviewSoon()
+	}
+}
+
 // reviewSoon has replicas in excess looked at after a pause, once.
 func (s *Store) reviewSoon() {
 	s.mutex.Lock()
@@ -139,9 +146,9 @@
 
 // left forgets a replica that has ended. If it is wanted here again by now, it opens with what its disk has.
 func (s *Store) left(ended *shard) {
+	s.depart(ended.number)
 	s.mutex.Lock()
 	delete(s.shards, ended.number)
-	s.departed[ended.number] = true
 	s.mutex.Unlock()
 	s.options.After(openPause, s.placeAgain)
 }
