--- a/internal/system/example/example.go
+++ b/internal/system/example/example.go
@@ -11,6 +11,8 @@
 
 	"go.uber.org/multierr"
 
+	"mastusher/internal/system/localtier"
+	"mastusher/internal/system/model"
 	"mastusher/internal/system/standin"
 )
 
@@ -33,9 +35,9 @@
 type run struct {
 	options  Options
 	began    time.Time
-	around   *surroundings
-	tier     *tier
-	operator *operator
+	around   *localtier.Surroundings
+	tier     *localtier.Tier
+	operator *localtier.Operator
 	problems []string
 }
 
@@ -45,16 +47,16 @@
 	ctx, cancel := context.WithTimeout(ctx, wholePatience)
 	defer cancel()
 	r := &run{options: options, began: time.Now()}
-	if r.around, err = surround(); err != nil {
+	if r.around, err = localtier.Surround(); err != nil {
 		return err
 	}
-	defer r.around.close()
-	if r.tier, err = startTier(options.Binary, options.Folder, r.around.platform.Address()); err != nil {
+	defer r.around.Close()
+	if r.tier, err = startTier(options.Binary, options.Folder, r.around.Platform.Address()); err != nil {
 		return err
 	}
 	failed := r.story(ctx)
-	r.problems = append(r.problems, unexpected(r.tier.processes)...)
-	r.problems = append(r.problems, stop(r.tier.processes)...)
+	r.problems = append(r.problems, localtier.Unexpected(r.tier.Processes)...)
+	r.problems = append(r.problems, localtier.Stop(r.tier.Processes)...)
 	r.tell("all processes have ended")
 	if len(r.problems) > 0 {
 		failed = multierr.Append(failed, &BreachError{Problems: r.problems})
@@ -62,6 +64,23 @@
 	return failed
 }
 
+// startTier starts the example's processes.
+func startTier(binary, folder, platform string) (*localtier.Tier, error) {
+	return localtier.Start(localtier.Options{Command: []string{binary}, Folder: folder, Platform: platform,
+		Counts: localtier.Counts{Core: coreMachines, Storage: storageMachines, Edge: edgeMachines}})
+}
+
+// configuration gives a version of the operator's configuration; from the second on there is one more route.
+func configuration(number uint64) model.Configuration {
+	if number > 1 {
+		return localtier.Configuration(number, keepFor, localtier.ToolRoute("later-tools", "/later-tools/"))
+	}
+	return localtier.Configuration(number, keepFor)
+}
+
+// laterToolPath is on the route that comes with the second configuration.
+const laterToolPath = "/later-tools/a"
+
 // tell writes one line of the report.
 func (r *run) tell(format string, values ...any) {
 	fmt.Fprintf(r.options.Report, "%6.2f s  %s\n", time.Since(r.began).Seconds(), fmt.Sprintf(format, values...))
@@ -77,17 +96,17 @@
 
 // story plays the steps. It goes on after a breach, and ends with what can't be gone on from.
 func (r *run) story(ctx context.Context) error {
-	r.tell("%d processes on %d machines", len(r.tier.processes), len(r.tier.machines))
-	r.operator = newOperator(r.tier.addresses(coreClass, controlPort))
-	if _, err := r.operator.configure(ctx, configuration(1), 0); err != nil {
+	r.tell("%d processes on %d machines", len(r.tier.Processes), len(r.tier.Machines))
+	r.operator = localtier.NewOperator(r.tier.Addresses(localtier.CoreClass, localtier.ControlPort), nil)
+	if _, err := r.operator.Configure(ctx, configuration(1), 0); err != nil {
 		return fmt.Errorf("the first configuration: %w", err)
 	}
 	r.tell("configuration 1 is acknowledged")
-	if err := r.tier.waitReady(ctx); err != nil {
+	if err := r.tier.WaitReady(ctx); err != nil {
 		return err
 	}
 	r.tell("all proxies are ready")
-	fronts := r.tier.addresses(edgeClass, frontPort)
+	fronts := r.tier.Addresses(localtier.EdgeClass, localtier.FrontPort)
 	before := r.play(ctx, standin.ProgramOptions{Name: "before", Address: fronts[0], Turns: 4, Tools: 2, SubAgents: 2, SubTurns: 2}, standin.Finished)
 	r.spend(ctx, "spender", fronts[1])
 	if err := r.lose(ctx); err != nil {
@@ -99,7 +118,7 @@
 		return err
 	}
 	r.spend(ctx, "late-spender", fronts[0])
-	for _, attempt := range r.around.ledger.Twice() {
+	for _, attempt := range r.around.Ledger.Twice() {
 		r.breach("attempt " + attempt + " ran twice")
 	}
 	return nil
@@ -107,13 +126,13 @@
 
 // play runs one program that remembers its turns, and checks its end and all that it saw.
 func (r *run) play(ctx context.Context, program standin.ProgramOptions, want standin.State) standin.Outcome {
-	program.Host, program.TurnPath, program.ToolPath, program.Model = host, turnPath, toolPath, modelName
+	program.Host, program.TurnPath, program.ToolPath, program.Model = localtier.Host, localtier.TurnPath, localtier.ToolPath, localtier.ModelName
 	program.MostTokens = mostTokens
-	program.Finish, program.TimeLeft = programPatience, requestPatience
+	program.Finish, program.TimeLeft = programPatience, localtier.RequestPatience
 	program.Remembered = true
-	program.Pause = pause
+	program.Pause = func(ctx context.Context) error { return localtier.Pause(ctx, resendPause) }
 	outcome := standin.NewProgram(program).Play(ctx)
-	r.breach(outcome.Check(r.around.ledger)...)
+	r.breach(outcome.Check(r.around.Ledger)...)
 	if outcome.State != want {
 		r.breach(fmt.Sprintf("program %s ended as %s, not as %s: statuses %v", program.Name, outcome.State, want, statuses(outcome)))
 	}
@@ -129,7 +148,7 @@
 func (r *run) spend(ctx context.Context, name, front string) {
 	const budget = 2*mostTokens + mostTokens/2
 	r.play(ctx, standin.ProgramOptions{Name: name, Address: front, Turns: 6, Tools: 1, Budget: budget}, standin.BudgetSpent)
-	generated := r.around.ledger.Tokens(name)
+	generated := r.around.Ledger.Tokens(name)
 	if generated > budget {
 		r.breach(fmt.Sprintf("program %s generated %d tokens with a budget of %d", name, generated, budget))
 	}
@@ -138,19 +157,19 @@
 
 // lose kills the controller that owns the configuration and the store that owns the most shards, at the same time.
 func (r *run) lose(ctx context.Context) error {
-	address, err := r.operator.configure(ctx, configuration(1), 0)
+	address, err := r.operator.Configure(ctx, configuration(1), 0)
 	if err != nil {
 		return fmt.Errorf("the first configuration, sent again: %w", err)
 	}
-	controller, err := r.tier.controllerAt(address)
+	controller, err := r.tier.ControllerAt(address)
 	if err != nil {
 		return err
 	}
-	store, owned, all, err := r.tier.busiestStore(ctx)
+	store, owned, all, err := r.tier.BusiestStore(ctx)
 	if err != nil {
 		return err
 	}
-	if err := multierr.Append(controller.kill(ctx), store.kill(ctx)); err != nil {
+	if err := multierr.Append(controller.Kill(ctx), store.Kill(ctx)); err != nil {
 		return err
 	}
 	r.tell("killed: %v, which owned the configuration, and %v, which owned %d of %d shards", controller, store, owned, all)
@@ -159,35 +178,23 @@
 
 // reconfigure reads the first configuration back from those left, and takes the second one into force.
 func (r *run) reconfigure(ctx context.Context) error {
-	read, err := r.operator.readBack(ctx)
+	read, err := r.operator.ReadBack(ctx)
 	if err != nil {
 		return fmt.Errorf("reading the configuration back: %w", err)
 	}
-	if !same(read, configuration(1)) {
+	if !localtier.Same(read, configuration(1)) {
 		r.breach(fmt.Sprintf("the acknowledged configuration is gone: read back %+v", read))
 	}
-	if _, err := r.operator.configure(ctx, configuration(2), 1); err != nil {
+	if _, err := r.operator.Configure(ctx, configuration(2), 1); err != nil {
 		return fmt.Errorf("the second configuration: %w", err)
 	}
-	if err := r.tier.waitRoute(ctx, laterToolPath); err != nil {
+	if err := r.tier.WaitRoute(ctx, laterToolPath); err != nil {
 		return err
 	}
 	r.tell("configuration 1 was read back; 2 is acknowledged and in force on all proxies")
 	return nil
 }
 
-// pause waits before a failed turn is sent again.
-func pause(ctx context.Context) error {
-	timer := time.NewTimer(resendPause)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
 // lastFinished gives the last turn whose whole answer came.
 func lastFinished(outcome standin.Outcome) standin.Turn {
 	for _, turn := range slices.Backward(outcome.Turns) {
--- a/internal/system/example/example_test.go
+++ b/internal/system/example/example_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"mastusher/internal/system/localtier"
 	"mastusher/internal/system/standin"
 )
 
@@ -86,19 +87,21 @@
 	}
 
 	// When all its processes have ended
-	for _, p := range started.processes {
-		<-p.ended
+	for _, p := range started.Processes {
+		if err := p.Wait(ctx); err != nil {
+			t.Fatal(err)
+		}
 	}
 	cancel()
 
 	// Then each is named, and nothing waits for any of them
-	if got := unexpected(started.processes); len(got) != len(started.processes) || !strings.Contains(got[0], "core-1/controller ended by itself") {
+	if got := localtier.Unexpected(started.Processes); len(got) != len(started.Processes) || !strings.Contains(got[0], "core-1/controller ended by itself") {
 		t.Errorf("got %q", got)
 	}
-	if got := stop(started.processes); len(got) != 0 {
+	if got := localtier.Stop(started.Processes); len(got) != 0 {
 		t.Errorf("got %q", got)
 	}
-	if err := started.waitReady(ctx); err == nil {
+	if err := started.WaitReady(ctx); err == nil {
 		t.Error("ready without a process")
 	}
 }
--- a/internal/system/example/operator.go
+++ b/internal/system/localtier/operator.go
@@ -1,4 +1,4 @@
-package example
+package localtier
 
 import (
 	"bytes"
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"reflect"
 	"strconv"
@@ -14,21 +15,22 @@
 	"mastusher/internal/system/model"
 )
 
-// operator gives orders to whichever controller answers.
-type operator struct {
+// Operator gives orders to whichever controller answers.
+type Operator struct {
 	controllers []string // their addresses for callers from outside
 	client      *http.Client
 }
 
-func newOperator(controllers []string) *operator {
-	return &operator{
+// NewOperator returns one that has a connection for each call. Dial opens them; nil: the system.
+func NewOperator(controllers []string, dial DialFunc) *Operator {
+	return &Operator{
 		controllers: controllers,
-		client:      &http.Client{Timeout: callPatience, Transport: &http.Transport{DisableKeepAlives: true}},
+		client:      &http.Client{Timeout: callPatience, Transport: &http.Transport{DisableKeepAlives: true, DialContext: dial}},
 	}
 }
 
-// configure sends a configuration until it is acknowledged, and gives the address of the controller that did so.
-func (o *operator) configure(ctx context.Context, wanted model.Configuration, over uint64) (string, error) {
+// Configure sends a configuration until it is acknowledged, and gives the address of the controller that did so.
+func (o *Operator) Configure(ctx context.Context, wanted model.Configuration, over uint64) (string, error) {
 	body, err := json.Marshal(wanted)
 	if err != nil {
 		return "", err
@@ -48,32 +50,37 @@
 	return owner, err
 }
 
-// readBack gives the newest configuration.
-func (o *operator) readBack(ctx context.Context) (model.Configuration, error) {
-	var read model.Configuration
-	err := o.untilOne(ctx, func(controller string) error {
-		request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+controller+"/mastusher/settings", nil)
-		if err != nil {
-			return err
-		}
-		_, body, err := o.send(request)
-		if err != nil {
-			return err
-		}
-		return json.Unmarshal(body, &read)
+// ReadBack gives the newest configuration.
+func (o *Operator) ReadBack(ctx context.Context) (read model.Configuration, err error) {
+	err = o.untilOne(ctx, func(controller string) error {
+		read, err = o.ReadAt(ctx, controller)
+		return err
 	})
 	return read, err
 }
 
+// ReadAt asks one controller once, and follows it to another.
+func (o *Operator) ReadAt(ctx context.Context, controller string) (read model.Configuration, err error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+controller+"/mastusher/settings", nil)
+	if err != nil {
+		return read, err
+	}
+	_, body, err := o.send(request)
+	if err != nil {
+		return read, err
+	}
+	return read, json.Unmarshal(body, &read)
+}
+
 // untilOne calls the controllers in turn until one order succeeds.
-func (o *operator) untilOne(ctx context.Context, order func(controller string) error) error {
+func (o *Operator) untilOne(ctx context.Context, order func(controller string) error) error {
 	ctx, cancel := context.WithTimeout(ctx, orderPatience)
 	defer cancel()
-	return poll(ctx, func(try int) error { return order(o.controllers[try%len(o.controllers)]) })
+	return Poll(ctx, func(try int) error { return order(o.controllers[try%len(o.controllers)]) })
 }
 
 // send gives the address that answered with 200, and its body.
-func (o *operator) send(request *http.Request) (string, []byte, error) {
+func (o *Operator) send(request *http.Request) (string, []byte, error) {
 	response, err := o.client.Do(request)
 	if err != nil {
 		return "", nil, err
@@ -89,11 +96,14 @@
 	return response.Request.URL.Host, body, nil
 }
 
-// same tells whether two configurations say the same.
-func same(a, b model.Configuration) bool { return reflect.DeepEqual(a, b) }
+// DialFunc opens connections, as net.Dialer does.
+type DialFunc = func(ctx context.Context, network, address string) (net.Conn, error)
+
+// Same tells whether two configurations say the same.
+func Same(a, b model.Configuration) bool { return reflect.DeepEqual(a, b) }
 
-// poll tries until a try succeeds or ctx ends; its error is then that of the last try.
-func poll(ctx context.Context, try func(number int) error) error {
+// Poll tries until a try succeeds or ctx ends; its error is then that of the last try.
+func Poll(ctx context.Context, try func(number int) error) error {
 	ticker := time.NewTicker(pollInterval)
 	defer ticker.Stop()
 	for number := 0; ; number++ {
--- /dev/null
+++ b/internal/system/localtier/process.go
@@ -0,0 +1,176 @@
+package localtier
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"time"
+)
+
+// SettingsVariable names the environment variable that holds the path of a process's settings file.
+const SettingsVariable = "MASTUSHER_NODE_FILE"
+
+// Process is a role on a machine, which runs or not. Its methods must not be called at the same time.
+type Process struct {
+	Machine Machine
+	Role    string
+
+	tier    *Tier
+	starts  int
+	command *exec.Cmd
+	ended   chan struct{} // closed once the process has ended; nil: it has never run
+	err     error         // of its end; read after ended
+	ending  bool          // it is to end: by a signal from here
+}
+
+// Start starts the process, with the settings of a first start of the whole system if it is its first.
+func (p *Process) Start() error {
+	if err := p.tier.writeSettings(p.Machine, p.Role, p.starts == 0); err != nil {
+		return err
+	}
+	log, err := os.OpenFile(p.LogPath(), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return err
+	}
+	defer log.Close()
+	command := exec.Command(p.tier.options.Command[0], append(p.tier.options.Command[1:], p.Role)...)
+	command.Env = []string{SettingsVariable + "=" + p.tier.settingsPath(p.Machine, p.Role)}
+	if p.tier.options.Environment != nil {
+		command.Env = append(command.Env, p.tier.options.Environment(p.Machine)...)
+	}
+	command.Stdout, command.Stderr = log, log
+	// The process goes with the one that started it, also if that is killed.
+	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := command.Start(); err != nil {
+		return err
+	}
+	p.starts++
+	ended := make(chan struct{})
+	p.command, p.ended, p.ending, p.err = command, ended, false, nil
+	go func() {
+		p.err = command.Wait()
+		close(ended)
+	}()
+	return nil
+}
+
+// LogPath is the file that takes the output of all runs of the process.
+func (p *Process) LogPath() string {
+	return filepath.Join(p.tier.options.Folder, p.Machine.Name+"-"+p.Role+".log")
+}
+
+// String names the machine and the role.
+func (p *Process) String() string { return p.Machine.Name + "/" + p.Role }
+
+// Running tells whether the process has begun and not ended yet.
+func (p *Process) Running() bool {
+	if p.ended == nil {
+		return false
+	}
+	select {
+	case <-p.ended:
+		return false
+	default:
+		return true
+	}
+}
+
+// Signal sends a signal; SIGKILL and SIGTERM mean that the process is to end.
+func (p *Process) Signal(signal syscall.Signal) error {
+	if p.Running() && (signal == syscall.SIGKILL || signal == syscall.SIGTERM) {
+		p.ending = true
+	}
+	return p.command.Process.Signal(signal)
+}
+
+// Kill ends the process as a crash would, and waits for its end.
+func (p *Process) Kill(ctx context.Context) error {
+	if err := p.Signal(syscall.SIGKILL); err != nil {
+		return fmt.Errorf("%v: %w", p, err)
+	}
+	return p.Wait(ctx)
+}
+
+// Wait waits for the end of the process.
+func (p *Process) Wait(ctx context.Context) error {
+	select {
+	case <-p.ended:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Fault tells what is wrong with the end of a process: that it came by itself, or not with status 0 after SIGTERM. A process
+// that runs or was killed has none.
+func (p *Process) Fault() error {
+	if p.ended == nil || p.Running() {
+		return nil
+	}
+	if !p.ending {
+		return fmt.Errorf("%v ended by itself: %v", p, p.err)
+	}
+	var exit *exec.ExitError
+	if errors.As(p.err, &exit) && exit.Sys().(syscall.WaitStatus).Signal() == syscall.SIGKILL {
+		return nil
+	}
+	if p.err != nil {
+		return fmt.Errorf("%v ended with %w", p, p.err)
+	}
+	return nil
+}
+
+// LoseDisk empties the data folder of the process's machine, on which nothing may run.
+func (p *Process) LoseDisk() error { return os.RemoveAll(p.tier.diskOf(p.Machine)) }
+
+// Stop ends all processes: with SIGTERM, and with SIGKILL those that go on. It gives a sentence for each that did not end
+// in order.
+func Stop(processes []*Process) []string {
+	var running []*Process
+	for _, p := range processes {
+		if p.Running() {
+			running = append(running, p)
+			_ = p.Signal(syscall.SIGTERM)
+		}
+	}
+	bounded, cancel := context.WithTimeout(context.Background(), stopPatience)
+	defer cancel()
+	var problems []string
+	for _, p := range running {
+		if p.Wait(bounded) != nil && p.Running() {
+			_ = p.Signal(syscall.SIGKILL)
+			<-p.ended
+			problems = append(problems, fmt.Sprintf("%v did not end within %v of SIGTERM", p, stopPatience))
+		} else if err := p.Fault(); err != nil {
+			problems = append(problems, err.Error())
+		}
+	}
+	return problems
+}
+
+// Unexpected gives a sentence for each process that has ended by itself.
+func Unexpected(processes []*Process) []string {
+	var problems []string
+	for _, p := range processes {
+		if p.ended != nil && !p.ending && !p.Running() {
+			problems = append(problems, p.Fault().Error())
+		}
+	}
+	return problems
+}
+
+// Pause waits before something is tried again.
+func Pause(ctx context.Context, pause time.Duration) error {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- a/internal/system/example/surroundings.go
+++ b/internal/system/localtier/surroundings.go
@@ -1,4 +1,4 @@
-package example
+package localtier
 
 import (
 	"fmt"
@@ -8,16 +8,16 @@
 	"mastusher/internal/system/standin"
 )
 
-// Names of the example's configuration.
+// Names of the configuration.
 const (
-	host          = "tier.example"
-	turnPath      = "/turns/a"
-	toolPath      = "/tools/a"
-	laterToolPath = "/later-tools/a" // on a route that comes with the second configuration
-	modelService  = "engines"
-	toolService   = "tools"
-	modelName     = "m"
-	version       = "v1"
+	Host      = "tier.example"
+	TurnPath  = "/turns/a"
+	ToolPath  = "/tools/a"
+	ModelName = "m"
+
+	modelService = "engines"
+	toolService  = "tools"
+	version      = "v1"
 )
 
 // Sizes of the stand-ins.
@@ -27,98 +27,96 @@
 	batch          = 16
 	toolCapacity   = 8
 	cacheTokens    = 1 << 20
-	tokensPerEvent = 3
+	TokensPerEvent = 3
 	eventGap       = 2 * time.Millisecond
 	toolWork       = 5 * time.Millisecond
 	maxConnections = 200
 )
 
-// surroundings is what is around the tier: the platform's list and the endpoints on it.
-type surroundings struct {
-	platform *standin.Platform
-	ledger   *standin.Ledger
+// Surroundings is what is around a tier: the platform's list and the endpoints on it.
+type Surroundings struct {
+	Platform *standin.Platform
+	Ledger   *standin.Ledger
 	closers  []func()
 }
 
-// surround starts the stand-ins.
-func surround() (*surroundings, error) {
+// Surround starts the stand-ins.
+func Surround() (*Surroundings, error) {
 	platform, err := standin.NewPlatform(standin.PlatformOptions{})
 	if err != nil {
 		return nil, err
 	}
-	around := &surroundings{platform: platform, ledger: standin.NewLedger(), closers: []func(){platform.Close}}
+	around := &Surroundings{Platform: platform, Ledger: standin.NewLedger(), closers: []func(){platform.Close}}
 	for number := range modelServers {
 		if err := around.addEngine(fmt.Sprintf("engine-%d", number+1)); err != nil {
-			around.close()
+			around.Close()
 			return nil, err
 		}
 	}
 	for number := range toolServers {
 		if err := around.addTool(fmt.Sprintf("tool-%d", number+1)); err != nil {
-			around.close()
+			around.Close()
 			return nil, err
 		}
 	}
 	return around, nil
 }
 
-func (s *surroundings) options(id, service string, capacity int) standin.EndpointOptions {
+func (s *Surroundings) options(id, service string, capacity int) standin.EndpointOptions {
 	return standin.EndpointOptions{ID: id, Service: service, Zone: zone, Number: version, Capacity: capacity, Queue: capacity,
-		TellLoad: true, Ledger: s.ledger}
+		TellLoad: true, Ledger: s.Ledger}
 }
 
-func (s *surroundings) addEngine(id string) error {
+func (s *Surroundings) addEngine(id string) error {
 	engine, err := standin.NewEngine(standin.EngineOptions{EndpointOptions: s.options(id, modelService, batch),
-		Models: []string{modelName}, Weights: 1, CacheTokens: cacheTokens, TokensPerEvent: tokensPerEvent, Gap: eventGap})
+		Models: []string{ModelName}, Weights: 1, CacheTokens: cacheTokens, TokensPerEvent: TokensPerEvent, Gap: eventGap})
 	if err != nil {
 		return err
 	}
 	s.closers = append(s.closers, engine.Close)
-	s.platform.PutEntry(standin.Entry{Endpoint: engine.Entry(), Phase: "both",
-		Models: []standin.ReportModel{{Name: modelName, Number: 1, Adapters: []string{}}}})
+	s.Platform.PutEntry(standin.Entry{Endpoint: engine.Entry(), Phase: "both",
+		Models: []standin.ReportModel{{Name: ModelName, Number: 1, Adapters: []string{}}}})
 	return nil
 }
 
-func (s *surroundings) addTool(id string) error {
+func (s *Surroundings) addTool(id string) error {
 	tool, err := standin.NewPlain(standin.PlainOptions{EndpointOptions: s.options(id, toolService, toolCapacity), Work: toolWork})
 	if err != nil {
 		return err
 	}
 	s.closers = append(s.closers, tool.Close)
-	s.platform.Put(tool.Entry())
+	s.Platform.Put(tool.Entry())
 	return nil
 }
 
-func (s *surroundings) close() {
+// Close ends the stand-ins.
+func (s *Surroundings) Close() {
 	for _, closeOne := range s.closers {
 		closeOne()
 	}
 }
 
-// configuration gives a version of the operator's configuration; from the second on there is one more route.
-func configuration(number uint64) model.Configuration {
-	routes := []model.Route{
-		{Name: "turns", Host: host, StartsWith: "/turns/", Kind: model.Streaming, GiveUpMs: requestPatience.Milliseconds(), TargetMs: 500,
-			Service: modelService, Tries: 2, Remembered: true, KeepForS: 60, Pinned: true, GapAimMs: 250},
-		toolRoute("tools", "/tools/"),
-	}
-	if number > 1 {
-		routes = append(routes, toolRoute("later-tools", "/later-tools/"))
-	}
+// Configuration gives a version of the operator's configuration, whose turns are kept for a time. It may have more routes.
+func Configuration(number uint64, keepFor time.Duration, more ...model.Route) model.Configuration {
+	routes := append([]model.Route{
+		{Name: "turns", Host: Host, StartsWith: "/turns/", Kind: model.Streaming, GiveUpMs: RequestPatience.Milliseconds(), TargetMs: 500,
+			Service: modelService, Tries: 2, Remembered: true, KeepForS: keepFor.Seconds(), Pinned: true, GapAimMs: 250},
+		ToolRoute("tools", "/tools/"),
+	}, more...)
 	return model.Configuration{
 		Number: number,
 		Routes: routes,
 		Services: []model.Service{
 			{Name: modelService, HealthPath: "/health", MaxConnections: maxConnections, Protocol: "h1",
-				Engine: &model.Engine{Capacity: batch, CacheTokens: cacheTokens, TokensPerEvent: tokensPerEvent, Models: []model.Model{{Name: modelName}}}},
+				Engine: &model.Engine{Capacity: batch, CacheTokens: cacheTokens, TokensPerEvent: TokensPerEvent, Models: []model.Model{{Name: ModelName}}}},
 			{Name: toolService, HealthPath: "/health", MaxConnections: maxConnections, Protocol: "h1"},
 		},
 		Limits: model.Limits{MaxHeaderBytes: 16 << 10, MaxBodyBytes: 4 << 20, HeaderWaitMs: 3000, IdleCloseMs: 15000},
 	}
 }
 
-// toolRoute is a route whose requests run at most once.
-func toolRoute(name, prefix string) model.Route {
-	return model.Route{Name: name, Host: host, StartsWith: prefix, Kind: model.OnceOnly, GiveUpMs: requestPatience.Milliseconds(), TargetMs: 300,
+// ToolRoute is a route whose requests run at most once.
+func ToolRoute(name, prefix string) model.Route {
+	return model.Route{Name: name, Host: Host, StartsWith: prefix, Kind: model.OnceOnly, GiveUpMs: RequestPatience.Milliseconds(), TargetMs: 300,
 		Service: toolService, Tries: 2}
 }
