--- a/internal/system/simulation/checkers_test.go
+++ b/internal/system/simulation/checkers_test.go
@@ -89,7 +89,7 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			h := &history{programs: []played{{Name: "p", Budget: c.budget, Outcome: standin.Outcome{Turns: []standin.Turn{whole, c.last}}}}}
+			h := &history{programs: []standin.Played{{Name: "p", Budget: c.budget, Outcome: standin.Outcome{Turns: []standin.Turn{whole, c.last}}}}}
 			var broken []string
 			for _, violation := range checkTurns(h, standin.NewLedger()) {
 				if rule, _, _ := strings.Cut(violation, ":"); rule != "TURN" { // the ledger is empty
--- a/internal/system/simulation/clients.go
+++ b/internal/system/simulation/clients.go
@@ -92,7 +92,7 @@
 		GoOnFrom: from, Dial: c.dial, Pause: pause}
 	outcome := standin.NewProgram(options).Play(context.Background())
 	c.fleet.trace("program %s: %s after %d turns", name, outcome.State, len(outcome.Turns))
-	c.fleet.history.program(played{Name: name, Budget: budget, Outcome: outcome})
+	c.fleet.history.program(standin.Played{Name: name, Budget: budget, Outcome: outcome})
 	return outcome
 }
 
--- a/internal/system/simulation/history.go
+++ b/internal/system/simulation/history.go
@@ -33,19 +33,12 @@
 	At          time.Duration
 }
 
-// played is a program that has ended.
-type played struct {
-	Name    string
-	Budget  int64
-	Outcome standin.Outcome
-}
-
 // history is what operators and clients have seen.
 type history struct {
 	mutex    sync.Mutex
 	sent     []sent
 	versions []versionSeen
-	programs []played
+	programs []standin.Played
 }
 
 func (h *history) call(s sent) {
@@ -60,7 +53,7 @@
 	h.versions = append(h.versions, seen)
 }
 
-func (h *history) program(p played) {
+func (h *history) program(p standin.Played) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	h.programs = append(h.programs, p)
--- a/internal/system/standin/ledger.go
+++ b/internal/system/standin/ledger.go
@@ -23,13 +23,14 @@
 type Ledger struct {
 	mutex    sync.Mutex
 	runs     []Run
+	places   map[string][]int // of the runs, by attempt
 	refusals map[string]int
 	came     chan struct{} // closed at the next change
 }
 
 // NewLedger gives an empty one.
 func NewLedger() *Ledger {
-	return &Ledger{refusals: map[string]int{}, came: make(chan struct{})}
+	return &Ledger{places: map[string][]int{}, refusals: map[string]int{}, came: make(chan struct{})}
 }
 
 // begin notes a run and gives its place.
@@ -40,6 +41,7 @@
 	if len(l.runs) >= maxRuns {
 		return maxRuns
 	}
+	l.places[run.Attempt] = append(l.places[run.Attempt], len(l.runs))
 	l.runs = append(l.runs, run)
 	return len(l.runs) - 1
 }
@@ -83,11 +85,11 @@
 
 // Runs gives the runs of one attempt.
 func (l *Ledger) Runs(attempt string) []Run {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
 	var found []Run
-	for _, run := range l.All() {
-		if run.Attempt == attempt {
-			found = append(found, run)
-		}
+	for _, place := range l.places[attempt] {
+		found = append(found, l.runs[place])
 	}
 	return found
 }
