--- a/internal/system/localtier/operator.go
+++ b/internal/system/localtier/operator.go
@@ -29,24 +29,40 @@
 	}
 }
 
+// StatusError is an answer other than 200.
+type StatusError struct {
+	Status  int
+	Request string
+	Body    string
+}
+
+// Error names the request and the status.
+func (e *StatusError) Error() string {
+	return fmt.Sprintf("%s: %d: %.200s", e.Request, e.Status, e.Body)
+}
+
 // Configure sends a configuration until it is acknowledged, and gives the address of the controller that did so.
-func (o *Operator) Configure(ctx context.Context, wanted model.Configuration, over uint64) (string, error) {
+func (o *Operator) Configure(ctx context.Context, wanted model.Configuration, over uint64) (owner string, err error) {
+	err = o.untilOne(ctx, func(controller string) error {
+		owner, err = o.ConfigureAt(ctx, controller, wanted, over)
+		return err
+	})
+	return owner, err
+}
+
+// ConfigureAt sends a configuration to one controller once, and follows it to another.
+func (o *Operator) ConfigureAt(ctx context.Context, controller string, wanted model.Configuration, over uint64) (owner string, err error) {
 	body, err := json.Marshal(wanted)
 	if err != nil {
 		return "", err
 	}
-	var owner string
-	err = o.untilOne(ctx, func(controller string) error {
-		request, err := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+controller+"/mastusher/settings", bytes.NewReader(body))
-		if err != nil {
-			return err
-		}
-		request.Header.Set("Content-Type", "application/json")
-		request.Header.Set("If-Match", strconv.FormatUint(over, 10))
-		answered, _, err := o.send(request)
-		owner = answered
-		return err
-	})
+	request, err := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+controller+"/mastusher/settings", bytes.NewReader(body))
+	if err != nil {
+		return "", err
+	}
+	request.Header.Set("Content-Type", "application/json")
+	request.Header.Set("If-Match", strconv.FormatUint(over, 10))
+	owner, _, err = o.send(request)
 	return owner, err
 }
 
@@ -91,7 +107,7 @@
 		return "", nil, err
 	}
 	if response.StatusCode != http.StatusOK {
-		return "", nil, fmt.Errorf("%s %s: %s: %.200s", request.Method, request.URL, response.Status, body)
+		return "", nil, &StatusError{Status: response.StatusCode, Request: request.Method + " " + request.URL.String(), Body: string(body)}
 	}
 	return response.Request.URL.Host, body, nil
 }
--- /dev/null
+++ b/internal/system/soak/groups.go
@@ -0,0 +1,100 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"regexp"
+	"time"
+
+	"mastusher/internal/system/localtier"
+)
+
+// groupsSeen is what the stores tell of the shards' groups.
+type groupsSeen struct {
+	all   int
+	owned int // groups with an owner that a majority confirms
+	whole int // of these, groups all of whose members have caught up
+}
+
+// String tells the counts.
+func (g groupsSeen) String() string {
+	return fmt.Sprintf("of %d groups %d have an owner and %d are whole", g.all, g.owned, g.whole)
+}
+
+// groups asks all stores.
+func (r *run) groups(ctx context.Context) groupsSeen {
+	owned, whole := map[int]bool{}, map[int]bool{}
+	for _, m := range r.tier.Machines {
+		if m.Class != localtier.StorageClass {
+			continue
+		}
+		shards, err := localtier.OwnedShards(ctx, r.pool, m)
+		if err != nil {
+			continue
+		}
+		for _, told := range shards {
+			owned[told.Shard] = true
+			whole[told.Shard] = whole[told.Shard] || len(told.IDs) == copies && len(told.CaughtUp) == copies
+		}
+	}
+	seen := groupsSeen{all: r.shards, owned: len(owned)}
+	for _, isWhole := range whole {
+		if isWhole {
+			seen.whole++
+		}
+	}
+	return seen
+}
+
+// changed is the line that a controller logs at each change of the group that holds the configuration.
+var changed = regexp.MustCompile(`msg="group changed" group=\S+ owner=(\S+) own=\S+ epoch=(\d+) members=(\d+)`)
+
+// controllersAgree tells whether all controllers run and have the same owner, epoch and number of members, by what they have logged
+// last. There is no call that asks for it.
+func (r *run) controllersAgree() bool {
+	agreed := ""
+	for _, s := range r.services {
+		if s.Role != localtier.ControllerRole {
+			continue
+		}
+		content, err := os.ReadFile(s.LogPath())
+		if err != nil || !s.isUp() {
+			return false
+		}
+		lines := changed.FindAllStringSubmatch(string(content), -1)
+		if len(lines) == 0 {
+			return false
+		}
+		last := lines[len(lines)-1]
+		said := fmt.Sprint(last[1:])
+		if last[3] != fmt.Sprint(len(r.controllers())) || agreed != "" && said != agreed {
+			return false
+		}
+		agreed = said
+	}
+	return true
+}
+
+func (r *run) controllers() []string {
+	return r.tier.Addresses(localtier.CoreClass, localtier.ControlPort)
+}
+
+// isUp tells whether the process runs and isn't held, and has done so for long enough to count as back.
+func (s *service) isUp() bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.held == 0 && s.stopped == 0 && s.Running() && time.Since(s.started) > catchUp
+}
+
+// awaitWhole waits until all groups are whole and every process with a disk has been back for the time that it counts as lost.
+func (r *run) awaitWhole(ctx context.Context, patience time.Duration) bool {
+	return r.until(ctx, patience, func() bool {
+		for _, s := range r.counting() {
+			if !s.isUp() {
+				return false
+			}
+		}
+		return r.groups(ctx).whole == r.shards && r.controllersAgree()
+	})
+}
