Keep the time of what processes log, and know the controllers that stand by

A read at a controller that was taken out of the group while it was cut off gets 503 for good, which stays a violation, of the kind SILENT.

--- /dev/null
+++ b/internal/system/localtier/log.go
@@ -0,0 +1,57 @@
+package localtier
+
+import (
+	"bytes"
+	"fmt"
+	"os"
+	"sync"
+	"time"
+)
+
+// logFile is a file that takes what processes write, with the time of day before each line, as the platform keeps it.
+type logFile struct {
+	file *os.File
+
+	mutex sync.Mutex
+	begun []byte // a line whose end hasn't come
+}
+
+// timeForm is that of the times in logs.
+const timeForm = "15:04:05.000"
+
+// openLog opens a file to go on at its end.
+func openLog(path string) (*logFile, error) {
+	file, err := os.OpenFile(path, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return nil, err
+	}
+	return &logFile{file: file}, nil
+}
+
+// Write implements io.Writer.
+func (l *logFile) Write(data []byte) (int, error) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.begun = append(l.begun, data...)
+	end := bytes.LastIndexByte(l.begun, '\n') + 1
+	var stamped []byte
+	for line := range bytes.Lines(l.begun[:end]) {
+		stamped = append(time.Now().AppendFormat(stamped, timeForm+" "), line...)
+	}
+	l.begun = append([]byte(nil), l.begun[end:]...)
+	if _, err := l.file.Write(stamped); err != nil {
+		return 0, err
+	}
+	return len(data), nil
+}
+
+// note writes a line of the one who starts the processes.
+func (l *logFile) note(format string, values ...any) { fmt.Fprintf(l, "--- "+format+"\n", values...) }
+
+// Close writes what was begun, and closes the file.
+func (l *logFile) Close() error {
+	if len(l.begun) > 0 {
+		l.note("the last line isn't whole")
+	}
+	return l.file.Close()
+}
--- a/internal/system/localtier/process.go
+++ b/internal/system/localtier/process.go
@@ -32,11 +32,10 @@
 	if err := p.tier.writeSettings(p.Machine, p.Role, p.starts == 0); err != nil {
 		return err
 	}
-	log, err := os.OpenFile(p.LogPath(), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	log, err := openLog(p.LogPath())
 	if err != nil {
 		return err
 	}
-	defer log.Close()
 	command := exec.Command(p.tier.options.Command[0], append(p.tier.options.Command[1:], p.Role)...)
 	command.Env = []string{SettingsVariable + "=" + p.tier.settingsPath(p.Machine, p.Role)}
 	if p.tier.options.Environment != nil {
@@ -46,13 +45,16 @@
 	// The process goes with the one that started it, also if that is killed.
 	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := command.Start(); err != nil {
-		return err
+		return errors.Join(err, log.Close())
 	}
 	p.starts++
+	log.note("start %d, process %d", p.starts, command.Process.Pid)
 	ended := make(chan struct{})
 	p.command, p.ended, p.ending, p.err = command, ended, false, nil
 	go func() {
 		p.err = command.Wait()
+		log.note("end of process %d: %v", command.Process.Pid, command.ProcessState)
+		_ = log.Close()
 		close(ended)
 	}()
 	return nil
--- a/internal/system/soak/groups.go
+++ b/internal/system/soak/groups.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"regexp"
+	"strconv"
 	"time"
 
 	"mastusher/internal/system/localtier"
@@ -48,32 +49,32 @@
 }
 
 // changed is the line that a controller logs at each change of the group that holds the configuration.
-var changed = regexp.MustCompile(`msg="group changed" group=\S+ owner=(\S+) own=\S+ epoch=(\d+) members=(\d+)`)
+var changed = regexp.MustCompile(`msg="group changed" group=\S+ owner=(\S*) own=\S+ epoch=(\d+) members=(\d+)`)
 
-// controllersAgree tells whether all controllers run and have the same owner, epoch and number of members, by what they have logged
-// last. There is no call that asks for it.
+// controllersAgree tells whether as many controllers as the configuration has copies run and say, in what they have logged last, that
+// they are its group, with one owner in the newest epoch. There is no call that asks for it. Other controllers stand by.
 func (r *run) controllersAgree() bool {
-	agreed := ""
+	newest, members := 0, 0
+	owner := ""
 	for _, s := range r.services {
 		if s.Role != localtier.ControllerRole {
 			continue
 		}
 		content, err := os.ReadFile(s.LogPath())
-		if err != nil || !s.isUp() {
-			return false
-		}
 		lines := changed.FindAllStringSubmatch(string(content), -1)
-		if len(lines) == 0 {
-			return false
+		if err != nil || len(lines) == 0 {
+			continue
 		}
 		last := lines[len(lines)-1]
-		said := fmt.Sprint(last[1:])
-		if last[3] != fmt.Sprint(len(r.controllers())) || agreed != "" && said != agreed {
-			return false
+		epoch, _ := strconv.Atoi(last[2])
+		if epoch > newest {
+			newest, members, owner = epoch, 0, last[1]
+		}
+		if epoch == newest && last[1] == owner && last[3] == strconv.Itoa(copies) {
+			members++
 		}
-		agreed = said
 	}
-	return true
+	return members >= copies && owner != ""
 }
 
 func (r *run) controllers() []string {
--- a/internal/system/soak/plan.go
+++ b/internal/system/soak/plan.go
@@ -53,7 +53,7 @@
 	Length   time.Duration `json:"length"`
 	Troubles []Trouble     `json:"troubles"`
 	Closing  Trouble       `json:"closing"` // KillAll, or LoseDisk: the same with a lost disk
-	Spread   time.Duration `json:"spread"`  // within which the processes come back from it
+	Spread   time.Duration `json:"spread"`  // within which the processes come back from it; 0: all at once
 }
 
 // Text is the plan as it is kept.
@@ -96,6 +96,8 @@
 	}
 	slices.SortStableFunc(plan.Troubles, func(a, b Trouble) int { return int(a.At - b.At) })
 	plan.Closing = draw(length, []Kind{KillAll, LoseDisk}[random.IntN(2)])
-	plan.Spread = between(0, mostSpread)
+	if random.IntN(2) == 0 {
+		plan.Spread = between(0, mostSpread)
+	}
 	return plan
 }
--- a/internal/system/soak/recover.go
+++ b/internal/system/soak/recover.go
@@ -16,9 +16,8 @@
 // errOnce ends a program at the first turn that isn't served.
 var errOnce = errors.New("sent once")
 
-// recover measures how the tier comes back, from now on.
-func (r *run) recover(ctx context.Context) {
-	back := time.Now()
+// recover measures how the tier comes back, from the start of the last process on.
+func (r *run) recover(ctx context.Context, back time.Time) {
 	var measured sync.WaitGroup
 	served := make([]time.Duration, len(r.clients.fronts))
 	for at := range r.clients.fronts {
@@ -31,7 +30,7 @@
 	measured.Go(func() {
 		r.within(ctx, back, RecoveryBound, "RECOVER", "an order", func() bool { return r.operator.order(ctx) })
 		for _, controller := range r.controllers() {
-			r.within(ctx, back, RecoveryBound, "RECOVER", "a read at "+controller, func() bool { return r.operator.read(ctx, controller) })
+			r.within(ctx, back, RecoveryBound, "SILENT", "a read at "+controller, func() bool { return r.operator.read(ctx, controller) })
 		}
 		for _, front := range r.clients.fronts {
 			r.within(ctx, back, RecoveryBound, "RECOVER", "the newest configuration at "+front, func() bool { return r.serves(ctx, front) })
--- a/internal/system/soak/soak.go
+++ b/internal/system/soak/soak.go
@@ -100,7 +100,6 @@
 	watched.Go(func() { r.watch(watching) })
 	if r.begin(ctx) {
 		r.day(ctx)
-		r.recover(ctx)
 		r.check(ctx)
 	}
 	endWatch()
@@ -172,14 +171,15 @@
 	return true
 }
 
-// day plays the troubles under traffic, and the closing one.
+// day plays the troubles under traffic, and the closing one, and measures how the tier comes back from it.
 func (r *run) day(ctx context.Context) {
 	working, endTraffic := context.WithCancel(ctx)
 	var traffic, troubles sync.WaitGroup
 	for range programLanes {
 		traffic.Go(func() { r.clients.work(working) })
 	}
-	traffic.Go(func() { r.operator.work(working) })
+	ordering, endOrders := context.WithCancel(working)
+	traffic.Go(func() { r.operator.work(ordering) })
 	traffic.Go(func() { r.operator.readWork(working) })
 	start := time.Now()
 	for _, trouble := range r.plan.Troubles {
@@ -192,6 +192,9 @@
 	_ = localtier.Pause(ctx, time.Until(start.Add(r.plan.Length)))
 	troubles.Wait()
 	r.close(ctx)
+	back := time.Now()
+	endOrders() // a new configuration has to reach all proxies before the next one
+	r.recover(ctx, back)
 	endTraffic()
 	traffic.Wait()
 }
--- a/internal/system/soak/traffic.go
+++ b/internal/system/soak/traffic.go
@@ -135,7 +135,7 @@
 func (o *operator) order(ctx context.Context) bool {
 	o.mutex.Lock()
 	over := o.acked
-	o.sent = over + 1
+	o.sent = max(o.sent, over+1)
 	o.mutex.Unlock()
 	bounded, cancel := context.WithTimeout(context.WithoutCancel(ctx), orderPatience)
 	defer cancel()
@@ -151,7 +151,7 @@
 	}
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
-	o.acked = over + 1
+	o.acked = max(o.acked, over+1)
 	return true
 }
 
