--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # The tasks of the project; `make check` is what CI runs.
-.PHONY: build test lint size deploy check run sites plugins fuzz fleet tier bench-plugins bench-capture bench-replay soak demo mutants packages race
+.PHONY: build test lint size deploy check run sites plugins fuzz fleet tier bench-plugins bench-capture bench-replay soak demo mutants packages race tier-soak
 
 # All files that decide, together. control/planner.go isn't one of them: it lends control.go's tables and recursion to the
 # tier, and decides nothing. A file that takes decisions over from control.go belongs here and under `policy` in
@@ -92,6 +92,12 @@
 	@sh -c "$$(sed -n 's/^build = "\(.*\)"$$/\1/p' deploy/system.toml)"
 	go run ./cmd/tierexample
 
+# Random troubles on tiers of real processes, by seed: about a minute each.
+tier-soak:
+	@sh -c "$$(sed -n 's/^build = "\(.*\)"$$/\1/p' deploy/system.toml)"
+	go build -o target/tiersoak ./cmd/tiersoak
+	target/tiersoak play --seeds $(or $(SEEDS),10) --first $(or $(FIRST),1) --length $(or $(LENGTH),20s)
+
 # Random worlds in the lab, with the rule checker, for as long as asked.
 soak: build
 	bin/mastlab soak --for $(or $(FOR),10m)
--- a/internal/system/example/example_test.go
+++ b/internal/system/example/example_test.go
@@ -13,24 +13,10 @@
 	"github.com/google/go-cmp/cmp"
 
 	"mastusher/internal/system/localtier"
+	"mastusher/internal/system/localtier/localtiertest"
 	"mastusher/internal/system/standin"
 )
 
-// buildTier builds mastusher-tier, with the race detector if the test has it.
-func buildTier(t *testing.T) string {
-	t.Helper()
-	binary := filepath.Join(t.TempDir(), "mastusher-tier")
-	arguments := []string{"build", "-o", binary}
-	if raceDetector {
-		arguments = append(arguments, "-race")
-	}
-	output, err := exec.Command("go", append(arguments, "mastusher/cmd/mastusher-tier")...).CombinedOutput()
-	if err != nil {
-		t.Fatalf("go build: %v\n%s", err, output)
-	}
-	return binary
-}
-
 // logsOf gives what the processes have written.
 func logsOf(t *testing.T, folder string) string {
 	t.Helper()
@@ -51,7 +37,7 @@
 
 func TestATierOfRealProcessesKeepsItsWord(t *testing.T) {
 	// Given the binary that the deployment runs
-	binary, folder := buildTier(t), t.TempDir()
+	binary, folder := localtiertest.Build(t, "mastusher/cmd/mastusher-tier"), t.TempDir()
 	var report bytes.Buffer
 
 	// When the example plays on it, with the loss of a store and of the configuration's owner
--- a/internal/system/example/race_on_test.go
+++ b/internal/system/localtier/localtiertest/race_on.go
@@ -1,6 +1,6 @@
 //go:build race
 
-package example
+package localtiertest
 
 // raceDetector says whether the tests run with the race detector; the tier's processes then do so, too.
 const raceDetector = true
--- a/internal/system/localtier/process.go
+++ b/internal/system/localtier/process.go
@@ -68,6 +68,9 @@
 // String names the machine and the role.
 func (p *Process) String() string { return p.Machine.Name + "/" + p.Role }
 
+// Pid is the number of the process, which has begun.
+func (p *Process) Pid() int { return p.command.Process.Pid }
+
 // Running tells whether the process has begun and not ended yet.
 func (p *Process) Running() bool {
 	if p.ended == nil {
--- a/internal/system/soak/recover.go
+++ b/internal/system/soak/recover.go
@@ -5,6 +5,8 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"os"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -18,6 +20,7 @@
 
 // recover measures how the tier comes back, from the start of the last process on.
 func (r *run) recover(ctx context.Context, back time.Time) {
+	waited := cpuWait()
 	var measured sync.WaitGroup
 	served := make([]time.Duration, len(r.clients.fronts))
 	for at := range r.clients.fronts {
@@ -37,12 +40,22 @@
 		}
 	})
 	measured.Wait()
+	r.result.Pressure = (cpuWait() - waited).Seconds() / time.Since(back).Seconds()
 	for _, took := range served {
 		r.result.AllServed = max(r.result.AllServed, took)
 	}
 	r.tell("recovered: %v", r.result.Text())
 }
 
+// cpuWait is how long something on the machine has waited for a processor, as the kernel tells; 0 if it doesn't.
+func cpuWait() time.Duration {
+	content, _ := os.ReadFile("/proc/pressure/cpu")
+	_, total, _ := strings.Cut(string(content), "total=")
+	total, _, _ = strings.Cut(total, "\n")
+	microseconds, _ := strconv.ParseInt(total, 10, 64)
+	return time.Duration(microseconds) * time.Microsecond
+}
+
 // within waits until something holds, some time after a moment at most, and returns how long it took.
 func (r *run) within(ctx context.Context, since time.Time, bound time.Duration, kind, what string, holds func() bool) time.Duration {
 	if !r.until(ctx, time.Until(since.Add(bound)), holds) {
--- a/internal/system/soak/soak.go
+++ b/internal/system/soak/soak.go
@@ -52,6 +52,7 @@
 	AllServed   time.Duration            // from then until nearly all was served
 	Owned       time.Duration            // until each group had an owner
 	Whole       time.Duration            // until all replicas had caught up
+	Pressure    float64                  // share of that time in which something on the machine waited for a processor
 }
 
 // Kinds counts the violations of each kind.
@@ -272,8 +273,8 @@
 
 // Text tells a result in one line.
 func (r Result) Text() string {
-	text := fmt.Sprintf("programs=%d turns=%d served=%d continued=%d orders=%d reads=%d disks=%d allServedS=%.2f ownedS=%.2f wholeS=%.2f firstServed=",
-		r.Programs, r.Turns, r.Served, r.Continued, r.Orders, r.Reads, r.Disks, r.AllServed.Seconds(), r.Owned.Seconds(), r.Whole.Seconds())
+	text := fmt.Sprintf("programs=%d turns=%d served=%d continued=%d orders=%d reads=%d disks=%d allServedS=%.2f ownedS=%.2f wholeS=%.2f pressure=%.2f firstServed=",
+		r.Programs, r.Turns, r.Served, r.Continued, r.Orders, r.Reads, r.Disks, r.AllServed.Seconds(), r.Owned.Seconds(), r.Whole.Seconds(), r.Pressure)
 	for _, proxy := range slices.Sorted(maps.Keys(r.FirstServed)) {
 		text += fmt.Sprintf("%s:%.2f,", proxy, r.FirstServed[proxy].Seconds())
 	}
