Soak: send SIGTERM to processes that listen

A process that hasn't come to its handler yet can't take SIGTERM, so that neither its age nor its log tell; that it listens does, since all roles do so after they have asked for the signal.

--- a/internal/system/localtier/process.go
+++ b/internal/system/localtier/process.go
@@ -4,11 +4,14 @@
 	"context"
 	"errors"
 	"fmt"
+	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"syscall"
 	"time"
+
+	"mastusher/internal/system/wire"
 )
 
 // SettingsVariable names the environment variable that holds the path of a process's settings file.
@@ -71,6 +74,18 @@
 // Pid is the number of the process, which has begun.
 func (p *Process) Pid() int { return p.command.Process.Pid }
 
+// Listens tells whether the process, which runs, takes connections yet.
+func (p *Process) Listens() bool {
+	port := map[string]int{ControllerRole: FirstPort + wire.ControllerPort, StoreRole: FirstPort + wire.StorePort,
+		AgentRole: FirstPort + wire.AgentPort, ProxyRole: ReadinessPort}[p.Role]
+	opened, err := net.DialTimeout("tcp4", p.Machine.Address(port), listenPatience)
+	if err != nil {
+		return false
+	}
+	_ = opened.Close()
+	return true
+}
+
 // Running tells whether the process has begun and not ended yet.
 func (p *Process) Running() bool {
 	if p.ended == nil {
--- a/internal/system/network/cutnetwork/cutnetwork_test.go
+++ b/internal/system/network/cutnetwork/cutnetwork_test.go
@@ -6,7 +6,9 @@
 	"io"
 	"net"
 	"os"
+	"os/exec"
 	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 )
@@ -137,3 +139,15 @@
 		t.Error("with a list that can't be read")
 	}
 }
+
+func TestTheDeployedBinaryCannotBeCut(t *testing.T) {
+	output, err := exec.Command("go", "list", "-deps", "mastusher/cmd/mastusher-tier").Output()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, unwanted := range []string{"cutnetwork", "internal/system/soak", "localtier", "memorynetwork"} {
+		if strings.Contains(string(output), unwanted) {
+			t.Errorf("mastusher-tier links %s", unwanted)
+		}
+	}
+}
--- a/internal/system/soak/doc.go
+++ b/internal/system/soak/doc.go
@@ -49,8 +49,7 @@
 
 // What is continued at the end, and how often it is tried.
 const (
-	mostContinued  = 250
-	continueLanes  = 6
-	continueTries  = 5
-	startedLongAgo = time.Second // after which a process takes SIGTERM for sure
+	mostContinued = 250
+	continueLanes = 6
+	continueTries = 5
 )
--- a/internal/system/soak/machinery.go
+++ b/internal/system/soak/machinery.go
@@ -105,13 +105,18 @@
 }
 
 // terminate asks the process to end, and keeps it down until it is released. One that doesn't end in time is killed; that breaks a rule
-// unless it was stopped meanwhile.
+// unless it was stopped meanwhile. One that doesn't listen yet may not know of SIGTERM yet, and is killed, too.
 func (s *service) terminate() {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.look()
 	s.held++
-	if !s.Running() || s.stopped > 0 || time.Since(s.started) < startedLongAgo {
+	if !s.Running() {
+		return
+	}
+	if s.stopped > 0 || !s.Listens() {
+		_ = s.Signal(syscall.SIGKILL)
+		_ = s.Wait(context.Background())
 		return
 	}
 	_ = s.Signal(syscall.SIGTERM)
