--- a/.ci/test.sh
+++ b/.ci/test.sh
@@ -4,7 +4,7 @@
 cd "$(dirname "$0")/.."
 
 # Without the race detector: control and the lab have no goroutine, so nothing to race; the others are pure code in many
-# simulations, several times slower with it. What runs that code in goroutines (group, store, controller, example) has it.
+# simulations, several times slower with it. What runs that code in goroutines (group, store, controller, example, soak) has it.
 # exchangetest plays thousands of requests through the proxy, whose own tests have it; `make race` plays them with it.
 # simulation runs the real roles in a bubble of testing/synctest: with its thousands of timers the detector of Go 1.26 itself
 # ends by SIGSEGV, on a goroutine 0 that is in the bubble. example has those roles under the detector, as processes.
--- a/cmd/tiersoak/main.go
+++ b/cmd/tiersoak/main.go
@@ -32,6 +32,7 @@
 	seeds  int
 	first  uint64
 	length time.Duration
+	keep   bool
 }
 
 // Name implements subcommands.Command.
@@ -51,6 +52,7 @@
 	flags.StringVar(&p.folder, "folder", filepath.Join(os.TempDir(), "mastusher-soak"), "folder for settings, disks and logs")
 	flags.IntVar(&p.seeds, "seeds", 10, "how many seeds are played")
 	flags.Uint64Var(&p.first, "first", 1, "the first seed")
+	flags.BoolVar(&p.keep, "keep", false, "keep the folders of all seeds")
 	flags.DurationVar(&p.length, "length", 20*time.Second, "how long troubles come in each")
 }
 
@@ -105,6 +107,9 @@
 	}
 	fmt.Printf("seed=%d large=%t cuts=%t closing=%s tookS=%.1f %s\n", seed, plan.Large, plan.Cuts, plan.Closing.Kind, time.Since(began).Seconds(), result.Text())
 	if len(result.Violations) == 0 {
+		if p.keep {
+			return false, nil
+		}
 		return false, os.RemoveAll(folder)
 	}
 	fmt.Printf("  plan %s\n  report and logs: %s\n", plan.Text(), folder)
