Soak: the configuration's group is whole with as many members as it says

The group of five controllers keeps five members, and one less for each that is lost, down to three; it was asked for three of it. The check was wrong: it now wants as many controllers to agree as the group has members, and no fewer than three.

--- a/internal/system/soak/groups.go
+++ b/internal/system/soak/groups.go
@@ -51,11 +51,10 @@
 // changed is the line that a controller logs at each change of the group that holds the configuration.
 var changed = regexp.MustCompile(`msg="group changed" group=\S+ owner=(\S*) own=\S+ epoch=(\d+) members=(\d+)`)
 
-// controllersAgree tells whether as many controllers as the configuration has copies run and say, in what they have logged last, that
-// they are its group, with one owner in the newest epoch. There is no call that asks for it. Other controllers stand by.
+// controllersAgree tells whether as many controllers as the group has members, and no fewer than there are to be copies, say the same of it
+// in what they have logged last: one owner in the newest epoch. There is no call that asks for it. Other controllers stand by.
 func (r *run) controllersAgree() bool {
-	newest, members := 0, 0
-	owner := ""
+	newest, agreeing := 0, map[[2]string]int{} // by owner and number of members
 	for _, s := range r.services {
 		if s.Role != localtier.ControllerRole {
 			continue
@@ -68,13 +67,19 @@
 		last := lines[len(lines)-1]
 		epoch, _ := strconv.Atoi(last[2])
 		if epoch > newest {
-			newest, members, owner = epoch, 0, last[1]
+			newest = epoch
+			clear(agreeing)
 		}
-		if epoch == newest && last[1] == owner && last[3] == strconv.Itoa(copies) {
-			members++
+		if epoch == newest && last[1] != "" {
+			agreeing[[2]string{last[1], last[3]}]++
 		}
 	}
-	return members >= copies && owner != ""
+	for said, count := range agreeing {
+		if members, _ := strconv.Atoi(said[1]); count >= members && members >= copies {
+			return true
+		}
+	}
+	return false
 }
 
 func (r *run) controllers() []string {
