Soak: take the number of shards from the first placement

The first placement, 1.6 s after the owner came up, knew of four stores and made four shards; the design has their number follow from the stores at that time, so that the count is told, not judged. What made the owner miss two stores for 1.6 s and two controllers for 4 s at a start without troubles is open.

--- a/internal/system/soak/groups.go
+++ b/internal/system/soak/groups.go
@@ -48,6 +48,20 @@
 	return seen
 }
 
+// placed is the line that the owner of the configuration logs at the first placement, which fixes the number of shards.
+var placed = regexp.MustCompile(`msg="shards placed" base=0 shards=(\d+)`)
+
+// learnShards looks for the first placement in the controllers' logs; false means that there is none yet.
+func (r *run) learnShards() bool {
+	for _, s := range r.services {
+		content, err := os.ReadFile(s.LogPath())
+		if line := placed.FindStringSubmatch(string(content)); err == nil && line != nil {
+			r.shards, _ = strconv.Atoi(line[1])
+		}
+	}
+	return r.shards > 0
+}
+
 // changed is the line that a controller logs at each change of the group that holds the configuration.
 var changed = regexp.MustCompile(`msg="group changed" group=\S+ owner=(\S*) own=\S+ epoch=(\d+) members=(\d+)`)
 
--- a/internal/system/soak/soak.go
+++ b/internal/system/soak/soak.go
@@ -41,6 +41,7 @@
 // Result is what a run came to.
 type Result struct {
 	Violations  []Violation
+	Shards      int // by the first placement: it follows from the stores that are known by then
 	Programs    int
 	Turns       int // tries of turns
 	Served      int // turns that were answered whole
@@ -137,8 +138,6 @@
 	for number, p := range r.tier.Processes {
 		r.services = append(r.services, &service{Process: p, number: number, note: r.violate})
 	}
-	for r.shards = 1; r.shards < options.Counts.Storage; r.shards *= 2 {
-	}
 	r.clients = newClients(r)
 	r.operator = newOperator(r)
 	r.cuts, err = newCuts(r.options.Folder, r.tier.Machines)
@@ -164,11 +163,16 @@
 		r.violate("BEGIN", "%v", err)
 		return false
 	}
+	if !r.until(ctx, beginBound, r.learnShards) {
+		r.violate("BEGIN", "no shards are placed")
+		return false
+	}
 	if !r.until(ctx, beginBound, func() bool { return r.groups(ctx).whole == r.shards }) {
 		r.violate("BEGIN", "%v", r.groups(ctx))
 		return false
 	}
-	r.tell("the tier is whole")
+	r.result.Shards = r.shards
+	r.tell("the tier is whole, with %d shards", r.shards)
 	return true
 }
 
@@ -273,8 +277,8 @@
 
 // Text tells a result in one line.
 func (r Result) Text() string {
-	text := fmt.Sprintf("programs=%d turns=%d served=%d continued=%d orders=%d reads=%d disks=%d allServedS=%.2f ownedS=%.2f wholeS=%.2f pressure=%.2f firstServed=",
-		r.Programs, r.Turns, r.Served, r.Continued, r.Orders, r.Reads, r.Disks, r.AllServed.Seconds(), r.Owned.Seconds(), r.Whole.Seconds(), r.Pressure)
+	text := fmt.Sprintf("shards=%d programs=%d turns=%d served=%d continued=%d orders=%d reads=%d disks=%d allServedS=%.2f ownedS=%.2f wholeS=%.2f pressure=%.2f firstServed=",
+		r.Shards, r.Programs, r.Turns, r.Served, r.Continued, r.Orders, r.Reads, r.Disks, r.AllServed.Seconds(), r.Owned.Seconds(), r.Whole.Seconds(), r.Pressure)
 	for _, proxy := range slices.Sorted(maps.Keys(r.FirstServed)) {
 		text += fmt.Sprintf("%s:%.2f,", proxy, r.FirstServed[proxy].Seconds())
 	}
