--- a/internal/system/example/example.go
+++ b/internal/system/example/example.go
@@ -56,7 +56,7 @@
 	}
 	failed := r.story(ctx)
 	r.problems = append(r.problems, localtier.Unexpected(r.tier.Processes)...)
-	r.problems = append(r.problems, localtier.Stop(r.tier.Processes)...)
+	r.problems = append(r.problems, localtier.Stop(r.tier.Processes, localtier.StopPatience)...)
 	r.tell("all processes have ended")
 	if len(r.problems) > 0 {
 		failed = multierr.Append(failed, &BreachError{Problems: r.problems})
--- a/internal/system/localtier/doc.go
+++ b/internal/system/localtier/doc.go
@@ -21,7 +21,7 @@
 	orderPatience    = 10 * time.Second // for one order of the operator
 	callPatience     = time.Second
 	listenPatience   = 300 * time.Millisecond
-	stopPatience     = 3 * time.Second // after SIGTERM
+	StopPatience     = 3 * time.Second // after SIGTERM
 	pollInterval     = 50 * time.Millisecond
 	processGrace     = 2.0 // seconds that a process is told it has after SIGTERM
 	maxReadBackBytes = 1 << 20
--- a/internal/system/localtier/process.go
+++ b/internal/system/localtier/process.go
@@ -147,9 +147,12 @@
 // LoseDisk empties the data folder of the process's machine, on which nothing may run.
 func (p *Process) LoseDisk() error { return os.RemoveAll(p.tier.diskOf(p.Machine)) }
 
-// Stop ends all processes: with SIGTERM, and with SIGKILL those that go on. It gives a sentence for each that did not end
-// in order.
-func Stop(processes []*Process) []string {
+// EndedByItself tells whether the process has ended without a signal from here.
+func (p *Process) EndedByItself() bool { return p.ended != nil && !p.ending && !p.Running() }
+
+// Stop ends all processes: with SIGTERM, and after some patience with SIGKILL those that go on. It gives a sentence for each that did
+// not end in order.
+func Stop(processes []*Process, patience time.Duration) []string {
 	var running []*Process
 	for _, p := range processes {
 		if p.Running() {
@@ -157,14 +160,14 @@
 			_ = p.Signal(syscall.SIGTERM)
 		}
 	}
-	bounded, cancel := context.WithTimeout(context.Background(), stopPatience)
+	bounded, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
 	var problems []string
 	for _, p := range running {
 		if p.Wait(bounded) != nil && p.Running() {
 			_ = p.Signal(syscall.SIGKILL)
 			<-p.ended
-			problems = append(problems, fmt.Sprintf("%v did not end within %v of SIGTERM", p, stopPatience))
+			problems = append(problems, fmt.Sprintf("%v did not end within %v of SIGTERM", p, patience))
 		} else if err := p.Fault(); err != nil {
 			problems = append(problems, err.Error())
 		}
@@ -176,7 +179,7 @@
 func Unexpected(processes []*Process) []string {
 	var problems []string
 	for _, p := range processes {
-		if p.ended != nil && !p.ending && !p.Running() {
+		if p.EndedByItself() {
 			problems = append(problems, p.Fault().Error())
 		}
 	}
--- a/internal/system/localtier/tier.go
+++ b/internal/system/localtier/tier.go
@@ -52,7 +52,7 @@
 	}
 	for _, p := range started.Processes {
 		if err := p.Start(); err != nil {
-			Stop(started.Processes)
+			Stop(started.Processes, StopPatience)
 			return nil, err
 		}
 	}
--- a/internal/system/soak/machinery.go
+++ b/internal/system/soak/machinery.go
@@ -68,7 +68,11 @@
 // look reports an end that the process came to by itself. The mutex is held.
 func (s *service) look() {
 	if err := s.Fault(); err != nil && !s.started.IsZero() {
-		s.note("ENDED", "%v, %v after its start", err, time.Since(s.started).Round(time.Millisecond))
+		kind := "TERM"
+		if s.EndedByItself() {
+			kind = "ENDED"
+		}
+		s.note(kind, "%v, %v after its start", err, time.Since(s.started).Round(time.Millisecond))
 		s.started = time.Time{}
 	}
 }
--- a/internal/system/soak/soak.go
+++ b/internal/system/soak/soak.go
@@ -215,7 +215,7 @@
 
 // end ends all processes.
 func (r *run) end() {
-	for _, problem := range localtier.Stop(r.tier.Processes) {
+	for _, problem := range localtier.Stop(r.tier.Processes, termBound) {
 		r.violate("TERM", "%s", problem)
 	}
 	r.tell("all processes have ended")
