--- a/internal/system/example/example_test.go
+++ b/internal/system/example/example_test.go
@@ -9,28 +9,14 @@
 	"slices"
 	"strings"
 	"testing"
-	"time"
 
 	"github.com/google/go-cmp/cmp"
 
+	"mastusher/internal/system/localtier"
+	"mastusher/internal/system/localtier/localtiertest"
 	"mastusher/internal/system/standin"
 )
 
-// buildTier builds mastusher-tier, with the race detector if the test has it.
-func buildTier(t *testing.T) string {
-	t.Helper()
-	binary := filepath.Join(t.TempDir(), "mastusher-tier")
-	arguments := []string{"build", "-o", binary}
-	if raceDetector {
-		arguments = append(arguments, "-race")
-	}
-	output, err := exec.Command("go", append(arguments, "mastusher/cmd/mastusher-tier")...).CombinedOutput()
-	if err != nil {
-		t.Fatalf("go build: %v\n%s", err, output)
-	}
-	return binary
-}
-
 // logsOf gives what the processes have written.
 func logsOf(t *testing.T, folder string) string {
 	t.Helper()
@@ -51,7 +37,7 @@
 
 func TestATierOfRealProcessesKeepsItsWord(t *testing.T) {
 	// Given the binary that the deployment runs
-	binary, folder := buildTier(t), t.TempDir()
+	binary, folder := localtiertest.Build(t, "mastusher/cmd/mastusher-tier"), t.TempDir()
 	var report bytes.Buffer
 
 	// When the example plays on it, with the loss of a store and of the configuration's owner
@@ -87,67 +73,25 @@
 	}
 
 	// When all its processes have ended
-	for _, p := range started.processes {
-		<-p.ended
+	for _, p := range started.Processes {
+		if err := p.Wait(ctx); err != nil {
+			t.Fatal(err)
+		}
 	}
 	cancel()
 
 	// Then each is named, and nothing waits for any of them
-	if got := unexpected(started.processes); len(got) != len(started.processes) || !strings.Contains(got[0], "core-1/controller ended by itself") {
+	if got := localtier.Unexpected(started.Processes); len(got) != len(started.Processes) || !strings.Contains(got[0], "core-1/controller ended by itself") {
 		t.Errorf("got %q", got)
 	}
-	if got := stop(started.processes); len(got) != 0 {
+	if got := localtier.Stop(started.Processes, localtier.StopPatience); len(got) != 0 {
 		t.Errorf("got %q", got)
 	}
-	if err := started.waitReady(ctx); err == nil {
+	if err := started.WaitReady(ctx); err == nil {
 		t.Error("ready without a process")
 	}
 }
 
-func TestEndOfAProcessIsReadFromItsLog(t *testing.T) {
-	cases := []struct {
-		name, logged string
-		took         time.Duration
-		told         bool
-	}{
-		{name: "nothing"},
-		{name: "another line", logged: "level=info msg=\"process is told to end\" grace=2s\n"},
-		{name: "a line that breaks off", logged: "level=info msg=\"process has ended\""},
-		{name: "the time of another line", logged: "level=info msg=\"process has ended\"\nlevel=info msg=other after=1s\n"},
-		{name: "its line", logged: "level=info msg=start after=1s\nlevel=info role=proxy msg=\"process has ended\" after=1.75s\nlevel=error\n",
-			took: 1750 * time.Millisecond, told: true},
-	}
-	for _, c := range cases {
-		t.Run(c.name, func(t *testing.T) {
-			if took, told := endedAfter(c.logged); took != c.took || told != c.told {
-				t.Errorf("got %v, %v", took, told)
-			}
-		})
-	}
-}
-
-func TestProcessMustSayThatItEndedWithinItsGraceTime(t *testing.T) {
-	cases := map[string]string{
-		"":                                       "doesn't say how long its end took",
-		"msg=\"process has ended\" after=2.1s\n": "took 2.1s for its end, with a grace time of 2s",
-		"msg=\"process has ended\" after=1.9s\n": "",
-	}
-	for logged, want := range cases {
-		log, err := os.Create(filepath.Join(t.TempDir(), "log"))
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer log.Close()
-		if _, err := log.WriteString(logged); err != nil {
-			t.Fatal(err)
-		}
-		p := &process{log: log}
-		if got := strings.Join(p.checkEnd(), "\n"); !strings.HasSuffix(got, want) || (got == "") != (want == "") {
-			t.Errorf("logged %q: got %q", logged, got)
-		}
-	}
-}
-
 func TestLastFinished(t *testing.T) {
 	whole := standin.Turn{Attempt: "a", Status: 200, Whole: true}
 	cases := []struct {
