--- /dev/null
+++ b/internal/system/membership/coldstart_test.go
@@ -0,0 +1,44 @@
+package membership
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// coldStartBound is the time within which all members know each other after a start of the whole system: what waits for those
+// that are missing, such as the decision that a replica is lost, waits for longer.
+const coldStartBound = 3500 * time.Millisecond
+
+// withSeedsOfTheirOwn lays out a network of five controllers in which each machine's settings name three of them, as operators'
+// lists do that were written at different times.
+func withSeedsOfTheirOwn(size int, seed uint64) *network {
+	w := newNetwork(size, seed)
+	for _, h := range w.hosts[3:5] {
+		h.member.Role = Controller
+	}
+	for _, h := range w.hosts {
+		h.seeds = nil
+		for _, i := range w.random.Perm(5)[:3] {
+			h.seeds = append(h.seeds, w.hosts[i].member.Address)
+		}
+	}
+	return w
+}
+
+func TestAllKnowEachOtherSoonAfterAColdStart(t *testing.T) {
+	worst := time.Duration(0)
+	for seed := range uint64(60) {
+		// Given machines whose seeds differ, when all start at once,
+		w := withSeedsOfTheirOwn(25, seed)
+		w.startAll()
+		w.runFor(300 * time.Millisecond)
+		// then they don't stay apart as parts that have each found seeds of their own.
+		took, done := w.runUntil(20*time.Second, w.converged)
+		worst = max(worst, took)
+		if !done || took > coldStartBound {
+			t.Errorf("seed %d: %v until all know each other", seed, took)
+		}
+	}
+	t.Log(fmt.Sprint("at most ", worst))
+}
