Have parts of the members meet soon after a cold start, and keep controllers that answer

Cause: a member counted as joined once one seed had answered, and tried seeds at which it knew nobody each 10 s, one at a time. Until then parts that had found different seeds lived apart: no list of endpoints in one of them, and replicas of those in the other counted as lost after 4 s, so that the owner took out of its group controllers that answered its every heartbeat. Ruled out: stores or groups that are slow to elect (owners were there within 2 s).

--- a/internal/system/controller/plan.go
+++ b/internal/system/controller/plan.go
@@ -91,12 +91,13 @@
 }
 
 // own keeps the configuration shard's group on the controllers: members that are gone for good are replaced by controllers
-// that run. Without anything to put in its place a member that is gone stays.
+// that run. A member that answers the owner isn't gone, whatever membership says of it: after a cold start parts of the members
+// may not know each other yet. Without anything to put in its place a member that is gone stays.
 func (p *Planner) own(now time.Time, status replica.Status) []replica.Member {
 	isLost := p.watch.LostHolders(now, membership.Controller, holdersOf(status.Members))
 	var kept, lost []replica.Member
 	for _, m := range status.Members {
-		if m.ID != status.ID && isLost[m.ID] {
+		if m.ID != status.ID && isLost[m.ID] && !status.CaughtUp[m.ID] {
 			lost = append(lost, m)
 			continue
 		}
--- a/internal/system/controller/plan_own_test.go
+++ b/internal/system/controller/plan_own_test.go
@@ -30,25 +30,32 @@
 		members []membership.Member
 		passed  time.Duration // since the members are as they are
 		want    []replica.Member
+		answers map[string]bool // the group's owner, whatever membership says
 	}{
 		{"all run", []replica.Member{voter("first"), voter("second"), voter("third")},
 			[]membership.Member{first, second, third, added}, 3 * time.Second,
-			[]replica.Member{voter("first"), voter("second"), voter("third")}},
+			[]replica.Member{voter("first"), voter("second"), voter("third")}, nil},
 		{"one is missing and another has come", []replica.Member{voter("first"), voter("second"), voter("third")},
 			[]membership.Member{first, second, missing, added}, 2 * time.Second,
-			[]replica.Member{voter("first"), voter("second"), voter("new")}},
+			[]replica.Member{voter("first"), voter("second"), voter("new")}, nil},
 		{"its successor has been taken in", []replica.Member{voter("first"), voter("second"), voter("third"), learner},
 			[]membership.Member{first, second, missing, added}, 2 * time.Second,
-			[]replica.Member{voter("first"), voter("second"), voter("new")}},
+			[]replica.Member{voter("first"), voter("second"), voter("new")}, nil},
 		{"its successor votes already", []replica.Member{voter("first"), voter("second"), voter("third"), voter("new")},
 			[]membership.Member{first, second, missing, added}, 2 * time.Second,
-			[]replica.Member{voter("first"), voter("second"), voter("new")}},
+			[]replica.Member{voter("first"), voter("second"), voter("new")}, nil},
 		{"it is back before its successor votes", []replica.Member{voter("first"), voter("second"), voter("third"), learner},
 			[]membership.Member{first, second, third, added}, 2 * time.Second,
-			[]replica.Member{voter("first"), voter("second"), voter("third")}},
+			[]replica.Member{voter("first"), voter("second"), voter("third")}, nil},
 		{"two are missing and one has come", []replica.Member{voter("first"), voter("second"), voter("third")},
 			[]membership.Member{first, in(membership.Suspect, second), in(membership.Dead, third), added}, 9 * time.Second,
-			[]replica.Member{voter("first"), voter("second"), voter("new")}},
+			[]replica.Member{voter("first"), voter("second"), voter("new")}, nil},
+		{"two are not known to membership and answer the owner", []replica.Member{voter("first"), voter("second"), voter("third")},
+			[]membership.Member{first, added}, 9 * time.Second,
+			[]replica.Member{voter("first"), voter("second"), voter("third")}, map[string]bool{"first": true, "second": true, "third": true}},
+		{"two are taken for dead and one of them answers the owner", []replica.Member{voter("first"), voter("second"), voter("third")},
+			[]membership.Member{first, in(membership.Dead, second), in(membership.Dead, third), added}, 9 * time.Second,
+			[]replica.Member{voter("first"), voter("second"), voter("new")}, map[string]bool{"first": true, "second": true}},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -59,7 +66,7 @@
 				now = now.Add(500 * time.Millisecond)
 				planner.Watch().Observe(now, test.members, 1)
 			}
-			got := planner.own(now, replica.Status{ID: "first", Members: test.group})
+			got := planner.own(now, replica.Status{ID: "first", Members: test.group, CaughtUp: test.answers})
 			if diff := cmp.Diff(test.want, got); diff != "" {
 				t.Errorf("members (-want +got):\n%s", diff)
 			}
--- a/internal/system/membership/mutants_test.go
+++ b/internal/system/membership/mutants_test.go
@@ -107,12 +107,21 @@
 			Also: []mutation.Change{
 				{
 					File: "reconcile.go",
-					Old:  "func (n *Node) pingLostSeed() {\n",
-					New:  "func (n *Node) pingLostSeed() {\n\tif true { return }\n",
+					Old:  "func (n *Node) pingLostSeeds() {\n",
+					New:  "func (n *Node) pingLostSeeds() {\n\tif true { return }\n",
 				},
 			},
 			Run: cutsThatHeal,
 		},
+		{
+			Name: "seeds are not tried sooner while a node is young",
+			Change: mutation.Change{
+				File: "reconcile.go",
+				Old:  "return n.jittered(youngContact)",
+				New:  "return n.jittered(n.options.SyncInterval)",
+			},
+			Run: "^TestAllKnowEachOtherSoonAfterAColdStart$",
+		},
 		{
 			Name: "lists that differ are not reconciled",
 			Change: mutation.Change{
--- a/internal/system/membership/node.go
+++ b/internal/system/membership/node.go
@@ -153,7 +153,7 @@
 	n.reconcile.lastStart = n.now - n.options.SyncInterval
 	n.prober.next = n.now + n.jittered(n.options.ProbeInterval)
 	n.prober.nextGone = n.prober.next
-	n.reconcile.contactSeed = n.now + n.jittered(n.options.SyncInterval)
+	n.reconcile.contactSeed = n.now + n.contactPause()
 	n.regular.add(updateOf(n.self))
 }
 
--- a/internal/system/membership/reconcile.go
+++ b/internal/system/membership/reconcile.go
@@ -13,6 +13,10 @@
 	longestJoinPause = 2 * time.Second
 )
 
+// youngContact is the pause between tries of seeds that aren't known, while the node is young: where each has found other seeds, the
+// parts meet well before anybody is taken for lost.
+const youngContact = 250 * time.Millisecond
+
 // maxCalls bounds the calls whose outcome is waited for.
 const maxCalls = 16
 
@@ -33,7 +37,7 @@
 	unequalSince time.Duration // how long hashes have differed; zero: they do not
 	agreed       int           // pings with the same hash since the list last changed
 	afterFreeze  bool
-	contactSeed  time.Duration // when a seed that is not known to be alive is pinged
+	contactSeed  time.Duration // when seeds that are not known to be alive are pinged
 }
 
 // call is a SyncCall whose outcome is waited for.
@@ -114,8 +118,8 @@
 		n.requestSync(r.target)
 	}
 	if n.now >= r.contactSeed {
-		r.contactSeed = n.now + n.jittered(n.options.SyncInterval)
-		n.pingLostSeed()
+		r.contactSeed = n.now + n.contactPause()
+		n.pingLostSeeds()
 	}
 }
 
@@ -177,18 +181,32 @@
 	return ""
 }
 
-// pingLostSeed pings one seed at whose address no member is known to be alive, so that parts that do not remember each
-// other meet again.
-func (n *Node) pingLostSeed() {
-	seed := n.nextSeed()
-	for _, e := range n.table.sorted {
-		if e.Address == seed && !e.Gone() {
-			return
+// contactPause is the time until seeds that aren't known are tried again.
+func (n *Node) contactPause() time.Duration {
+	if n.young() {
+		return n.jittered(youngContact)
+	}
+	return n.jittered(n.options.SyncInterval)
+}
+
+// pingLostSeeds pings the seeds at whose addresses no member is known to be alive, so that parts that do not know or remember each
+// other meet.
+func (n *Node) pingLostSeeds() {
+	for _, seed := range n.seeds {
+		if seed != n.self.Address && !n.isAliveAt(seed) {
+			n.send(seed, Message{Kind: Ping})
 		}
 	}
-	if seed != "" {
-		n.send(seed, Message{Kind: Ping})
+}
+
+// isAliveAt tells whether a member that isn't gone is known at the address.
+func (n *Node) isAliveAt(address string) bool {
+	for _, e := range n.table.sorted {
+		if e.Address == address && !e.Gone() {
+			return true
+		}
 	}
+	return false
 }
 
 func (n *Node) requestSync(address string) {
