Have roles that share a process tell their end as processes do

The check that each process says how long its end took found nothing where the soak runs a role in a network that can be cut.

--- a/internal/system/command/surroundings.go
+++ b/internal/system/command/surroundings.go
@@ -51,31 +51,31 @@
 
 // RunController runs a controller until ctx ends, which stands for SIGTERM.
 func RunController(ctx context.Context, around Surroundings) error {
-	return runIn(around, "controller", func(p *process) error { return p.runController(ctx) })
+	return runIn(ctx, around, "controller", func(p *process) error { return p.runController(ctx) })
 }
 
 // RunStore runs a store until ctx ends, and then until its groups have other owners.
 func RunStore(ctx context.Context, around Surroundings) error {
-	return runIn(around, "store", func(p *process) error { return p.runStore(ctx) })
+	return runIn(ctx, around, "store", func(p *process) error { return p.runStore(ctx) })
 }
 
 // RunAgent runs an agent until ctx ends, and then for as long as its proxy may need it.
 func RunAgent(ctx context.Context, around Surroundings) error {
-	return runIn(around, "agent", func(p *process) error { return p.runAgent(ctx) })
+	return runIn(ctx, around, "agent", func(p *process) error { return p.runAgent(ctx) })
 }
 
 // RunProxy runs a proxy until ctx ends, and then until what is under way has ended.
 func RunProxy(ctx context.Context, around Surroundings) error {
-	return runIn(around, "proxy", func(p *process) error { return p.runProxy(ctx) })
+	return runIn(ctx, around, "proxy", func(p *process) error { return p.runProxy(ctx) })
 }
 
 // runIn runs a role that shares its process with others: the runtime's limits stay as they are, and its connections end with
 // it.
-func runIn(around Surroundings, role string, run func(p *process) error) error {
+func runIn(ctx context.Context, around Surroundings, role string, run func(p *process) error) error {
 	p, err := newProcessIn(around, role)
 	if err != nil {
 		return err
 	}
 	defer p.pool.Close()
-	return run(p)
+	return p.tellEnd(ctx, func() error { return run(p) })
 }
