Have a store count as running once it has read its shards, and take part before

From the review of the mend: a store that joined the members before it had read its disk looked alive each time it ended over its memory and was started again, and was never replaced; and a placement that came meanwhile waited on the goroutine that spreads views. It listens first, so that its groups elect as they open, and joins the members once all are open.

--- a/internal/system/command/store.go
+++ b/internal/system/command/store.go
@@ -32,14 +32,19 @@
 	member := p.newNode(p.member(membership.Store, id, address), shards.Take)
 	handlers := link.NewHandlers()
 	shards.Register(handlers)
-	leave, err := p.serve(ctx, address, member, handlers)
+	member.Register(handlers)
+	server, err := p.listen(ctx, address, handlers)
 	if err != nil {
 		return err
 	}
-	defer leave()
+	defer server.Close()
+	// Each shard takes part as soon as it is open. The store counts as running, and is told the placement, once all are: one that
+	// can't read its disk, or ends over it again and again, is replaced.
 	if err := p.persist(ctx, "shards on the disk", shards.Recover); err != nil {
 		return err
 	}
+	leave := p.join(ctx, member, server)
+	defer leave()
 	logStoreVitals := func() []any {
 		count, held := shards.Vitals()
 		return []any{"shards", count, "stateKB", held.StateBytes >> 10, "snapshotKB", held.SnapshotBytes >> 10, "logKB", held.LogBytes >> 10,
--- a/internal/system/soak/soak.go
+++ b/internal/system/soak/soak.go
@@ -13,6 +13,7 @@
 	"sync"
 	"time"
 
+	"mastusher/internal/system/invariant"
 	"mastusher/internal/system/link"
 	"mastusher/internal/system/localtier"
 )
@@ -222,7 +223,7 @@
 }
 
 // troubleWords are what no log must hold.
-var troubleWords = []string{"panic:", "fatal error:", "DATA RACE", "replica stopped", "process ends", "goroutine 1 ["}
+var troubleWords = []string{"panic:", "fatal error:", "DATA RACE", "replica stopped", "process ends", "goroutine 1 [", invariant.Message}
 
 // readLogs looks for what no process must log.
 func (r *run) readLogs() {
