Write what is JSON already as it is: orders, log entries, pieces of the view

Cause: encoding/json reads a RawMessage again wherever it is written. An order of n bytes was read some ten times in the turn of the group that takes it, once more for each member, agent and proxy that it goes to, some of that with locks held. Where line feeds stand in such a body the library writes it as before.

--- /dev/null
+++ b/internal/system/controller/command.go
@@ -0,0 +1,85 @@
+package controller
+
+import (
+	"bytes"
+	"encoding/json"
+	"strconv"
+
+	"mastusher/internal/system/configuration"
+	"mastusher/internal/system/retire"
+	"mastusher/internal/system/rollout"
+)
+
+// Command is one entry of the configuration shard's log; one field is set.
+type Command struct {
+	Configure *configuration.Order `json:"configure,omitempty"`
+	Place     *Place               `json:"place,omitempty"`
+	Rollout   *rollout.Order       `json:"rollout,omitempty"`
+	Seen      *rollout.Seen        `json:"seen,omitempty"`
+	Decide    *rollout.Decision    `json:"decide,omitempty"`
+	Retire    *retire.Order        `json:"retire,omitempty"`
+	Retired   *retire.Decision     `json:"retired,omitempty"`
+}
+
+// What stands between the parts of an order to take a configuration, as EncodeJSON writes it.
+const (
+	beforeBase   = `{"configure":{"base":`
+	beforeNumber = `,"number":`
+	beforeRaw    = `,"raw":`
+	afterRaw     = `}}`
+)
+
+// EncodeJSON implements group.Encoded: a configuration, which is JSON already, isn't read again for it.
+func (c Command) EncodeJSON() (json.RawMessage, error) {
+	order := c.Configure
+	if order == nil || len(order.Raw) == 0 {
+		return json.Marshal(c)
+	}
+	const numbers = 2 * 20 // digits at most
+	written := make([]byte, 0, len(beforeBase)+len(beforeNumber)+len(beforeRaw)+len(order.Raw)+len(afterRaw)+numbers)
+	written = append(written, beforeBase...)
+	written = strconv.AppendUint(written, order.Base, 10)
+	written = append(written, beforeNumber...)
+	written = strconv.AppendUint(written, order.Number, 10)
+	written = append(written, beforeRaw...)
+	written = append(written, order.Raw...)
+	return append(written, afterRaw...), nil
+}
+
+// readCommand reads an entry. A configuration isn't read where the entry stands there as EncodeJSON writes it.
+func readCommand(raw json.RawMessage) (Command, error) {
+	if order := cutOrder(raw); order != nil {
+		return Command{Configure: order}, nil
+	}
+	var command Command
+	err := json.Unmarshal(raw, &command)
+	return command, err
+}
+
+// cutOrder reads an order to take a configuration, in memory of its own; nil: it is another command, or written in another way.
+func cutOrder(raw json.RawMessage) *configuration.Order {
+	rest, ok := bytes.CutPrefix(raw, []byte(beforeBase))
+	if !ok {
+		return nil
+	}
+	base, rest, ok := bytes.Cut(rest, []byte(beforeNumber))
+	if !ok {
+		return nil
+	}
+	number, rest, ok := bytes.Cut(rest, []byte(beforeRaw))
+	if !ok {
+		return nil
+	}
+	content, ok := bytes.CutSuffix(rest, []byte(afterRaw))
+	if !ok || len(content) == 0 {
+		return nil
+	}
+	order := &configuration.Order{Raw: bytes.Clone(content)}
+	var baseErr, numberErr error
+	order.Base, baseErr = strconv.ParseUint(string(base), 10, 64)
+	order.Number, numberErr = strconv.ParseUint(string(number), 10, 64)
+	if baseErr != nil || numberErr != nil {
+		return nil
+	}
+	return order
+}
--- /dev/null
+++ b/internal/system/controller/largeorder_test.go
@@ -0,0 +1,193 @@
+package controller
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"mastusher/internal/system/configuration"
+	"mastusher/internal/system/group"
+	"mastusher/internal/system/replica"
+	"mastusher/internal/system/storage/memorydisk"
+)
+
+// leastShare is the smallest share of a core that a controller is known to run on.
+const leastShare = 0.176
+
+// mostTurn is the time that a turn may take around an order, as the processor counts it: a quarter of the election time-out at
+// that share.
+const mostTurn = time.Duration(leastShare * float64(election) / 4)
+
+// largeOrder is an order of a configuration with so many routes, padded to a length.
+func largeOrder(base uint64, routes, bytes int) *configuration.Order {
+	written := make([]string, routes)
+	for i := range written {
+		written[i] = fmt.Sprintf(`{"name":"r-%d","host":"play.example","startsWith":"/p%d/","kind":"streaming",`+
+			`"giveUpMs":5000,"targetMs":200,"rank":1,"service":"lm","tries":1,"remembered":true,"keepForS":60.0,"pinned":true}`, i, i)
+	}
+	raw := fmt.Sprintf(`{"number":%d,"routes":[%s],"services":[{"name":"lm"}],"note":""}`, base+1, strings.Join(written, ","))
+	if missing := bytes - len(raw); missing > 0 {
+		raw = raw[:len(raw)-2] + strings.Repeat("x", missing) + raw[len(raw)-2:]
+	}
+	return &configuration.Order{Base: base, Number: base + 1, Raw: json.RawMessage(raw)}
+}
+
+// lines is a group of controllers' members whose messages go as text between them. Only turns and the writing of messages
+// are measured; a connection reads them in a goroutine of its own.
+type lines struct {
+	t       testing.TB
+	members map[string]*group.Group
+	sent    []line
+	now     time.Duration
+}
+
+type line struct {
+	address string
+	text    []byte
+}
+
+func newLines(t testing.TB, names ...string) *lines {
+	l := &lines{t: t, members: map[string]*group.Group{}}
+	var initial []replica.Member
+	for _, name := range names {
+		initial = append(initial, replica.Member{ID: name + "-id", Address: name})
+	}
+	for i, name := range names {
+		opened, err := group.Open(group.Options{Name: GroupName, Disk: memorydisk.New(), Machine: NewMachine(func() {}), Logger: log.NewNopLogger(),
+			Clock: func() time.Duration { return l.now }, Send: l.send,
+			Replica: replica.Options{ID: name + "-id", Address: name, Initial: initial, Heartbeat: heartbeat, Election: election, Eager: eager, Seed: uint64(i)}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		l.members[name] = opened
+	}
+	return l
+}
+
+func (l *lines) send(address string, envelope group.Envelope) {
+	text, err := envelope.AppendJSON(nil)
+	if err != nil {
+		l.t.Error(err)
+	}
+	l.sent = append(l.sent, line{address, text})
+}
+
+// round delivers what was sent, gives each member a turn and returns the longest.
+func (l *lines) round() (longest time.Duration) {
+	l.now += 5 * time.Millisecond
+	sent := l.sent
+	l.sent = nil
+	for _, s := range sent {
+		var envelope group.Envelope
+		if err := json.Unmarshal(s.text, &envelope); err != nil {
+			l.t.Fatal(err)
+		}
+		l.members[s.address].Deliver(envelope.Message)
+	}
+	for _, member := range l.members {
+		began := time.Now()
+		if _, err := member.Turn(); err != nil {
+			l.t.Fatal(err)
+		}
+		longest = max(longest, time.Since(began))
+	}
+	return longest
+}
+
+func (l *lines) owner() *group.Group {
+	for range 1000 {
+		for _, member := range l.members {
+			if member.Status().IsOwner {
+				return member
+			}
+		}
+		l.round()
+	}
+	l.t.Fatal("no owner")
+	return nil
+}
+
+// take has an order agreed on, and on all members, and returns the longest turn meanwhile.
+func (l *lines) take(order *configuration.Order) (longest time.Duration) {
+	done := false
+	l.owner().Start(Command{Configure: order}, func(result any, err error) {
+		if err != nil || result != configuration.Taken {
+			l.t.Errorf("order on %d: %v, %v", order.Base, result, err)
+		}
+		done = true
+	})
+	for range 40 {
+		longest = max(longest, l.round())
+	}
+	if !done {
+		l.t.Fatal("the order has no outcome")
+	}
+	return longest
+}
+
+// Given an order of many routes, then no member's turn around it takes a quarter of the election time-out on the smallest
+// machine, and the owner stays the same. The shortest of some tries is taken, since others may have the processor meanwhile.
+func TestLargeOrderKeepsNoHeartbeatWaiting(t *testing.T) {
+	const tries = 5
+	for _, routes := range []int{517, 2000} {
+		t.Run(fmt.Sprintf("%d routes", routes), func(t *testing.T) {
+			l := newLines(t, "a", "b", "c", "d", "e")
+			owner := l.owner()
+			epoch := owner.Status().Epoch
+			shortest := time.Hour
+			for try := range uint64(tries) {
+				shortest = min(shortest, l.take(largeOrder(try, routes, 0)))
+			}
+			if shortest > mostTurn {
+				t.Errorf("a turn takes %v, over %v", shortest, mostTurn)
+			}
+			if status := owner.Status(); !status.IsOwner || status.Epoch != epoch {
+				t.Errorf("the owner of epoch %d is lost in epoch %d", epoch, status.Epoch)
+			}
+			t.Logf("longest turn %v", shortest)
+		})
+	}
+}
+
+// The entry is read back as it was written, and in any other form that JSON allows.
+func TestOrderIsReadBackAsItWas(t *testing.T) {
+	order := &configuration.Order{Base: 3, Number: 18446744073709551615, Raw: json.RawMessage(`{"a":"}}","raw":{"b":[1]}}`)}
+	written, err := Command{Configure: order}.EncodeJSON()
+	if err != nil {
+		t.Fatal(err)
+	}
+	library, err := json.Marshal(Command{Configure: order})
+	if err != nil || string(library) != string(written) {
+		t.Fatalf("written %s, the library writes %s, %v", written, library, err)
+	}
+	spaced := strings.ReplaceAll(string(written), `{"configure":`, `{ "configure" : `)
+	for _, raw := range []string{string(written), spaced} {
+		read, err := readCommand(json.RawMessage(raw))
+		if err != nil || read.Configure == nil || read.Configure.Base != order.Base || read.Configure.Number != order.Number || string(read.Configure.Raw) != string(order.Raw) {
+			t.Errorf("%s is read as %+v, %v", raw, read.Configure, err)
+		}
+	}
+	for _, raw := range []string{`{"configure":{"base":x,"number":1,"raw":{}}}`, `{"configure":{"base":1,"number":1,"raw":}}`, `{"configure":{"base":1`} {
+		if _, err := readCommand(json.RawMessage(raw)); err == nil {
+			t.Errorf("%s is read", raw)
+		}
+	}
+}
+
+func BenchmarkOrder(b *testing.B) {
+	for _, size := range []struct{ routes, bytes int }{{517, 0}, {700, 0}, {2000, 0}, {2000, 4 << 20}} {
+		b.Run(fmt.Sprintf("%d routes, %d bytes at least", size.routes, size.bytes), func(b *testing.B) {
+			l := newLines(b, "a", "b", "c", "d", "e")
+			longest, number := time.Duration(0), uint64(0)
+			for b.Loop() {
+				longest = max(longest, l.take(largeOrder(number, size.routes, size.bytes)))
+				number++
+			}
+			b.ReportMetric(longest.Seconds()*1000, "longest-turn-ms")
+		})
+	}
+}
--- a/internal/system/controller/state.go
+++ b/internal/system/controller/state.go
@@ -10,17 +10,6 @@
 	"mastusher/internal/system/view"
 )
 
-// Command is one entry of the configuration shard's log; one field is set.
-type Command struct {
-	Configure *configuration.Order `json:"configure,omitempty"`
-	Place     *Place               `json:"place,omitempty"`
-	Rollout   *rollout.Order       `json:"rollout,omitempty"`
-	Seen      *rollout.Seen        `json:"seen,omitempty"`
-	Decide    *rollout.Decision    `json:"decide,omitempty"`
-	Retire    *retire.Order        `json:"retire,omitempty"`
-	Retired   *retire.Decision     `json:"retired,omitempty"`
-}
-
 // Place replaces the placement of shards, if what it was derived from still stands.
 type Place struct {
 	Base        uint64                `json:"base"`        // index of the entry that brought the placement before; 0: none yet
@@ -47,8 +36,8 @@
 
 // Apply folds one command in. What it returns is a verdict of the package that the order belongs to.
 func (s *Machine) Apply(index uint64, raw json.RawMessage) any {
-	var command Command
-	if err := json.Unmarshal(raw, &command); err != nil {
+	command, err := readCommand(raw)
+	if err != nil {
 		return err
 	}
 	defer s.changed()
@@ -112,8 +101,10 @@
 	return leaving
 }
 
-// saved is the state as a snapshot holds it.
+// saved is the state as a snapshot holds it. The configuration stands before the rest, so that it needn't be read again when
+// a snapshot is written.
 type saved struct {
+	Raw              json.RawMessage       `json:"raw,omitempty"`
 	Register         configuration.State   `json:"register"`
 	Placement        []view.ShardPlacement `json:"placement"`
 	PlacementIndex   uint64                `json:"placementIndex"`
@@ -125,9 +116,21 @@
 
 // Snapshot implements group.Machine.
 func (s *Machine) Snapshot() (json.RawMessage, error) {
-	return json.Marshal(saved{Register: s.register.State(), Placement: s.placement, PlacementIndex: s.placementIndex,
+	register := s.register.State()
+	raw := register.Current.Raw
+	register.Current.Raw = nil
+	rest, err := json.Marshal(saved{Register: register, Placement: s.placement, PlacementIndex: s.placementIndex,
 		Rollouts: s.rollouts.Saved(), RolloutsIndex: s.rolloutsIndex,
 		Retirements: s.retirements.Saved(), RetirementsIndex: s.retirementsIndex})
+	if err != nil || len(raw) == 0 {
+		return rest, err
+	}
+	const before, after = `{"raw":`, `,`
+	state := make([]byte, 0, len(before)+len(raw)+len(after)+len(rest))
+	state = append(state, before...)
+	state = append(state, raw...)
+	state = append(state, after...)
+	return append(state, rest[1:]...), nil
 }
 
 // Restore implements group.Machine.
@@ -136,6 +139,7 @@
 	if err := json.Unmarshal(raw, &from); err != nil {
 		return err
 	}
+	from.Register.Current.Raw = from.Raw
 	register, err := configuration.Restore(from.Register)
 	if err != nil {
 		return err
@@ -151,20 +155,22 @@
 // Pieces returns what is to be spread of the agreed state, except for sections that are told already.
 func (s *Machine) Pieces(told view.Digest) ([]view.Piece, error) {
 	var pieces []view.Piece
+	isNew := func(section view.Section, index uint64) bool {
+		return index != 0 && told[section] != view.Stamp{Sequence: index}
+	}
 	add := func(section view.Section, index uint64, content any) error {
-		stamp := view.Stamp{Sequence: index}
-		if index == 0 || told[section] == stamp {
+		if !isNew(section, index) {
 			return nil
 		}
 		body, err := json.Marshal(content)
 		if err == nil {
-			pieces = append(pieces, view.Piece{Section: section, Stamp: stamp, Body: body})
+			pieces = append(pieces, view.Piece{Section: section, Stamp: view.Stamp{Sequence: index}, Body: body})
 		}
 		return err
 	}
-	current := s.register.Current()
-	if err := add(view.ConfigurationSection, current.Index, view.Config{Raw: current.Raw}); err != nil {
-		return nil, err
+	if current := s.register.Current(); isNew(view.ConfigurationSection, current.Index) {
+		pieces = append(pieces, view.Piece{Section: view.ConfigurationSection, Stamp: view.Stamp{Sequence: current.Index},
+			Body: view.Config{Raw: current.Raw}.JSON()})
 	}
 	if err := add(view.PlacementSection, s.placementIndex, view.Placement{Shards: s.placement}); err != nil {
 		return nil, err
--- a/internal/system/group/calls.go
+++ b/internal/system/group/calls.go
@@ -2,20 +2,12 @@
 
 import (
 	"context"
-	"encoding/json"
 
 	"github.com/go-kit/log/level"
 
 	"mastusher/internal/system/replica"
 )
 
-// proposed wraps a command on its way through the log, so that its proposer finds the outcome.
-type proposed struct {
-	Origin  string          `json:"o"`
-	Token   uint64          `json:"t"`
-	Command json.RawMessage `json:"c"`
-}
-
 // call is one that waits for its outcome.
 type call struct {
 	read func() // of a read: run once it is confirmed
@@ -37,18 +29,18 @@
 // Start has the command agreed on; done is told the outcome, on the group's goroutine or at once. The token can be given
 // to Abandon.
 func (g *Group) Start(command any, done func(result any, err error)) (token uint64) {
-	data, err := json.Marshal(command)
+	data, err := encodeCommand(command)
 	if err != nil {
 		done(nil, err)
 		return 0
 	}
 	return g.enter(call{done: done}, func(token uint64) error {
-		wrapped, err := json.Marshal(proposed{Origin: g.origin, Token: token, Command: data})
-		if err == nil && !g.takeRoom(len(wrapped)+messageBytes, false) {
+		wrapped := appendProposed(nil, &proposed{Origin: g.origin, Token: token, Command: data})
+		if !g.takeRoom(len(wrapped)+messageBytes, false) {
 			return &OwnershipError{Group: g.options.Name, Never: true, Cause: errTooMuchWaits}
 		}
 		g.input.Proposals = append(g.input.Proposals, replica.Proposal{Token: token, Data: wrapped})
-		return err
+		return nil
 	})
 }
 
--- a/internal/system/group/group.go
+++ b/internal/system/group/group.go
@@ -15,12 +15,6 @@
 	"mastusher/internal/system/storage"
 )
 
-// Envelope is a message between members of the group that it names.
-type Envelope struct {
-	Group   string          `json:"group"`
-	Message replica.Message `json:"message"`
-}
-
 // Options sets a member up.
 type Options struct {
 	Name         string // of the group, the same at all members
--- a/internal/system/group/turn.go
+++ b/internal/system/group/turn.go
@@ -203,8 +203,8 @@
 		if entry.Kind != replica.Command {
 			continue
 		}
-		var p proposed
-		if err := json.Unmarshal(entry.Data, &p); err != nil {
+		p, err := readProposed(entry.Data)
+		if err != nil {
 			level.Error(g.options.Logger).Log("msg", "entry cannot be read", "group", g.options.Name, "index", entry.Index, "err", err)
 			continue
 		}
--- a/internal/system/link/line.go
+++ b/internal/system/link/line.go
@@ -114,6 +114,13 @@
 	lineBuffers.Put(buffer)
 }
 
+// Appender is a body that writes its own JSON. It is for large parts that are JSON already: the encoder of the library
+// would read each of them again, for every receiver.
+type Appender interface {
+	// AppendJSON appends the body as encoding/json would write it. Where line feeds stand in it, the library writes the body.
+	AppendJSON(buffer []byte) ([]byte, error)
+}
+
 // encodeLine writes a whole line, once, into a buffer that releaseLine takes back.
 func encodeLine(kind lineKind, id uint64, method string, body any, bound int) (*bytes.Buffer, error) {
 	buffer := lineBuffers.Get().(*bytes.Buffer)
@@ -128,13 +135,10 @@
 	}
 	if body != nil {
 		buffer.WriteString(`,"body":`)
-		encoder := json.NewEncoder(buffer)
-		encoder.SetEscapeHTML(false)
-		if err := encoder.Encode(body); err != nil {
+		if err := encodeBody(buffer, body); err != nil {
 			releaseLine(buffer)
 			return nil, err
 		}
-		buffer.Truncate(buffer.Len() - 1) // the encoder's line feed
 	}
 	buffer.WriteString("}\n")
 	if buffer.Len() > bound {
@@ -144,3 +148,20 @@
 	}
 	return buffer, nil
 }
+
+func encodeBody(buffer *bytes.Buffer, body any) error {
+	if appender, ok := body.(Appender); ok {
+		written, err := appender.AppendJSON(buffer.AvailableBuffer())
+		if err != nil || bytes.IndexByte(written, '\n') < 0 {
+			buffer.Write(written)
+			return err
+		}
+	}
+	encoder := json.NewEncoder(buffer)
+	encoder.SetEscapeHTML(false)
+	if err := encoder.Encode(body); err != nil {
+		return err
+	}
+	buffer.Truncate(buffer.Len() - 1) // the encoder's line feed
+	return nil
+}
--- a/internal/system/view/view.go
+++ b/internal/system/view/view.go
@@ -4,6 +4,7 @@
 
 import (
 	"encoding/json"
+	"strconv"
 
 	"mastusher/internal/system/model"
 )
@@ -40,11 +41,40 @@
 	Body    json.RawMessage `json:"body"`
 }
 
+// AppendJSON implements link.Appender.
+func (p Piece) AppendJSON(buffer []byte) ([]byte, error) {
+	section, err := json.Marshal(p.Section)
+	if err != nil {
+		return buffer, err
+	}
+	buffer = append(buffer, `{"section":`...)
+	buffer = append(buffer, section...)
+	buffer = append(buffer, `,"stamp":{"epoch":`...)
+	buffer = strconv.AppendUint(buffer, p.Stamp.Epoch, 10)
+	buffer = append(buffer, `,"sequence":`...)
+	buffer = strconv.AppendUint(buffer, p.Stamp.Sequence, 10)
+	buffer = append(buffer, `},"body":`...)
+	if p.Body == nil {
+		buffer = append(buffer, "null"...)
+	}
+	buffer = append(buffer, p.Body...)
+	return append(buffer, '}'), nil
+}
+
 // Config is the section of the configuration.
 type Config struct {
 	Raw json.RawMessage `json:"raw"` // as the operator sent it
 }
 
+// JSON writes the section without reading the configuration again, which is JSON already.
+func (c Config) JSON() json.RawMessage {
+	const before, after = `{"raw":`, `}`
+	written := make([]byte, 0, len(before)+len(c.Raw)+len(after))
+	written = append(written, before...)
+	written = append(written, c.Raw...)
+	return append(written, after...)
+}
+
 // EndpointList is the section of the endpoints.
 type EndpointList struct {
 	Endpoints []model.Endpoint `json:"endpoints"`
--- a/internal/system/wire/wire.go
+++ b/internal/system/wire/wire.go
@@ -108,6 +108,21 @@
 	Pieces []view.Piece `json:"pieces"`
 }
 
+// AppendJSON implements link.Appender.
+func (a FetchAnswer) AppendJSON(buffer []byte) ([]byte, error) {
+	buffer = append(buffer, `{"pieces":[`...)
+	for i, piece := range a.Pieces {
+		if i > 0 {
+			buffer = append(buffer, ',')
+		}
+		var err error
+		if buffer, err = piece.AppendJSON(buffer); err != nil {
+			return buffer, err
+		}
+	}
+	return append(buffer, "]}"...), nil
+}
+
 // ShardMembersRequest asks a store which members the groups have that it owns.
 type ShardMembersRequest struct{}
 
