--- a/internal/system/fleettest/corestate.go
+++ b/internal/system/fleettest/corestate.go
@@ -11,6 +11,7 @@
 
 // agreedView is what is read of the agreed state for operators.
 type agreedView struct {
+	Raw         json.RawMessage     `json:"raw"` // the register's configuration
 	Register    configuration.State `json:"register"`
 	Rollouts    rollout.Saved       `json:"rollouts"`
 	Retirements json.RawMessage     `json:"retirements"`
@@ -23,6 +24,7 @@
 	if err == nil {
 		err = json.Unmarshal(state, &read)
 	}
+	read.Register.Current.Raw = read.Raw
 	return read, err
 }
 
