--- a/internal/system/link/doc.go
+++ b/internal/system/link/doc.go
@@ -10,6 +10,9 @@
 //	{"answer":7,"body":{...}}, {"error":7,"body":{"kind":"...","message":"..."}}
 //	{"item":8,"body":{...}}, {"end":8}
 //
+// Between machines, lines that follow each other may come packed: a line {"packed":N}, then N bytes, a deflate stream by itself
+// that goes on from the text of the last packed lines of that direction.
+//
 // A line that does not have this form closes its connection. Lines of one kind keep their order on a connection; a call
 // may overtake a notice.
 package link
--- a/internal/system/link/outbox.go
+++ b/internal/system/link/outbox.go
@@ -20,6 +20,9 @@
 	limits limits
 	broken func(error) // told once of a failed write, without the lock
 
+	packer  packer // used by the goroutine that writes
+	packing bool   // lines go to another machine
+
 	mutex       sync.Mutex
 	socket      net.Conn // nil until the dial is done
 	kept        []*frame // calls, answers and items, which are never dropped
@@ -36,6 +39,7 @@
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
 	o.socket = socket
+	o.packing = !isLocal(socket)
 	o.wakeLocked()
 }
 
@@ -154,7 +158,7 @@
 	go o.drain()
 }
 
-// batches holds buffers in which short lines are joined.
+// batches holds buffers in which short lines are joined, and packed.
 var batches = sync.Pool{New: func() any { return new(bytes.Buffer) }}
 
 // drain writes until nothing is queued.
@@ -175,12 +179,22 @@
 }
 
 func (o *outbox) write(batch, long *bytes.Buffer) error {
-	if long == nil {
-		_, err := o.socket.Write(batch.Bytes())
+	lines := batch
+	if long != nil {
+		lines = long
+		defer releaseLine(long)
+	}
+	if !o.packing {
+		_, err := o.socket.Write(lines.Bytes())
+		return err
+	}
+	packed := batches.Get().(*bytes.Buffer)
+	defer batches.Put(packed)
+	packed.Reset()
+	if err := o.packer.pack(packed, lines.Bytes()); err != nil {
 		return err
 	}
-	_, err := o.socket.Write(long.Bytes())
-	releaseLine(long)
+	_, err := o.socket.Write(packed.Bytes())
 	return err
 }
 
--- /dev/null
+++ b/internal/system/link/pack_test.go
@@ -0,0 +1,182 @@
+package link
+
+import (
+	"bytes"
+	"encoding/base64"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"testing"
+	"testing/iotest"
+
+	"pgregory.net/rapid"
+)
+
+// noticeOf is a line of the usual form that brings bytes which can't be compressed.
+func noticeOf(number, bytes int) []byte {
+	content := make([]byte, bytes)
+	random := rand.NewChaCha8([32]byte{byte(number), byte(number >> 8)})
+	random.Read(content)
+	return fmt.Appendf(nil, `{"notice":0,"method":"replica","body":{"index":%d,"input":"%s"}}`+"\n", number, base64.StdEncoding.EncodeToString(content))
+}
+
+// Given any batches of lines, when they are packed one after the other, then the reader gives every line, however the bytes
+// arrive.
+func TestPackedLinesAreReadAsTheyWere(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var packer packer
+		var wire bytes.Buffer
+		var want [][]byte
+		for range rapid.IntRange(1, 8).Draw(t, "batches") {
+			var batch []byte
+			for range rapid.IntRange(1, 4).Draw(t, "lines") {
+				line := noticeOf(rapid.IntRange(0, 999).Draw(t, "number"), rapid.SampledFrom([]int{0, 3, 900, 9000, 40000}).Draw(t, "bytes"))
+				batch = append(batch, line...)
+				want = append(want, line[:len(line)-1])
+			}
+			if err := packer.pack(&wire, batch); err != nil {
+				t.Fatal(err)
+			}
+		}
+		var source io.Reader = bytes.NewReader(wire.Bytes())
+		if rapid.Bool().Draw(t, "halves") {
+			source = iotest.HalfReader(source)
+		}
+		reader := newLineReader(source, MaxLineBytes)
+		for i, line := range want {
+			got, err := reader.next()
+			if err != nil || !bytes.Equal(got, line) {
+				t.Fatalf("line %d: %.60q, %v, want %.60q", i, got, err, line)
+			}
+		}
+		if _, err := reader.next(); err != io.EOF {
+			t.Fatalf("after the last line: %v", err)
+		}
+	})
+}
+
+func TestPackingMakesLinesShorter(t *testing.T) {
+	for _, c := range []struct {
+		bytes, lines int
+		most         float64 // of what it was
+	}{{0, 4, 0.3}, {300, 1, 0.85}, {900, 1, 0.8}, {9000, 1, 0.8}, {20000, 1, 0.8}, {90000, 1, 0.8}} {
+		var packer packer
+		var wire bytes.Buffer
+		plain := 0
+		for number := range 50 {
+			line := bytes.Repeat(noticeOf(number, c.bytes), c.lines)
+			plain += len(line)
+			if err := packer.pack(&wire, line); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if share := float64(wire.Len()) / float64(plain); share > c.most {
+			t.Errorf("%d bytes: %.2f of the plain lines, over %.2f", c.bytes, share, c.most)
+		}
+	}
+}
+
+func TestLongLinesGoAsTheyAre(t *testing.T) {
+	line := append(bytes.Repeat([]byte("x"), packMost), '\n')
+	var packer packer
+	var wire bytes.Buffer
+	if err := packer.pack(&wire, line); err != nil || !bytes.Equal(wire.Bytes(), line) {
+		t.Errorf("%d bytes became %d, %v", len(line), wire.Len(), err)
+	}
+}
+
+// packedBy returns lines as a packer of its own packs them.
+func packedBy(t testing.TB, lines []byte) []byte {
+	var packer packer
+	var wire bytes.Buffer
+	if err := packer.pack(&wire, lines); err != nil {
+		t.Fatal(err)
+	}
+	return wire.Bytes()
+}
+
+func TestPackedLinesThatAreDamaged(t *testing.T) {
+	line := noticeOf(1, 900)
+	whole := packedBy(t, line)
+	for cut := 1; cut < len(whole); cut++ {
+		if got, err := newLineReader(bytes.NewReader(whole[:cut]), MaxLineBytes).next(); err != io.ErrUnexpectedEOF {
+			t.Fatalf("cut after %d of %d bytes: %.40q, %v", cut, len(whole), got, err)
+		}
+	}
+	open := packedBy(t, bytes.Repeat([]byte("{}"), 200))
+	for name, text := range map[string][]byte{
+		"no length": []byte("{\"packed\":}\n"), "length 0": []byte("{\"packed\":0}\n"), "a negative length": []byte("{\"packed\":-1}\n"),
+		"too long": []byte("{\"packed\":99999999}\n"), "no end": []byte("{\"packed\":7\n"), "no deflate stream": []byte("{\"packed\":3}\n\xff\xff\xff"),
+		"no line feed": open, "bytes behind": append([]byte(fmt.Sprintf("{\"packed\":%d}\n", len(whole)-bytes.IndexByte(whole, '\n'))), append(whole[bytes.IndexByte(whole, '\n')+1:], 0)...),
+	} {
+		if _, err := newLineReader(bytes.NewReader(text), MaxLineBytes).next(); !errors.Is(err, ErrBadLine) {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+	var tooLong *TooLongError
+	if _, err := newLineReader(bytes.NewReader(packedBy(t, bytes.Repeat([]byte("0\n"), 50000))), 1000).next(); !errors.As(err, &tooLong) {
+		t.Errorf("lines over the bound: %v", err)
+	}
+}
+
+func FuzzUnpack(f *testing.F) {
+	whole := packedBy(f, noticeOf(1, 90))
+	f.Add(whole[bytes.IndexByte(whole, '\n')+1:])
+	f.Fuzz(func(t *testing.T, packed []byte) {
+		var unpacker unpacker
+		var lines bytes.Buffer
+		if err := unpacker.unpack(&lines, packed, 1<<16); err == nil && !bytes.HasSuffix(lines.Bytes(), []byte("\n")) {
+			t.Errorf("%q is no line", lines.Bytes())
+		}
+	})
+}
+
+// between is a connection from one machine to another, or to itself.
+type between struct {
+	net.Conn
+	from, to byte
+}
+
+func (b between) LocalAddr() net.Addr  { return &net.TCPAddr{IP: net.IPv4(10, 0, 0, b.from), Port: 7} }
+func (b between) RemoteAddr() net.Addr { return &net.TCPAddr{IP: net.IPv4(10, 0, 0, b.to), Port: 8} }
+
+func TestLinesArePackedBetweenMachinesOnly(t *testing.T) {
+	for _, packed := range []bool{false, true} {
+		near, end := net.Pipe()
+		socket := between{Conn: near, from: 1, to: 1}
+		if packed {
+			socket.to = 2
+		}
+		box := outbox{limits: defaultLimits(), broken: func(error) {}}
+		box.start(socket)
+		box.pushNotice(&frame{line: bytes.NewBuffer(noticeOf(1, 900))})
+		got := make([]byte, len(packedPrefix))
+		if _, err := io.ReadFull(end, got); err != nil {
+			t.Fatal(err)
+		}
+		if isPacked := string(got) == packedPrefix; isPacked != packed {
+			t.Errorf("from %v to %v: %q", socket.LocalAddr(), socket.RemoteAddr(), got)
+		}
+		end.Close()
+		near.Close()
+	}
+}
+
+func BenchmarkPack(b *testing.B) {
+	for _, size := range []int{0, 900, 9000} {
+		b.Run(fmt.Sprintf("%d bytes", size), func(b *testing.B) {
+			var packer packer
+			var wire bytes.Buffer
+			line := noticeOf(1, size)
+			b.SetBytes(int64(len(line)))
+			for b.Loop() {
+				wire.Reset()
+				if err := packer.pack(&wire, line); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
--- a/internal/system/link/reader.go
+++ b/internal/system/link/reader.go
@@ -7,11 +7,13 @@
 
 // lineReader cuts a connection into lines. A line is valid until the next call.
 type lineReader struct {
-	source io.Reader
-	bound  int
-	buffer []byte
-	start  int // first byte not handed out
-	end    int // end of what has been read
+	source   io.Reader
+	bound    int
+	buffer   []byte
+	start    int // first byte not handed out
+	end      int // end of what has been read
+	unpacker unpacker
+	unpacked bytes.Buffer // lines that came packed and are not handed out
 }
 
 func newLineReader(source io.Reader, bound int) *lineReader {
@@ -20,6 +22,55 @@
 
 // next gives the next line without its line feed.
 func (r *lineReader) next() ([]byte, error) {
+	for r.unpacked.Len() == 0 {
+		text, err := r.nextRaw()
+		if err != nil {
+			return nil, err
+		}
+		length, isPacked, err := packedLength(text)
+		if err != nil {
+			return nil, err
+		}
+		if !isPacked {
+			return text, nil
+		}
+		if err := r.unpack(length); err != nil {
+			return nil, err
+		}
+	}
+	text := r.unpacked.Bytes()
+	end := bytes.IndexByte(text, '\n')
+	r.unpacked.Next(end + 1)
+	return text[:end], nil
+}
+
+// unpack takes the bytes that follow as packed lines.
+func (r *lineReader) unpack(length int) error {
+	for r.end-r.start < length {
+		r.makeRoom()
+		if err := r.fill(); err != nil {
+			return unexpected(err)
+		}
+	}
+	packed := r.buffer[r.start : r.start+length]
+	r.start += length
+	if r.unpacked.Cap() > keptReadBytes {
+		r.unpacked = bytes.Buffer{}
+	}
+	r.unpacked.Reset()
+	return r.unpacker.unpack(&r.unpacked, packed, r.bound)
+}
+
+// unexpected is the error of a connection that ends where more must come.
+func unexpected(err error) error {
+	if err == io.EOF {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
+
+// nextRaw gives the next line of the connection itself.
+func (r *lineReader) nextRaw() ([]byte, error) {
 	searched := r.start
 	for {
 		if at := bytes.IndexByte(r.buffer[searched:r.end], '\n'); at >= 0 {
@@ -51,8 +102,8 @@
 	if err == nil {
 		return io.ErrNoProgress
 	}
-	if err == io.EOF && r.end > r.start {
-		return io.ErrUnexpectedEOF
+	if r.end > r.start {
+		return unexpected(err)
 	}
 	return err
 }
