Don't send proxies the beginnings of chains that they hold

Most turns of a program come through the proxy of the turn before (24 to 92 % at the edges looked at). Nothing is taken from a proxy's copy that the owner hasn't shown to be the same.

--- a/internal/system/command/proxy.go
+++ b/internal/system/command/proxy.go
@@ -37,11 +37,14 @@
 	leastClients  = 64
 )
 
+// chainsPart is the part of the process's memory, one in so many, that what programs have said lately may take.
+const chainsPart = 64
+
 // runProxy runs the role until stopping ends, and then until what is under way has ended.
 func (p *process) runProxy(stopping context.Context) error {
 	running, end := context.WithCancel(context.Background())
 	defer end()
-	programs := programclient.New(p.pool)
+	programs := programclient.New(p.pool, int(p.settings.Limits.MemoryMb<<20/chainsPart))
 	places := proxy.NewScheduler(p.settings.Zone, p.seed)
 	scheduler := tally.New(places, strconv.FormatUint(p.seed, 16))
 	views := feed.New(p.address(wire.AgentPort), p.pool, programs, scheduler, p.logger)
--- a/internal/system/feed/feed_test.go
+++ b/internal/system/feed/feed_test.go
@@ -29,7 +29,7 @@
 	pool := link.NewPool()
 	t.Cleanup(pool.Close)
 	taken := &endpoints{}
-	return New("127.0.0.1:1", pool, programclient.New(pool), taken, log.NewNopLogger()), taken
+	return New("127.0.0.1:1", pool, programclient.New(pool, 0), taken, log.NewNopLogger()), taken
 }
 
 // piece is a section's content with its stamp.
--- /dev/null
+++ b/internal/system/programclient/chains_test.go
@@ -0,0 +1,140 @@
+package programclient
+
+import (
+	"bytes"
+	"fmt"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"mastusher/internal/system/program"
+	"mastusher/internal/system/wire"
+)
+
+// conversation is what one program says, as its shard holds it and as two clients that its turns come through see it.
+type conversation struct {
+	t       *rapid.T
+	machine *program.Machine
+	clients []*chains
+	whole   []string // turns that others may go on from
+	sent    int      // bytes of chains that travelled
+	full    int      // bytes that would have without what the clients hold
+}
+
+// begin has a turn begun as Client does, and checks its chain.
+func (c *conversation) begin(client *chains, turn program.BeginTurn) bool {
+	held := client.beginnings(&turn)
+	result := c.machine.Apply(program.Command{Begin: &turn})
+	begun := wire.WithoutHeld(result, namesOf(held))
+	got, err := joined(held, begun)
+	if err != nil || !bytes.Equal(got, result.Chain) {
+		c.t.Fatalf("turn %s: %q, %v, want %q", turn.Turn, got, err, result.Chain)
+	}
+	c.sent += len(begun.Chain)
+	c.full += len(result.Chain)
+	if result.Verdict == program.Taken {
+		client.begun(&turn, got)
+	}
+	return result.Verdict == program.Taken
+}
+
+func (c *conversation) end(client *chains, end program.EndTurn) {
+	verdict := c.machine.Apply(program.Command{End: &end}).Verdict
+	client.ended(&end, verdict)
+	if end.Whole && verdict == program.Taken {
+		c.whole = append(c.whole, end.Turn)
+	}
+}
+
+// Given a program whose turns go on from any earlier ones, through either of two proxies that keep little, some broken off and
+// some begun again with another input, then each gets the very chain that its shard holds.
+func TestChainsAreWhatTheShardHolds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		bound := rapid.SampledFrom([]int{0, 40, 400, 1 << 20}).Draw(t, "bound")
+		c := &conversation{t: t, machine: program.New(), clients: []*chains{newChains(bound), newChains(bound)}}
+		for number := range rapid.IntRange(1, 25).Draw(t, "turns") {
+			client := c.clients[rapid.IntRange(0, 1).Draw(t, "client")]
+			turn := program.BeginTurn{Turn: fmt.Sprint("t", number), Program: rapid.SampledFrom([]string{"p", "q"}).Draw(t, "program"), Remembered: true,
+				KeepForS: 60, Input: bytes.Repeat([]byte{byte('a' + number)}, rapid.IntRange(0, 30).Draw(t, "input"))}
+			if len(c.whole) > 0 && rapid.IntRange(0, 9).Draw(t, "goes on") > 0 {
+				turn.Previous = rapid.SampledFrom(c.whole).Draw(t, "previous")
+			}
+			if !c.begin(client, turn) {
+				continue
+			}
+			if rapid.IntRange(0, 5).Draw(t, "again") == 0 {
+				turn.Input = []byte("another input")
+				c.begin(client, turn)
+			}
+			c.end(client, program.EndTurn{Turn: turn.Turn, Whole: rapid.IntRange(0, 5).Draw(t, "whole") > 0, Output: []byte(fmt.Sprint("out", number))})
+		}
+		for i, client := range c.clients {
+			checkChains(t, i, client)
+		}
+	})
+}
+
+// checkChains tells where what is kept doesn't fit together or is over its bound.
+func checkChains(t *rapid.T, number int, c *chains) {
+	sum, listed := 0, 0
+	for _, kept := range c.byTurn {
+		sum += len(kept.text)
+	}
+	for _, kept := range c.byProgram {
+		listed += len(kept)
+	}
+	if sum != c.bytes || c.bytes > c.bound || listed != len(c.byTurn) || c.recent.Len() != len(c.byTurn) {
+		t.Fatalf("client %d keeps %d bytes, counted %d of %d; %d turns, %d of programs, %d in order", number, sum, c.bytes, c.bound, len(c.byTurn), listed, c.recent.Len())
+	}
+}
+
+func TestHeldChainsDoNotTravel(t *testing.T) {
+	const turns = 10
+	rapid.Check(t, func(t *rapid.T) {
+		c := &conversation{t: t, machine: program.New(), clients: []*chains{newChains(1 << 20), newChains(1 << 20)}}
+		alternate := rapid.Bool().Draw(t, "through two proxies by turns")
+		previous := ""
+		for number := range turns {
+			client := c.clients[0]
+			if alternate {
+				client = c.clients[number%2]
+			}
+			name := fmt.Sprint("t", number)
+			c.begin(client, program.BeginTurn{Turn: name, Program: "p", Remembered: true, KeepForS: 60, Previous: previous, Input: bytes.Repeat([]byte("i"), 100)})
+			c.end(client, program.EndTurn{Turn: name, Whole: true, Output: bytes.Repeat([]byte("o"), 100)})
+			previous = name
+		}
+		switch {
+		case !alternate && c.sent != 0:
+			t.Fatalf("%d bytes travelled", c.sent)
+		case alternate && c.sent != (turns-1)*200:
+			t.Fatalf("%d bytes travelled, where each turn misses the one before", c.sent)
+		}
+	})
+}
+
+func TestOnlyTheLongestBeginningIsLeftOut(t *testing.T) {
+	name := func(text string) wire.HeldChain {
+		return wire.HeldChain{Bytes: len(text), Sum: wire.SumOf([]byte(text))}
+	}
+	result := program.Result{Verdict: program.Taken, Chain: []byte("abcdef")}
+	cases := map[string]struct {
+		held []wire.HeldChain
+		want wire.BegunTurn
+	}{
+		"nothing held":            {nil, wire.BegunTurn{Result: result}},
+		"something else held":     {[]wire.HeldChain{name("abx"), name("abcdefg")}, wire.BegunTurn{Result: result}},
+		"the longest":             {[]wire.HeldChain{name("ab"), name("abcd"), name("abc")}, wire.BegunTurn{Result: program.Result{Verdict: program.Taken, Chain: []byte("ef")}, Held: 2}},
+		"a negative length":       {[]wire.HeldChain{{Bytes: -1}}, wire.BegunTurn{Result: result}},
+		"more than are looked at": {[]wire.HeldChain{name("x"), name("x"), name("x"), name("x"), name("ab")}, wire.BegunTurn{Result: result}},
+	}
+	for label, test := range cases {
+		if diff := cmp.Diff(test.want, wire.WithoutHeld(result, test.held)); diff != "" {
+			t.Errorf("%s: %s", label, diff)
+		}
+	}
+	if _, err := joined([][]byte{[]byte("a")}, wire.BegunTurn{Held: 2}); err != errNotHeld {
+		t.Errorf("a beginning that isn't held: %v", err)
+	}
+}
--- a/internal/system/programclient/client.go
+++ b/internal/system/programclient/client.go
@@ -30,13 +30,16 @@
 type Client struct {
 	pool      *link.Pool
 	placement atomic.Pointer[view.Placement]
+	chains    *chains
 
 	mutex  sync.Mutex
 	owners map[int]string // address that answered last, by shard
 }
 
-// New returns a client that knows no placement yet.
-func New(pool *link.Pool) *Client { return &Client{pool: pool, owners: map[int]string{}} }
+// New returns a client that knows no placement yet, and keeps so many bytes of what programs have said; see chains.
+func New(pool *link.Pool, keptBytes int) *Client {
+	return &Client{pool: pool, chains: newChains(keptBytes), owners: map[int]string{}}
+}
 
 // Place takes over a placement.
 func (c *Client) Place(placement *view.Placement) { c.placement.Store(placement) }
@@ -54,8 +57,7 @@
 	if err != nil {
 		return program.Result{}, err
 	}
-	request := wire.BeginTurn{Shard: shard, Turn: turn}
-	result, err := call[wire.BeginTurn, program.Result](ctx, c, shard, wire.MethodBeginTurn, request)
+	result, err := c.begin(ctx, shard, turn)
 	if err != nil || result.Verdict != program.NoSuchTurn {
 		return result, err
 	}
@@ -63,8 +65,26 @@
 	if err != nil || !found {
 		return result, err
 	}
-	request.Turn.Imported = chain
-	return call[wire.BeginTurn, program.Result](ctx, c, shard, wire.MethodBeginTurn, request)
+	turn.Imported = chain
+	return c.begin(ctx, shard, turn)
+}
+
+// begin asks the owner of a shard, and puts the chain together of what comes and what is held here.
+func (c *Client) begin(ctx context.Context, shard int, turn program.BeginTurn) (program.Result, error) {
+	held := c.chains.beginnings(&turn)
+	request := wire.BeginTurn{Shard: shard, Turn: turn, Held: namesOf(held)}
+	begun, err := call[wire.BeginTurn, wire.BegunTurn](ctx, c, shard, wire.MethodBeginTurn, request)
+	if err != nil {
+		return program.Result{}, err
+	}
+	result := begun.Result
+	if result.Chain, err = joined(held, begun); err != nil {
+		return program.Result{}, fmt.Errorf("shard %d: %w", shard, err)
+	}
+	if result.Verdict == program.Taken {
+		c.chains.begun(&turn, result.Chain)
+	}
+	return result, nil
 }
 
 // End settles a turn at the owner of key's shard. An error means that the outcome is not known.
@@ -73,7 +93,11 @@
 	if err != nil {
 		return program.Result{}, err
 	}
-	return call[wire.EndTurn, program.Result](ctx, c, shard, wire.MethodEndTurn, wire.EndTurn{Shard: shard, Turn: turn})
+	result, err := call[wire.EndTurn, program.Result](ctx, c, shard, wire.MethodEndTurn, wire.EndTurn{Shard: shard, Turn: turn})
+	if err == nil {
+		c.chains.ended(&turn, result.Verdict)
+	}
+	return result, err
 }
 
 func (c *Client) shardOf(key string) (int, error) {
--- a/internal/system/programclient/client_test.go
+++ b/internal/system/programclient/client_test.go
@@ -69,7 +69,7 @@
 			placed.Shards[i].Replicas = append(placed.Shards[i].Replicas, view.Replica{Address: s.address})
 		}
 	}
-	client := New(pool)
+	client := New(pool, 1<<20)
 	client.Place(placed)
 	return client
 }
@@ -92,7 +92,7 @@
 func TestNothingIsKnownWithoutPlacement(t *testing.T) {
 	pool := link.NewPool()
 	t.Cleanup(pool.Close)
-	client := New(pool)
+	client := New(pool, 1<<20)
 	if _, err := client.Begin(t.Context(), "key", program.BeginTurn{Turn: "t"}); !errors.Is(err, ErrNoPlacement) {
 		t.Errorf("begin: %v", err)
 	}
--- a/internal/system/store/store.go
+++ b/internal/system/store/store.go
@@ -276,9 +276,10 @@
 	return &NotOwnerError{Owner: owner}
 }
 
-func (s *Store) begin(ctx context.Context, _ string, request wire.BeginTurn) (program.Result, error) {
+func (s *Store) begin(ctx context.Context, _ string, request wire.BeginTurn) (wire.BegunTurn, error) {
 	request.Turn.AtMs = s.options.Now().UnixMilli()
-	return s.propose(ctx, request.Shard, program.Command{Begin: &request.Turn})
+	result, err := s.propose(ctx, request.Shard, program.Command{Begin: &request.Turn})
+	return wire.WithoutHeld(result, request.Held), err
 }
 
 func (s *Store) end(ctx context.Context, _ string, request wire.EndTurn) (program.Result, error) {
--- a/internal/system/wire/wire.go
+++ b/internal/system/wire/wire.go
@@ -11,7 +11,7 @@
 // The methods.
 const (
 	MethodReplica      = "replica"       // notice: a group.Envelope
-	MethodBeginTurn    = "turn.begin"    // BeginTurn, answered by a program.Result
+	MethodBeginTurn    = "turn.begin"    // BeginTurn, answered by a BegunTurn
 	MethodEndTurn      = "turn.end"      // EndTurn, answered by a program.Result
 	MethodChain        = "turn.chain"    // ChainRequest, answered by a ChainAnswer
 	MethodFetch        = "view.fetch"    // FetchRequest, answered by a FetchAnswer
@@ -78,6 +78,7 @@
 type BeginTurn struct {
 	Shard int               `json:"shard"`
 	Turn  program.BeginTurn `json:"turn"`
+	Held  []HeldChain       `json:"held,omitempty"` // what may be left out of the answer
 }
 
 // EndTurn asks the owner of a shard to settle a turn.
