Tell orders by step, elections, bytes by kind and zone, and own answers as metrics

Cause: that an order cost a group its owner, and what the bytes between zones are, could only be told from logs and a scratch copy's counters. Change: package metrics over Prometheus' Go client; controllers tell them on the operator's port, proxies beside readiness; the link counts lines by method and what goes on the wire, by the peer's zone. Stores and agents have no port for HTTP: they count, and nothing tells it yet.

--- a/internal/system/command/controller.go
+++ b/internal/system/command/controller.go
@@ -32,7 +32,7 @@
 	err = p.persist(ctx, "configuration on the disk", func() error {
 		running, err = controller.Open(controller.Options{ID: id, Address: address, Settings: p.settings, Initial: p.firstMembers(id), Disk: disk,
 			Pool: p.pool, Fleet: member, Reader: reader, Logger: p.logger, Seed: p.seed,
-			Network: p.around.Network, Now: p.around.TimeOfDay})
+			Metrics: p.metrics, Network: p.around.Network, Now: p.around.TimeOfDay})
 		return err
 	})
 	if err != nil {
--- a/internal/system/command/process.go
+++ b/internal/system/command/process.go
@@ -20,6 +20,7 @@
 	"mastusher/internal/system/invariant"
 	"mastusher/internal/system/link"
 	"mastusher/internal/system/membership"
+	"mastusher/internal/system/metrics"
 	"mastusher/internal/system/node"
 	"mastusher/internal/system/settings"
 	"mastusher/internal/system/view"
@@ -46,6 +47,7 @@
 	seed     uint64
 	around   Surroundings
 	checks   *invariant.Counter
+	metrics  *metrics.Metrics
 }
 
 // newProcess reads the settings and sets the limits of the runtime.
@@ -68,8 +70,10 @@
 		return nil, err
 	}
 	logger := log.With(around.Logger, "role", role, "node", loaded.NodeName)
-	return &process{settings: loaded, logger: logger, pool: link.NewPoolOn(around.Network), seed: seedOf(loaded.NodeName, role), around: around,
-		checks: invariant.New(logger)}, nil
+	p := &process{settings: loaded, logger: logger, pool: link.NewPoolOn(around.Network), seed: seedOf(loaded.NodeName, role), around: around,
+		checks: invariant.New(logger), metrics: metrics.New()}
+	p.pool.Measure(p.metrics)
+	return p, nil
 }
 
 // seedOf returns a seed that differs from process to process and from start to start.
@@ -123,6 +127,7 @@
 // join makes the process a member that follows the seeds of its settings, until ctx ends. The function that it returns tells the
 // others that the process leaves.
 func (p *process) join(ctx context.Context, member *node.Node, server *link.Server) (leave func()) {
+	p.metrics.FindZones(func(host string) metrics.ZoneClass { return p.zoneOf(member, host) })
 	p.onReload(ctx, func(loaded *settings.Settings) { member.Reseed(p.seedsOf(loaded)) })
 	joined, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	ended := make(chan struct{})
@@ -136,6 +141,23 @@
 	}
 }
 
+// zoneOf tells whether a host is in the process's own zone, as far as its members tell.
+func (p *process) zoneOf(member *node.Node, host string) metrics.ZoneClass {
+	for _, m := range member.Members() {
+		if known, _, err := net.SplitHostPort(m.Address); err == nil && known == host {
+			return p.classOf(m.Zone)
+		}
+	}
+	return metrics.UnknownZone
+}
+
+func (p *process) classOf(zone string) metrics.ZoneClass {
+	if zone == p.settings.Zone {
+		return metrics.OwnZone
+	}
+	return metrics.OtherZone
+}
+
 // terminated returns a context that ends with SIGTERM or SIGINT.
 func terminated(ctx context.Context) (context.Context, context.CancelFunc) {
 	return signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
--- a/internal/system/command/proxy.go
+++ b/internal/system/command/proxy.go
@@ -7,6 +7,7 @@
 
 	"mastusher/internal/system/feed"
 	"mastusher/internal/system/link"
+	"mastusher/internal/system/metrics"
 	"mastusher/internal/system/programclient"
 	"mastusher/internal/system/proxy"
 	"mastusher/internal/system/tally"
@@ -45,6 +46,12 @@
 	running, end := context.WithCancel(context.Background())
 	defer end()
 	programs := programclient.New(p.pool, int(p.settings.Limits.MemoryMb<<20/chainsPart))
+	p.metrics.FindZones(func(host string) metrics.ZoneClass {
+		if zone, known := programs.ZoneOf(host); known {
+			return p.classOf(zone)
+		}
+		return metrics.UnknownZone
+	})
 	places := proxy.NewScheduler(p.settings.Zone, p.seed)
 	scheduler := tally.New(places, strconv.FormatUint(p.seed, 16))
 	views := feed.New(p.address(wire.AgentPort), p.pool, programs, scheduler, p.logger)
@@ -53,7 +60,7 @@
 	go p.followProxies(running, places)
 	carrier, err := proxy.New(proxy.Options{FrontAddress: p.settings.ListenOn.FrontHTTP, ReadinessAddress: p.settings.ListenOn.Readiness,
 		Views: views, Programs: programs, Chooser: scheduler, Upstream: upstream.Options{}, Logger: p.logger, Network: p.around.Network,
-		MaxClients: mostClients(p.settings.Limits.OpenFiles), RecoveryBound: p.settings.Bounds.Recovery(), Checks: p.checks})
+		MaxClients: mostClients(p.settings.Limits.OpenFiles), RecoveryBound: p.settings.Bounds.Recovery(), Checks: p.checks, Metrics: p.metrics})
 	if err != nil {
 		return err
 	}
--- a/internal/system/command/start.go
+++ b/internal/system/command/start.go
@@ -41,6 +41,7 @@
 
 // listen opens the process's link. Its address may still be taken by the process before.
 func (p *process) listen(ctx context.Context, address string, handlers *link.Handlers) (server *link.Server, err error) {
+	handlers.Measure(p.metrics)
 	err = p.persist(ctx, "address of the link", func() error {
 		server, err = link.ListenOn(p.around.Network, address, handlers, p.logger)
 		return err
--- a/internal/system/controller/api.go
+++ b/internal/system/controller/api.go
@@ -15,6 +15,7 @@
 	"mastusher/internal/system/fault"
 	"mastusher/internal/system/group"
 	"mastusher/internal/system/membership"
+	"mastusher/internal/system/metrics"
 	"mastusher/internal/system/network"
 	"mastusher/internal/system/replica"
 )
@@ -42,6 +43,7 @@
 	router.GET("/mastusher/rollouts/:service", c.getRollout)
 	router.POST("/mastusher/retire/:node", c.postRetirement)
 	router.GET("/mastusher/retire/:node", c.getRetirement)
+	router.GET(metrics.Path, echo.WrapHandler(c.options.Metrics.Handler()))
 	return router
 }
 
--- a/internal/system/controller/api_test.go
+++ b/internal/system/controller/api_test.go
@@ -20,6 +20,7 @@
 	"mastusher/internal/system/fault"
 	"mastusher/internal/system/group"
 	"mastusher/internal/system/membership"
+	"mastusher/internal/system/metrics"
 	"mastusher/internal/system/rollout"
 	"mastusher/internal/system/storage/memorydisk"
 	"mastusher/internal/system/view"
@@ -74,6 +75,27 @@
 	wantStatus(t, b.put("8", document(7)), http.StatusBadRequest)
 }
 
+func TestOrdersAreCounted(t *testing.T) {
+	b := startBed(t, memorydisk.New())
+	wantStatus(t, b.put("0", document(3)), http.StatusOK)
+	wantStatus(t, b.put("3", document(3)), http.StatusBadRequest)
+	wantStatus(t, b.put("3", "{}"), http.StatusBadRequest)
+	answer := b.send(http.MethodGet, metrics.Path, "")
+	wantStatus(t, answer, http.StatusOK)
+	for _, want := range []string{
+		`mastusher_orders_total{outcome="taken"} 1`,
+		`mastusher_orders_total{outcome="refused"} 2`,
+		`mastusher_order_seconds_count{step="read"} 3`,
+		`mastusher_order_seconds_count{step="check"} 3`,
+		`mastusher_order_seconds_count{step="agree"} 2`,
+		`mastusher_elections_total 1`,
+	} {
+		if !strings.Contains(answer.Body.String(), want+"\n") {
+			t.Errorf("missing %s in:\n%s", want, answer.Body)
+		}
+	}
+}
+
 func decoded(t testing.TB, raw string) any {
 	t.Helper()
 	var value any
--- a/internal/system/controller/configure.go
+++ b/internal/system/controller/configure.go
@@ -9,12 +9,14 @@
 	"os"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/go-kit/log/level"
 	"github.com/labstack/echo/v4"
 
 	"mastusher/internal/system/configuration"
 	"mastusher/internal/system/fault"
+	"mastusher/internal/system/metrics"
 	"mastusher/internal/system/model/form"
 )
 
@@ -23,7 +25,9 @@
 
 // putSettings takes a whole configuration. Any member of the group acknowledges one that it knows to have been taken.
 func (c *Controller) putSettings(e echo.Context) error {
+	began := time.Now()
 	order, err := readOrder(e)
+	c.options.Metrics.Took(metrics.ReadStep, time.Since(began))
 	if err == nil && c.wasTaken(order) {
 		return e.NoContent(http.StatusOK)
 	}
@@ -34,14 +38,19 @@
 		return err
 	}
 	if err := c.check(e.Request().Context(), order); err != nil {
+		c.options.Metrics.Ordered(metrics.Refused)
 		return err
 	}
 	ctx, cancel := context.WithTimeout(e.Request().Context(), agreeTimeout)
 	defer cancel()
+	proposed := time.Now()
 	result, err := c.group.Propose(ctx, Command{Configure: order})
+	c.options.Metrics.Took(metrics.AgreeStep, time.Since(proposed))
 	if err != nil {
+		c.options.Metrics.Ordered(metrics.Unconfirmed)
 		return c.unagreed(err)
 	}
+	c.options.Metrics.Ordered(outcomeOf(result))
 	switch result {
 	case configuration.Taken:
 		level.Info(c.options.Logger).Log("msg", "configuration taken", "number", order.Number, "base", order.Base)
@@ -56,6 +65,14 @@
 	return fault.New(fault.Internal, "the order has no outcome")
 }
 
+// outcomeOf is what a verdict counts as.
+func outcomeOf(verdict any) metrics.Outcome {
+	if verdict == configuration.Taken {
+		return metrics.Taken
+	}
+	return metrics.Refused
+}
+
 func (c *Controller) wasTaken(order *configuration.Order) bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
@@ -106,7 +123,9 @@
 	case <-ctx.Done():
 		return fault.New(fault.NotReady, "another configuration is being checked: %w", ctx.Err())
 	}
+	began := time.Now()
 	decoded, err := form.Read(order.Raw)
+	c.options.Metrics.Took(metrics.CheckStep, time.Since(began))
 	if err != nil {
 		return fault.New(fault.InvalidConfiguration, "%w", err)
 	}
--- a/internal/system/controller/controller.go
+++ b/internal/system/controller/controller.go
@@ -15,6 +15,7 @@
 	"mastusher/internal/system/group"
 	"mastusher/internal/system/link"
 	"mastusher/internal/system/membership"
+	"mastusher/internal/system/metrics"
 	"mastusher/internal/system/model"
 	"mastusher/internal/system/network"
 	"mastusher/internal/system/repeat"
@@ -69,6 +70,7 @@
 	// AskList has the controller at an address read the platform's list.
 	AskList func(ctx context.Context, address string) ([]model.Endpoint, error)
 
+	Metrics *metrics.Metrics // told on the operator's port; nil: the controller's own
 	Network network.Network  // where the operator's calls come in; nil: the system's
 	Now     func() time.Time // time of day
 }
@@ -90,6 +92,7 @@
 	placing     atomic.Bool // commands of a plan are under way
 	placeSoon   chan struct{}
 
+	electedIn   uint64 // epoch of the last owner that was counted; the group's goroutine's own
 	bodyTimeout time.Duration
 	redirects   atomic.Uint64 // so many callers have been sent on while this controller wasn't in the group
 
@@ -113,6 +116,9 @@
 	if options.Now == nil {
 		options.Now = time.Now
 	}
+	if options.Metrics == nil {
+		options.Metrics = metrics.New()
+	}
 	if options.AskList == nil {
 		options.AskList = askListByLink(options.Pool)
 	}
@@ -171,6 +177,7 @@
 func (c *Controller) report(status replica.Status) {
 	level.Info(c.options.Logger).Log("msg", "group changed", "group", GroupName, "owner", status.Owner, "own", status.IsOwner,
 		"epoch", status.Epoch, "members", len(status.Members))
+	c.countElection(status)
 	if status.IsOwner || c.group == nil {
 		return
 	}
@@ -179,6 +186,15 @@
 	c.group.Change(status.Members)
 }
 
+// countElection counts each owner once that this member sees. One goroutine at a time calls it.
+func (c *Controller) countElection(status replica.Status) {
+	if status.Owner == "" || status.Epoch == c.electedIn {
+		return
+	}
+	c.electedIn = status.Epoch
+	c.options.Metrics.Elected()
+}
+
 // change tells the group which members it is to have, if this member still owns it.
 func (c *Controller) change(members []replica.Member) {
 	c.changeMutex.Lock()
--- a/internal/system/link/clientconnection.go
+++ b/internal/system/link/clientconnection.go
@@ -37,6 +37,7 @@
 func newClientConnection(peer *peer) *clientConnection {
 	connection := &clientConnection{peer: peer, pending: map[uint64]*pendingCall{}}
 	connection.out.limits = peer.pool.limits
+	connection.out.meter = peer.pool.meter
 	connection.out.broken = connection.fail
 	connection.dialCtx, connection.stopDial = context.WithCancel(context.Background())
 	return connection
@@ -175,7 +176,7 @@
 func (c *clientConnection) sendCancel(id uint64) {
 	encoded, err := encodeLine(cancelLine, id, "", nil, c.peer.pool.limits.lineBytes)
 	if err == nil {
-		c.out.pushNotice(&frame{line: encoded})
+		c.out.pushNotice(&frame{line: encoded, kind: string(cancelLine)})
 	}
 }
 
--- a/internal/system/link/handlers.go
+++ b/internal/system/link/handlers.go
@@ -13,6 +13,7 @@
 	streams  map[string]prepareStream
 	notices  map[string]takeNotice
 	datagram func(from string, payload []byte)
+	meter    Meter
 }
 
 type (
@@ -77,6 +78,9 @@
 	}
 }
 
+// Measure has a meter count what servers with these handlers send on connections; to be called before they listen.
+func (h *Handlers) Measure(meter Meter) { h.meter = meter }
+
 // HandleDatagram sets what takes datagrams, one after the other. It must not block, nor keep the payload.
 func (h *Handlers) HandleDatagram(handle func(from string, payload []byte)) {
 	h.datagram = handle
--- a/internal/system/link/outbox.go
+++ b/internal/system/link/outbox.go
@@ -11,6 +11,7 @@
 // frame is one line on its way out.
 type frame struct {
 	line *bytes.Buffer
+	kind string // for the meter
 	// taken is set when the line goes to the network. The outbox's lock guards it.
 	taken bool
 }
@@ -22,6 +23,8 @@
 
 	packer  packer // used by the goroutine that writes
 	packing bool   // lines go to another machine
+	meter   Meter  // nil: nobody counts
+	address string // of the other end, for the meter
 
 	mutex       sync.Mutex
 	socket      net.Conn // nil until the dial is done
@@ -40,6 +43,7 @@
 	defer o.mutex.Unlock()
 	o.socket = socket
 	o.packing = !isLocal(socket)
+	o.address = socket.RemoteAddr().String()
 	o.wakeLocked()
 }
 
@@ -185,8 +189,7 @@
 		defer releaseLine(long)
 	}
 	if !o.packing {
-		_, err := o.socket.Write(lines.Bytes())
-		return err
+		return o.writeOut(lines.Bytes())
 	}
 	packed := batches.Get().(*bytes.Buffer)
 	defer batches.Put(packed)
@@ -194,7 +197,14 @@
 	if err := o.packer.pack(packed, lines.Bytes()); err != nil {
 		return err
 	}
-	_, err := o.socket.Write(packed.Bytes())
+	return o.writeOut(packed.Bytes())
+}
+
+func (o *outbox) writeOut(bytes []byte) error {
+	count, err := o.socket.Write(bytes)
+	if o.meter != nil {
+		o.meter.Written(o.address, count)
+	}
 	return err
 }
 
@@ -202,9 +212,9 @@
 func (o *outbox) take(batch *bytes.Buffer) (long *bytes.Buffer) {
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
-	long = takeFrom(&o.kept, &o.keptBytes, batch)
+	long = o.takeFrom(&o.kept, &o.keptBytes, batch)
 	if long == nil {
-		long = takeFrom(&o.notices, &o.noticeBytes, batch)
+		long = o.takeFrom(&o.notices, &o.noticeBytes, batch)
 	}
 	if o.keptBytes < streamBacklogBytes {
 		o.openRoomLocked()
@@ -217,7 +227,7 @@
 	return long
 }
 
-func takeFrom(queue *[]*frame, queuedBytes *int, batch *bytes.Buffer) (long *bytes.Buffer) {
+func (o *outbox) takeFrom(queue *[]*frame, queuedBytes *int, batch *bytes.Buffer) (long *bytes.Buffer) {
 	count := 0
 	for _, queued := range *queue {
 		size := queued.line.Len()
@@ -225,6 +235,9 @@
 			break
 		}
 		queued.taken = true
+		if o.meter != nil {
+			o.meter.SentLine(queued.kind, o.address, size)
+		}
 		*queuedBytes -= size
 		count++
 		if size > batchBytes {
--- a/internal/system/link/pool.go
+++ b/internal/system/link/pool.go
@@ -14,6 +14,7 @@
 type Pool struct {
 	limits   limits
 	network  network.Network
+	meter    Meter
 	lastID   atomic.Uint64
 	lifetime context.Context // ends with Close
 	end      context.CancelFunc
@@ -35,6 +36,9 @@
 	return pool
 }
 
+// Measure has a meter count what goes out on connections that are made from here on; to be called before the first one.
+func (p *Pool) Measure(meter Meter) { p.meter = meter }
+
 func newPool(bounds limits) *Pool {
 	pool := &Pool{limits: bounds, network: network.System{}, peers: map[string]*peer{}}
 	pool.lifetime, pool.end = context.WithCancel(context.Background())
@@ -111,7 +115,7 @@
 	if err != nil {
 		return &CallError{Address: address, Method: method, Cause: err}
 	}
-	pending := &pendingCall{id: id, method: method, answer: answer, frame: frame{line: encoded}, done: make(chan error, 1)}
+	pending := &pendingCall{id: id, method: method, answer: answer, frame: frame{line: encoded, kind: method}, done: make(chan error, 1)}
 	connection, err := p.submit(address, pending)
 	if err != nil {
 		releaseLine(encoded)
@@ -151,7 +155,7 @@
 	if err != nil {
 		return err
 	}
-	connection.out.pushNotice(&frame{line: encoded})
+	connection.out.pushNotice(&frame{line: encoded, kind: method})
 	return nil
 }
 
--- a/internal/system/link/serverconnection.go
+++ b/internal/system/link/serverconnection.go
@@ -32,6 +32,7 @@
 	}
 	connection.ctx, connection.cancel = context.WithCancel(context.Background())
 	connection.out.limits = server.limits
+	connection.out.meter = server.handlers.meter
 	connection.out.broken = func(error) { connection.close() }
 	connection.out.start(socket)
 	return connection
@@ -107,74 +108,74 @@
 func (c *serverConnection) takeCall(call line) error {
 	prepare, known := c.server.handlers.calls[string(call.method)]
 	if !known {
-		c.sendError(call.id, &RemoteError{Kind: KindUnknownMethod, Message: string(call.method)})
+		c.sendError(call.id, unknownMethod, &RemoteError{Kind: KindUnknownMethod, Message: string(call.method)})
 		return nil
 	}
 	run, err := prepare(c.from, call.body)
 	if err != nil {
-		return c.refuse(call.id, err)
+		return c.refuse(call.id, string(call.method), err)
 	}
 	ctx, err := c.begin(call.id)
 	if err != nil {
-		c.sendError(call.id, err)
+		c.sendError(call.id, string(call.method), err)
 		return nil
 	}
-	go c.answer(ctx, call.id, run)
+	go c.answer(ctx, call.id, string(call.method), run)
 	return nil
 }
 
 // refuse answers a body that doesn't fit; one that is no JSON closes the connection.
-func (c *serverConnection) refuse(id uint64, err error) error {
+func (c *serverConnection) refuse(id uint64, method string, err error) error {
 	if errors.Is(err, ErrBadLine) {
 		return err
 	}
-	c.sendError(id, &RemoteError{Kind: KindBadRequest, Message: err.Error()})
+	c.sendError(id, method, &RemoteError{Kind: KindBadRequest, Message: err.Error()})
 	return nil
 }
 
-func (c *serverConnection) answer(ctx context.Context, id uint64, run runCall) {
+func (c *serverConnection) answer(ctx context.Context, id uint64, method string, run runCall) {
 	defer c.finish(id)
 	answer, err := run(ctx)
 	if err != nil {
-		c.sendError(id, err)
+		c.sendError(id, method, err)
 		return
 	}
-	c.send(answerLine, id, answer)
+	c.send(answerLine, id, method, answer)
 }
 
 func (c *serverConnection) takeStream(stream line) error {
 	prepare, known := c.server.handlers.streams[string(stream.method)]
 	if !known {
-		c.sendError(stream.id, &RemoteError{Kind: KindUnknownMethod, Message: string(stream.method)})
+		c.sendError(stream.id, unknownMethod, &RemoteError{Kind: KindUnknownMethod, Message: string(stream.method)})
 		return nil
 	}
 	run, err := prepare(stream.body)
 	if err != nil {
-		return c.refuse(stream.id, err)
+		return c.refuse(stream.id, string(stream.method), err)
 	}
 	ctx, err := c.begin(stream.id)
 	if err != nil {
-		c.sendError(stream.id, err)
+		c.sendError(stream.id, string(stream.method), err)
 		return nil
 	}
-	go c.stream(ctx, stream.id, run)
+	go c.stream(ctx, stream.id, string(stream.method), run)
 	return nil
 }
 
-func (c *serverConnection) stream(ctx context.Context, id uint64, run runStream) {
+func (c *serverConnection) stream(ctx context.Context, id uint64, method string, run runStream) {
 	defer c.finish(id)
 	err := run(ctx, func(item any) error {
 		encoded, err := encodeLine(itemLine, id, "", item, c.server.limits.lineBytes)
 		if err != nil {
 			return err
 		}
-		return c.out.pushWhenRoom(ctx, &frame{line: encoded})
+		return c.out.pushWhenRoom(ctx, &frame{line: encoded, kind: method})
 	})
 	if err != nil {
-		c.sendError(id, err)
+		c.sendError(id, method, err)
 		return
 	}
-	c.send(endLine, id, nil)
+	c.send(endLine, id, method, nil)
 }
 
 // begin notes a handler at work and gives its context.
@@ -210,12 +211,12 @@
 	}
 }
 
-func (c *serverConnection) sendError(id uint64, err error) {
-	c.send(errorLine, id, asRemote(err))
+func (c *serverConnection) sendError(id uint64, method string, err error) {
+	c.send(errorLine, id, method, asRemote(err))
 }
 
 // send queues an answer. A peer that lets too many answers wait loses its connection.
-func (c *serverConnection) send(kind lineKind, id uint64, body any) {
+func (c *serverConnection) send(kind lineKind, id uint64, method string, body any) {
 	encoded, err := encodeLine(kind, id, "", body, c.server.limits.lineBytes)
 	if err != nil {
 		encoded, err = encodeLine(errorLine, id, "", unencodable(err), c.server.limits.lineBytes)
@@ -224,7 +225,7 @@
 		c.close()
 		return
 	}
-	err = c.out.push(&frame{line: encoded})
+	err = c.out.push(&frame{line: encoded, kind: method})
 	if errors.Is(err, ErrQueueFull) {
 		level.Warn(c.server.logger).Log("msg", "connection closed: answers aren't read", "from", c.from)
 		c.close()
--- /dev/null
+++ b/internal/system/metrics/metrics.go
@@ -0,0 +1,140 @@
+// Package metrics counts what a process of the tier does, and tells it in Prometheus' text format.
+package metrics
+
+import (
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+)
+
+// Path is where a process tells its metrics over HTTP.
+const Path = "/metrics"
+
+// Step is one step of an order of the operator.
+type Step string
+
+// The steps of an order.
+const (
+	ReadStep  Step = "read"  // its body
+	CheckStep Step = "check" // its form and its rules
+	AgreeStep Step = "agree" // by the group, on disk
+)
+
+// Outcome is what an order came to.
+type Outcome string
+
+// The outcomes of an order.
+const (
+	Taken       Outcome = "taken"
+	Refused     Outcome = "refused"     // invalid, or not on top of the newest version
+	Unconfirmed Outcome = "unconfirmed" // the group gave no answer in time
+)
+
+// ZoneClass tells where a peer is.
+type ZoneClass string
+
+// The classes of zones.
+const (
+	OwnZone     ZoneClass = "own"
+	OtherZone   ZoneClass = "other"
+	UnknownZone ZoneClass = "unknown"
+)
+
+// orderBuckets are the bounds of the histogram of an order's steps, in seconds.
+var orderBuckets = []float64{.005, .01, .025, .05, .1, .25, .5, 1, 2.5, 5}
+
+// Metrics holds the metrics of one process. It is safe for concurrent use.
+type Metrics struct {
+	registry     *prometheus.Registry
+	lineBytes    *prometheus.CounterVec
+	wireBytes    *prometheus.CounterVec
+	orderSeconds *prometheus.HistogramVec
+	orders       *prometheus.CounterVec
+	elections    prometheus.Counter
+	refusals     *prometheus.CounterVec
+
+	mutex   sync.Mutex
+	classOf func(host string) ZoneClass // nil: nothing is known of zones
+	classes map[string]ZoneClass        // by host
+}
+
+// New returns metrics that have counted nothing.
+func New() *Metrics {
+	counters := func(name, help string, labels ...string) *prometheus.CounterVec {
+		return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "mastusher", Name: name, Help: help}, labels)
+	}
+	m := &Metrics{
+		registry:  prometheus.NewRegistry(),
+		lineBytes: counters("link_line_bytes_total", "Bytes of lines sent to other processes, before they are packed.", "kind", "zone"),
+		wireBytes: counters("link_sent_bytes_total", "Bytes sent to other processes over connections, as they go on the wire.", "zone"),
+		orderSeconds: prometheus.NewHistogramVec(prometheus.HistogramOpts{Namespace: "mastusher", Name: "order_seconds",
+			Help: "Time of the steps of the operator's configurations.", Buckets: orderBuckets}, []string{"step"}),
+		orders: counters("orders_total", "Configurations that the operator has sent, by outcome.", "outcome"),
+		elections: prometheus.NewCounter(prometheus.CounterOpts{Namespace: "mastusher", Name: "elections_total",
+			Help: "Owners of the configuration's group that this member has seen elected."}),
+		refusals: counters("own_answers_total", "Requests that the proxy has answered by itself, by kind.", "kind"),
+		classes:  map[string]ZoneClass{},
+	}
+	m.registry.MustRegister(m.lineBytes, m.wireBytes, m.orderSeconds, m.orders, m.elections, m.refusals)
+	return m
+}
+
+// Handler tells the metrics.
+func (m *Metrics) Handler() http.Handler {
+	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
+}
+
+// FindZones sets what tells the zone of a host. Until it knows a host it is asked again.
+func (m *Metrics) FindZones(classOf func(host string) ZoneClass) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.classOf = classOf
+}
+
+// SentLine implements link.Meter.
+func (m *Metrics) SentLine(kind, address string, bytes int) {
+	m.lineBytes.WithLabelValues(kind, string(m.class(address))).Add(float64(bytes))
+}
+
+// Written implements link.Meter.
+func (m *Metrics) Written(address string, bytes int) {
+	m.wireBytes.WithLabelValues(string(m.class(address))).Add(float64(bytes))
+}
+
+// Took notes how long a step of an order took.
+func (m *Metrics) Took(step Step, took time.Duration) {
+	m.orderSeconds.WithLabelValues(string(step)).Observe(took.Seconds())
+}
+
+// Ordered notes what an order came to.
+func (m *Metrics) Ordered(outcome Outcome) { m.orders.WithLabelValues(string(outcome)).Inc() }
+
+// Elected notes a new owner.
+func (m *Metrics) Elected() { m.elections.Inc() }
+
+// Refused notes a request that the proxy has answered by itself.
+func (m *Metrics) Refused(kind string) { m.refusals.WithLabelValues(kind).Inc() }
+
+func (m *Metrics) class(address string) ZoneClass {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return UnknownZone
+	}
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if known, ok := m.classes[host]; ok {
+		return known
+	}
+	if m.classOf == nil {
+		return UnknownZone
+	}
+	class := m.classOf(host)
+	if class != UnknownZone {
+		m.classes[host] = class
+	}
+	return class
+}
--- /dev/null
+++ b/internal/system/metrics/metrics_test.go
@@ -0,0 +1,63 @@
+package metrics_test
+
+import (
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"mastusher/internal/system/metrics"
+)
+
+func text(m *metrics.Metrics) string {
+	recorder := httptest.NewRecorder()
+	m.Handler().ServeHTTP(recorder, httptest.NewRequest("GET", metrics.Path, nil))
+	return recorder.Body.String()
+}
+
+func TestWhatIsCountedIsTold(t *testing.T) {
+	m := metrics.New()
+	m.SentLine("replica", "10.0.0.1:7", 5) // nothing is known of zones yet
+	asked := 0
+	m.FindZones(func(host string) metrics.ZoneClass {
+		asked++
+		switch host {
+		case "10.0.0.1":
+			return metrics.OwnZone
+		case "10.0.0.2":
+			return metrics.OtherZone
+		}
+		return metrics.UnknownZone
+	})
+	for range 3 {
+		m.SentLine("replica", "10.0.0.1:7", 10)
+		m.SentLine("turn.begin", "10.0.0.2:7", 100)
+		m.Written("10.0.0.2:8", 60)
+		m.Written("10.0.0.3:8", 1)
+		m.Written("nowhere", 1)
+	}
+	m.Took(metrics.CheckStep, 20*time.Millisecond)
+	m.Ordered(metrics.Taken)
+	m.Elected()
+	m.Refused("no_route")
+	got := text(m)
+	for _, want := range []string{
+		`mastusher_link_line_bytes_total{kind="replica",zone="unknown"} 5`,
+		`mastusher_link_line_bytes_total{kind="replica",zone="own"} 30`,
+		`mastusher_link_line_bytes_total{kind="turn.begin",zone="other"} 300`,
+		`mastusher_link_sent_bytes_total{zone="other"} 180`,
+		`mastusher_link_sent_bytes_total{zone="unknown"} 6`,
+		`mastusher_order_seconds_bucket{step="check",le="0.025"} 1`,
+		`mastusher_order_seconds_bucket{step="check",le="0.01"} 0`,
+		`mastusher_orders_total{outcome="taken"} 1`,
+		`mastusher_elections_total 1`,
+		`mastusher_own_answers_total{kind="no_route"} 1`,
+	} {
+		if !strings.Contains(got, want+"\n") {
+			t.Errorf("missing %s in:\n%s", want, got)
+		}
+	}
+	if asked != 2+3 {
+		t.Errorf("zones were asked for %d times: those known once, the unknown one each time", asked)
+	}
+}
--- a/internal/system/programclient/client.go
+++ b/internal/system/programclient/client.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -213,6 +214,22 @@
 	return p.Shards[shard].Replicas
 }
 
+// ZoneOf returns the zone of a store by its host, as the placement tells it.
+func (c *Client) ZoneOf(host string) (zone string, known bool) {
+	p := c.placement.Load()
+	if p == nil {
+		return "", false
+	}
+	for _, shard := range p.Shards {
+		for _, r := range shard.Replicas {
+			if address, _, err := net.SplitHostPort(r.Address); err == nil && address == host {
+				return r.Zone, true
+			}
+		}
+	}
+	return "", false
+}
+
 func (c *Client) copies(shard int) int { return max(1, len(c.replicas(shard))) }
 
 // owner is the store that answered last, or the first replica.
--- a/internal/system/proxy/options.go
+++ b/internal/system/proxy/options.go
@@ -6,6 +6,7 @@
 	"github.com/go-kit/log"
 
 	"mastusher/internal/system/invariant"
+	"mastusher/internal/system/metrics"
 	"mastusher/internal/system/network"
 	"mastusher/internal/system/upstream"
 )
@@ -22,6 +23,7 @@
 	MaxClients       int             // connections of clients at once; 0: no bound
 	RecoveryBound    time.Duration   // the longest outage; 0: none is too long
 	Checks           *invariant.Counter
+	Metrics          *metrics.Metrics // told beside readiness; nil: the proxy's own
 	Logger           log.Logger       // of faults in the library or a handler, and of the phases of the end; nil: none
 	Now              func() time.Time // nil: the system's clock
 }
--- a/internal/system/proxy/refusals.go
+++ b/internal/system/proxy/refusals.go
@@ -10,6 +10,7 @@
 
 	"mastusher/internal/system/fault"
 	"mastusher/internal/system/invariant"
+	"mastusher/internal/system/metrics"
 )
 
 // refusalsInterval is the pace at which a proxy logs what it has answered by itself.
@@ -25,15 +26,18 @@
 	served int
 	cause  error // of the last turn that the stores could not begin; nil: none since the last report
 
+	metrics *metrics.Metrics
+
 	outage outage // used by the reporting goroutine only
 }
 
 func newRefusals(options *Options) *refusals {
-	return &refusals{counts: map[fault.Kind]int{}, outage: outage{bound: options.RecoveryBound, checks: options.Checks}}
+	return &refusals{counts: map[fault.Kind]int{}, metrics: options.Metrics, outage: outage{bound: options.RecoveryBound, checks: options.Checks}}
 }
 
 // add counts one answer.
 func (r *refusals) add(kind fault.Kind) {
+	r.metrics.Refused(kind.String())
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	r.counts[kind]++
--- a/internal/system/proxy/refusals_test.go
+++ b/internal/system/proxy/refusals_test.go
@@ -11,6 +11,7 @@
 
 	"mastusher/internal/system/fault"
 	"mastusher/internal/system/invariant"
+	"mastusher/internal/system/metrics"
 )
 
 func TestAnOutageThatLastsBreaksTheInvariantOnce(t *testing.T) {
@@ -52,7 +53,7 @@
 func TestOwnAnswersAreToldByTheirKindAndCause(t *testing.T) {
 	// Given answers of a proxy's own, when they are reported, then kinds, counts and cause are told, and no second time.
 	var logged bytes.Buffer
-	counted := newRefusals(&Options{})
+	counted := newRefusals(&Options{Metrics: metrics.New()})
 	counted.add(fault.StateUnavailable)
 	counted.add(fault.StateUnavailable)
 	counted.add(fault.NotReady)
--- a/internal/system/proxy/server.go
+++ b/internal/system/proxy/server.go
@@ -12,6 +12,7 @@
 	"github.com/go-kit/log/level"
 	"github.com/labstack/echo/v4"
 
+	"mastusher/internal/system/metrics"
 	"mastusher/internal/system/network"
 	"mastusher/internal/system/upstream"
 )
@@ -42,6 +43,9 @@
 	if options.Logger == nil {
 		options.Logger = log.NewNopLogger()
 	}
+	if options.Metrics == nil {
+		options.Metrics = metrics.New()
+	}
 	options.Network = network.OrSystem(options.Network)
 	options.Upstream.Network = options.Network
 	p := &Proxy{options: options, pool: upstream.NewPool(options.Upstream), settler: newSettler(options.Programs), refusals: newRefusals(&options)}
@@ -136,6 +140,7 @@
 		}
 		return c.NoContent(http.StatusOK)
 	})
+	e.GET(metrics.Path, echo.WrapHandler(p.options.Metrics.Handler()))
 	return e
 }
 
