--- a/internal/system/programclient/mutants_test.go
+++ b/internal/system/programclient/mutants_test.go
@@ -34,5 +34,20 @@
 			Change: change("\treturn nil, false, failed\n", "\tfailed = nil\n\treturn nil, false, failed\n"),
 			Run:    "^TestTurnIsMissingOnlyIfEveryShardIsCertain$",
 		},
+		{
+			Name:   "another beginning than the owner names is put in front",
+			Change: mutation.Change{File: "chains.go", Old: "held[begun.Held-1]", New: "held[0]"},
+			Run:    "^TestChainsAreWhatTheShardHolds$",
+		},
+		{
+			Name:   "a chain keeps the input of a turn that was begun again",
+			Change: mutation.Change{File: "chains.go", Old: "\tc.drop(c.byTurn[turn.Turn])\n", New: ""},
+			Run:    "^TestChainsAreWhatTheShardHolds$",
+		},
+		{
+			Name:   "chains go beyond their bound",
+			Change: mutation.Change{File: "chains.go", Old: "for c.bytes > c.bound {", New: "for c.bytes > 2*c.bound {"},
+			Run:    "^TestChainsAreWhatTheShardHolds$",
+		},
 	})
 }
--- /dev/null
+++ b/internal/system/wire/heldchain_test.go
@@ -0,0 +1,32 @@
+package wire_test
+
+import (
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"mastusher/internal/system/program"
+	"mastusher/internal/system/wire"
+)
+
+// Given any texts that an asker holds, then what is left out is the beginning of the chain, and one of them.
+func TestWhatIsLeftOutIsHeld(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		text := rapid.StringMatching(`[ab]{0,6}`)
+		chain := text.Draw(t, "chain")
+		held := rapid.SliceOfN(text, 0, 6).Draw(t, "held")
+		var names []wire.HeldChain
+		for _, h := range held {
+			names = append(names, wire.HeldChain{Bytes: len(h), Sum: wire.SumOf([]byte(h))})
+		}
+		begun := wire.WithoutHeld(program.Result{Verdict: program.Taken, Chain: []byte(chain)}, names)
+		whole := string(begun.Chain)
+		if begun.Held > 0 {
+			whole = held[begun.Held-1] + whole
+		}
+		if diff := cmp.Diff(chain, whole); diff != "" {
+			t.Fatal(diff)
+		}
+	})
+}
--- /dev/null
+++ b/internal/system/wire/mutants_test.go
@@ -0,0 +1,24 @@
+package wire_test
+
+import (
+	"testing"
+
+	"mastusher/internal/tools/mutation"
+)
+
+func TestMutantsAreNoticed(t *testing.T) {
+	mutation.Test(t, []mutation.Mutant{
+		{
+			Name: "chains are compared by length alone",
+			Change: mutation.Change{File: "heldchain.go", Old: " && string(SumOf(result.Chain[:h.Bytes])) == string(h.Sum)",
+				New: ""},
+			Run:    "^TestWhatIsLeftOutIsHeld$",
+			Always: true,
+		},
+		{
+			Name:   "less is left out of a chain than is said",
+			Change: mutation.Change{File: "heldchain.go", Old: "result.Chain[left:]", New: "result.Chain[left/2:]"},
+			Run:    "^TestWhatIsLeftOutIsHeld$",
+		},
+	})
+}
