--- a/internal/system/controller/configure.go
+++ b/internal/system/controller/configure.go
@@ -41,16 +41,10 @@
 		c.options.Metrics.Ordered(metrics.Refused)
 		return err
 	}
-	ctx, cancel := context.WithTimeout(e.Request().Context(), agreeTimeout)
-	defer cancel()
-	proposed := time.Now()
-	result, err := c.group.Propose(ctx, Command{Configure: order})
-	c.options.Metrics.Took(metrics.AgreeStep, time.Since(proposed))
+	result, err := c.propose(e.Request().Context(), order)
 	if err != nil {
-		c.options.Metrics.Ordered(metrics.Unconfirmed)
 		return c.unagreed(err)
 	}
-	c.options.Metrics.Ordered(outcomeOf(result))
 	switch result {
 	case configuration.Taken:
 		level.Info(c.options.Logger).Log("msg", "configuration taken", "number", order.Number, "base", order.Base)
@@ -65,12 +59,22 @@
 	return fault.New(fault.Internal, "the order has no outcome")
 }
 
-// outcomeOf is what a verdict counts as.
-func outcomeOf(verdict any) metrics.Outcome {
-	if verdict == configuration.Taken {
-		return metrics.Taken
+// propose has the group agree on an order, and counts what it comes to.
+func (c *Controller) propose(ctx context.Context, order *configuration.Order) (verdict any, err error) {
+	ctx, cancel := context.WithTimeout(ctx, agreeTimeout)
+	defer cancel()
+	began := time.Now()
+	verdict, err = c.group.Propose(ctx, Command{Configure: order})
+	c.options.Metrics.Took(metrics.AgreeStep, time.Since(began))
+	switch {
+	case err != nil:
+		c.options.Metrics.Ordered(metrics.Unconfirmed)
+	case verdict == configuration.Taken:
+		c.options.Metrics.Ordered(metrics.Taken)
+	default:
+		c.options.Metrics.Ordered(metrics.Refused)
 	}
-	return metrics.Refused
+	return verdict, err
 }
 
 func (c *Controller) wasTaken(order *configuration.Order) bool {
