--- a/internal/system/controller/configure.go
+++ b/internal/system/controller/configure.go
@@ -9,12 +9,14 @@
 	"os"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/go-kit/log/level"
 	"github.com/labstack/echo/v4"
 
 	"mastusher/internal/system/configuration"
 	"mastusher/internal/system/fault"
+	"mastusher/internal/system/metrics"
 	"mastusher/internal/system/model/form"
 )
 
@@ -23,7 +25,9 @@
 
 // putSettings takes a whole configuration. Any member of the group acknowledges one that it knows to have been taken.
 func (c *Controller) putSettings(e echo.Context) error {
+	began := time.Now()
 	order, err := readOrder(e)
+	c.options.Metrics.Took(metrics.ReadStep, time.Since(began))
 	if err == nil && c.wasTaken(order) {
 		return e.NoContent(http.StatusOK)
 	}
@@ -34,11 +38,10 @@
 		return err
 	}
 	if err := c.check(e.Request().Context(), order); err != nil {
+		c.options.Metrics.Ordered(metrics.Refused)
 		return err
 	}
-	ctx, cancel := context.WithTimeout(e.Request().Context(), agreeTimeout)
-	defer cancel()
-	result, err := c.group.Propose(ctx, Command{Configure: order})
+	result, err := c.propose(e.Request().Context(), order)
 	if err != nil {
 		return c.unagreed(err)
 	}
@@ -56,6 +59,24 @@
 	return fault.New(fault.Internal, "the order has no outcome")
 }
 
+// propose has the group agree on an order, and counts what it comes to.
+func (c *Controller) propose(ctx context.Context, order *configuration.Order) (verdict any, err error) {
+	ctx, cancel := context.WithTimeout(ctx, agreeTimeout)
+	defer cancel()
+	began := time.Now()
+	verdict, err = c.group.Propose(ctx, Command{Configure: order})
+	c.options.Metrics.Took(metrics.AgreeStep, time.Since(began))
+	switch {
+	case err != nil:
+		c.options.Metrics.Ordered(metrics.Unconfirmed)
+	case verdict == configuration.Taken:
+		c.options.Metrics.Ordered(metrics.Taken)
+	default:
+		c.options.Metrics.Ordered(metrics.Refused)
+	}
+	return verdict, err
+}
+
 func (c *Controller) wasTaken(order *configuration.Order) bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
@@ -106,7 +127,9 @@
 	case <-ctx.Done():
 		return fault.New(fault.NotReady, "another configuration is being checked: %w", ctx.Err())
 	}
+	began := time.Now()
 	decoded, err := form.Read(order.Raw)
+	c.options.Metrics.Took(metrics.CheckStep, time.Since(began))
 	if err != nil {
 		return fault.New(fault.InvalidConfiguration, "%w", err)
 	}
