Begin no stream at a closed pool, and note recoveries of the soak under its lock

TestHowAStreamFails: Close ends the contexts of streams in goroutines of their own, so that a stream begun right after it could still be sent, and its caller was told that it may have arrived. TestSoakOfRealProcesses: the race detector saw the text of a recovery read while a read at a controller, which outlasts its worker's context, was counted. Ruled out: packed links, which neither concerns (loopback isn't packed). Change: a stream looks at the pool before it dials, shown by 500 tries (which fail without it); the text is taken under the lock.

--- a/internal/system/link/push_test.go
+++ b/internal/system/link/push_test.go
@@ -282,3 +282,18 @@
 		t.Errorf("got %v", err)
 	}
 }
+
+// Given a pool that is closed, then no stream begins there, however soon the end of its contexts comes.
+func TestAClosedPoolBeginsNoStream(t *testing.T) {
+	handlers := NewHandlers()
+	HandleStream(handlers, "end", func(context.Context, int, func(int) error) error { return nil })
+	server := startServer(t, "127.0.0.1:0", handlers)
+	pool := startPool(t)
+	pool.Close()
+	for range 500 {
+		err := Stream(testContext(t), pool, server.Address(), "end", 1, func(int) error { return nil })
+		if !errors.Is(err, ErrClosed) || MayHaveArrived(err) {
+			t.Fatalf("got %v", err)
+		}
+	}
+}
--- a/internal/system/link/stream.go
+++ b/internal/system/link/stream.go
@@ -38,6 +38,9 @@
 		}
 		return &CallError{Address: address, Method: method, MayHaveArrived: mayHaveArrived, Cause: cause}
 	}
+	if err := ctx.Err(); err != nil || p.lifetime.Err() != nil {
+		return failed(false, err) // closing a pool ends the context in a goroutine of its own, which may come late
+	}
 	id := p.lastID.Add(1)
 	encoded, err := encodeLine(streamLine, id, method, request, p.limits.lineBytes)
 	if err != nil {
--- a/internal/system/soak/recover.go
+++ b/internal/system/soak/recover.go
@@ -40,11 +40,19 @@
 		}
 	})
 	measured.Wait()
-	r.result.Pressure = (cpuWait() - waited).Seconds() / time.Since(back).Seconds()
+	pressure := (cpuWait() - waited).Seconds() / time.Since(back).Seconds()
+	r.tell("recovered: %v", r.noteRecovery(pressure, served))
+}
+
+// noteRecovery enters what a recovery took into the result and returns its text. Reads that are under way still count there.
+func (r *run) noteRecovery(pressure float64, served []time.Duration) string {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.result.Pressure = pressure
 	for _, took := range served {
 		r.result.AllServed = max(r.result.AllServed, took)
 	}
-	r.tell("recovered: %v", r.result.Text())
+	return r.result.Text()
 }
 
 // cpuWait is how long something on the machine has waited for a processor, as the kernel tells; 0 if it doesn't.
