--- a/Makefile
+++ b/Makefile
@@ -58,6 +58,8 @@
 	go test -run '^$$' -fuzz FuzzExchange -fuzztime 10s ./internal/system/exchangetest
 	go test -run '^$$' -fuzz FuzzAnswerBytes -fuzztime 10s ./internal/system/exchangetest
 	go test -run '^$$' -fuzz FuzzRequestBytes -fuzztime 10s ./internal/system/exchangetest
+	go test -run '^$$' -fuzz FuzzForm -fuzztime 10s ./internal/system/model/schema
+	go test -run '^$$' -fuzz FuzzUnpack -fuzztime 10s ./internal/system/link
 
 # Every deliberate mistake that the packages' tests list, on a copy of the source; `make test` tries a few of them: minutes.
 MUTATED = $$(go list -f '{{.ImportPath}} {{join .TestImports " "}} {{join .XTestImports " "}}' ./... | \
