--- a/internal/system/link/pack.go
+++ b/internal/system/link/pack.go
@@ -17,7 +17,7 @@
 const (
 	packFrom     = 96        // bytes of lines from which on they are packed
 	packMost     = 512 << 10 // up to which they are: beyond, it would keep a small machine busy for long
-	historyBytes = 8 << 10   // of the last lines that one direction of a connection goes on from: what the compressor takes
+	historyBytes = 3 << 10   // of the last lines that one direction of a connection goes on from; a longer one costs more than it saves
 )
 
 // Every batch of lines is compressed by itself, going on from the text of the last ones: a compressor of its own for each
