replica: a member that was removed while away learns it from any member of its group

Ruled out: the leader telling it (it may have been replaced itself), and a mark on the disk (the rejected PreVote says it again after each start). Change: a rejection of a PreVote names the newest committed entry at which the candidate is outside. The candidate takes no part in elections until its log holds that entry, reports no members, and asks on at election timeouts. Controllers name each other as contacts, so that one whose former peers are all gone is told too; one that never was in the group asks them likewise. It redirects callers to the running controllers, or to the member that told it.

--- a/internal/tier/controller/api_redirect.go
+++ b/internal/tier/controller/api_redirect.go
@@ -22,7 +22,7 @@
 	}
 	address := c.controlAddress(status.Leader)
 	if !isMember(status) {
-		address = c.peerControlAddress()
+		address = cmp.Or(c.peerControlAddress(), c.controlAddress(status.Informant))
 	}
 	if address == "" {
 		return true, apierror.New(apierror.NotReady, "the configuration has no owner that is known now")
--- a/internal/tier/controller/partition_verify_test.go
+++ b/internal/tier/controller/partition_verify_test.go
@@ -56,7 +56,7 @@
 		if m.number != victim && how != allFromEachOther && !s.isPartitionedFromLeader(m.number, victim, how) && !during.answered[m.number] {
 			s.t.Errorf("core-%d told nothing while core-%d was partitioned", m.number+1, victim+1)
 		}
-		if !after.answered[m.number] && !s.wasRemoved(m) {
+		if !after.answered[m.number] {
 			s.t.Errorf("core-%d told nothing after the partition", m.number+1)
 		}
 	}
@@ -98,14 +98,3 @@
 func (s *scenario) isPartitionedFromLeader(number, victim int, how partitionKind) bool {
 	return how == fromOne && s.leaderBefore == victim && number == s.peer
 }
-
-// wasRemoved tells whether a machine was replaced in the group during the partition and can't know it: the group doesn't write to
-// it any more. It answers 503, and callers go on to the next one.
-func (s *scenario) wasRemoved(m *coreMachine) bool {
-	for _, member := range s.core.machines[s.core.leader()].controller.Group().Status().Members {
-		if member.ID == m.member.ID {
-			return false
-		}
-	}
-	return true
-}
--- a/internal/tier/controller/reconcile_loop.go
+++ b/internal/tier/controller/reconcile_loop.go
@@ -6,6 +6,8 @@
 
 	"github.com/go-kit/log/level"
 
+	"mastusher/internal/tier/membership"
+	"mastusher/internal/tier/replica"
 	"mastusher/internal/tier/wire"
 )
 
@@ -41,6 +43,7 @@
 // Reconcile takes the actions that are due, and returns the time until the next call. It never waits for the group or for a
 // store. On a member that isn't the leader it only observes.
 func (c *Controller) Reconcile(now time.Time) time.Duration {
+	c.updateContacts()
 	actions := c.nextActions(now)
 	if actions.GroupMembers != nil {
 		c.changeMembers(actions.GroupMembers)
@@ -57,6 +60,21 @@
 	return reconcileInterval
 }
 
+// updateContacts names the other controllers to the group while it hears no leader: those of the configuration on its disk may
+// all have been replaced while this one was away. Their membership state must not matter, as in controlAddress.
+func (c *Controller) updateContacts() {
+	if c.group.Status().Leader != "" {
+		return
+	}
+	contacts := []replica.Member{}
+	for _, m := range c.options.Fleet.Members() {
+		if m.Role == membership.Controller && m.ID != c.options.ID {
+			contacts = append(contacts, replica.Member{ID: m.ID, Address: m.Address})
+		}
+	}
+	c.group.SetContacts(contacts)
+}
+
 func (c *Controller) nextActions(now time.Time) Actions {
 	status := c.group.Status()
 	members := c.options.Fleet.Members()
--- a/internal/tier/group/group.go
+++ b/internal/tier/group/group.go
@@ -60,6 +60,13 @@
 	g.signal()
 }
 
+// SetContacts sets the processes that may be in the group without this member's knowing: it asks them too when it hears no leader.
+func (g *Group) SetContacts(contacts []replica.Member) {
+	g.mutex.Lock()
+	g.input.Contacts = contacts
+	g.mutex.Unlock()
+}
+
 // signal has the member's goroutine run an iteration soon.
 func (g *Group) signal() {
 	select {
--- a/internal/tier/replica/confchange_mutants_test.go
+++ b/internal/tier/replica/confchange_mutants_test.go
@@ -41,5 +41,25 @@
 			},
 			Run: "^TestExploration_OrdersAroundConfChange_AreSafe$",
 		},
+		{
+			Name:   "a removed member isn't told",
+			Change: mutation.Change{File: "election.go", Old: "response.ExcludedAt = r.exclusionOf(request.From)", New: "response.ExcludedAt = nil"},
+			Run:    "^TestRemovedMember_WasPartitioned_LearnsIt$",
+		},
+		{
+			Name:   "a removed member takes part in elections on",
+			Change: mutation.Change{File: "election.go", Old: "return r.configurations.isVoter(r.options.ID) && !r.isExcluded()", New: "return r.configurations.isVoter(r.options.ID)"},
+			Run:    "^TestRemovedMember_WasPartitioned_LearnsIt$",
+		},
+		{
+			Name:   "an outdated removal is believed",
+			Change: mutation.Change{File: "exclusion.go", Old: "r.exclusion.at.Index > r.commit && !r.log.matchTerm(r.exclusion.at.Index, r.exclusion.at.Term)", New: "r.exclusion.at.Index > 0"},
+			Run:    "^TestExclusion_MemberKnowsLaterConfiguration_IsIgnored$",
+		},
+		{
+			Name:   "only former peers are asked",
+			Change: mutation.Change{File: "election.go", Old: "for _, contact := range r.contacts {", New: "for _, contact := range r.contacts[:0] {"},
+			Run:    "^TestRemovedMember_AllFormerPeersGone_LearnsItFromContacts$",
+		},
 	})
 }
--- a/internal/tier/replica/election.go
+++ b/internal/tier/replica/election.go
@@ -23,9 +23,10 @@
 }
 
 // isPromotable tells whether this member may campaign: it has a vote in a configuration that may still be in force. That
-// includes one that its own log removes it from, since that entry may need its vote to be committed.
+// includes one that its own log removes it from, since that entry may need its vote to be committed. It has none once it has
+// learned that it was removed.
 func (r *Replica) isPromotable() bool {
-	return r.configurations.isVoter(r.options.ID)
+	return r.configurations.isVoter(r.options.ID) && !r.isExcluded()
 }
 
 // isSingleVoter tells whether no other member's vote is needed.
@@ -76,7 +77,7 @@
 		r.campaign(false)
 		return
 	}
-	r.requestVotes(Message{Kind: RequestVote, Term: r.hardState.Term + 1, PreVote: true})
+	r.requestPreVotes()
 }
 
 // campaign begins a term as its candidate. With transfer, the previous leader has asked for it.
@@ -96,6 +97,21 @@
 	r.requestVotes(Message{Kind: RequestVote, Term: r.hardState.Term, LeadershipTransfer: transfer})
 }
 
+// requestPreVotes asks the voters, and the contacts outside the configuration. The votes of these don't count; a rejection tells
+// this member if it was removed.
+func (r *Replica) requestPreVotes() {
+	request := Message{Kind: RequestVote, Term: r.hardState.Term + 1, PreVote: true}
+	r.requestVotes(request)
+	request.Index, request.LogTerm = r.log.lastIndex(), r.log.lastTerm()
+	latest := r.configurations.latest()
+	for _, contact := range r.contacts {
+		if contact.ID != r.options.ID && latest.find(contact.ID) == nil {
+			request.To = contact.ID
+			r.sendAfterSync(request)
+		}
+	}
+}
+
 func (r *Replica) requestVotes(request Message) {
 	request.Index, request.LogTerm = r.log.lastIndex(), r.log.lastTerm()
 	for _, member := range r.configurations.latest().members {
@@ -173,12 +189,14 @@
 	if !granted {
 		response.Term = r.hardState.Term
 		response.Reject = true
+		response.ExcludedAt = r.exclusionOf(request.From)
 	}
 	r.sendAfterSync(response)
 }
 
 func (r *Replica) handleRequestVoteResponse(response *Message) {
 	if response.Reject {
+		r.learnExclusion(response)
 		if response.Term > r.hardState.Term {
 			r.becomeFollower(response.Term, "")
 		}
--- a/internal/tier/replica/format_test.go
+++ b/internal/tier/replica/format_test.go
@@ -16,10 +16,11 @@
 	"hard_state": HardState{Term: 3, Vote: "a"},
 	"member":     Member{ID: "a", Address: "a:1", Learner: true},
 	"entry":      Entry{Index: 9, Term: 3, Kind: ConfChange, Data: json.RawMessage(`[{"id":"a","address":"a:1"}]`)},
+	"entry_id":   EntryID{Index: 6, Term: 2},
 	"snapshot": Snapshot{Index: 6, Term: 2, Members: []Member{{ID: "a", Address: "a:1", Learner: true}}, Chunks: 2,
 		State: json.RawMessage(`{"s":1}`)},
 	"message": Message{Kind: AppendEntries, From: "a", To: "b", Term: 3, PreVote: true, Index: 7, LogTerm: 2, Commit: 6,
-		Entries: []Entry{{Index: 8, Term: 3, Kind: NoOp}}, Reject: true, RejectHint: 5, ReadContext: 9,
+		Entries: []Entry{{Index: 8, Term: 3, Kind: NoOp}}, Reject: true, RejectHint: 5, ExcludedAt: &EntryID{Index: 6, Term: 2}, ReadContext: 9,
 		Snapshot: &Snapshot{Index: 6, Term: 2, Members: []Member{{ID: "a"}}, Chunks: 2}, Chunk: 1, Address: "a:1", LeadershipTransfer: true},
 }
 
@@ -56,6 +57,24 @@
 	}
 }
 
+// Members of builds before ExcludedAt send messages without it.
+func TestStoredFormat_MessageWithoutExclusion_IsRead(t *testing.T) {
+	t.Parallel()
+	golden, err := os.ReadFile(filepath.Join("testdata", "format", "message_without_exclusion.json"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var got Message
+	if err := json.Unmarshal(golden, &got); err != nil {
+		t.Fatal(err)
+	}
+	want := formatValues["message"].(Message)
+	want.ExcludedAt = nil
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("value (-want +got):\n%s", diff)
+	}
+}
+
 // The kinds stand for themselves in messages and in records.
 func TestStoredFormat_KindsKeepTheirValues(t *testing.T) {
 	t.Parallel()
--- a/internal/tier/replica/message.go
+++ b/internal/tier/replica/message.go
@@ -27,6 +27,12 @@
 	Data  json.RawMessage `json:"data,omitempty"`
 }
 
+// EntryID identifies an entry: no two entries of a group's logs have the same index and term (Raft section 5.3).
+type EntryID struct {
+	Index uint64 `json:"index"`
+	Term  uint64 `json:"epoch"`
+}
+
 // HardState is what a member must never forget. It must be on disk before any message that depends on it is sent.
 type HardState struct {
 	Term uint64 `json:"epoch"`          // the highest term that the member has seen
@@ -79,6 +85,9 @@
 	Reject  bool    `json:"rejected,omitempty"`
 	// RejectHint is the highest index at which the log of a follower that rejected may agree with the leader's.
 	RejectHint uint64 `json:"hint,omitempty"`
+	// ExcludedAt is, in a rejection of RequestVote, the newest committed entry that the sender knows, if neither the members in
+	// force at it nor any later ones that the sender knows include the candidate; nil: they do.
+	ExcludedAt *EntryID `json:"excludedAt,omitempty"`
 	// ReadContext names the reads that the message is to confirm, by a number that grows with each. A response repeats it.
 	ReadContext uint64    `json:"round,omitempty"`
 	Snapshot    *Snapshot `json:"snapshot,omitempty"`
--- a/internal/tier/replica/raft.go
+++ b/internal/tier/replica/raft.go
@@ -52,6 +52,8 @@
 
 	leadership    leadership // zero unless it leads
 	targetMembers []Member   // empty: not known
+	contacts      []Member   // other processes of the group's kind, which may know it
+	exclusion     exclusion
 
 	step stepState
 }
@@ -148,6 +150,7 @@
 	}
 	r.tick()
 	r.setTargetMembers(input.TargetMembers)
+	r.setContacts(input.Contacts)
 	r.propose(input.Proposals)
 	r.read(input.Reads)
 	if input.TransferLeadership {
@@ -193,8 +196,14 @@
 		r.checkQuorum()
 		return
 	}
-	if r.now >= r.electionDeadline && r.isPromotable() {
+	if r.now < r.electionDeadline {
+		return
+	}
+	switch {
+	case r.isPromotable():
 		r.campaignPreVote()
+	case r.isOutside():
+		r.inquire()
 	}
 }
 
@@ -233,7 +242,7 @@
 		return r.leadership.heartbeatDeadline
 	}
 	wake := r.now + maxIdle
-	if r.isPromotable() {
+	if r.isPromotable() || r.isOutside() {
 		wake = r.electionDeadline
 	}
 	if r.IsReceivingSnapshot() {
--- a/internal/tier/replica/ready.go
+++ b/internal/tier/replica/ready.go
@@ -26,6 +26,9 @@
 	Reads []uint64
 	// TargetMembers are the members that the group is to have; it moves there one step at a time. Nil: as before.
 	TargetMembers []Member
+	// Contacts are running processes that may be in the group without being in the configuration that this member knows. It asks
+	// them too when it campaigns, so that one whose former peers are all gone learns that it was removed. Nil: as before.
+	Contacts []Member
 	// Compact is a saved snapshot, as SnapshotMetadata named it and with Chunks set: entries up to it may be dropped.
 	Compact *Snapshot
 	// TransferLeadership hands the leadership over once the pending proposals and reads are resolved, after an election
--- a/internal/tier/replica/simulation_node_test.go
+++ b/internal/tier/replica/simulation_node_test.go
@@ -121,7 +121,7 @@
 
 func (n *node) hasInput() bool {
 	in := &n.inbox
-	return len(in.Messages)+len(in.Proposals)+len(in.Reads) > 0 || in.TargetMembers != nil || in.Compact != nil || in.TransferLeadership
+	return len(in.Messages)+len(in.Proposals)+len(in.Reads) > 0 || in.TargetMembers != nil || in.Contacts != nil || in.Compact != nil || in.TransferLeadership
 }
 
 // step hands a node all that has come in. What must not wait leaves at once, the rest after the sync.
--- a/internal/tier/replica/status.go
+++ b/internal/tier/replica/status.go
@@ -12,7 +12,8 @@
 	Leader            string          // identity of the leader; empty: not known
 	IsLeader          bool            // this member leads, and has committed an entry of its own term
 	LeaderLastContact time.Duration   // when another member that leads was last heard, by the clock that Step is given
-	Members           []Member        // of the latest configuration in the log, committed or not
+	Members           []Member        // of the latest configuration in the log, committed or not; none: this member is in no group
+	Informant         string          // without Members: the member that lately told this one that it is in no group; empty: none
 	Commit            uint64          // last entry known to be committed
 	LastIndex         uint64          // last entry of the log
 	CaughtUp          map[string]bool // at the leader: identities of the members that have all but the newest entries
@@ -30,6 +31,12 @@
 		Commit:            r.commit,
 		LastIndex:         r.log.lastIndex(),
 	}
+	if r.isExcluded() {
+		status.Members = nil
+	}
+	if r.isOutside() {
+		status.Informant = r.informant()
+	}
 	if r.role == leader {
 		status.Leader = r.options.ID
 		status.CaughtUp = r.caughtUpMembers()
@@ -54,5 +61,5 @@
 	if id == r.leader.id {
 		return r.leader.address
 	}
-	return ""
+	return r.contactAddress(id)
 }
