command: try the members of a machine's own groups beside the seeds of its settings

Cause: the seeds of its settings are all that a process tries at a start, and they may all have been replaced while it was down. Change: controllers try the members of their group and the stores of the placement on their disk, stores the members of their shards' groups; eight at most.

--- a/internal/tier/command/controller.go
+++ b/internal/tier/command/controller.go
@@ -39,6 +39,7 @@
 	if err != nil {
 		return err
 	}
+	p.useDiskSeeds(member, running.KnownAddresses())
 	handlers := transport.NewHandlers()
 	running.Register(handlers)
 	leave, err := p.serve(ctx, address, member, handlers)
--- a/internal/tier/command/membership.go
+++ b/internal/tier/command/membership.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 
 	"mastusher/internal/tier/membership"
 	"mastusher/internal/tier/metrics"
@@ -28,14 +29,36 @@
 
 // newNode returns the process's node in the membership, which doesn't run yet.
 func (p *process) newNode(self membership.Member, onUpdate func(view.Update)) *node.Node {
-	return node.New(node.Options{Self: self, Seeds: p.seeds(), Pool: p.pool, Logger: p.logger, Seed: p.seed, OnUpdate: onUpdate})
+	return node.New(node.Options{Self: self, Seeds: p.membershipSeeds(p.settings), Pool: p.pool, Logger: p.logger, Seed: p.seed, OnUpdate: onUpdate})
+}
+
+// maxDiskSeeds bounds the machines named by its disk that a process tries beside the seeds of its settings. More find a running
+// one sooner where most have been replaced, and each that is gone costs a datagram at each interval of the seeds.
+const maxDiskSeeds = 8
+
+// useDiskSeeds has the node try machines that the disk names beside the seeds of the settings, which may all be gone. It must be
+// called before join.
+func (p *process) useDiskSeeds(member *node.Node, addresses []string) {
+	p.diskSeeds = addresses[:min(len(addresses), maxDiskSeeds)]
+	member.SetSeeds(p.membershipSeeds(p.settings))
+}
+
+// membershipSeeds are the seeds of the settings, and the machines that the disk names.
+func (p *process) membershipSeeds(loaded *settings.Settings) []string {
+	seeds := p.seedsOf(loaded)
+	for _, address := range p.diskSeeds {
+		if !slices.Contains(seeds, address) {
+			seeds = append(seeds, address)
+		}
+	}
+	return seeds
 }
 
 // join runs the node, which follows the seeds of the settings until ctx ends. The function that it returns announces that the
 // process leaves, and waits for the node's end.
 func (p *process) join(ctx context.Context, member *node.Node, server *transport.Server) (leave func()) {
 	p.metrics.SetZoneLookup(func(host string) metrics.ZoneClass { return p.zoneOf(member, host) })
-	p.onReload(ctx, func(loaded *settings.Settings) { member.SetSeeds(p.seedsOf(loaded)) })
+	p.onReload(ctx, func(loaded *settings.Settings) { member.SetSeeds(p.membershipSeeds(loaded)) })
 	joined, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	ended := make(chan struct{})
 	go func() {
--- a/internal/tier/command/process.go
+++ b/internal/tier/command/process.go
@@ -38,6 +38,7 @@
 	env        Environment
 	invariants *invariant.Counter
 	metrics    *metrics.Metrics
+	diskSeeds  []string // other machines that this one's disk names at its start
 }
 
 // newProcess loads the settings and sets the runtime's limits.
--- a/internal/tier/command/store.go
+++ b/internal/tier/command/store.go
@@ -41,6 +41,7 @@
 	if err := p.retryStart(ctx, "shards on the disk", shards.Recover); err != nil {
 		return err
 	}
+	p.useDiskSeeds(member, shards.MemberAddresses())
 	leave := p.join(ctx, member, server)
 	defer leave()
 	stats := func() []any { return storeStats(shards) }
--- a/internal/tier/controller/controller.go
+++ b/internal/tier/controller/controller.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -68,6 +69,23 @@
 // Group returns the member of the configuration shard's group, which Run drives.
 func (c *Controller) Group() *group.Group { return c.group }
 
+// KnownAddresses lists the addresses of the group's other members and then those of the stores that the placement names, as far
+// as this member knows them.
+func (c *Controller) KnownAddresses() []string {
+	status := c.group.Status()
+	addresses := status.OtherAddresses()
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	for _, shard := range c.state.Placement().Shards {
+		for _, replica := range shard.Replicas {
+			if !slices.Contains(addresses, replica.Address) {
+				addresses = append(addresses, replica.Address)
+			}
+		}
+	}
+	return addresses
+}
+
 // Register adds the handlers of what other processes send to the controller.
 func (c *Controller) Register(handlers *transport.Handlers) {
 	transport.HandleNotice(handlers, wire.MethodReplica, func(_ string, envelope group.Envelope) {
--- a/internal/tier/replica/status.go
+++ b/internal/tier/replica/status.go
@@ -19,6 +19,17 @@
 	CaughtUp          map[string]bool // at the leader: identities of the members that have all but the newest entries
 }
 
+// OtherAddresses lists the addresses of the other members.
+func (s *Status) OtherAddresses() []string {
+	var addresses []string
+	for i := range s.Members {
+		if s.Members[i].ID != s.ID {
+			addresses = append(addresses, s.Members[i].Address)
+		}
+	}
+	return addresses
+}
+
 // Status returns this member's view of its group.
 func (r *Replica) Status() Status {
 	status := Status{
--- a/internal/tier/store/recover.go
+++ b/internal/tier/store/recover.go
@@ -1,6 +1,11 @@
 package store
 
 import (
+	"cmp"
+	"maps"
+	"slices"
+	"strings"
+
 	"mastusher/internal/tier/storage"
 	"mastusher/internal/tier/view"
 )
@@ -34,6 +39,20 @@
 	return nil
 }
 
+// MemberAddresses lists the other members of the groups that run here, each address once, those of more groups first.
+func (s *Store) MemberAddresses() []string {
+	groups := map[string]int{}
+	for _, running := range s.running() {
+		status := running.group.Status()
+		for _, address := range status.OtherAddresses() {
+			groups[address]++
+		}
+	}
+	return slices.SortedFunc(maps.Keys(groups), func(a, b string) int {
+		return cmp.Or(cmp.Compare(groups[b], groups[a]), strings.Compare(a, b))
+	})
+}
+
 // placeShard passes the newest placement to a shard, as it may have arrived before the shard was open.
 func (s *Store) placeShard(number int) {
 	s.mutex.Lock()
