--- a/internal/tier/command/group_runner.go
+++ b/internal/tier/command/group_runner.go
@@ -41,6 +41,9 @@
 	}()
 }
 
+// runBackground runs the writes of a group's compactions. The group waits for them at its end.
+func runBackground(work func()) { go work() }
+
 // wait returns once all groups have ended. No other is started afterwards.
 func (r *groupRunner) wait() {
 	r.mutex.Lock()
--- a/internal/tier/command/store.go
+++ b/internal/tier/command/store.go
@@ -68,6 +68,7 @@
 		Now:              p.env.Now,
 		QueueBudgetBytes: int(p.settings.Limits.MemoryMb << 20 / queueBudgetDivisor),
 		RunGroup:         groups.run,
+		RunBackground:    runBackground,
 		Invariants:       p.invariants,
 	}
 }
--- a/internal/tier/controller/group.go
+++ b/internal/tier/controller/group.go
@@ -40,6 +40,7 @@
 			Seed:                   c.options.Seed,
 		},
 		OnStatusChange: c.onGroupChange,
+		RunBackground:  c.options.RunBackground,
 	}
 }
 
--- a/internal/tier/controller/options.go
+++ b/internal/tier/controller/options.go
@@ -52,6 +52,8 @@
 	SendMessage func(address string, envelope group.Envelope)                                // must not block
 	QueryStore  func(address string, done func(answer wire.ShardMembersResponse, err error)) // must not block
 	Clock       func() time.Duration
+	// RunBackground runs the writes of compactions beside the group; the default runs them within its iterations.
+	RunBackground func(work func())
 	// QueryEndpoints has the controller at an address read the platform's list.
 	QueryEndpoints func(ctx context.Context, address string) ([]model.Endpoint, error)
 
--- a/internal/tier/fleettest/shard.go
+++ b/internal/tier/fleettest/shard.go
@@ -9,6 +9,7 @@
 	"mastusher/internal/tier/group"
 	"mastusher/internal/tier/program"
 	"mastusher/internal/tier/replica"
+	"mastusher/internal/tier/storage"
 	"mastusher/internal/tier/view"
 	"mastusher/internal/tier/wire"
 )
@@ -81,12 +82,15 @@
 	return s.programs.Restore(from.Programs)
 }
 
-// WriteChunks implements group.ChunkedStateMachine.
-func (s *shard) WriteChunks(write func(chunk json.RawMessage) error) error {
-	if err := write(strconv.AppendUint(nil, s.followedPlacement, 10)); err != nil {
-		return err
+// CaptureChunks implements group.ChunkedStateMachine.
+func (s *shard) CaptureChunks() storage.ChunkSource {
+	placement, programs := strconv.AppendUint(nil, s.followedPlacement, 10), s.programs.Capture()
+	return func(write func(chunk json.RawMessage) error) error {
+		if err := write(placement); err != nil {
+			return err
+		}
+		return programs.WriteChunks(func(chunk []byte) error { return write(chunk) })
 	}
-	return s.programs.WriteChunks(func(chunk []byte) error { return write(chunk) })
 }
 
 // BeginRestore implements group.ChunkedStateMachine.
--- a/internal/tier/group/chunks_test.go
+++ b/internal/tier/group/chunks_test.go
@@ -10,27 +10,31 @@
 
 	"mastusher/internal/tier/group"
 	"mastusher/internal/tier/replica"
+	"mastusher/internal/tier/storage"
 	"mastusher/internal/tier/storage/memorydisk"
 )
 
 // chunkedList is a state machine whose snapshot has a chunk for each command, and one before them.
 type chunkedList struct{ commandList }
 
-// WriteChunks implements group.ChunkedStateMachine.
-func (s *chunkedList) WriteChunks(write func(chunk json.RawMessage) error) error {
-	if err := write(json.RawMessage(`"begin"`)); err != nil {
-		return err
-	}
-	for _, command := range s.Commands {
-		chunk, err := json.Marshal(command)
-		if err != nil {
+// CaptureChunks implements group.ChunkedStateMachine.
+func (s *chunkedList) CaptureChunks() storage.ChunkSource {
+	commands := slices.Clone(s.Commands)
+	return func(write func(chunk json.RawMessage) error) error {
+		if err := write(json.RawMessage(`"begin"`)); err != nil {
 			return err
 		}
-		if err := write(chunk); err != nil {
-			return err
+		for _, command := range commands {
+			chunk, err := json.Marshal(command)
+			if err != nil {
+				return err
+			}
+			if err := write(chunk); err != nil {
+				return err
+			}
 		}
+		return nil
 	}
-	return nil
 }
 
 // BeginRestore implements group.ChunkedStateMachine.
--- a/internal/tier/group/failure.go
+++ b/internal/tier/group/failure.go
@@ -34,6 +34,7 @@
 // Reopen recovers a failed member from its disk, as a new process would: nothing that memory held is kept. What the failed
 // operation left behind has been truncated, as far as the disk allowed.
 func (g *Group) Reopen() error {
+	g.awaitCompaction()
 	if g.disk != nil {
 		_ = g.disk.Close() // it has failed
 		g.disk = nil
--- a/internal/tier/group/group.go
+++ b/internal/tier/group/group.go
@@ -29,6 +29,7 @@
 	stateMachine         ChunkedStateMachine
 	initialState         []json.RawMessage // chunks of the state of a machine that has applied nothing
 	receiving            bool              // it holds one of options.ReceiveLimiter's slots
+	compaction           *compaction       // under way; nil: none
 	peerAddresses        map[string]string // by identity, as messages have brought them
 
 	mutex        sync.Mutex // guards all below
--- a/internal/tier/group/options.go
+++ b/internal/tier/group/options.go
@@ -33,6 +33,9 @@
 	Logger          log.Logger
 	// Clock must be monotonic. Nil: the time since Open.
 	Clock func() time.Duration
+	// RunBackground runs what takes long and isn't the member's goroutine's to wait for: the writing of a compaction's snapshot.
+	// It must not run it more than once. Nil: within the member's iteration, which then takes as long.
+	RunBackground func(work func())
 	// OnStatusChange is called after a change of leader, term or members: by Open at first, then on the member's goroutine.
 	// It must not block. May be nil.
 	OnStatusChange func(status replica.Status)
@@ -56,6 +59,9 @@
 	if o.ReceiveLimiter == nil {
 		o.ReceiveLimiter = NewSnapshotLimiter(1)
 	}
+	if o.RunBackground == nil {
+		o.RunBackground = func(work func()) { work() }
+	}
 	if o.QueueBudget == nil {
 		o.QueueBudget = NewQueueBudget(defaultBudgetBytes)
 	}
--- a/internal/tier/group/recovery.go
+++ b/internal/tier/group/recovery.go
@@ -20,7 +20,7 @@
 		peerAddresses: map[string]string{},
 		pendingCalls:  map[uint64]pendingCall{},
 	}
-	if err := g.stateMachine.WriteChunks(g.keepInitialChunk); err != nil {
+	if err := g.stateMachine.CaptureChunks()(g.keepInitialChunk); err != nil {
 		return nil, err
 	}
 	if err := g.recover(false); err != nil {
--- a/internal/tier/group/run.go
+++ b/internal/tier/group/run.go
@@ -19,8 +19,10 @@
 
 // Run drives the member until ctx ends, and then, if it leads, until the group has another leader, for two election timeouts
 // at most. Where its disk fails it recovers from what the disk holds, as often as needed, so that the process need not end
-// for that. What cannot be repaired so is returned: a damaged disk (storage.ErrCorrupt).
+// for that. What cannot be repaired so is returned: a damaged disk (storage.ErrCorrupt). What RunBackground runs has ended when
+// Run returns.
 func (g *Group) Run(ctx context.Context) error {
+	defer g.awaitCompaction()
 	if err := g.runUntil(ctx, func() bool { return false }); err != nil {
 		return err
 	}
--- a/internal/tier/group/single_test.go
+++ b/internal/tier/group/single_test.go
@@ -22,6 +22,9 @@
 	group   *group.Group
 	sent    []replica.Message
 	changes []replica.Status
+
+	inBackground bool     // compactions are written when the test says so
+	work         []func() // of compactions, to be called by the test
 }
 
 // newSingle opens member a of a group of those names.
@@ -39,8 +42,13 @@
 func (s *singleMember) open(initial []replica.Member, compactionBytes int64) {
 	s.t.Helper()
 	own := member("a")
+	runBackground := func(work func()) { s.work = append(s.work, work) }
+	if !s.inBackground {
+		runBackground = nil
+	}
 	opened, err := group.Open(group.Options{
 		Name: "g", Disk: s.disk, StateMachine: s.machine, Logger: log.NewNopLogger(), CompactionBytes: compactionBytes,
+		RunBackground:  runBackground,
 		Clock:          func() time.Duration { return s.now },
 		Send:           func(_ string, envelope group.Envelope) { s.sent = append(s.sent, envelope.Message) },
 		OnStatusChange: func(status replica.Status) { s.changes = append(s.changes, status) },
--- a/internal/tier/group/snapshot_limiter.go
+++ b/internal/tier/group/snapshot_limiter.go
@@ -33,14 +33,16 @@
 }
 
 // limitIncomingSnapshots removes the snapshots from messages that bring chunks of them, unless this member has or gets a
-// slot. What is left of such a message shows that the leader is there.
+// slot. What is left of such a message shows that the leader is there. A compaction under way has the slot on the disk; the leader
+// sends the first chunk again.
 func (g *Group) limitIncomingSnapshots(messages []replica.Message) {
 	for i := range messages {
 		message := &messages[i]
 		if message.Kind != replica.InstallSnapshot || g.receiving {
 			continue
 		}
-		if g.receiving = g.options.ReceiveLimiter.tryAcquire(); !g.receiving {
+		g.cancelCompaction()
+		if g.receiving = g.compaction == nil && g.options.ReceiveLimiter.tryAcquire(); !g.receiving {
 			message.Snapshot = nil
 		}
 	}
--- a/internal/tier/group/state_machine.go
+++ b/internal/tier/group/state_machine.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"encoding/json"
 	"errors"
+
+	"mastusher/internal/tier/storage"
 )
 
 // StateMachine is the state that a group replicates. Its methods are called by the member's goroutine only.
@@ -32,9 +34,9 @@
 // no copy of it is in memory.
 type ChunkedStateMachine interface {
 	StateMachine
-	// WriteChunks hands the state over in chunks, in their order. A chunk is valid until write returns. An error of write
-	// ends it and is returned.
-	WriteChunks(write func(chunk json.RawMessage) error) error
+	// CaptureChunks returns the state as it is now, as a source that hands it over in chunks, in their order. The source may run on
+	// another goroutine, while the machine applies further commands: it must not see them.
+	CaptureChunks() storage.ChunkSource
 	// BeginRestore begins to replace the state. What the machine holds may be dropped at once.
 	BeginRestore() Restorer
 }
@@ -58,13 +60,15 @@
 // singleChunkMachine has its complete state in one chunk.
 type singleChunkMachine struct{ StateMachine }
 
-// WriteChunks implements ChunkedStateMachine.
-func (m singleChunkMachine) WriteChunks(write func(chunk json.RawMessage) error) error {
+// CaptureChunks implements ChunkedStateMachine.
+func (m singleChunkMachine) CaptureChunks() storage.ChunkSource {
 	state, err := m.Snapshot()
-	if err != nil {
-		return err
+	return func(write func(chunk json.RawMessage) error) error {
+		if err != nil {
+			return err
+		}
+		return write(state)
 	}
-	return write(state)
 }
 
 // BeginRestore implements ChunkedStateMachine.
--- a/internal/tier/group/stop.go
+++ b/internal/tier/group/stop.go
@@ -34,6 +34,7 @@
 	}
 	g.disable(errStopped)
 	g.takeInput()
+	g.awaitCompaction()
 	if g.disk != nil { // else a failed disk is closed already
 		_ = g.disk.Close() // everything acknowledged has been synced
 	}
--- a/internal/tier/program/chunk.go
+++ b/internal/tier/program/chunk.go
@@ -6,7 +6,7 @@
 )
 
 // Chunk is a snapshot of a machine's state, or one of the chunks in which WriteChunks writes it. It shares the inputs and
-// outputs with the machine, which are never changed, so it is quick to take and may be encoded by another goroutine while
+// outputs with the machine, which are never changed, so it is quick to take and may be encoded or written by another goroutine while
 // the machine applies further commands.
 type Chunk struct {
 	NowMs         int64           `json:"nowMs"`   // the machine's clock; the same in all chunks
--- a/internal/tier/program/chunk_writer.go
+++ b/internal/tier/program/chunk_writer.go
@@ -13,15 +13,19 @@
 // valid until write returns. An error of write ends it and is returned. Machines that applied the same commands write the
 // same chunks.
 func (m *Machine) WriteChunks(write func(chunk []byte) error) error {
-	w := chunkWriter{write: write, chunk: Chunk{NowMs: m.clock.nowMs, LastCommandMs: m.clock.lastCommandMs}}
-	for p := m.programs.oldest; p != nil; p = p.next {
-		if err := w.addProgram(newProgramRecord(p)); err != nil {
+	return m.Capture().WriteChunks(write)
+}
+
+// WriteChunks writes a captured state as Machine.WriteChunks does. It may run on another goroutine than the machine's.
+func (c *Chunk) WriteChunks(write func(chunk []byte) error) error {
+	w := chunkWriter{write: write, chunk: Chunk{NowMs: c.NowMs, LastCommandMs: c.LastCommandMs}}
+	for _, record := range c.Programs {
+		if err := w.addProgram(record); err != nil {
 			return err
 		}
 	}
-	turns := m.turnsBySequence()
-	for _, t := range turns {
-		if err := w.addTurn(newTurnRecord(t, positionOf(t.parent, turns))); err != nil {
+	for _, record := range c.Turns {
+		if err := w.addTurn(record); err != nil {
 			return err
 		}
 	}
--- a/internal/tier/replica/snapshot_receiver.go
+++ b/internal/tier/replica/snapshot_receiver.go
@@ -33,6 +33,10 @@
 	}
 }
 
+// GiveUpIncomingSnapshot drops a snapshot that is being received, since the place of its chunks on the disk is needed. The caller
+// must not do that between a Step and the end of its Ready. The leader is told with the next chunk, and starts over.
+func (r *Replica) GiveUpIncomingSnapshot() { r.incoming = incomingSnapshot{} }
+
 // handleInstallSnapshot takes one chunk of a snapshot in. A message without a snapshot is one that the caller has no
 // capacity for: it only shows that the leader is there.
 func (r *Replica) handleInstallSnapshot(message *Message) {
--- a/internal/tier/storage/crash_test.go
+++ b/internal/tier/storage/crash_test.go
@@ -1,6 +1,7 @@
 package storage_test
 
 import (
+	"errors"
 	"fmt"
 	"testing"
 
@@ -106,6 +107,57 @@
 	}
 }
 
+// Given a group that saves while a compaction writes its slot, when any of it crashes at any change, then nothing is lost.
+func TestCompaction_SavesBesideIt_CrashAtAnyChange_LosesNothing(t *testing.T) {
+	save := step{TermIncrement: 1, Vote: "north", Entries: 3, Bytes: 200}
+	for name, prelude := range map[string][]step{
+		"the first one":         {save, save},
+		"a later one":           {save, {Compact: true, Remaining: 2, Bytes: 400}, save},
+		"after one of its kind": {save, {Compact: true, Beside: 3, Bytes: 40}, save},
+		"an installed snapshot": {save, {Install: true, Bytes: 500}, save},
+	} {
+		for _, beside := range []int{1, 2, 3} {
+			t.Run(fmt.Sprint(name, ", saves beside it: ", beside), func(t *testing.T) {
+				crashAtEachChange(t, prelude, step{Compact: true, Remaining: 2, Bytes: 400, Beside: beside})
+			})
+		}
+	}
+}
+
+// Given a compaction that is abandoned, then the log goes on, and a snapshot can be received again.
+func TestCompaction_Abandoned_LogGoesOn(t *testing.T) {
+	m := newTestMember(unwrapped)
+	group := mustApply(t, m, []step{{TermIncrement: 1, Entries: 3, Bytes: 20}})
+	compaction, err := group.BeginCompaction(*snapshotAt(2, 1, 90))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := compaction.Write(chunkSource(snapshotAt(2, 1, 90))); err != nil {
+		t.Fatal(err)
+	}
+	group.AbandonCompaction(compaction)
+	for _, next := range []step{{Entries: 2, Bytes: 9}, {Install: true, Bytes: 80}, {Compact: true, Beside: 1, Bytes: 7}} {
+		if err := m.apply(group, next); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := m.recoverTwice(); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// Given a compaction that writes its slot, when a chunk of another member's snapshot would go there, then that is an error.
+func TestSave_ChunkDuringCompaction_Fails(t *testing.T) {
+	m := newTestMember(unwrapped)
+	group := mustApply(t, m, []step{{TermIncrement: 1, Entries: 3, Bytes: 20}})
+	if _, err := group.BeginCompaction(*snapshotAt(2, 1, 90)); err != nil {
+		t.Fatal(err)
+	}
+	if err := m.apply(group, step{Received: 1}); !errors.Is(err, storage.ErrSlotInUse) {
+		t.Fatalf("error %v, want ErrSlotInUse", err)
+	}
+}
+
 // Given a group, when a save crashes at any change, then it is there completely or not at all.
 func TestSave_CrashAtAnyChange_IsAtomic(t *testing.T) {
 	save := step{TermIncrement: 1, Vote: "north", Entries: 3, Bytes: 200}
--- a/internal/tier/storage/errors.go
+++ b/internal/tier/storage/errors.go
@@ -16,6 +16,8 @@
 	ErrInvalidChange = errors.New("invalid change")
 	// ErrChunkOrder refuses a snapshot chunk that isn't the one after the last, and the installation of an incomplete snapshot.
 	ErrChunkOrder = errors.New("snapshot chunk out of order")
+	// ErrSlotInUse refuses a snapshot that is received, or compacted, while a compaction writes the slot that it would need.
+	ErrSlotInUse = errors.New("slot is being written by a compaction")
 	// ErrNoChunks refuses a snapshot without any state.
 	ErrNoChunks = errors.New("snapshot has no chunks")
 )
--- a/internal/tier/storage/group.go
+++ b/internal/tier/storage/group.go
@@ -28,6 +28,7 @@
 	slotNamed     [2]bool     // the slot's file name is durable
 	active        slotLayout  // of the slot that the log follows; without meaning in generation 0
 	incoming      *slotWriter // of a snapshot that is being received; nil: none
+	compaction    *Compaction // that writes the inactive slot; nil: none
 
 	// What is saved, against which changes are checked.
 	hardState     replica.HardState
@@ -97,11 +98,14 @@
 func (g *Group) truncateUnsynced() { _ = g.log.Truncate(g.logBytes) }
 
 // recycle keeps a buffer for the next save, unless it is large.
-func (g *Group) recycle(buffer []byte) {
+func (g *Group) recycle(buffer []byte) { g.buffer = reusable(buffer) }
+
+// reusable returns the buffer, or nil if it is too large to be kept.
+func reusable(buffer []byte) []byte {
 	if cap(buffer) > maxBufferBytes {
-		buffer = nil
+		return nil
 	}
-	g.buffer = buffer
+	return buffer
 }
 
 // fail puts the group out of use for good. Only the first failure counts.
@@ -124,5 +128,8 @@
 	g.closed = true
 	g.failure = &FailedError{Operation: "use", Cause: fs.ErrClosed}
 	g.dropIncoming()
+	if g.compaction != nil {
+		g.AbandonCompaction(g.compaction)
+	}
 	return trace.Wrap(g.log.Close())
 }
--- a/internal/tier/storage/history_test.go
+++ b/internal/tier/storage/history_test.go
@@ -29,6 +29,7 @@
 	Entries       int // that are appended
 	Bytes         int // of each one's data
 	Remaining     int // entries that remain after a compaction
+	Beside        int // saves while the compaction writes its slot
 
 	Received int // chunks of a snapshot that never becomes complete
 }
@@ -53,6 +54,7 @@
 		Entries:       rapid.IntRange(0, 4).Draw(t, "entries"),
 		Bytes:         rapid.IntRange(0, 300).Draw(t, "bytes"),
 		Remaining:     rapid.IntRange(0, 5).Draw(t, "keep"),
+		Beside:        rapid.SampledFrom([]int{0, 0, 1, 4}).Draw(t, "beside"),
 
 		Received: rapid.SampledFrom([]int{0, 0, 1, 3}).Draw(t, "received"),
 	}
@@ -252,6 +254,9 @@
 
 // apply makes one step.
 func (m *testMember) apply(group *storage.Group, one step) error {
+	if one.Compact && one.Beside > 0 {
+		return m.compactBeside(group, one)
+	}
 	next, err := savedState{}, error(nil)
 	if one.Compact {
 		next = m.saved.compacted(one)
@@ -270,6 +275,35 @@
 	return nil
 }
 
+// compactBeside makes a compaction during whose writes the member goes on saving.
+func (m *testMember) compactBeside(group *storage.Group, one step) error {
+	snapshot := m.saved.compacted(one).Snapshot
+	compaction, err := group.BeginCompaction(*snapshot)
+	if err != nil {
+		return err
+	}
+	for number := range one.Beside {
+		if number == one.Beside/2 {
+			if err := compaction.Write(chunkSource(snapshot)); err != nil {
+				return err
+			}
+		}
+		if err := m.apply(group, step{TermIncrement: 1, Vote: "east", Entries: 2, Bytes: one.Bytes}); err != nil {
+			return err
+		}
+	}
+	next := m.saved.clone()
+	next.Entries = next.Entries[snapshot.Index-next.base():]
+	next.Snapshot = snapshot
+	if err := group.FinishCompaction(compaction, next.Entries, next.HardState); err != nil {
+		m.allowed = []savedState{m.saved, next}
+		return err
+	}
+	m.saved = next
+	m.allowed = []savedState{next}
+	return nil
+}
+
 // runProcess runs one process.
 func (m *testMember) runProcess(steps []step) error {
 	group, err := m.open()
--- a/internal/tier/storage/slot.go
+++ b/internal/tier/storage/slot.go
@@ -19,22 +19,27 @@
 }
 
 // slotWriter writes a slot chunk by chunk. The slot counts for nothing until a log of its generation is durable; see switchTo.
+// It shares nothing with its group, so that chunks may be written beside the group's goroutine.
 type slotWriter struct {
-	group  *Group
+	name   string // of the group
 	file   File
 	layout slotLayout
+	buffer []byte // for reuse
 }
 
 // beginSlot creates the inactive slot anew, as one of a new generation. A snapshot that was being received there is dropped.
 func (g *Group) beginSlot() (*slotWriter, error) {
 	g.dropIncoming()
+	if g.compaction != nil {
+		return nil, g.fail("creation of a slot", ErrSlotInUse)
+	}
 	g.maxGeneration++
 	slot := g.inactiveSlot()
 	file, err := g.disk.Create(fileName(g.name, slotSuffixes[slot]))
 	if err != nil {
 		return nil, g.fail("creation of a slot", err)
 	}
-	return &slotWriter{group: g, file: file, layout: slotLayout{slot: slot, generation: g.maxGeneration}}, nil
+	return &slotWriter{name: g.name, file: file, layout: slotLayout{slot: slot, generation: g.maxGeneration}}, nil
 }
 
 // inactiveSlot returns the slot that the log does not follow.
@@ -45,10 +50,10 @@
 	return 1 - g.active.slot
 }
 
-// writeChunk writes the next chunk.
+// writeChunk writes the next chunk. An error is the disk's.
 func (w *slotWriter) writeChunk(chunk json.RawMessage) error {
-	g, layout := w.group, &w.layout
-	buffer := beginFrame(g.buffer[:0], layout.generation, uint64(len(layout.offsets)))
+	layout := &w.layout
+	buffer := beginFrame(w.buffer[:0], layout.generation, uint64(len(layout.offsets)))
 	buffer = append(buffer, chunk...)
 	offset := layout.bytes
 	if err := w.writeFrame(buffer); err != nil {
@@ -61,44 +66,44 @@
 // writeFrame completes a frame and writes it.
 func (w *slotWriter) writeFrame(buffer []byte) error {
 	finishFrame(buffer)
-	w.group.recycle(buffer)
+	w.buffer = reusable(buffer)
 	if _, err := w.file.Write(buffer); err != nil {
-		return w.group.fail("write to a slot", err)
+		return err
 	}
 	w.layout.bytes += int64(len(buffer))
 	return nil
 }
 
-// finish writes the last frame and returns once the slot is durable. It closes the file in any case.
-func (w *slotWriter) finish(snapshot *replica.Snapshot, state replica.HardState) error {
+// finishSlot writes the last frame and returns once the slot is durable. It closes the file in any case.
+func (g *Group) finishSlot(w *slotWriter, snapshot *replica.Snapshot, state replica.HardState) error {
 	defer w.file.Close()
-	group, layout := w.group, &w.layout
+	layout := &w.layout
 	if len(layout.offsets) == 0 {
-		return group.fail("write of a snapshot", ErrNoChunks)
+		return g.fail("write of a snapshot", ErrNoChunks)
 	}
 	metadata := *snapshot
 	metadata.Chunks = len(layout.offsets)
-	buffer := beginFrame(group.buffer[:0], layout.generation, lastFrame|uint64(len(layout.offsets)))
+	buffer := beginFrame(w.buffer[:0], layout.generation, lastFrame|uint64(len(layout.offsets)))
 	buffer, err := appendHardState(buffer, state)
 	if err != nil {
-		return group.fail("encoding", err)
+		return g.fail("encoding", err)
 	}
 	if buffer, err = appendSnapshot(buffer, &metadata); err != nil {
-		return group.fail("encoding", err)
+		return g.fail("encoding", err)
 	}
 	if err := w.writeFrame(buffer); err != nil {
-		return err
+		return g.fail("write to a slot", err)
 	}
 	if err := w.file.Sync(); err != nil {
-		return group.fail("sync of a slot", err)
+		return g.fail("sync of a slot", err)
 	}
-	if group.slotNamed[layout.slot] {
+	if g.slotNamed[layout.slot] {
 		return nil
 	}
-	if err := group.disk.SyncDir(); err != nil {
-		return group.fail("sync of the directory", err)
+	if err := g.disk.SyncDir(); err != nil {
+		return g.fail("sync of the directory", err)
 	}
-	group.slotNamed[layout.slot] = true
+	g.slotNamed[layout.slot] = true
 	return nil
 }
 
--- a/internal/tier/storage/snapshot.go
+++ b/internal/tier/storage/snapshot.go
@@ -29,7 +29,7 @@
 			return g.fail("check of what is to be saved", fmt.Errorf("%w: chunk %d", ErrChunkOrder, chunk.Number))
 		}
 		if err := g.incoming.writeChunk(chunk.Data); err != nil {
-			return err
+			return g.fail("write to a slot", err)
 		}
 	}
 	return nil
--- a/internal/tier/storage/snapshot_mutants_test.go
+++ b/internal/tier/storage/snapshot_mutants_test.go
@@ -26,7 +26,7 @@
 		},
 		{
 			Name:   "an abandoned snapshot goes on",
-			Change: mutation.Change{File: "slot.go", Old: "	g.dropIncoming()\n	g.maxGeneration++", New: "	g.maxGeneration++"},
+			Change: mutation.Change{File: "slot.go", Old: "	g.dropIncoming()\n	if g.compaction", New: "	if g.compaction"},
 			Run:    "^TestInstall_SnapshotAbandoned_Fails$",
 		},
 		{
--- a/internal/tier/store/machine.go
+++ b/internal/tier/store/machine.go
@@ -9,6 +9,7 @@
 
 	"mastusher/internal/tier/group"
 	"mastusher/internal/tier/program"
+	"mastusher/internal/tier/storage"
 )
 
 // command is one entry of a shard's log: one about a program, or the placement that the group starts to follow.
@@ -87,17 +88,20 @@
 	Placement *uint64 `json:"placement"`
 }
 
-// WriteChunks implements group.ChunkedStateMachine.
-func (m *machine) WriteChunks(write func(chunk json.RawMessage) error) error {
+// CaptureChunks implements group.ChunkedStateMachine.
+func (m *machine) CaptureChunks() storage.ChunkSource {
 	placement := m.placement.Load()
-	first, err := json.Marshal(placementChunk{Placement: &placement})
-	if err != nil {
-		return err
-	}
-	if err := write(first); err != nil {
-		return err
+	programs := m.programs.Capture()
+	return func(write func(chunk json.RawMessage) error) error {
+		first, err := json.Marshal(placementChunk{Placement: &placement})
+		if err != nil {
+			return err
+		}
+		if err := write(first); err != nil {
+			return err
+		}
+		return programs.WriteChunks(func(chunk []byte) error { return write(chunk) })
 	}
-	return m.programs.WriteChunks(func(chunk []byte) error { return write(chunk) })
 }
 
 // BeginRestore implements group.ChunkedStateMachine. It drops the old state at once, so that never two are in memory.
--- a/internal/tier/store/machine_test.go
+++ b/internal/tier/store/machine_test.go
@@ -124,7 +124,7 @@
 func chunksOf(t rapid.TB, m *machine) []json.RawMessage {
 	t.Helper()
 	var chunks []json.RawMessage
-	err := m.WriteChunks(func(chunk json.RawMessage) error {
+	err := m.CaptureChunks()(func(chunk json.RawMessage) error {
 		chunks = append(chunks, append(json.RawMessage(nil), chunk...))
 		return nil
 	})
--- a/internal/tier/store/options.go
+++ b/internal/tier/store/options.go
@@ -50,6 +50,8 @@
 	Clock     func() time.Duration                  // monotonic
 	RunGroup  func(opened *group.Group)             // drives a group until it ends; an error of the group is the caller's then
 	AfterFunc func(delay time.Duration, run func()) // calls run after the delay
+	// RunBackground runs the writes of compactions beside their groups; the default runs them within the groups' iterations.
+	RunBackground func(work func())
 	// QueryMembers asks the store at an address for the members of the groups that it leads.
 	QueryMembers func(address string, done func(response wire.ShardMembersResponse, err error))
 }
--- a/internal/tier/store/placement.go
+++ b/internal/tier/store/placement.go
@@ -136,6 +136,7 @@
 		Logger:         s.options.Logger,
 		Clock:          s.options.Clock,
 		OnStatusChange: opening.onStatusChange,
+		RunBackground:  s.options.RunBackground,
 	}
 }
 
