--- a/internal/tier/controller/group.go
+++ b/internal/tier/controller/group.go
@@ -8,8 +8,6 @@
 
 	"mastusher/internal/tier/group"
 	"mastusher/internal/tier/replica"
-	"mastusher/internal/tier/transport"
-	"mastusher/internal/tier/wire"
 )
 
 // GroupName is the name of the configuration shard's replica group.
@@ -44,13 +42,6 @@
 	}
 }
 
-func sendOverTransport(pool *transport.Pool) func(address string, envelope group.Envelope) {
-	return func(address string, envelope group.Envelope) {
-		// A message that can't be queued is lost like any other; the group sends it again.
-		_ = transport.Notify(pool, address, wire.MethodReplica, envelope)
-	}
-}
-
 // onGroupChange reacts to a change of the group's status. A member that isn't the leader must not keep target members of its own:
 // should it become the leader, it would go on with an outdated target.
 func (c *Controller) onGroupChange(status replica.Status) {
--- a/internal/tier/controller/options.go
+++ b/internal/tier/controller/options.go
@@ -65,7 +65,7 @@
 // withDefaults returns the options with each default in place.
 func (o Options) withDefaults() Options {
 	if o.SendMessage == nil {
-		o.SendMessage = sendOverTransport(o.Pool)
+		o.SendMessage = group.SendOver(o.Pool, wire.MethodReplica)
 	}
 	if o.QueryStore == nil {
 		o.QueryStore = store.QueryMembers(o.Pool)
--- a/internal/tier/replica/options.go
+++ b/internal/tier/replica/options.go
@@ -51,7 +51,9 @@
 	// leader, than maxInflightBytes. More spare followers that are a little behind a snapshot.
 	trailingEntries uint64
 	trailingBytes   int
-	// maxInflightChunks is the chunks of a snapshot that are sent to a follower and not acknowledged. More hide a long link's delay.
+	// minInflightChunks and maxInflightChunks bound the chunks of a snapshot that are sent to a follower and not acknowledged. Between
+	// them the number follows the link. More fill a longer or faster link, and take as much memory at the sender and the receiver.
+	minInflightChunks int
 	maxInflightChunks int
 }
 
@@ -61,5 +63,6 @@
 	maxPendingBytes:   4 << 20,
 	trailingEntries:   64,
 	trailingBytes:     256 << 10,
-	maxInflightChunks: 2,
+	minInflightChunks: 2,
+	maxInflightChunks: 4,
 }
--- a/internal/tier/replica/snapshot_sender.go
+++ b/internal/tier/replica/snapshot_sender.go
@@ -18,6 +18,7 @@
 	nextChunk     int           // the chunk to send next
 	retryAt       time.Duration // when chunks are sent again unless one is acknowledged before
 	rewound       bool          // chunks are being sent again since the last one was acknowledged
+	window        chunkWindow
 }
 
 // becomeSnapshot turns from entries to a snapshot.
@@ -36,12 +37,13 @@
 	t := &p.transfer
 	switch {
 	case t.snapshot != r.snapshot:
-		*t = snapshotTransfer{snapshot: r.snapshot}
+		*t = snapshotTransfer{snapshot: r.snapshot, window: newChunkWindow(r.limits.minInflightChunks, r.limits.maxInflightChunks)}
 		t.retryAt = r.chunkRetryAt(t)
 	case r.now >= t.retryAt:
-		t.nextChunk, t.rewound, t.retryAt = t.expectedChunk, true, r.chunkRetryAt(t)
+		t.rewind(t.expectedChunk)
+		t.retryAt = r.chunkRetryAt(t)
 	}
-	window := r.limits.maxInflightChunks
+	window := t.window.size
 	if t.expectedChunk == 0 {
 		window = 1 // the follower may not be able to take it now
 	}
@@ -49,10 +51,17 @@
 		r.sendBeforeSync(p, Message{
 			Kind: InstallSnapshot, To: p.id, Term: r.hardState.Term, Snapshot: t.snapshot, Chunk: t.nextChunk,
 		})
+		t.window.sent(r.now)
 		t.nextChunk++
 	}
 }
 
+// rewind goes back to a chunk that the follower lacks.
+func (t *snapshotTransfer) rewind(chunk int) {
+	t.expectedChunk, t.nextChunk, t.rewound = chunk, chunk, true
+	t.window.lost()
+}
+
 // chunkRetryAt is when chunks are sent again unless one is acknowledged before.
 func (r *Replica) chunkRetryAt(t *snapshotTransfer) time.Duration {
 	if t.expectedChunk == 0 {
@@ -90,10 +99,11 @@
 	}
 	switch {
 	case response.Chunk > t.expectedChunk:
+		t.window.acknowledged(r.now, response.Chunk-t.expectedChunk)
 		t.expectedChunk, t.nextChunk = response.Chunk, max(t.nextChunk, response.Chunk)
 		t.retryAt, t.rewound = r.chunkRetryAt(t), false
 	case response.Reject && (response.Chunk < t.expectedChunk || !t.rewound):
-		t.expectedChunk, t.nextChunk = response.Chunk, response.Chunk
-		t.retryAt, t.rewound = r.chunkRetryAt(t), true
+		t.rewind(response.Chunk)
+		t.retryAt = r.chunkRetryAt(t)
 	}
 }
--- a/internal/tier/store/store.go
+++ b/internal/tier/store/store.go
@@ -41,7 +41,7 @@
 		options.QueueBudgetBytes = defaultQueueBudgetBytes
 	}
 	if options.Send == nil {
-		options.Send = sendByTransport(options.Pool)
+		options.Send = group.SendOver(options.Pool, wire.MethodReplica)
 	}
 	if options.QueryMembers == nil {
 		options.QueryMembers = QueryMembers(options.Pool)
@@ -135,10 +135,3 @@
 	slices.SortFunc(list, func(a, b *shard) int { return cmp.Compare(a.number, b.number) })
 	return list
 }
-
-func sendByTransport(pool *transport.Pool) func(address string, envelope group.Envelope) {
-	return func(address string, envelope group.Envelope) {
-		// A message that can't be queued is lost like any other; the group retransmits.
-		_ = transport.Notify(pool, address, wire.MethodReplica, envelope)
-	}
-}
--- a/internal/tier/transport/limits.go
+++ b/internal/tier/transport/limits.go
@@ -34,10 +34,11 @@
 type limits struct {
 	lineBytes   int
 	noticeBytes int // of queued notices per connection; beyond it the oldest are dropped
+	bulkBytes   int // of queued notices that yield to all else, per connection; beyond it new ones are dropped
 	queuedBytes int // of queued calls, answers and items per connection; beyond it a push fails
 }
 
 // defaultLimits returns the bounds of all but tests.
 func defaultLimits() limits {
-	return limits{lineBytes: MaxLineBytes, noticeBytes: 1 << 20, queuedBytes: 16 << 20}
+	return limits{lineBytes: MaxLineBytes, noticeBytes: 1 << 20, bulkBytes: 2 << 20, queuedBytes: 16 << 20}
 }
--- a/internal/tier/transport/outbox.go
+++ b/internal/tier/transport/outbox.go
@@ -33,6 +33,8 @@
 	queueBytes  int
 	notices     []*frame
 	noticeBytes int
+	bulk        []*frame // notices that yield to all else
+	bulkBytes   int
 	writing     bool // a writer runs
 	closed      bool
 	space       chan struct{} // closed when the queue has shrunk; nil: nobody waits
@@ -123,6 +125,20 @@
 	return dropped
 }
 
+// pushBulk queues a notice that yields to all else. One beyond the bound is dropped, and false returned; one always fits.
+func (o *outbox) pushBulk(queued *frame) bool {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	if o.closed || o.bulkBytes > 0 && o.bulkBytes+queued.line.Len() > o.limits.bulkBytes {
+		releaseLine(queued.line)
+		return false
+	}
+	o.bulk = append(o.bulk, queued)
+	o.bulkBytes += queued.line.Len()
+	o.startWriterLocked()
+	return true
+}
+
 // withdraw removes a queued line, and reports whether it was dequeued already, so that bytes of it may be written.
 func (o *outbox) withdraw(queued *frame) (dequeued bool) {
 	o.mutex.Lock()
@@ -146,6 +162,7 @@
 	o.closed = true
 	o.queue, o.queueBytes = nil, 0
 	o.notices, o.noticeBytes = nil, 0
+	o.bulk, o.bulkBytes = nil, 0
 	o.signalSpaceLocked()
 }
 
--- a/internal/tier/transport/outbox_test.go
+++ b/internal/tier/transport/outbox_test.go
@@ -73,3 +73,32 @@
 		t.Error(diff)
 	}
 }
+
+func TestOutbox_BulkNotices_YieldToAllElse(t *testing.T) {
+	// Given bulk notices that wait, of which one is beyond the bound,
+	out := outbox{limits: limits{noticeBytes: 100, queuedBytes: 100, bulkBytes: 6}}
+	if !out.pushBulk(queuedFrame("b1b1\n")) {
+		t.Fatal("not queued")
+	}
+	if out.pushBulk(queuedFrame("b2\n")) {
+		t.Fatal("queued beyond the bound")
+	}
+	// when others come after them,
+	out.pushNotice(queuedFrame("n\n"))
+	_ = out.push(queuedFrame("c\n"))
+	// then these go first, and the bulk notices in a batch of their own.
+	var got []string
+	for {
+		var batch bytes.Buffer
+		if out.nextBatch(&batch); batch.Len() == 0 {
+			break
+		}
+		got = append(got, batch.String())
+	}
+	if diff := cmp.Diff([]string{"c\nn\n", "b1b1\n"}, got); diff != "" {
+		t.Error(diff)
+	}
+	if !out.pushBulk(queuedFrame("longer than the bound\n")) {
+		t.Error("one alone isn't queued")
+	}
+}
--- a/internal/tier/transport/writer.go
+++ b/internal/tier/transport/writer.go
@@ -14,7 +14,7 @@
 
 // startWriterLocked starts the writer unless it runs or has nothing to do.
 func (o *outbox) startWriterLocked() {
-	if o.writing || o.socket == nil || len(o.queue)+len(o.notices) == 0 {
+	if o.writing || o.socket == nil || len(o.queue)+len(o.notices)+len(o.bulk) == 0 {
 		return
 	}
 	o.writing = true
@@ -67,7 +67,8 @@
 	return err
 }
 
-// nextBatch moves queued lines into the batch, or returns one long line instead. Without either the writer must end.
+// nextBatch moves queued lines into the batch, or returns one long line instead: of what yields to all else only where nothing else
+// is queued. Without either the writer must end.
 func (o *outbox) nextBatch(batch *bytes.Buffer) (long *bytes.Buffer) {
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
@@ -75,6 +76,9 @@
 	if long == nil {
 		long = o.dequeue(&o.notices, &o.noticeBytes, batch)
 	}
+	if long == nil && batch.Len() == 0 {
+		long = o.dequeue(&o.bulk, &o.bulkBytes, batch)
+	}
 	if o.queueBytes < streamBacklogBytes {
 		o.signalSpaceLocked()
 	}
