--- a/internal/tier/group/compaction.go
+++ b/internal/tier/group/compaction.go
@@ -113,6 +113,7 @@
 	g.compaction = nil
 	if done.canceled.Load() {
 		g.disk.AbandonCompaction(done.disk)
+		g.requestSnapshot()
 		return nil
 	}
 	snapshot, remaining := done.snapshot, entriesAfter(g.entries, done.snapshot.Index)
--- a/internal/tier/group/group.go
+++ b/internal/tier/group/group.go
@@ -30,6 +30,7 @@
 	initialState         []json.RawMessage // chunks of the state of a machine that has applied nothing
 	receiving            bool              // it holds one of options.ReceiveLimiter's slots
 	compaction           *compaction       // under way; nil: none
+	snapshotWanted       atomic.Bool       // there is capacity again for a snapshot that was refused; set by others too
 	peerAddresses        map[string]string // by identity, as messages have brought them
 
 	mutex        sync.Mutex // guards all below
--- a/internal/tier/group/queue.go
+++ b/internal/tier/group/queue.go
@@ -88,5 +88,6 @@
 	input := g.input
 	g.options.QueueBudget.release(g.queuedBytes)
 	g.input, g.queuedBytes = replica.Input{}, 0
+	input.RequestSnapshot = g.snapshotWanted.Swap(false)
 	return input
 }
--- a/internal/tier/replica/message.go
+++ b/internal/tier/replica/message.go
@@ -77,7 +77,7 @@
 	PreVote bool        `json:"trial,omitempty"`
 	// Index is, of AppendEntries, the entry before Entries; of RequestVote, the candidate's last entry; of
 	// AppendEntriesResponse, the last entry that matches, or the one that was rejected; of InstallSnapshotResponse, the
-	// snapshot's last entry.
+	// snapshot's last entry, and of InstallSnapshot without Snapshot too.
 	Index   uint64  `json:"index,omitempty"`
 	LogTerm uint64  `json:"logEpoch,omitempty"` // term of the entry at Index; in a rejection, of the one at RejectHint
 	Commit  uint64  `json:"commit,omitempty"`   // the leader's commit index
--- a/internal/tier/replica/options.go
+++ b/internal/tier/replica/options.go
@@ -64,5 +64,5 @@
 	trailingEntries:   64,
 	trailingBytes:     256 << 10,
 	minInflightChunks: 2,
-	maxInflightChunks: 4,
+	maxInflightChunks: 8,
 }
--- a/internal/tier/replica/raft.go
+++ b/internal/tier/replica/raft.go
@@ -37,7 +37,8 @@
 	snapshot       *Snapshot // without its state
 	configurations configurationHistory
 
-	incoming incomingSnapshot // snapshot that is being received
+	incoming  incomingSnapshot  // snapshot that is being received
+	postponed postponedSnapshot // snapshot that the caller had no capacity for
 
 	commit  uint64 // last entry known to be committed
 	applied uint64 // last entry handed out as committed; never over commit
@@ -148,6 +149,9 @@
 	for i := range input.Messages {
 		r.handleMessage(&input.Messages[i])
 	}
+	if input.RequestSnapshot {
+		r.requestPostponedSnapshot()
+	}
 	r.tick()
 	r.setTargetMembers(input.TargetMembers)
 	r.setContacts(input.Contacts)
--- a/internal/tier/replica/ready.go
+++ b/internal/tier/replica/ready.go
@@ -31,6 +31,8 @@
 	Contacts []Member
 	// Compact is a saved snapshot, as SnapshotMetadata named it and with Chunks set: entries up to it may be dropped.
 	Compact *Snapshot
+	// RequestSnapshot says that there is capacity again for a snapshot whose chunk the caller had to remove from a message.
+	RequestSnapshot bool
 	// TransferLeadership hands the leadership over once the pending proposals and reads are resolved, after an election
 	// timeout at the latest.
 	TransferLeadership bool
--- a/internal/tier/replica/snapshot_receiver.go
+++ b/internal/tier/replica/snapshot_receiver.go
@@ -37,13 +37,35 @@
 // must not do that between a Step and the end of its Ready. The leader is told with the next chunk, and starts over.
 func (r *Replica) GiveUpIncomingSnapshot() { r.incoming = incomingSnapshot{} }
 
+// postponedSnapshot is a snapshot of which a chunk came while the caller had no capacity for it.
+type postponedSnapshot struct {
+	from  string // identity of the leader that sent it; empty: none is postponed
+	term  uint64 // of that leader
+	index uint64 // last entry of the snapshot
+}
+
+// requestPostponedSnapshot asks the leader for a postponed snapshot, unless it isn't the leader any more.
+func (r *Replica) requestPostponedSnapshot() {
+	postponed := r.postponed
+	r.postponed = postponedSnapshot{}
+	if postponed.from == "" || postponed.from != r.leader.id || postponed.term != r.hardState.Term || r.IsReceivingSnapshot() {
+		return
+	}
+	r.sendAfterSync(Message{Kind: InstallSnapshotResponse, To: postponed.from, Term: postponed.term, Index: postponed.index, Reject: true})
+}
+
 // handleInstallSnapshot takes one chunk of a snapshot in. A message without a snapshot is one that the caller has no
-// capacity for: it only shows that the leader is there.
+// capacity for: it only shows that the leader is there, and what it has.
 func (r *Replica) handleInstallSnapshot(message *Message) {
 	snapshot := message.Snapshot
-	if !r.acceptLeader(message) || snapshot == nil || snapshot.Chunks < 1 {
+	if !r.acceptLeader(message) {
+		return
+	}
+	if snapshot == nil || snapshot.Chunks < 1 {
+		r.postponed = postponedSnapshot{from: message.From, term: message.Term, index: message.Index}
 		return
 	}
+	r.postponed = postponedSnapshot{}
 	if snapshot.Index <= r.commit {
 		r.acknowledge(message, r.commit)
 		return
--- a/internal/tier/replica/snapshot_sender.go
+++ b/internal/tier/replica/snapshot_sender.go
@@ -83,7 +83,8 @@
 	return false
 }
 
-// handleInstallSnapshotResponse records which chunk a follower needs next.
+// handleInstallSnapshotResponse records which chunk a follower needs next. One that asks for the first chunk gets it at once, also
+// where that was sent before: it had no capacity for it.
 func (r *Replica) handleInstallSnapshotResponse(response *Message) {
 	if r.role != leader || response.Term != r.hardState.Term {
 		return
@@ -102,7 +103,7 @@
 		t.window.acknowledged(r.now, response.Chunk-t.expectedChunk)
 		t.expectedChunk, t.nextChunk = response.Chunk, max(t.nextChunk, response.Chunk)
 		t.retryAt, t.rewound = r.chunkRetryAt(t), false
-	case response.Reject && (response.Chunk < t.expectedChunk || !t.rewound):
+	case response.Reject && (response.Chunk < t.expectedChunk || !t.rewound || response.Chunk == 0):
 		t.rewind(response.Chunk)
 		t.retryAt = r.chunkRetryAt(t)
 	}
