store: begin no new programs near the limit of memory or disk

Cause: state that outgrows a store's memory ended its process. Running programs go on. Not mended by this: histories of idle programs still lie in memory.

--- a/internal/tier/apierror/kind.go
+++ b/internal/tier/apierror/kind.go
@@ -27,6 +27,7 @@
 	BudgetExhausted  // what is left of the program's budget is too little for the turn
 	TurnNotFound     // a leader has confirmed that there is no such earlier turn
 	StateUnavailable // the program's state can't be read or written at present
+	StorageFull      // the stores are short of memory or disk, and begin no new programs
 
 	// Of requests that were sent to an endpoint.
 
@@ -67,6 +68,7 @@
 	BudgetExhausted:      "budget spent",
 	TurnNotFound:         "no such turn",
 	StateUnavailable:     "state unavailable",
+	StorageFull:          "storage full",
 	EndpointRefused:      "endpoint refused",
 	MayHaveExecuted:      "may have run",
 	EndpointTimeout:      "endpoint timeout",
--- a/internal/tier/apierror/response.go
+++ b/internal/tier/apierror/response.go
@@ -30,6 +30,7 @@
 	BudgetExhausted:      {Status: http.StatusPaymentRequired, NotExecuted: true},
 	TurnNotFound:         {Status: http.StatusNotFound, NotExecuted: true},
 	StateUnavailable:     {Status: http.StatusServiceUnavailable, NotExecuted: true, RetryAfter: true},
+	StorageFull:          {Status: http.StatusServiceUnavailable, NotExecuted: true, RetryAfter: true},
 	EndpointRefused:      {Status: http.StatusServiceUnavailable, NotExecuted: true, RetryAfter: true},
 	MayHaveExecuted:      {Status: http.StatusBadGateway},
 	EndpointTimeout:      {Status: http.StatusGatewayTimeout},
--- a/internal/tier/command/runtimestats.go
+++ b/internal/tier/command/runtimestats.go
@@ -33,6 +33,13 @@
 	})
 }
 
+// usedMemory returns the bytes that the runtime has from the system, without those that it has returned.
+func usedMemory() int64 {
+	samples := []metrics.Sample{{Name: mappedMemory}, {Name: releasedMemory}}
+	metrics.Read(samples)
+	return int64(samples[0].Value.Uint64() - samples[1].Value.Uint64())
+}
+
 // runtimeStats returns fields for memory in KiB, and for the collector's and all CPU time since the start in s.
 func runtimeStats() []any {
 	samples := []metrics.Sample{{Name: heapLive}, {Name: heapObjects}, {Name: mappedMemory}, {Name: releasedMemory}, {Name: collectorTime},
--- a/internal/tier/command/store.go
+++ b/internal/tier/command/store.go
@@ -26,7 +26,8 @@
 	}
 	groups := newGroupRunner(ctx)
 	began := time.Now()
-	shards := store.New(ctx, p.storeOptions(id, address, disk, groups))
+	limits := newLimitMonitor(p.settings.Limits, p.logger)
+	shards := store.New(ctx, p.storeOptions(id, address, disk, groups, limits))
 	member := p.newNode(p.member(membership.Store, id, address), shards.ApplyUpdate)
 	handlers := transport.NewHandlers()
 	shards.Register(handlers)
@@ -47,6 +48,7 @@
 	stats := func() []any { return storeStats(shards) }
 	level.Info(p.logger).Log(append([]any{"msg", "shards recovered", "took", time.Since(began)}, stats()...)...)
 	go logRuntimeStats(ctx, p.logger, stats)
+	go limits.run(ctx, shards)
 	select {
 	case err := <-groups.failed:
 		return err
@@ -57,7 +59,7 @@
 }
 
 // storeOptions returns the options of the store.
-func (p *process) storeOptions(id, address string, disk storage.Disk, groups *groupRunner) store.Options {
+func (p *process) storeOptions(id, address string, disk storage.Disk, groups *groupRunner, limits *limitMonitor) store.Options {
 	return store.Options{
 		ID:               id,
 		Address:          address,
@@ -69,6 +71,7 @@
 		QueueBudgetBytes: int(p.settings.Limits.MemoryMb << 20 / queueBudgetDivisor),
 		RunGroup:         groups.run,
 		RunBackground:    runBackground,
+		IsNearLimit:      limits.isNear,
 		Invariants:       p.invariants,
 	}
 }
--- a/internal/tier/program/command.go
+++ b/internal/tier/program/command.go
@@ -45,6 +45,9 @@
 	BudgetExceeded Verdict = "budget_spent"
 	// TurnNotFound rejects a BeginTurn since this shard has no complete turn of the previous one's name.
 	TurnNotFound Verdict = "no_such_turn"
+	// StorageFull rejects a BeginTurn that no store proposes: the shard's leader is short of memory or disk, and begins no new
+	// program.
+	StorageFull Verdict = "storage_full"
 	// UnknownTurn rejects an EndTurn of a turn that was never begun here or has expired, and one that calls a turn complete
 	// which was committed as broken off before: it can't be continued. A command without a turn's name gets it as well.
 	UnknownTurn Verdict = "unknown_turn"
--- a/internal/tier/proxy/errorresponse.go
+++ b/internal/tier/proxy/errorresponse.go
@@ -15,7 +15,8 @@
 const (
 	retryAfterDefault  = 100 * time.Millisecond
 	retryAfterElection = 450 * time.Millisecond
-	retryJitter        = 0.3 // of it more, at most, so that clients don't come back at once
+	retryAfterFull     = time.Second // stores make room as what they keep expires
+	retryJitter        = 0.3         // of it more, at most, so that clients don't come back at once
 )
 
 // defaultRetryAfter returns the Retry-After of a kind whose rejection has no time of its own.
@@ -23,6 +24,8 @@
 	switch kind {
 	case apierror.NotReady, apierror.StateUnavailable:
 		return time.Duration(float64(retryAfterElection) * (1 + retryJitter*rand.Float64()))
+	case apierror.StorageFull:
+		return time.Duration(float64(retryAfterFull) * (1 + retryJitter*rand.Float64()))
 	}
 	return retryAfterDefault
 }
--- a/internal/tier/proxy/turn.go
+++ b/internal/tier/proxy/turn.go
@@ -95,6 +95,9 @@
 	case program.TurnNotFound:
 		t.reserved = false
 		return apierror.TurnNotFound, nil, nil
+	case program.StorageFull:
+		t.reserved = false
+		return apierror.StorageFull, nil, nil
 	}
 	return apierror.StateUnavailable, nil, nil
 }
--- a/internal/tier/proxy/turn_test.go
+++ b/internal/tier/proxy/turn_test.go
@@ -55,6 +55,7 @@
 	}{
 		{"spent", program.Result{Verdict: program.BudgetExceeded}, nil, 402},
 		{"no such turn", program.Result{Verdict: program.TurnNotFound}, nil, 404},
+		{"stores full", program.Result{Verdict: program.StorageFull}, nil, 503},
 		{"not known", program.Result{}, errors.New("no owner"), 503},
 	}
 	for _, test := range cases {
--- a/internal/tier/store/handlers.go
+++ b/internal/tier/store/handlers.go
@@ -11,11 +11,21 @@
 )
 
 func (s *Store) handleBeginTurn(ctx context.Context, _ string, request wire.BeginTurnRequest) (wire.BeginTurnResponse, error) {
+	if s.rejectsNewPrograms(&request.Turn) {
+		return wire.BeginTurnResponse{Result: program.Result{Verdict: program.StorageFull}}, nil
+	}
 	request.Turn.AtMs = s.options.Now().UnixMilli()
 	result, err := s.propose(ctx, request.Shard, program.Command{Begin: &request.Turn})
 	return wire.OmitCachedPrefix(result, request.CachedChains), err
 }
 
+// rejectsNewPrograms reports whether a turn begins a program whose contents would be kept, while this store is short of memory or
+// disk: it keeps what it has, and the programs that run. A duplicate of a turn that was begun before is rejected too, which leaves
+// that one's reservation until it expires.
+func (s *Store) rejectsNewPrograms(turn *program.BeginTurn) bool {
+	return turn.Remembered && turn.Previous == "" && s.options.IsNearLimit != nil && s.options.IsNearLimit()
+}
+
 func (s *Store) handleEndTurn(ctx context.Context, _ string, request wire.EndTurnRequest) (program.Result, error) {
 	request.Turn.AtMs = s.options.Now().UnixMilli()
 	return s.propose(ctx, request.Shard, program.Command{End: &request.Turn})
--- a/internal/tier/store/options.go
+++ b/internal/tier/store/options.go
@@ -44,6 +44,9 @@
 	// as much more memory.
 	QueueBudgetBytes int
 
+	// IsNearLimit reports whether the process is short of memory or disk. New programs are rejected while it is. Nil: never.
+	IsNearLimit func() bool
+
 	// Replacements of the pool, the clock and goroutines for tests that run a store in memory; nil: those of the process.
 	// None of them may block. Who waits for its groups to end passes a RunGroup of its own.
 	Send      func(address string, envelope group.Envelope)
--- a/internal/tier/store/store_test.go
+++ b/internal/tier/store/store_test.go
@@ -257,3 +257,43 @@
 		t.Error("a shard was opened")
 	}
 }
+
+func TestBeginTurn_StoreNearLimit_OnlyNewProgramsAreRejected(t *testing.T) {
+	// Given a store that leads a shard, with a program under way, and is short of memory,
+	s := newStore(t, memorydisk.New())
+	s.ApplyPlacement(5, alone(1))
+	awaitPlacement(t, s, 1, 5)
+	begin := func(turn program.BeginTurn) program.Verdict {
+		t.Helper()
+		answer, err := s.handleBeginTurn(testContext(t), "", wire.BeginTurnRequest{Turn: turn})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return answer.Result.Verdict
+	}
+	begin(program.BeginTurn{Turn: "1", Program: "p", Remembered: true, KeepForS: 60})
+	if _, err := s.handleEndTurn(testContext(t), "", wire.EndTurnRequest{Turn: program.EndTurn{Turn: "1", Complete: true}}); err != nil {
+		t.Fatal(err)
+	}
+	near := true
+	s.options.IsNearLimit = func() bool { return near }
+	// when turns begin, then those that begin a program with a history are rejected, and all others go on.
+	for _, tc := range []struct {
+		name string
+		turn program.BeginTurn
+		want program.Verdict
+	}{
+		{"a new program", program.BeginTurn{Turn: "n", Program: "q", Remembered: true}, program.StorageFull},
+		{"the next turn of a program", program.BeginTurn{Turn: "2", Program: "p", Remembered: true, Previous: "1"}, program.Accepted},
+		{"a turn whose contents aren't kept", program.BeginTurn{Turn: "3", Program: "r"}, program.Accepted},
+	} {
+		if got := begin(tc.turn); got != tc.want {
+			t.Errorf("%s: %s, want %s", tc.name, got, tc.want)
+		}
+	}
+	// And once there is room again the new program begins.
+	near = false
+	if got := begin(program.BeginTurn{Turn: "n", Program: "q", Remembered: true}); got != program.Accepted {
+		t.Errorf("with room again: %s", got)
+	}
+}
