placement: spread by survive.zones and regions, balance after machines come, see unseen stores

Cause: replicas were spread by zones alone, whatever survive said, and never moved once placed; a store that wasn't known within 4 s of a leader's start counted as lost; the first placement went out 1.5 s after an election also while stores were still coming. Change: placement.Policy limits replicas by zone and region as survive says, and names the losses that can't be met (log line, changed only). In calm times one replica moves at a time, 5 s apart, until stores differ by one and no limit is violated that a move could mend. A store that the leader has never seen isn't lost while its groups' leaders report it as caught up. The first placement waits 0.7 s from the last store that came, 4 s at most.

--- a/internal/tier/controller/controller.go
+++ b/internal/tier/controller/controller.go
@@ -9,6 +9,7 @@
 
 	"mastusher/internal/tier/dedup"
 	"mastusher/internal/tier/group"
+	"mastusher/internal/tier/placement"
 	"mastusher/internal/tier/transport"
 	"mastusher/internal/tier/view"
 	"mastusher/internal/tier/wire"
@@ -31,6 +32,7 @@
 	reconciler       *Reconciler
 	proposing        atomic.Bool   // commands of the reconciler are in flight
 	reconcileNow     chan struct{} // has a token if the next reconciliation is due at once
+	loggedUnmet      string        // losses that shards don't tolerate, as logged last; owned by the goroutine that calls Reconcile
 	lastElectionTerm uint64        // term of the last leader that was counted; owned by the group's goroutine
 
 	bodyTimeout    time.Duration
@@ -54,7 +56,7 @@
 	}
 	c.state = NewStateMachine(c.notifyChanged)
 	c.dedupWindow = dedup.NewWindow(dedupWindowLength(options.Settings.Bounds))
-	c.reconciler = NewReconciler(c.replicationFactor())
+	c.reconciler = NewReconciler(c.placementPolicy())
 	opened, err := group.Open(c.groupOptions())
 	if err != nil {
 		return nil, err
@@ -66,6 +68,12 @@
 // replicationFactor is the number of replicas of each group that tolerates the loss of as many machines as the settings say.
 func (c *Controller) replicationFactor() int { return 2*c.options.Settings.FaultTolerance.Machines + 1 }
 
+// placementPolicy is how the settings have replicas spread.
+func (c *Controller) placementPolicy() placement.Policy {
+	tolerance := c.options.Settings.FaultTolerance
+	return placement.Policy{Replicas: c.replicationFactor(), Zones: tolerance.Zones, Regions: tolerance.Regions, RegionOf: c.options.Settings.Zones}
+}
+
 // Group returns the member of the configuration shard's group, which Run drives.
 func (c *Controller) Group() *group.Group { return c.group }
 
--- a/internal/tier/controller/group_members.go
+++ b/internal/tier/controller/group_members.go
@@ -25,7 +25,7 @@
 	members = r.dropSurplus(members, status.ID)
 	for _, m := range r.tracker.Running(membership.Controller) {
 		known := slices.ContainsFunc(members, func(o replica.Member) bool { return o.ID == m.ID })
-		if len(members) < r.replicationFactor && !known {
+		if len(members) < r.policy.Replicas && !known {
 			members = append(members, replica.Member{ID: m.ID, Address: m.Address})
 		}
 	}
@@ -35,14 +35,14 @@
 		sinceB, _ := r.tracker.MissingSince(b.ID)
 		return sinceB.Compare(sinceA)
 	})
-	unfilled := max(0, min(r.replicationFactor, len(status.Members))-len(members))
+	unfilled := max(0, min(r.policy.Replicas, len(status.Members))-len(members))
 	return asVoters(append(members, lost[:min(unfilled, len(lost))]...))
 }
 
 // dropSurplus drops members beyond the replication factor. A successor that has been added replaces the member that has been
 // missing for the longest time; where none is missing, the successor isn't needed any more.
 func (r *Reconciler) dropSurplus(members []replica.Member, self string) []replica.Member {
-	for len(members) > r.replicationFactor {
+	for len(members) > r.policy.Replicas {
 		at := r.surplusMember(members, self)
 		if at < 0 {
 			return members
--- a/internal/tier/controller/reconcile_loop.go
+++ b/internal/tier/controller/reconcile_loop.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
 	"github.com/go-kit/log/level"
 
 	"mastusher/internal/tier/membership"
+	"mastusher/internal/tier/placement"
 	"mastusher/internal/tier/replica"
 	"mastusher/internal/tier/wire"
 )
@@ -48,6 +50,7 @@
 	if actions.GroupMembers != nil {
 		c.changeMembers(actions.GroupMembers)
 	}
+	c.logUnmet(actions.Unmet)
 	if len(actions.Commands) > 0 && c.proposing.CompareAndSwap(false, true) {
 		c.proposeInOrder(actions.Commands)
 	}
@@ -103,6 +106,20 @@
 	})
 }
 
+// logUnmet logs a change of the losses that shards don't tolerate, as far as the leader knows.
+func (c *Controller) logUnmet(unmet []placement.UnmetLoss) {
+	texts := make([]string, len(unmet))
+	for i := range unmet {
+		texts[i] = unmet[i].String()
+	}
+	text := strings.Join(texts, "; ")
+	if text == c.loggedUnmet {
+		return
+	}
+	c.loggedUnmet = text
+	level.Warn(c.options.Logger).Log("msg", "fault tolerance of shards changed", "unmet", text)
+}
+
 func (c *Controller) logCommitted(command Command) {
 	switch {
 	case command.Placement != nil:
--- a/internal/tier/controller/reconciler.go
+++ b/internal/tier/controller/reconciler.go
@@ -8,12 +8,17 @@
 	"mastusher/internal/tier/membership"
 	"mastusher/internal/tier/placement"
 	"mastusher/internal/tier/replica"
+	"mastusher/internal/tier/view"
 	"mastusher/internal/tier/wire"
 )
 
 // maxReportAge is how old the status of a group may be to decide that a store is drained.
 const maxReportAge = time.Second
 
+// balanceInterval is the time from a change of the placement until a replica may move for balance. A shorter one evens the stores
+// out sooner, and has more groups change their members at a time.
+const balanceInterval = 5 * time.Second
+
 // ObservedState is the input of a reconciliation.
 type ObservedState struct {
 	Group     replica.Status      // of the configuration shard's group, on this member
@@ -26,14 +31,18 @@
 	GroupMembers  []replica.Member // target members of the configuration shard's group; nil: unchanged
 	Commands      []Command        // to be proposed in this order
 	StoresToQuery []string         // addresses of stores to query for the status of the groups that they lead
+	Unmet         []placement.UnmetLoss
 }
 
-// Reconciler compares the observed state with the desired one: each group has replicationFactor replicas on machines that run,
-// and none on stores that are being drained. It is pure: it does no I/O and reads no clock. It is not safe for concurrent use.
+// Reconciler compares the observed state with the desired one: each group has as many replicas as the policy says, spread as it
+// says, on machines that run, and none on stores that are being drained. It is pure: it does no I/O and reads no clock. It is not
+// safe for concurrent use.
 type Reconciler struct {
-	replicationFactor int
-	tracker           *placement.Tracker
-	groups            map[int]groupReport // newest report of each shard's leader
+	policy             placement.Policy
+	tracker            *placement.Tracker
+	groups             map[int]groupReport // newest report of each shard's leader
+	placementIndex     uint64              // of the placement that was seen last
+	placementChangedAt time.Time           // when it was seen first
 }
 
 // groupReport is the status of a group as its leader reported it.
@@ -42,9 +51,9 @@
 	status decommission.GroupStatus
 }
 
-// NewReconciler returns a reconciler for groups of that many replicas.
-func NewReconciler(replicationFactor int) *Reconciler {
-	return &Reconciler{replicationFactor: replicationFactor, tracker: placement.NewTracker(), groups: map[int]groupReport{}}
+// NewReconciler returns a reconciler for groups of that policy.
+func NewReconciler(policy placement.Policy) *Reconciler {
+	return &Reconciler{policy: policy, tracker: placement.NewTracker(), groups: map[int]groupReport{}}
 }
 
 // Tracker returns what the reconciler knows of the members.
@@ -74,7 +83,8 @@
 		clear(r.groups)
 		return Actions{}
 	}
-	actions := Actions{GroupMembers: r.desiredControllers(now, observed.Group)}
+	r.observePlacement(now, observed.Committed.placementIndex)
+	actions := Actions{GroupMembers: r.desiredControllers(now, observed.Group), Unmet: r.policy.Unmet(observed.Committed.placement)}
 	if proposal := r.desiredPlacement(now, observed.Committed); proposal != nil {
 		actions.Commands = append(actions.Commands, Command{Placement: proposal})
 		return actions
@@ -85,7 +95,7 @@
 			actions.Commands = append(actions.Commands, Command{DecommissionDecision: r.finishDecommission(operation, observed.Committed)})
 		}
 	}
-	if len(active) > 0 {
+	if len(active) > 0 || r.tracker.HasUnseen(observed.Committed.placement) {
 		actions.StoresToQuery = r.storeAddresses()
 	}
 	return actions
@@ -100,14 +110,17 @@
 		if !r.tracker.ReadyForInitial(now) {
 			return nil
 		}
-		proposal.Shards = placement.Initial(stores, r.replicationFactor)
+		proposal.Shards = placement.Initial(stores, r.policy)
 		if proposal.Shards == nil {
 			return nil
 		}
 		return proposal
 	}
-	next, changed := placement.Next(committed.placement, placement.Inputs{Stores: stores,
-		Lost: r.tracker.Lost(now, committed.placement), Draining: committed.drainingReplicas(), ReplicationFactor: r.replicationFactor})
+	inputs := placement.Inputs{Stores: stores, Lost: r.lostStores(now, committed.placement), Draining: committed.drainingReplicas(), Policy: r.policy}
+	next, changed := placement.Next(committed.placement, inputs)
+	if !changed && r.isCalm(now, committed) {
+		next, changed = placement.Balance(committed.placement, inputs)
+	}
 	if !changed {
 		return nil
 	}
@@ -115,6 +128,41 @@
 	return proposal
 }
 
+// observePlacement records when a placement was seen first.
+func (r *Reconciler) observePlacement(now time.Time, index uint64) {
+	if index != r.placementIndex {
+		r.placementIndex, r.placementChangedAt = index, now
+	}
+}
+
+// lostStores returns the identities of the placement's replicas that are lost. One that this process has never seen isn't, while its
+// group's leader reports it as caught up: that leader has heard it within an election timeout.
+func (r *Reconciler) lostStores(now time.Time, shards []view.ShardPlacement) map[string]bool {
+	lost := r.tracker.Lost(now, shards)
+	for number, shard := range shards {
+		report, known := r.groups[number]
+		if !known || now.Sub(report.at) > maxReportAge {
+			continue
+		}
+		for _, replica := range shard.Replicas {
+			if !r.tracker.HasSeen(replica.ID) && slices.Contains(report.status.CaughtUp, replica.ID) {
+				delete(lost, replica.ID)
+			}
+		}
+	}
+	return lost
+}
+
+// isCalm reports whether replicas may move for balance alone: this process has led for long enough to know all members, no store is
+// being drained, none that has replicas is missing, none has just come (it may replace one that is missed next), and the last change
+// of the placement was a while ago, so that few replicas move at a time.
+func (r *Reconciler) isCalm(now time.Time, committed *StateMachine) bool {
+	if !r.tracker.HasCompleteView(now, r.tracker.Term()) || now.Sub(r.placementChangedAt) < balanceInterval || len(committed.decommissions.Active()) > 0 {
+		return false
+	}
+	return r.tracker.IsSettled(now, committed.placement)
+}
+
 // isDrained reports whether nothing depends on a store any more, by the reports that are recent enough.
 func (r *Reconciler) isDrained(now time.Time, operation decommission.Operation, current decommission.Placement) bool {
 	groups := make(map[int]decommission.GroupStatus, len(r.groups))
@@ -123,7 +171,7 @@
 			groups[shard] = report.status
 		}
 	}
-	return decommission.IsDrained(operation, current, groups, r.replicationFactor)
+	return decommission.IsDrained(operation, current, groups, r.policy.Replicas)
 }
 
 // finishDecommission returns the decision that ends an operation, with all identities that its machine is known by.
--- a/internal/tier/controller/reconciler_test.go
+++ b/internal/tier/controller/reconciler_test.go
@@ -7,6 +7,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"mastusher/internal/tier/membership"
+	"mastusher/internal/tier/placement"
 	"mastusher/internal/tier/replica"
 )
 
@@ -61,7 +62,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			reconciler := NewReconciler(3)
+			reconciler := NewReconciler(placement.Policy{Replicas: 3})
 			now := time.UnixMilli(1_700_000_000_000)
 			reconciler.Tracker().Observe(now, []membership.Member{first, second, third}, 1)
 			for passed := time.Duration(0); passed <= test.passed; passed += 500 * time.Millisecond {
--- a/internal/tier/fleettest/controller.go
+++ b/internal/tier/fleettest/controller.go
@@ -14,6 +14,7 @@
 	"mastusher/internal/tier/group"
 	"mastusher/internal/tier/identity"
 	"mastusher/internal/tier/model"
+	"mastusher/internal/tier/placement"
 	"mastusher/internal/tier/replica"
 	"mastusher/internal/tier/rollout"
 	"mastusher/internal/tier/view"
@@ -60,7 +61,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &controller{process: p, id: id, planner: core.NewReconciler(replicasPerGroup), published: view.Digest{}}
+	c := &controller{process: p, id: id, planner: core.NewReconciler(placement.Policy{Replicas: replicasPerGroup}), published: view.Digest{}}
 	c.state = core.NewStateMachine(c.schedulePublish)
 	options := replicaOptions{name: core.GroupName, machine: c.state, compact: f.options.CompactBytes,
 		replica: replica.Options{ID: id, Address: p.address, InitialMembers: initialMembers(p, id), HeartbeatInterval: coreHeartbeat, ElectionTimeout: coreElectionTimeout}}
--- a/internal/tier/placement/placement.go
+++ b/internal/tier/placement/placement.go
@@ -22,12 +22,12 @@
 	return int(hash.Sum64() % uint64(shards))
 }
 
-// Initial returns the first placement: as many shards as the next power of two of the number of stores, each with
-// replicationFactor replicas, so that all stores have about as many, and no zone has a majority of a shard's replicas as far as
-// there are zones enough. It returns nil while there are too few stores.
-func Initial(stores []Store, replicationFactor int) []view.ShardPlacement {
+// Initial returns the first placement: as many shards as the next power of two of the number of stores, each with as many replicas
+// as the policy says, so that all stores have about as many, and the losses that the policy names leave a majority of each shard's
+// replicas as far as there are zones and regions enough. It returns nil while there are too few stores.
+func Initial(stores []Store, policy Policy) []view.ShardPlacement {
 	usable := sorted(stores)
-	if len(usable) < replicationFactor {
+	if len(usable) < policy.Replicas {
 		return nil
 	}
 	count := 1
@@ -37,9 +37,9 @@
 	load := map[string]int{}
 	shards := make([]view.ShardPlacement, count)
 	for i := range shards {
-		shards[i].Replicas = selectStores(usable, nil, replicationFactor, replicationFactor, load, i)
+		shards[i].Replicas = selectStores(usable, nil, policy.Replicas, policy, load, i)
 	}
-	for balanceOnce(shards, usable, replicationFactor, load) {
+	for balanceOnce(shards, usable, policy, load) {
 	}
 	for i := range shards {
 		shards[i].Initial = shards[i].Replicas
@@ -49,11 +49,11 @@
 
 // balanceOnce moves one replica to a store that has at least two fewer, and returns false if there is none. Selecting shard by
 // shard can leave such a difference where zones differ in size.
-func balanceOnce(shards []view.ShardPlacement, usable []Store, replicationFactor int, load map[string]int) bool {
+func balanceOnce(shards []view.ShardPlacement, usable []Store, policy Policy, load map[string]int) bool {
 	for i := range shards {
 		for at, replica := range shards[i].Replicas {
 			remaining := slices.Delete(slices.Clone(shards[i].Replicas), at, at+1)
-			if selected := selectStores(usable, remaining, 1, replicationFactor, maps.Clone(load), i); load[selected[0].ID]+1 < load[replica.ID] {
+			if selected := selectStores(usable, remaining, 1, policy, maps.Clone(load), i); load[selected[0].ID]+1 < load[replica.ID] {
 				load[replica.ID]--
 				load[selected[0].ID]++
 				shards[i].Replicas[at] = selected[0]
@@ -66,10 +66,10 @@
 
 // Inputs are what the next placement follows from.
 type Inputs struct {
-	Stores            []Store         // running ones that may get replicas
-	Lost              map[string]bool // identities whose replicas are lost for good
-	Draining          map[string]bool // identities whose stores are being drained
-	ReplicationFactor int             // replicas that a shard should have
+	Stores   []Store         // running ones that may get replicas
+	Lost     map[string]bool // identities whose replicas are lost for good
+	Draining map[string]bool // identities whose stores are being drained
+	Policy   Policy
 }
 
 // Next returns what the placement should become now: lost and draining replicas are replaced where a store is free for it, and
@@ -102,7 +102,7 @@
 // nextReplicas returns the next replicas of one shard, and whether they differ from the current ones.
 func nextReplicas(current []view.Replica, usable []Store, inputs Inputs, load map[string]int, shard int) ([]view.Replica, bool) {
 	at := replicaToReplace(current, inputs)
-	if at < 0 && len(current) >= inputs.ReplicationFactor {
+	if at < 0 && len(current) >= inputs.Policy.Replicas {
 		return current, false
 	}
 	remaining := slices.Clone(current)
@@ -113,7 +113,7 @@
 			return append(remaining, successor), true
 		}
 	}
-	added := selectStores(usable, remaining, 1, inputs.ReplicationFactor, load, shard)
+	added := selectStores(usable, remaining, 1, inputs.Policy, load, shard)
 	if len(added) == 0 {
 		return current, false
 	}
@@ -146,26 +146,20 @@
 }
 
 // selectStores selects up to count stores for a shard besides its remaining replicas: those with the fewest replicas, as long as
-// a majority of the shard's replicas stays outside their zone. So no store gets more than its share because its zone has few
-// stores. Of equally loaded stores, those in zones with fewer of the shard's replicas go first; the shard's number breaks ties,
-// so that leaders spread. It adds the selected ones to load.
-func selectStores(usable []Store, remaining []view.Replica, count, replicationFactor int, load map[string]int, shard int) []view.Replica {
-	zones := map[string]int{}
-	used := map[string]bool{}
-	for _, r := range remaining {
-		zones[r.Zone]++
-		used[r.Node] = true
-	}
-	zoneLimit := maxPerZone(replicationFactor)
+// the losses that the policy names leave a majority of the shard's replicas. So no store gets more than its share because its zone
+// has few stores. Of equally loaded stores, those in zones with fewer of the shard's replicas go first; the shard's number breaks
+// ties, so that leaders spread. It adds the selected ones to load.
+func selectStores(usable []Store, remaining []view.Replica, count int, policy Policy, load map[string]int, shard int) []view.Replica {
+	spread := newSpread(policy, remaining)
 	var selected []view.Replica
 	for len(selected) < count {
 		best := -1
 		for k := range usable {
 			i := (k + shard) % len(usable)
-			if used[usable[i].Node] {
+			if spread.nodes[usable[i].Node] {
 				continue
 			}
-			if best < 0 || isBetter(usable[i], usable[best], zoneLimit, zones, load) {
+			if best < 0 || isBetter(usable[i], usable[best], spread, load) {
 				best = i
 			}
 		}
@@ -173,25 +167,21 @@
 			return selected
 		}
 		s := usable[best]
-		zones[s.Zone]++
-		used[s.Node] = true
+		spread.add(s)
 		load[s.ID]++
 		selected = append(selected, s)
 	}
 	return selected
 }
 
-// maxPerZone is the number of a shard's replicas that one zone may have, so that a majority remains without it.
-func maxPerZone(replicationFactor int) int { return max(1, (replicationFactor-1)/2) }
-
-// isBetter reports whether a is to be selected before b: a zone below its limit comes first, then fewer replicas, then a zone
-// with fewer of the shard's replicas.
-func isBetter(a, b Store, zoneLimit int, zones, load map[string]int) bool {
-	if full := zones[a.Zone] >= zoneLimit; full != (zones[b.Zone] >= zoneLimit) {
-		return !full
+// isBetter reports whether a is to be selected before b: a zone and a region below their limits come first, then fewer replicas,
+// then a zone with fewer of the shard's replicas.
+func isBetter(a, b Store, spread *spread, load map[string]int) bool {
+	if allowed := spread.allows(a); allowed != spread.allows(b) {
+		return allowed
 	}
 	if load[a.ID] != load[b.ID] {
 		return load[a.ID] < load[b.ID]
 	}
-	return zones[a.Zone] < zones[b.Zone]
+	return spread.zones[a.Zone] < spread.zones[b.Zone]
 }
--- a/internal/tier/placement/placement_test.go
+++ b/internal/tier/placement/placement_test.go
@@ -28,11 +28,11 @@
 }
 
 func TestInitial_TooFewStores_Nil(t *testing.T) {
-	if got := placement.Initial(machines(2, 2), 3); got != nil {
+	if got := placement.Initial(machines(2, 2), placement.Policy{Replicas: 3}); got != nil {
 		t.Errorf("placed on two stores: %v", got)
 	}
 	for count, want := range map[int]int{3: 4, 4: 4, 5: 8, 9: 16, 100: 64} {
-		if got := len(placement.Initial(machines(count, 4), 3)); got != want {
+		if got := len(placement.Initial(machines(count, 4), placement.Policy{Replicas: 3})); got != want {
 			t.Errorf("%d stores make %d shards, want %d", count, got, want)
 		}
 	}
@@ -46,7 +46,7 @@
 		copies := 2*rapid.IntRange(0, 2).Draw(t, "losses") + 1
 		zones := rapid.IntRange(1, 5).Draw(t, "zones")
 		stores := machines(rapid.IntRange(copies, 12).Draw(t, "stores"), zones)
-		shards := placement.Initial(stores, copies)
+		shards := placement.Initial(stores, placement.Policy{Replicas: copies})
 		load := loads(shards, stores)
 		for number, shard := range shards {
 			checkShard(t, number, shard, copies)
@@ -55,7 +55,7 @@
 				t.Fatalf("shard %d begins with other members than it is to have", number)
 			}
 		}
-		if permuted := placement.Initial(rapid.Permutation(stores).Draw(t, "order"), copies); !cmp.Equal(shards, permuted) {
+		if permuted := placement.Initial(rapid.Permutation(stores).Draw(t, "order"), placement.Policy{Replicas: copies}); !cmp.Equal(shards, permuted) {
 			t.Fatal("the order of the stores matters")
 		}
 		if bound := max(1, (copies-1)/2); len(zoneSizes(stores))*bound >= copies && !zonesLeaveAChoice(stores, copies) {
@@ -128,8 +128,8 @@
 	rapid.Check(t, func(t *rapid.T) {
 		const copies = 3
 		stores := machines(rapid.IntRange(copies, 8).Draw(t, "stores"), rapid.IntRange(1, 4).Draw(t, "zones"))
-		shards := placement.Initial(stores, copies)
-		now := placement.Inputs{Lost: map[string]bool{}, Draining: map[string]bool{}, ReplicationFactor: copies}
+		shards := placement.Initial(stores, placement.Policy{Replicas: copies})
+		now := placement.Inputs{Lost: map[string]bool{}, Draining: map[string]bool{}, Policy: placement.Policy{Replicas: copies}}
 		renewed := map[string]string{} // identity that replaces one that was wiped
 		for i, store := range stores {
 			switch rapid.SampledFrom([]string{"runs", "runs", "runs", "lost", "retiring", "wiped", "down"}).Draw(t, store.Node) {
@@ -178,7 +178,7 @@
 
 func checkStep(t rapid.TB, number int, before, after view.ShardPlacement, now placement.Inputs, renewed map[string]string) {
 	t.Helper()
-	checkShard(t, number, after, now.ReplicationFactor)
+	checkShard(t, number, after, now.Policy.Replicas)
 	left, come := difference(before.Replicas, after.Replicas), difference(after.Replicas, before.Replicas)
 	if len(left) != len(come) || len(left) > 1 {
 		t.Fatalf("shard %d: %v leave and %v come", number, left, come)
@@ -235,7 +235,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			now := placement.Inputs{Stores: test.stores, Lost: identities(test.lost), Draining: identities(test.retiring), ReplicationFactor: 3}
+			now := placement.Inputs{Stores: test.stores, Lost: identities(test.lost), Draining: identities(test.retiring), Policy: placement.Policy{Replicas: 3}}
 			before := []view.ShardPlacement{{Initial: test.replicas, Replicas: slices.Clone(test.replicas)}}
 			next, changed := placement.Next(before, now)
 			if diff := cmp.Diff(test.want, next[0].Replicas); diff != "" {
--- /dev/null
+++ b/internal/tier/placement/policy.go
@@ -0,0 +1,124 @@
+package placement
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+
+	"mastusher/internal/tier/view"
+)
+
+// Policy is how many replicas a shard should have, and which losses must leave a majority of them.
+type Policy struct {
+	Replicas int               // of a shard, for the loss of (Replicas-1)/2 machines
+	Zones    int               // that may be lost at once; 0: as 1 where there are three zones, which costs nothing
+	Regions  int               // that may be lost at once; 0: replicas aren't spread over regions
+	RegionOf map[string]string // region of each zone
+}
+
+// maxPerZone is the number of a shard's replicas that one zone may have.
+func (p Policy) maxPerZone() int { return p.share(max(1, p.Zones)) }
+
+// maxPerRegion is the number of a shard's replicas that one region may have.
+func (p Policy) maxPerRegion() int {
+	if p.Regions == 0 {
+		return p.Replicas
+	}
+	return p.share(p.Regions)
+}
+
+// share is the number of replicas that each of some places may have, so that a majority remains without all of them.
+func (p Policy) share(places int) int { return max(1, (p.Replicas-1)/2/places) }
+
+// spread is where the replicas of one shard are.
+type spread struct {
+	policy  Policy
+	zones   map[string]int
+	regions map[string]int
+	nodes   map[string]bool
+}
+
+func newSpread(policy Policy, replicas []view.Replica) *spread {
+	s := &spread{policy: policy, zones: map[string]int{}, regions: map[string]int{}, nodes: map[string]bool{}}
+	for _, r := range replicas {
+		s.add(r)
+	}
+	return s
+}
+
+// add records one more replica.
+func (s *spread) add(r view.Replica) {
+	s.zones[r.Zone]++
+	s.regions[s.policy.RegionOf[r.Zone]]++
+	s.nodes[r.Node] = true
+}
+
+// allows reports whether a store's zone and region are below their limits.
+func (s *spread) allows(store Store) bool {
+	return s.zones[store.Zone] < s.policy.maxPerZone() && s.regions[s.policy.RegionOf[store.Zone]] < s.policy.maxPerRegion()
+}
+
+// excess is how many replicas are beyond the limits of their zones and regions.
+func (s *spread) excess() int {
+	excess := 0
+	for _, count := range s.zones {
+		excess += max(0, count-s.policy.maxPerZone())
+	}
+	for _, count := range s.regions {
+		excess += max(0, count-s.policy.maxPerRegion())
+	}
+	return excess
+}
+
+// Unmet says which losses of the policy some shards don't tolerate, by the number of such shards: losses that would take a majority
+// of their replicas. It is empty where all tolerate all of them.
+func (p Policy) Unmet(shards []view.ShardPlacement) []UnmetLoss {
+	var unmet []UnmetLoss
+	for _, loss := range []struct {
+		kind  string
+		count int
+		place func(r view.Replica) string
+	}{
+		{"machines", (p.Replicas - 1) / 2, func(r view.Replica) string { return r.Node }},
+		{"zones", p.Zones, func(r view.Replica) string { return r.Zone }},
+		{"regions", p.Regions, func(r view.Replica) string { return p.RegionOf[r.Zone] }},
+	} {
+		affected := 0
+		for _, shard := range shards {
+			if !survives(shard.Replicas, loss.count, loss.place) {
+				affected++
+			}
+		}
+		if affected > 0 {
+			unmet = append(unmet, UnmetLoss{Kind: loss.kind, Count: loss.count, Shards: affected})
+		}
+	}
+	return unmet
+}
+
+// UnmetLoss is a loss that some shards don't tolerate.
+type UnmetLoss struct {
+	Kind   string // machines, zones or regions
+	Count  int    // lost at once
+	Shards int    // that would lose a majority
+}
+
+// String names the loss as the settings do.
+func (u UnmetLoss) String() string {
+	return fmt.Sprintf("%d %s at once: %d shards", u.Count, u.Kind, u.Shards)
+}
+
+// survives reports whether a majority of the replicas is left without the places that have the most of them.
+func survives(replicas []view.Replica, losses int, place func(r view.Replica) string) bool {
+	counts := map[string]int{}
+	for _, r := range replicas {
+		counts[place(r)]++
+	}
+	left := len(replicas)
+	largest := slices.Sorted(maps.Values(counts))
+	for range min(losses, len(largest)) {
+		left -= largest[len(largest)-1]
+		largest = largest[:len(largest)-1]
+	}
+	return left > len(replicas)/2
+}
--- a/internal/tier/placement/share_test.go
+++ b/internal/tier/placement/share_test.go
@@ -72,7 +72,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			// Given stores in zones of different sizes, when their shards are placed for the first time, then
 			stores := inZones(c.sizes...)
-			checkShare(t, placement.Initial(stores, c.copies), stores, c.copies)
+			checkShare(t, placement.Initial(stores, placement.Policy{Replicas: c.copies}), stores, c.copies)
 		})
 	}
 }
@@ -80,11 +80,11 @@
 func TestNext_LostStore_ReplicasGoToLeastLoaded(t *testing.T) {
 	// Given stores of which the one that is alone in its zone is lost for good, and another one in its place
 	stores := inZones(2, 2, 2, 1, 1)
-	shards := placement.Initial(stores, 5)
+	shards := placement.Initial(stores, placement.Policy{Replicas: 5})
 	lost := stores[7]
 	newcomer := machine(8, lost.Zone, 1)
 	running := append(append([]placement.Store(nil), stores[:7]...), newcomer)
-	now := placement.Inputs{Stores: running, Lost: map[string]bool{lost.ID: true}, ReplicationFactor: 5}
+	now := placement.Inputs{Stores: running, Lost: map[string]bool{lost.ID: true}, Policy: placement.Policy{Replicas: 5}}
 	// when all its replicas have moved
 	for range 10 {
 		next, changed := placement.Next(shards, now)
@@ -104,7 +104,7 @@
 		copies := rapid.SampledFrom([]int{1, 3, 5}).Draw(t, "copies")
 		sizes := rapid.SliceOfN(rapid.IntRange(1, 6), 1, 8).Draw(t, "sizes")
 		stores := inZones(sizes...)
-		shards := placement.Initial(stores, copies)
+		shards := placement.Initial(stores, placement.Policy{Replicas: copies})
 		if shards == nil || !hasCapacity(sizes, copies, len(shards)) {
 			return
 		}
@@ -161,7 +161,7 @@
 		copies := rapid.SampledFrom([]int{3, 5}).Draw(t, "copies")
 		sizes := rapid.SliceOfN(rapid.IntRange(1, 4), 3, 6).Draw(t, "sizes")
 		stores := inZones(sizes...)
-		shards := placement.Initial(stores, copies)
+		shards := placement.Initial(stores, placement.Policy{Replicas: copies})
 		if shards == nil {
 			return
 		}
@@ -182,7 +182,7 @@
 				if changes > copies {
 					t.Fatalf("not at rest after %d changes", changes)
 				}
-				shards, changed = placement.Next(shards, placement.Inputs{Stores: stores, Lost: lost, ReplicationFactor: copies})
+				shards, changed = placement.Next(shards, placement.Inputs{Stores: stores, Lost: lost, Policy: placement.Policy{Replicas: copies}})
 			}
 		}
 		for number, shard := range shards {
--- a/internal/tier/placement/tracker.go
+++ b/internal/tier/placement/tracker.go
@@ -7,11 +7,14 @@
 	"time"
 
 	"mastusher/internal/tier/membership"
+	"mastusher/internal/tier/view"
 )
 
 // Delays and time-outs of the tracker.
 const (
 	initialPlacementDelay = 1500 * time.Millisecond // from the election until the initial placement: all stores must have been seen
+	initialQuietTime      = 700 * time.Millisecond  // from the last store that was seen for the first time until then
+	maxInitialDelay       = 4 * time.Second         // from the election; by then the initial placement goes without the others
 	completeViewDelay     = 12 * time.Second        // from the election until members on both sides of a healed partition know each other
 	maxObservationGap     = time.Second             // between two observations; after a longer one the tracker starts over
 )
@@ -82,9 +85,58 @@
 	}
 }
 
-// ReadyForInitial reports whether this process has led the group for long enough to have heard of all stores.
+// ReadyForInitial reports whether this process has led the group for long enough to have heard of all stores, and no more of them
+// have come for a while: where machines start slowly, those that come later would get no shards.
 func (t *Tracker) ReadyForInitial(now time.Time) bool {
-	return t.term != 0 && now.Sub(t.leaderSince) >= initialPlacementDelay
+	if t.term == 0 {
+		return false
+	}
+	led := now.Sub(t.leaderSince)
+	return led >= initialPlacementDelay && (led >= maxInitialDelay || now.Sub(t.newestStore()) >= initialQuietTime)
+}
+
+// newestStore is when the running store that was seen last was seen for the first time; the zero time where none runs.
+func (t *Tracker) newestStore() time.Time {
+	var newest time.Time
+	for _, m := range t.Running(membership.Store) {
+		if seen := t.firstSeen[m.ID]; seen.After(newest) {
+			newest = seen
+		}
+	}
+	return newest
+}
+
+// HasSeen reports whether the member with an identity has ever been observed.
+func (t *Tracker) HasSeen(id string) bool {
+	_, seen := t.names[id]
+	return seen
+}
+
+// HasUnseen reports whether a store of the placement has never been observed.
+func (t *Tracker) HasUnseen(shards []view.ShardPlacement) bool {
+	for _, shard := range shards {
+		if slices.ContainsFunc(shard.Replicas, func(r view.Replica) bool { return !t.HasSeen(r.ID) }) {
+			return true
+		}
+	}
+	return false
+}
+
+// Term returns the term that this process leads; 0: it doesn't lead.
+func (t *Tracker) Term() uint64 { return t.term }
+
+// IsSettled reports whether all stores of the placement run, and no running store was seen for the first time lately.
+func (t *Tracker) IsSettled(now time.Time, shards []view.ShardPlacement) bool {
+	running := map[string]bool{}
+	for _, m := range t.Running(membership.Store) {
+		running[m.ID] = true
+	}
+	for _, shard := range shards {
+		if slices.ContainsFunc(shard.Replicas, func(r view.Replica) bool { return !running[r.ID] }) {
+			return false
+		}
+	}
+	return now.Sub(t.newestStore()) >= newcomerAge
 }
 
 // HasCompleteView reports whether this process has led the group in that term, and observed without a gap, for so long that it
--- a/internal/tier/placement/tracker_test.go
+++ b/internal/tier/placement/tracker_test.go
@@ -244,6 +244,27 @@
 	}
 }
 
+func TestTracker_ReadyForInitial_WaitsForStoresThatComeLate(t *testing.T) {
+	o := newObserver()
+	o.term = 4
+	o.observe(1200*time.Millisecond, member(1, 1, membership.StateAlive))
+	o.observe(400*time.Millisecond, member(1, 1, membership.StateAlive), member(2, 1, membership.StateAlive))
+	if o.ReadyForInitial(o.now) {
+		t.Error("may begin 0.4 s after a store came")
+	}
+	o.observe(750*time.Millisecond, member(1, 1, membership.StateAlive), member(2, 1, membership.StateAlive))
+	if !o.ReadyForInitial(o.now) {
+		t.Error("may not begin though no store has come for 0.75 s")
+	}
+	// It doesn't wait for ever.
+	for number := 4; number < 12; number++ {
+		o.observe(400*time.Millisecond, member(number, 1, membership.StateAlive))
+	}
+	if !o.ReadyForInitial(o.now) {
+		t.Error("may not begin 5 s after it became the leader")
+	}
+}
+
 func TestTracker_Stores(t *testing.T) {
 	agent := membership.Member{Name: "edge-1/agent", ID: "x", Role: membership.Agent}
 	o := newObserver()
