store: files of replicas that have moved go from the disk once that is confirmed

Cause: a replica that its group has replaced stopped, and its slots and log stayed on the disk for good; a start after a failed mark read them again. Ruled out: removing all files. A member that forgets its vote and is taken in again under its identity could vote twice in a term. Change: storage.Forget puts the empty state in place, keeps term and vote, and removes the other slot; group.StopAndForget does that under the proof by which the replica stops. Tests: a crash at each change leaves all of it or the hard state alone; two small files are left of 180 KB.

--- a/internal/tier/group/group.go
+++ b/internal/tier/group/group.go
@@ -40,6 +40,7 @@
 	lastToken    uint64
 	failure      error  // why the member is out of service; nil: it works
 	onStopped    func() // to be called when the member has stopped; nil: it is not to stop
+	forgetOnStop bool   // its state goes from the disk then
 }
 
 // Name returns the group's name.
--- a/internal/tier/storage/crash_test.go
+++ b/internal/tier/storage/crash_test.go
@@ -124,6 +124,40 @@
 	}
 }
 
+// Given a member that its group has replaced, when it forgets its state and that crashes at any change, then it has all of it or just
+// its hard state, and can go on from either.
+func TestForget_CrashAtAnyChange_KeepsHardState(t *testing.T) {
+	save := step{TermIncrement: 1, Vote: "north", Entries: 3, Bytes: 200}
+	for name, prelude := range map[string][]step{
+		"entries only":    {save, save},
+		"a snapshot":      {save, {Compact: true, Remaining: 2, Bytes: 400}, save},
+		"two snapshots":   {save, {Compact: true, Bytes: 400}, save, {Compact: true, Bytes: 90}},
+		"forgotten twice": {save, {Forget: true}, {Install: true, Bytes: 500}, save},
+	} {
+		t.Run(name, func(t *testing.T) { crashAtEachChange(t, prelude, step{Forget: true}) })
+	}
+}
+
+// Given a member that has forgotten its state, then its disk holds next to nothing, and it can be sent another one.
+func TestForget_LargeState_FreesTheDisk(t *testing.T) {
+	m := newTestMember(unwrapped)
+	group := mustApply(t, m, []step{{TermIncrement: 1, Entries: 3, Bytes: 20}, {Compact: true, Bytes: 90_000}, {Entries: 1, Bytes: 50_000},
+		{Compact: true, Bytes: 90_000}, {Forget: true}})
+	if total := group.LogBytes() + group.SnapshotBytes(); total > 1000 {
+		t.Errorf("%d bytes are left", total)
+	}
+	names, err := m.disk.List()
+	if err != nil || len(names) != 2 {
+		t.Errorf("files %v, %v, want a log and a slot", names, err)
+	}
+	if err := m.apply(group, step{Install: true, Bytes: 300, Entries: 2}); err != nil {
+		t.Fatal(err)
+	}
+	if err := m.recoverTwice(); err != nil {
+		t.Fatal(err)
+	}
+}
+
 // Given a compaction that is abandoned, then the log goes on, and a snapshot can be received again.
 func TestCompaction_Abandoned_LogGoesOn(t *testing.T) {
 	m := newTestMember(unwrapped)
--- a/internal/tier/storage/history_test.go
+++ b/internal/tier/storage/history_test.go
@@ -30,6 +30,7 @@
 	Bytes         int // of each one's data
 	Remaining     int // entries that remain after a compaction
 	Beside        int // saves while the compaction writes its slot
+	Forget        bool
 
 	Received int // chunks of a snapshot that never becomes complete
 }
@@ -258,7 +259,10 @@
 		return m.compactBeside(group, one)
 	}
 	next, err := savedState{}, error(nil)
-	if one.Compact {
+	if one.Forget {
+		next = savedState{Recovered: replica.Recovered{HardState: m.saved.HardState, Snapshot: &replica.Snapshot{Chunks: 1, State: json.RawMessage(`{}`)}}}
+		err = group.Forget(func(write func(chunk json.RawMessage) error) error { return write(json.RawMessage(`{}`)) })
+	} else if one.Compact {
 		next = m.saved.compacted(one)
 		err = group.Compact(*next.Snapshot, chunkSource(next.Snapshot), next.Entries, next.HardState)
 	} else {
--- a/internal/tier/store/surplus.go
+++ b/internal/tier/store/surplus.go
@@ -95,7 +95,7 @@
 			continue
 		}
 		level.Info(s.options.Logger).Log("msg", "replica removed", "shard", running.number, "placement", index)
-		running.group.Stop(func() { s.stopped(running) })
+		running.group.StopAndForget(func() { s.stopped(running) })
 	}
 }
 
