Goroutines are waited for to the last; rejected state ends a process; old counts are dropped

Change: each goroutine has an owner that waits for it. A rejected state is group.ErrStateRejected, fatal like a damaged disk. The store runs its groups, says 'replica ended', and hands over what they lead before the server closes, also where a start fails. Counts go after 15 minutes of silence. Peers may be an empty list.

--- a/internal/tier/command/controller.go
+++ b/internal/tier/command/controller.go
@@ -14,8 +14,7 @@
 	"mastusher/internal/tier/wire"
 )
 
-// runController runs the role until ctx ends, and then until its two goroutines have ended. An error before that is returned at once,
-// without waiting for the other goroutine, as the process then ends.
+// runController runs the role until ctx ends or one of its two goroutines does, and then until both have.
 func (p *process) runController(ctx context.Context) error {
 	address := p.address(wire.ControllerPort)
 	disk, id, err := p.openDisk(ctx, address)
@@ -47,13 +46,13 @@
 		return err
 	}
 	defer leave()
+	bounded, end := context.WithCancel(ctx)
+	defer end()
 	ended := make(chan error, 2)
-	go func() { ended <- running.Run(ctx) }()
-	go func() { ended <- running.Serve(ctx, p.settings.ListenOn.Control) }()
+	go func() { ended <- running.Run(bounded) }()
+	go func() { ended <- running.Serve(bounded, p.settings.ListenOn.Control) }()
 	first := <-ended
-	if ctx.Err() == nil {
-		return first
-	}
+	end()
 	return errors.Join(first, <-ended)
 }
 
--- a/internal/tier/command/membership.go
+++ b/internal/tier/command/membership.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"slices"
+	"sync"
 
 	"mastusher/internal/tier/membership"
 	"mastusher/internal/tier/metrics"
@@ -54,20 +55,18 @@
 	return seeds
 }
 
-// join runs the node, which follows the seeds of the settings until ctx ends. The function that it returns announces that the
-// process leaves, and waits for the node's end.
+// join runs the node, which follows the seeds of the settings. The function that it returns announces that the process leaves, and
+// waits for the end of both. ctx gives values alone.
 func (p *process) join(ctx context.Context, member *node.Node, server *transport.Server) (leave func()) {
 	p.metrics.SetZoneLookup(func(host string) metrics.ZoneClass { return p.zoneOf(member, host) })
-	p.onReload(ctx, func(loaded *settings.Settings) { member.SetSeeds(p.membershipSeeds(loaded)) })
+	watched := newWatchedFile(p.env.SettingsPath, p.logger, func(loaded *settings.Settings) { member.SetSeeds(p.membershipSeeds(loaded)) })
 	joined, cancel := context.WithCancel(context.WithoutCancel(ctx))
-	ended := make(chan struct{})
-	go func() {
-		defer close(ended)
-		member.Run(joined, server)
-	}()
+	var running sync.WaitGroup
+	running.Go(func() { p.followSettings(joined, watched) })
+	running.Go(func() { member.Run(joined, server) })
 	return func() {
 		cancel()
-		<-ended
+		running.Wait()
 	}
 }
 
--- a/internal/tier/command/proxy.go
+++ b/internal/tier/command/proxy.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strconv"
+	"sync"
 
 	"mastusher/internal/tier/metrics"
 	"mastusher/internal/tier/programclient"
@@ -24,9 +25,11 @@
 const prefixCacheDivisor = 64
 
 // runProxy runs the role until stopping ends, and then until the requests in flight have ended or the grace time is over. The feed of
-// the view and the two loops of reports run until it returns, and end by their context; nothing waits for them.
+// the view and the two loops of reports run until then, and have ended when it returns.
 func (p *process) runProxy(stopping context.Context) error {
 	running, end := context.WithCancel(context.Background())
+	var background sync.WaitGroup
+	defer background.Wait()
 	defer end()
 	programs := programclient.New(p.pool, int(p.settings.Limits.MemoryMb<<20/prefixCacheDivisor))
 	p.metrics.SetZoneLookup(func(host string) metrics.ZoneClass {
@@ -38,15 +41,15 @@
 	balancer := proxy.NewLoadBalancer(p.settings.Zone, p.seed)
 	counter := versionstats.New(balancer, strconv.FormatUint(p.seed, 16))
 	views := viewfeed.New(p.address(wire.AgentPort), p.pool, programs, counter, p.logger)
-	go views.Run(running)
-	go p.reportVersionStats(running, counter)
-	go p.pollProxyCount(running, balancer)
+	background.Go(func() { views.Run(running) })
+	background.Go(func() { p.reportVersionStats(running, counter) })
+	background.Go(func() { p.pollProxyCount(running, balancer) })
 	path, err := proxy.New(p.proxyOptions(views, programs, counter))
 	if err != nil {
 		return err
 	}
 	failed := make(chan error, 1)
-	go func() { failed <- path.Serve() }()
+	background.Go(func() { failed <- path.Serve() })
 	select {
 	case err := <-failed:
 		return err
--- a/internal/tier/command/reload.go
+++ b/internal/tier/command/reload.go
@@ -14,24 +14,21 @@
 // settingsInterval is the interval at which a process checks whether its settings file has changed.
 const settingsInterval = 3 * time.Second
 
-// onReload calls reload with the reloaded settings at each SIGHUP and whenever their file has changed, until ctx ends.
-// Nothing waits for the end of its goroutine: reload may still be running then.
-func (p *process) onReload(ctx context.Context, reload func(*settings.Settings)) {
-	watched := newWatchedFile(p.env.SettingsPath, p.logger, reload)
-	go func() {
-		ticker := time.NewTicker(settingsInterval)
-		defer ticker.Stop()
-		for {
-			select {
-			case <-ctx.Done():
-				return
-			case <-p.env.ReloadSignals:
-				watched.load()
-			case <-ticker.C:
-				watched.check()
-			}
+// followSettings calls reload with the reloaded settings at each SIGHUP and whenever their file has changed, until ctx ends. watched is
+// the file as the process has loaded it.
+func (p *process) followSettings(ctx context.Context, watched *watchedFile) {
+	ticker := time.NewTicker(settingsInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-p.env.ReloadSignals:
+			watched.load()
+		case <-ticker.C:
+			watched.check()
 		}
-	}()
+	}
 }
 
 // watchedFile is a settings file as it was when it was last loaded. It belongs to one goroutine.
--- a/internal/tier/command/start.go
+++ b/internal/tier/command/start.go
@@ -2,13 +2,12 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
 	"github.com/go-kit/log/level"
 
+	"mastusher/internal/tier/group"
 	"mastusher/internal/tier/node"
-	"mastusher/internal/tier/storage"
 	"mastusher/internal/tier/transport"
 )
 
@@ -19,14 +18,14 @@
 	maxBackoff     = time.Second
 )
 
-// retryStart retries an operation with backoff until it succeeds, for at most startTimeout, and returns its last error. A corrupt
-// disk isn't retried.
+// retryStart retries an operation with backoff until it succeeds, for at most startTimeout, and returns its last error. What no retry
+// mends isn't retried: a corrupt disk, or one whose content is rejected.
 func (p *process) retryStart(ctx context.Context, step string, operation func() error) error {
 	bounded, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
 	for backoff := initialBackoff; ; backoff = min(2*backoff, maxBackoff) {
 		err := operation()
-		if err == nil || errors.Is(err, storage.ErrCorrupt) {
+		if err == nil || group.IsFatal(err) {
 			return err
 		}
 		level.Warn(p.logger).Log("msg", "start step failed, retrying", "step", step, "err", err)
--- a/internal/tier/command/store.go
+++ b/internal/tier/command/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -16,18 +17,28 @@
 // queueBudgetDivisor bounds the messages and commands queued for a store's groups: the memory limit divided by it.
 const queueBudgetDivisor = 10
 
-// runStore runs the role until ctx ends, and then until its groups have other leaders; or until a group can't continue, without waiting
-// for the others, as the process then ends.
+// runBackground runs the writes of a group's compactions. The group waits for them at its end.
+func runBackground(work func()) { go work() }
+
+// runStore runs the role until ctx ends, or a group can't continue, and then until its groups have other leaders.
 func (p *process) runStore(ctx context.Context) error {
 	address := p.address(wire.StorePort)
 	disk, id, err := p.openDisk(ctx, address)
 	if err != nil {
 		return err
 	}
-	groups := newGroupRunner(ctx)
+	running, end := context.WithCancel(ctx)
+	var background sync.WaitGroup
+	defer background.Wait()
+	defer end()
 	began := time.Now()
 	limits := newLimitMonitor(p.settings.Limits, p.logger)
-	shards := store.New(ctx, p.storeOptions(id, address, disk, groups, limits))
+	shards := store.New(running, p.storeOptions(id, address, disk, limits))
+	background.Go(func() { limits.run(running, shards) })
+	stopGroups := func() {
+		end()
+		shards.Wait()
+	}
 	member := p.newNode(p.member(membership.Store, id, address), shards.ApplyUpdate)
 	handlers := transport.NewHandlers()
 	shards.Register(handlers)
@@ -37,6 +48,7 @@
 		return err
 	}
 	defer server.Close()
+	defer stopGroups() // hands over what the groups lead, for which they need the server
 	// Each shard takes part as soon as it is open. The store joins, and so learns the placement, once all are: one that can't
 	// read its disk, or ends over it repeatedly, must be replaced.
 	if err := p.retryStart(ctx, "shards on the disk", shards.Recover); err != nil {
@@ -47,19 +59,17 @@
 	defer leave()
 	stats := func() []any { return storeStats(shards) }
 	level.Info(p.logger).Log(append([]any{"msg", "shards recovered", "took", time.Since(began)}, stats()...)...)
-	go logRuntimeStats(ctx, p.logger, stats)
-	go limits.run(ctx, shards)
+	background.Go(func() { logRuntimeStats(running, p.logger, stats) })
 	select {
-	case err := <-groups.failed:
-		return err
+	case err = <-shards.Failures():
 	case <-ctx.Done():
-		groups.wait()
-		return nil
 	}
+	stopGroups()
+	return err
 }
 
 // storeOptions returns the options of the store.
-func (p *process) storeOptions(id, address string, disk storage.Disk, groups *groupRunner, limits *limitMonitor) store.Options {
+func (p *process) storeOptions(id, address string, disk storage.Disk, limits *limitMonitor) store.Options {
 	return store.Options{
 		ID:               id,
 		Address:          address,
@@ -69,7 +79,6 @@
 		Seed:             p.seed,
 		Now:              p.env.Now,
 		QueueBudgetBytes: int(p.settings.Limits.MemoryMb << 20 / queueBudgetDivisor),
-		RunGroup:         groups.run,
 		RunBackground:    runBackground,
 		IsNearLimit:      limits.isNear,
 		Invariants:       p.invariants,
--- a/internal/tier/controller/rollout_stats.go
+++ b/internal/tier/controller/rollout_stats.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -8,6 +9,11 @@
 	"mastusher/internal/tier/wire"
 )
 
+// maxReportSilence is the time after its last report for which the counts of a proxy's process are kept. Each start of a proxy counts
+// as another process, so that those that have ended would stay for good; one that runs has its counts back with its next report. It
+// exceeds any roll-out. A longer one keeps the counts of idle proxies in the baseline, and takes memory for those that have ended.
+const maxReportSilence = 15 * time.Minute
+
 // statsTable holds the newest report of each proxy process. It is safe for concurrent use.
 type statsTable struct {
 	mutex   sync.Mutex
@@ -27,6 +33,7 @@
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	t.sources[report.Source] = proxyReport{at: now, versions: report.Versions}
+	maps.DeleteFunc(t.sources, func(_ string, known proxyReport) bool { return now-known.at > maxReportSilence })
 }
 
 // each calls visit with what each proxy has reported of a service's version. visit must not call the table.
--- a/internal/tier/group/recovery.go
+++ b/internal/tier/group/recovery.go
@@ -3,13 +3,15 @@
 import (
 	"bytes"
 	"encoding/json"
+	"fmt"
 	"strconv"
 
 	"mastusher/internal/tier/replica"
 	"mastusher/internal/tier/storage"
 )
 
-// Open recovers the member from its disk. A damaged disk is an error (storage.ErrCorrupt), never an empty disk.
+// Open recovers the member from its disk. A damaged disk is an error (storage.ErrCorrupt), never an empty disk; so is a state that is
+// whole and that the state machine or the replica rejects (ErrStateRejected).
 func Open(options Options) (*Group, error) {
 	options.setDefaults()
 	g := &Group{
@@ -47,7 +49,7 @@
 	member, err := replica.New(g.options.Replica, recovered, g.options.Clock())
 	if err != nil {
 		_ = disk.Close()
-		return err
+		return rejected(err)
 	}
 	g.disk, g.replica = disk, member
 	g.hardState, g.entries = recovered.HardState, recovered.Entries
@@ -99,8 +101,16 @@
 		chunks = g.writeInitialChunks
 	}
 	restorer := g.stateMachine.BeginRestore()
-	if err := chunks(restorer.Add); err != nil {
+	if err := chunks(func(chunk json.RawMessage) error { return rejected(restorer.Add(chunk)) }); err != nil {
 		return err
 	}
-	return restorer.Finish()
+	return rejected(restorer.Finish())
+}
+
+// rejected marks an error of the state machine, or of the log's replay, as one that reading the same bytes again can't mend.
+func rejected(err error) error {
+	if err == nil {
+		return nil
+	}
+	return fmt.Errorf("%w: %w", ErrStateRejected, err)
 }
--- a/internal/tier/group/run.go
+++ b/internal/tier/group/run.go
@@ -2,12 +2,9 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
 	"github.com/go-kit/log/level"
-
-	"mastusher/internal/tier/storage"
 )
 
 // reopenInterval is the time from a failure of the disk until a member recovers from what the disk holds.
@@ -19,7 +16,7 @@
 
 // Run drives the member until ctx ends, and then, if it leads, until the group has another leader, for two election timeouts
 // at most. Where its disk fails it recovers from what the disk holds, as often as needed, so that the process need not end
-// for that. What cannot be repaired so is returned: a damaged disk (storage.ErrCorrupt). What RunBackground runs has ended when
+// for that. What cannot be repaired so is returned: a damaged disk, or a state on it that is rejected (IsFatal). What RunBackground runs has ended when
 // Run returns.
 func (g *Group) Run(ctx context.Context) error {
 	defer g.awaitCompaction()
@@ -60,7 +57,7 @@
 	}
 }
 
-// reopen retries Reopen at an interval until it succeeds, ctx ends or the disk turns out to be damaged.
+// reopen retries Reopen at an interval until it succeeds, ctx ends or the error is fatal.
 func (g *Group) reopen(ctx context.Context) error {
 	for {
 		select {
@@ -73,7 +70,7 @@
 			level.Info(g.options.Logger).Log("msg", "replica reopened", "group", g.options.Name)
 			return nil
 		}
-		if errors.Is(err, storage.ErrCorrupt) {
+		if IsFatal(err) {
 			return err
 		}
 		level.Warn(g.options.Logger).Log("msg", "reopening replica failed, retrying", "group", g.options.Name, "err", err)
--- a/internal/tier/node/node_test.go
+++ b/internal/tier/node/node_test.go
@@ -154,3 +154,12 @@
 		t.Error("Run doesn't return")
 	}
 }
+
+func TestPeers_NoOtherLiveMember_IsAnEmptyListAndNotNil(t *testing.T) {
+	// The gossiper takes nil for "unchanged", and would send digests to members that are gone.
+	n := New(Options{Self: membership.Member{Name: "a/agent", Address: "127.0.0.1:1"}, Pool: transport.NewPool(), Logger: log.NewNopLogger(), Seed: 1})
+	n.members.Store(&[]membership.Member{n.options.Self, {Name: "b/agent", Address: "127.0.0.1:2", State: membership.StateDead}})
+	if got := n.peers(); got == nil || len(got) != 0 {
+		t.Errorf("peers %#v, want an empty list", got)
+	}
+}
--- a/internal/tier/node/peers.go
+++ b/internal/tier/node/peers.go
@@ -2,9 +2,10 @@
 
 import "mastusher/internal/tier/membership"
 
-// peers lists the addresses of the live members without this node.
+// peers lists the addresses of the live members without this node. It is empty and not nil where there are none, so that the gossiper
+// doesn't go on with the last ones.
 func (n *Node) peers() []string {
-	var peers []string
+	peers := []string{}
 	for _, m := range n.Members() {
 		if !m.DeadOrLeft() && m.Name != n.options.Self.Name {
 			peers = append(peers, m.Address)
--- a/internal/tier/proxy/frontend.go
+++ b/internal/tier/proxy/frontend.go
@@ -66,6 +66,7 @@
 	errorLog       *log.Logger
 	baseContext    context.Context    // parent of each request's context
 	cancelRequests context.CancelFunc // ends it: each request gets an error response at once, or its response is broken off
+	serving        sync.WaitGroup     // the goroutines of the generations
 
 	mutex     sync.Mutex // guards all below, and the generations' counts
 	current   *serverGeneration
@@ -76,7 +77,7 @@
 }
 
 // serverGeneration is a server for one set of limits. Its goroutine accepts from listener until that is closed: by the next generation,
-// or by shutdown, which waits for the connections but not for this goroutine.
+// or by shutdown, which waits for it.
 type serverGeneration struct {
 	limits      clientLimits
 	server      *http.Server
@@ -191,7 +192,7 @@
 		DisableGeneralOptionsHandler: true,
 	}
 	f.current = g
-	go func() { _ = g.server.Serve(g.listener) }()
+	f.serving.Go(func() { _ = g.server.Serve(g.listener) })
 }
 
 // retireGeneration makes the current server an old one, and forgets the old ones that have no connection left. The caller holds the
@@ -226,6 +227,7 @@
 	for _, g := range generations {
 		g.listener.Close()
 	}
+	f.serving.Wait()
 	logPhase("proxy connections closed")
 	return failure
 }
--- a/internal/tier/proxy/rejections.go
+++ b/internal/tier/proxy/rejections.go
@@ -71,7 +71,7 @@
 	return counts, served, cause
 }
 
-// run reports at each interval until ctx ends. Proxy.Serve ends it as it returns, and doesn't wait for it.
+// run reports at each interval until ctx ends. Proxy.Serve ends it and waits for it.
 func (r *rejectionCounter) run(ctx context.Context, logger log.Logger) {
 	ticker := time.NewTicker(rejectionsInterval)
 	defer ticker.Stop()
--- a/internal/tier/proxy/server.go
+++ b/internal/tier/proxy/server.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -77,22 +78,36 @@
 // ReadinessAddress returns where readiness and metrics are served.
 func (p *Proxy) ReadinessAddress() net.Addr { return p.readinessListener.Addr() }
 
-// Serve takes requests until Shutdown, then returns nil. Any other error is that of a listener. It returns with the first of its two
-// servers that ends; the other one's goroutine ends as Shutdown closes its listener, and nothing waits for it.
+// Serve takes requests until Shutdown has ended, then returns nil. Any other error is that of a listener; then both listeners are
+// closed. Its goroutines have ended when it returns.
 func (p *Proxy) Serve() error {
 	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	defer running.Wait()
 	defer cancel()
-	go p.rejections.run(ctx, p.options.Logger)
+	running.Go(func() { p.rejections.run(ctx, p.options.Logger) })
 	failed := make(chan error, 2)
-	go func() { failed <- p.readinessServer.Serve(p.readinessListener) }()
-	go func() { failed <- p.frontend.serve() }()
+	running.Go(func() { failed <- p.readinessServer.Serve(p.readinessListener) })
+	running.Go(func() { failed <- p.frontend.serve() })
 	err := <-failed
-	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
+	if !isClosed(err) {
+		p.readinessServer.Close()
+		p.frontend.listener.Close()
+	}
+	if other := <-failed; isClosed(err) {
+		err = other
+	}
+	if isClosed(err) {
 		return nil
 	}
 	return err
 }
 
+// isClosed reports whether a server has ended since Shutdown closed its listener.
+func isClosed(err error) bool {
+	return errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed)
+}
+
 // Drain makes the proxy report that it is not ready, and end each client's connection with its next response. New connections
 // are still taken.
 func (p *Proxy) Drain() {
--- a/internal/tier/simulation/fleet.go
+++ b/internal/tier/simulation/fleet.go
@@ -120,7 +120,7 @@
 	}
 }
 
-// Close ends all processes with SIGTERM, and those who use them. What still runs then is a leak, which the bubble finds.
+// Close ends all processes with SIGTERM, and those who use them. A goroutine that is left right then is a leak, which the bubble finds.
 func (f *Fleet) Close() {
 	f.mutex.Lock()
 	f.closed = true
@@ -132,12 +132,8 @@
 	ending.Wait()
 	f.environment.close()
 	f.goroutines.Wait()
-	time.Sleep(shutdownGrace)
 }
 
-// shutdownGrace is how long goroutines of the library may outlive the end of their processes.
-const shutdownGrace = time.Minute
-
 func (f *Fleet) now() time.Duration { return time.Since(f.started) }
 
 func (f *Fleet) trace(format string, arguments ...any) {
--- a/internal/tier/store/store.go
+++ b/internal/tier/store/store.go
@@ -9,8 +9,6 @@
 	"sync"
 	"time"
 
-	"github.com/go-kit/log/level"
-
 	"mastusher/internal/tier/group"
 	"mastusher/internal/tier/transport"
 	"mastusher/internal/tier/view"
@@ -24,7 +22,7 @@
 	receiveLimiter *group.SnapshotLimiter // shared by the groups that receive snapshots
 	openingToken   chan struct{}          // contains a token while a shard opens; taken before mutex
 	queueBudget    *group.QueueBudget     // shared by the queues of all groups
-	failures       chan error
+	groups         groupRunner
 
 	mutex           sync.Mutex // guards the fields below, and shard.stoppingSince
 	shards          map[int]*shard
@@ -54,35 +52,16 @@
 		receiveLimiter: group.NewSnapshotLimiter(maxSnapshotReceivers),
 		openingToken:   make(chan struct{}, 1),
 		queueBudget:    group.NewQueueBudget(options.QueueBudgetBytes),
-		failures:       make(chan error, 1),
+		groups:         groupRunner{logger: options.Logger, failed: make(chan error, 1)},
 		shards:         map[int]*shard{},
 		removed:        map[int]bool{},
 	}
-	if options.RunGroup == nil { // the goroutines end after ctx, once their groups have other leaders, and aren't waited for
-		s.options.RunGroup = func(opened *group.Group) { go s.run(ctx, opened) }
+	if options.RunGroup == nil {
+		s.options.RunGroup = func(opened *group.Group) { s.groups.run(ctx, opened) }
 	}
 	return s
 }
 
-// run drives a group until ctx ends.
-func (s *Store) run(ctx context.Context, opened *group.Group) {
-	if err := opened.Run(ctx); err != nil {
-		level.Error(s.options.Logger).Log("msg", "replica ended", "group", opened.Name(), "err", err)
-		s.reportFailure(err)
-	}
-}
-
-// reportFailure keeps the first error with which a group has ended.
-func (s *Store) reportFailure(err error) {
-	select {
-	case s.failures <- err:
-	default:
-	}
-}
-
-// Failures delivers the error of a group that has ended for good. It can't be repaired while the process runs.
-func (s *Store) Failures() <-chan error { return s.failures }
-
 // Register adds the store's handlers.
 func (s *Store) Register(handlers *transport.Handlers) {
 	transport.HandleNotice(handlers, wire.MethodReplica, func(_ string, envelope group.Envelope) { s.Deliver(envelope) })
--- a/internal/tier/store/store_test.go
+++ b/internal/tier/store/store_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -12,6 +14,7 @@
 	"mastusher/internal/tier/group"
 	"mastusher/internal/tier/program"
 	"mastusher/internal/tier/replica"
+	"mastusher/internal/tier/storage"
 	"mastusher/internal/tier/storage/memorydisk"
 	"mastusher/internal/tier/transport"
 	"mastusher/internal/tier/view"
@@ -238,13 +241,42 @@
 func TestStore_GroupFails_ReportsFailure(t *testing.T) {
 	store := newStore(t, memorydisk.New())
 	cause := errors.New("damage")
-	store.reportFailure(cause)
-	store.reportFailure(errors.New("another"))
+	store.groups.reportFailure(cause)
+	store.groups.reportFailure(errors.New("another"))
 	if got := <-store.Failures(); !errors.Is(got, cause) {
 		t.Errorf("failed with %v, want %v", got, cause)
 	}
 }
 
+// TestStore_GroupEndsByItself_SaysSoAndDeliversTheError has a group whose disk is damaged while it runs.
+func TestStore_GroupEndsByItself_SaysSoAndDeliversTheError(t *testing.T) {
+	disk := memorydisk.New()
+	lines := make(chan string, 100)
+	store := New(t.Context(), Options{ID: self.ID, Address: self.Address, Disk: disk, Seed: 1, Now: time.Now, Send: func(string, group.Envelope) {},
+		Logger: log.LoggerFunc(func(pairs ...any) error {
+			lines <- fmt.Sprint(pairs...)
+			return nil
+		})})
+	store.ApplyPlacement(5, alone(1))
+	awaitPlacement(t, store, 1, 5)
+	damaged := &storage.CorruptError{File: "shard-0.log-1", Reason: "test"}
+	disk.InjectFaults(func(memorydisk.Operation, string) error { return damaged })
+	store.shard(0).group.ProposeAsync(command{}, func(any, error) {})
+	select {
+	case err := <-store.Failures():
+		if !errors.Is(err, storage.ErrCorrupt) {
+			t.Errorf("failed with %v", err)
+		}
+	case <-time.After(waitTimeout):
+		t.Fatal("the failure isn't delivered")
+	}
+	for line := range lines {
+		if strings.Contains(line, "replica ended") {
+			return
+		}
+	}
+}
+
 func TestApplyUpdate_OtherSectionOrMalformed_IsIgnored(t *testing.T) {
 	store := newStore(t, memorydisk.New())
 	store.ApplyUpdate(view.Update{Section: view.RolloutsSection, Body: encode(t, alone(1))})
--- a/internal/tier/transport/clientconnection.go
+++ b/internal/tier/transport/clientconnection.go
@@ -38,13 +38,14 @@
 func newClientConnection(peer *peer) *clientConnection {
 	connection := &clientConnection{peer: peer, pending: map[uint64]*pendingCall{}}
 	connection.out.limits = peer.pool.limits
+	connection.out.running = &peer.pool.running
 	connection.out.meter = peer.pool.meter
 	connection.out.onWriteError = connection.fail
 	connection.dialCtx, connection.stopDial = context.WithCancel(context.Background())
 	return connection
 }
 
-// run dials and reads until the connection breaks, or fail closes its socket or ends its dial. Nothing waits for its end.
+// run dials and reads until the connection breaks, or fail closes its socket or ends its dial. Pool.Close waits for it.
 func (c *clientConnection) run() {
 	socket, err := c.peer.pool.network.Dial(c.dialCtx, newDialer(), "tcp4", c.peer.address)
 	if err != nil {
--- a/internal/tier/transport/outbox.go
+++ b/internal/tier/transport/outbox.go
@@ -20,7 +20,8 @@
 // writer.go.
 type outbox struct {
 	limits       limits
-	onWriteError func(error) // called once after a failed write, without the mutex
+	running      *sync.WaitGroup // counts the writer, for its owner's Close
+	onWriteError func(error)     // called once after a failed write, without the mutex
 
 	packer  packer // used by the writer only
 	packing bool   // lines are packed, as they go to another machine
--- a/internal/tier/transport/pack_test.go
+++ b/internal/tier/transport/pack_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"math/rand/v2"
 	"net"
+	"sync"
 	"testing"
 	"testing/iotest"
 
@@ -149,7 +150,7 @@
 		if packed {
 			socket.to = 2
 		}
-		box := outbox{limits: defaultLimits(), onWriteError: func(error) {}}
+		box := outbox{limits: defaultLimits(), running: new(sync.WaitGroup), onWriteError: func(error) {}}
 		box.start(socket)
 		box.pushNotice(&frame{line: bytes.NewBuffer(noticeOf(1, 900))})
 		got := make([]byte, len(packedPrefix))
--- a/internal/tier/transport/peer.go
+++ b/internal/tier/transport/peer.go
@@ -32,7 +32,7 @@
 		return nil, ErrBackoff
 	}
 	p.connection = newClientConnection(p)
-	go p.connection.run()
+	p.pool.running.Go(p.connection.run)
 	return p.connection, nil
 }
 
--- a/internal/tier/transport/pool.go
+++ b/internal/tier/transport/pool.go
@@ -17,6 +17,7 @@
 	lastID   atomic.Uint64   // of calls and streams
 	lifetime context.Context // ends with Close
 	end      context.CancelFunc
+	running  sync.WaitGroup // the goroutines of all connections
 
 	mutex  sync.Mutex // guards what follows
 	peers  map[string]*peer
@@ -45,8 +46,8 @@
 	return pool
 }
 
-// Close closes all connections; pending calls and streams fail with ErrClosed. It does not wait for the goroutines that read and write
-// them: these end as their sockets are closed.
+// Close closes all connections; pending calls and streams fail with ErrClosed. It returns once the goroutines that read and write
+// the connections have ended, which they do as their sockets are closed. It must not be called by one of them.
 func (p *Pool) Close() {
 	p.end()
 	p.mutex.Lock()
@@ -57,6 +58,7 @@
 	for _, peer := range peers {
 		peer.close()
 	}
+	p.running.Wait()
 }
 
 // Forget closes the connection to an address that is no longer needed, and drops its backoff.
--- a/internal/tier/transport/pool_test.go
+++ b/internal/tier/transport/pool_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"net"
+	"runtime"
+	"strings"
 	"testing"
 	"time"
 )
@@ -119,3 +121,34 @@
 		t.Errorf("got %v", err)
 	}
 }
+
+func TestPool_Close_ItsGoroutinesHaveEnded(t *testing.T) {
+	server := startServer(t, "127.0.0.1:0", echoHandlers())
+	ctx := testContext(t)
+	before := runtime.NumGoroutine()
+	for range 20 {
+		// Given a pool with a connection, one that is dialling, and notices that are being written,
+		pool := NewPool()
+		if _, err := Call[question, reply](ctx, pool, server.Address(), "echo", question{}); err != nil {
+			t.Fatal(err)
+		}
+		_ = Notify(pool, "127.0.0.1:1", "offer", 1)
+		_ = Notify(pool, server.Address(), "offer", strings.Repeat("x", 100<<10))
+		// when it is closed, then none of its goroutines is left.
+		pool.Close()
+		for _, stack := range stacks() {
+			if strings.Contains(stack, "(*clientConnection).run") {
+				t.Fatalf("left after Close:\n%s", stack)
+			}
+		}
+	}
+	if after := runtime.NumGoroutine(); after > before+20 { // the server's ends of the connections end a moment later
+		t.Errorf("%d goroutines, %d before", after, before)
+	}
+}
+
+// stacks returns the stacks of all goroutines.
+func stacks() []string {
+	buffer := make([]byte, 1<<20)
+	return strings.Split(string(buffer[:runtime.Stack(buffer, true)]), "\n\n")
+}
--- a/internal/tier/transport/serverconnection.go
+++ b/internal/tier/transport/serverconnection.go
@@ -33,6 +33,7 @@
 	}
 	connection.ctx, connection.cancel = context.WithCancel(context.Background())
 	connection.out.limits = server.limits
+	connection.out.running = &server.running
 	connection.out.meter = server.handlers.meter
 	connection.out.onWriteError = func(error) { connection.close() }
 	connection.out.start(socket)
--- a/internal/tier/transport/writer.go
+++ b/internal/tier/transport/writer.go
@@ -14,15 +14,15 @@
 
 // startWriterLocked starts the writer unless it runs or has nothing to do.
 func (o *outbox) startWriterLocked() {
-	if o.writing || o.socket == nil || len(o.queue)+len(o.notices)+len(o.bulk) == 0 {
+	if o.writing || o.closed || o.socket == nil || len(o.queue)+len(o.notices)+len(o.bulk) == 0 {
 		return
 	}
 	o.writing = true
-	go o.writeLoop()
+	o.running.Go(o.writeLoop)
 }
 
-// writeLoop writes until nothing is queued, or a write fails, as it does once the connection has closed its socket. Nothing waits for
-// its end.
+// writeLoop writes until nothing is queued, or a write fails, as it does once the connection has closed its socket. The Close of its
+// pool or server waits for it.
 func (o *outbox) writeLoop() {
 	batch := batches.Get().(*bytes.Buffer)
 	defer batches.Put(batch)
