relay, roll-outs: the faults found by reading, each with its failing test

- policy propose sends its request until the relay has it, not at each poll: follow had a copy.
- peer.Rules.Mandate reads the configuration under the reload's lock (red under the race detector).
- make-key leaves no private key behind where FILE.pub is there already.
- pluginsdk: the least 32-bit number as a refusal is an error, not a panic.
- 'roll-out decided' is said only once it is; a failed proposal has a line of its own.
- A service with several versions in the first list runs in the one with the most endpoints, ties by name, in place of none until an order.

--- a/cmd/mastusher/fleet.go
+++ b/cmd/mastusher/fleet.go
@@ -26,10 +26,11 @@
 
 // fleetTool is what the commands of a fleet share.
 type fleetTool struct {
-	o       *options
-	json    bool
-	within  time.Duration
-	pollGap time.Duration
+	o          *options
+	json       bool
+	within     time.Duration
+	pollGap    time.Duration
+	putToRelay func(ctx context.Context, cfg *config.Peers, request node.AdminRequest) (*node.Status, error) // peer.Ask, but for tests
 }
 
 func (t *fleetTool) config() (*config.Config, error) {
@@ -49,7 +50,7 @@
 	if err != nil {
 		return nil, err
 	}
-	st, err := peer.Ask(ctx, cfg.Peers, q)
+	st, err := t.putToRelay(ctx, cfg.Peers, q)
 	if err == nil && st.Error != "" {
 		err = errors.New(st.Error)
 	}
@@ -224,13 +225,13 @@
 	}
 }
 
-// follow waits until over tells how a change ended, and shows how far it has come.
-func (t *fleetTool) follow(cmd *cobra.Command, request node.AdminRequest, over func(*policy.State) (done bool, err error)) error {
+// follow waits until over tells how a change ended, and shows how far it has come. over may change what is asked next.
+func (t *fleetTool) follow(cmd *cobra.Command, request *node.AdminRequest, over func(*policy.State) (done bool, err error)) error {
 	ctx, cancel := t.context(cmd)
 	defer cancel()
 	last := ""
 	for {
-		st, err := t.ask(ctx, request)
+		st, err := t.ask(ctx, *request)
 		if err == nil {
 			if done, err := over(st.State); done {
 				if err != nil {
@@ -255,7 +256,7 @@
 
 // fleetCommands are the commands that talk to a relay of a fleet.
 func fleetCommands(o *options) []*cobra.Command {
-	t := &fleetTool{o: o, pollGap: 20 * time.Millisecond}
+	t := &fleetTool{o: o, pollGap: 20 * time.Millisecond, putToRelay: peer.Ask}
 	fleet := &cobra.Command{Use: "fleet", Short: "the relays that act together"}
 	pol := &cobra.Command{Use: "policy", Short: "change what a fleet in service goes by, everywhere or nowhere"}
 	for _, c := range []*cobra.Command{fleet, pol} {
--- a/cmd/mastusher/fleet_test.go
+++ b/cmd/mastusher/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"fmt"
 	"io"
 	"log/slog"
@@ -11,7 +12,11 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
 	"mastusher/internal/relay/config"
+	"mastusher/internal/relay/fleet/node"
+	"mastusher/internal/relay/fleet/policy"
 )
 
 // TestFleet_Commands_AnswersAndExitCodes: one relay founds a fleet, and what operators say to it has the answers and exit codes that scripts rely on.
@@ -54,6 +59,38 @@
 	relay.stop(t)
 }
 
+// TestPolicyPropose_ChangeIsUnderWay_IsNotSentAgain: the proposal is sent until the relay has it, and from then on only its state is asked for.
+func TestPolicyPropose_ChangeIsUnderWay_IsNotSentAgain(t *testing.T) {
+	relay := newFleetRelay(t)
+	var asked []string
+	var proposed uint64 // ticket of the proposal
+	answer := func(_ context.Context, _ *config.Peers, request node.AdminRequest) (*node.Status, error) {
+		asked = append(asked, request.Op)
+		state := &policy.State{Version: 1}
+		switch len(asked) {
+		case 1: // before the proposal
+		case 2:
+			proposed = request.Ticket
+		case 3, 4, 5:
+			state.Change = &policy.Change{Version: 2, Ticket: proposed}
+		default:
+			state.PastChanges = []policy.PastChange{{Version: 2, Ticket: proposed}}
+		}
+		return &node.Status{State: state}, nil
+	}
+	tool := &fleetTool{o: &options{file: relay.file}, within: 10 * time.Second, pollGap: time.Millisecond, putToRelay: answer}
+	command := policyProposeCommand(tool)
+	command.SetArgs([]string{relay.write(t, "good.json", `{"format":1}`)})
+	command.SetOut(io.Discard)
+	command.SetErr(io.Discard)
+	if err := command.ExecuteContext(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff([]string{"status", "propose", "propose", "status", "status", "status"}, asked); diff != "" {
+		t.Errorf("requests (-want +got):\n%s", diff)
+	}
+}
+
 // fleetRelay is a relay in this process that is the only one of its fleet.
 type fleetRelay struct {
 	dir, file    string // the configuration
--- a/cmd/mastusher/policy.go
+++ b/cmd/mastusher/policy.go
@@ -32,7 +32,7 @@
 			if base >= 0 {
 				request.Version = uint64(base)
 			}
-			return t.follow(cmd, request, func(s *policy.State) (bool, error) {
+			return t.follow(cmd, &request, func(s *policy.State) (bool, error) {
 				if s.Change != nil && s.Change.Ticket == request.Ticket {
 					request.Op = "status"
 				}
@@ -62,7 +62,7 @@
 			if _, err := fmt.Sscan(args[0], &version); err != nil {
 				return &argumentError{"wait", fmt.Sprintf("%q is no version", args[0])}
 			}
-			return t.follow(cmd, node.AdminRequest{Op: "status"}, func(s *policy.State) (bool, error) {
+			return t.follow(cmd, &node.AdminRequest{Op: "status"}, func(s *policy.State) (bool, error) {
 				for _, p := range s.PastChanges {
 					if p.Version == version && p.DropReason != "" {
 						return true, &droppedError{version: version, reason: p.DropReason}
--- a/internal/relay/activitypub/activitypub_test.go
+++ b/internal/relay/activitypub/activitypub_test.go
@@ -5,8 +5,10 @@
 	"crypto/x509"
 	"encoding/json"
 	"encoding/pem"
+	"errors"
 	"fmt"
 	"io"
+	"io/fs"
 	"log/slog"
 	"net"
 	"os"
@@ -313,6 +315,23 @@
 	}
 }
 
+// TestMakeKey_PublicHalfIsThereAlready_LeavesNoPrivateKey: a run that fails changes nothing, so that it can be run again.
+func TestMakeKey_PublicHalfIsThereAlready_LeavesNoPrivateKey(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "key")
+	if err := os.WriteFile(file+".pub", []byte("somebody's"), 0o644); err != nil {
+		t.Fatal(err)
+	}
+	if err := MakeKey(file); !errors.Is(err, fs.ErrExist) {
+		t.Fatalf("error %v, want one that the file exists", err)
+	}
+	if _, err := os.Stat(file); !errors.Is(err, fs.ErrNotExist) {
+		t.Errorf("the private key: %v", err)
+	}
+	if text, err := os.ReadFile(file + ".pub"); err != nil || string(text) != "somebody's" {
+		t.Errorf("the other file holds %q, %v", text, err)
+	}
+}
+
 // TestGuard_RewrittenActivity_StaysTheSame: a rewritten activity stays the same activity by the same actor, in every reader's eyes.
 func TestGuard_RewrittenActivity_StaysTheSame(t *testing.T) {
 	before := []byte(`{"id":"x","type":"Create","actor":"a","n":1}`)
--- a/internal/relay/activitypub/keys.go
+++ b/internal/relay/activitypub/keys.go
@@ -78,7 +78,7 @@
 const rsaBits = 2048
 
 // MakeKey writes a new private key (RSA, PKCS #8) to file, readable by its owner alone, and its public half to file.pub. It fails where either
-// file exists.
+// file exists, and writes neither then.
 func MakeKey(file string) error {
 	key, err := rsa.GenerateKey(rand.Reader, rsaBits)
 	if err != nil {
@@ -95,7 +95,10 @@
 	if err := writeNew(file, pem.EncodeToMemory(&pem.Block{Type: "PRIVATE KEY", Bytes: private}), 0o600); err != nil {
 		return err
 	}
-	return writeNew(file+".pub", public, 0o644)
+	if err := writeNew(file+".pub", public, 0o644); err != nil {
+		return errors.Join(err, os.Remove(file)) // without its public half nobody can use it
+	}
+	return nil
 }
 
 // publicPEM returns the public half of a key as PEM.
--- a/internal/relay/fleet/peer/rules.go
+++ b/internal/relay/fleet/peer/rules.go
@@ -136,8 +136,11 @@
 // Mandate converts the fleet's mandate to the core's: what its document says, and for all else the relay's own configuration. It fails where
 // the document can't be parsed.
 func (r *Rules) Mandate(s node.Mandate) (capture.Mandate, error) {
+	r.mu.Lock()
+	cfg := r.cfg // never changed, only replaced
+	r.mu.Unlock()
 	out := capture.Mandate{Version: s.Version, Halted: s.Halted}
-	set := &r.cfg.Settings
+	set := &cfg.Settings
 	for i := range set.Classes {
 		out.Worth = append(out.Worth, set.Classes[i].Value)
 	}
@@ -151,7 +154,7 @@
 	if err != nil {
 		return out, err
 	}
-	out.Stamp, out.Closed = d.Stamp, !d.Takes(r.cfg.Peers.Name)
+	out.Stamp, out.Closed = d.Stamp, !d.Takes(cfg.Peers.Name)
 	out.Attempts = make([]int, len(set.Classes))
 	for i := range set.Classes {
 		c := d.Classes[set.Classes[i].Name]
--- a/internal/relay/journal/log.go
+++ b/internal/relay/journal/log.go
@@ -107,25 +107,28 @@
 
 // Begin writes that the attempts of these messages that were decided last begin now; false: nothing of them may be written. It
 // is the last that happens before the first byte, on the goroutine that writes it. Messages that have ended are left out;
-// where all have, there is nothing to begin.
+// where all have, there is nothing to begin. What the core has noted meanwhile is written before it: the outcome of a message's last
+// attempt, read back behind the next one's beginning, would be taken for that one's.
 func (l *Log) Begin(entries []*Entry) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	buffered := len(l.buf)
-	defer func() { l.buf = l.buf[:buffered] }() // what the core has noted meanwhile waits for its turn's end
 	for _, e := range entries {
 		if l.entries[e.Seq] == e {
 			l.appendAttempt(e, e.Attempts, e.LastAttemptAt, e.LastAttemptOn)
 		}
 	}
 	if len(l.buf) == buffered || l.file == nil || l.mustCompact {
+		l.buf = l.buf[:buffered]
 		return false
 	}
-	n, err := l.file.Write(l.buf[buffered:])
+	n, err := l.file.Write(l.buf)
 	l.size += int64(n)
 	if l.mustCompact = err != nil; l.mustCompact {
+		l.buf = l.buf[:buffered] // it is in the state that the new file gets
 		return false
 	}
+	l.buf = l.buf[:0]
 	for _, e := range entries {
 		e.loggedAttempts = e.Attempts
 	}
--- a/internal/tier/controller/rollout_analysis.go
+++ b/internal/tier/controller/rollout_analysis.go
@@ -70,25 +70,47 @@
 	bounded, cancel := context.WithTimeout(ctx, decideTimeout)
 	defer cancel()
 	decision := &rollout.Decision{Service: current.Service, Target: current.Target, Order: current.Index, State: state}
-	_, err := c.group.Propose(bounded, Command{RolloutDecision: decision})
+	if _, err := c.group.Propose(bounded, Command{RolloutDecision: decision}); err != nil {
+		level.Warn(c.options.Logger).Log("msg", "roll-out decision failed, retrying", "service", current.Service, "target", current.Target,
+			"state", state, "err", err)
+		return
+	}
 	level.Info(c.options.Logger).Log("msg", "roll-out decided", "service", current.Service, "target", current.Target, "state", state,
-		"good", target.Good, "bad", target.Bad, "baselineGood", baseline.Good, "baselineBad", baseline.Bad, "err", err)
+		"good", target.Good, "bad", target.Bad, "baselineGood", baseline.Good, "baselineBad", baseline.Bad)
 }
 
-// recordVersions records the version of each service that runs in a single one, unless one is known already.
-func (c *Controller) recordVersions(ctx context.Context, endpoints []model.Endpoint) {
-	versions := map[string]string{}
-	several := map[string]bool{}
+// initialVersions returns the version that each service runs in: of several the one with the most endpoints, and of those the one
+// whose name is the least. The others get no requests before an order rolls them out.
+func initialVersions(endpoints []model.Endpoint) map[string]string {
+	counts := map[string]map[string]int{}
 	for i := range endpoints {
 		e := &endpoints[i]
-		several[e.Service] = several[e.Service] || versions[e.Service] != "" && versions[e.Service] != e.Version
-		versions[e.Service] = e.Version
+		if e.Version == "" {
+			continue
+		}
+		if counts[e.Service] == nil {
+			counts[e.Service] = map[string]int{}
+		}
+		counts[e.Service][e.Version]++
 	}
-	for service, version := range versions {
+	versions := map[string]string{}
+	for service, byVersion := range counts {
+		for _, version := range slices.Sorted(maps.Keys(byVersion)) {
+			if byVersion[version] > byVersion[versions[service]] {
+				versions[service] = version
+			}
+		}
+	}
+	return versions
+}
+
+// recordVersions records the version of each service, unless one is known already.
+func (c *Controller) recordVersions(ctx context.Context, endpoints []model.Endpoint) {
+	for service, version := range initialVersions(endpoints) {
 		c.mutex.Lock()
 		known := c.state.rollouts.Current(service) != ""
 		c.mutex.Unlock()
-		if known || several[service] || version == "" {
+		if known {
 			continue
 		}
 		bounded, cancel := context.WithTimeout(ctx, decideTimeout)
--- a/internal/tier/controller/rollout_test.go
+++ b/internal/tier/controller/rollout_test.go
@@ -4,6 +4,9 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
+	"mastusher/internal/tier/model"
 	"mastusher/internal/tier/rollout"
 	"mastusher/internal/tier/settings"
 	"mastusher/internal/tier/storage/memorydisk"
@@ -137,3 +140,30 @@
 		t.Errorf("without settings the window is %v, want 9 s", got)
 	}
 }
+
+func TestInitialVersions_SeveralInTheFirstList_MostEndpointsServe(t *testing.T) {
+	listed := func(service string, versions ...string) []model.Endpoint {
+		var endpoints []model.Endpoint
+		for _, version := range versions {
+			endpoints = append(endpoints, model.Endpoint{Service: service, Version: version})
+		}
+		return endpoints
+	}
+	for _, tc := range []struct {
+		name   string
+		listed []model.Endpoint
+		want   map[string]string
+	}{
+		{"one version", listed("lm", "v1", "v1"), map[string]string{"lm": "v1"}},
+		{"two, of which one has more endpoints", listed("lm", "v1", "v2", "v2"), map[string]string{"lm": "v2"}},
+		{"two with as many endpoints", listed("lm", "v2", "v1", "v1", "v2"), map[string]string{"lm": "v1"}},
+		{"no version", listed("lm", "", ""), map[string]string{}},
+		{"two services", append(listed("lm", "v1"), listed("tools", "a", "b", "b")...), map[string]string{"lm": "v1", "tools": "b"}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			if diff := cmp.Diff(tc.want, initialVersions(tc.listed)); diff != "" {
+				t.Errorf("versions (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/pluginsdk/errors.go
+++ b/pluginsdk/errors.go
@@ -31,7 +31,7 @@
 
 // refusalError is the error of a number that the relay returned.
 func refusalError(number int32) error {
-	if number <= 0 && int(-number) < len(refusals) {
+	if number <= 0 && number > -int32(len(refusals)) { // the least number has no opposite
 		return refusals[-number]
 	}
 	return errUnknownRefusal
--- a/pluginsdk/errors_test.go
+++ b/pluginsdk/errors_test.go
@@ -30,7 +30,7 @@
 
 // TestRefusalError_UnknownNumber_IsAnError: a number that this version does not know is never taken for success.
 func TestRefusalError_UnknownNumber_IsAnError(t *testing.T) {
-	for _, number := range []int32{1, -8, -100, math.MaxInt32} {
+	for _, number := range []int32{1, -8, -100, math.MaxInt32, math.MinInt32} {
 		if err := refusalError(number); err == nil || err.Error() != "pluginsdk: refused" {
 			t.Errorf("%d is %v", number, err)
 		}
