--- a/internal/tier/simulation/fleet.go
+++ b/internal/tier/simulation/fleet.go
@@ -33,6 +33,17 @@
 	return o
 }
 
+// machines is the number of machines of a class at the first start.
+func (o Options) machines(of class) int {
+	switch of {
+	case coreClass:
+		return o.Controllers
+	case storageClass:
+		return o.Stores
+	}
+	return o.Edges
+}
+
 // Conditions of the network and the disks.
 const (
 	defaultDelay    = 300 * time.Microsecond
@@ -66,8 +77,8 @@
 	options = options.withDefaults()
 	f := &Fleet{options: options, started: time.Now(), history: &history{}, random: rand.New(rand.NewPCG(options.Seed, 0x666c6565)),
 		network: memorynetwork.New(memorynetwork.Options{Delay: defaultDelay, Jitter: defaultJitter, Seed: options.Seed})}
-	for class, count := range map[class]int{coreClass: options.Controllers, storageClass: options.Stores, edgeClass: options.Edges} {
-		for range count {
+	for _, class := range []class{coreClass, storageClass, edgeClass} { // in this order, so that a seed gives the same names and zones
+		for range options.machines(class) {
 			f.add(class).initial = true
 		}
 	}
--- a/internal/tier/simulation/fleet_test.go
+++ b/internal/tier/simulation/fleet_test.go
@@ -1,6 +1,7 @@
 package simulation
 
 import (
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -52,3 +53,26 @@
 		}
 	})
 }
+
+func TestNew_SameSeed_SameNamesZonesAndAddresses(t *testing.T) {
+	describe := func() []string {
+		var machines []string
+		synctest.Test(t, func(t *testing.T) {
+			f, err := New(Options{Seed: 3, Folder: t.TempDir()})
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, m := range f.machinesOf(coreClass, storageClass, edgeClass) {
+				machines = append(machines, m.name+" "+m.zone+" "+m.host.Address())
+			}
+			f.Close()
+		})
+		return machines
+	}
+	want := describe()
+	for range 10 {
+		if got := describe(); !slices.Equal(want, got) {
+			t.Fatalf("machines %v, and then %v", want, got)
+		}
+	}
+}
