--- a/internal/tier/settings/settings.go
+++ b/internal/tier/settings/settings.go
@@ -71,17 +71,17 @@
 type Limits struct {
 	CPUShare    float64 // informative
 	CPUCores    float64 // informative
-	MemoryMb    int64   // MiB; sizes the collector's limit, the cache of chains (0: no cache) and the queues of stores
+	MemoryMb    int64   // MiB; sizes the collector's limit, the cache of chains (0: no cache) and the queues of stores; as DiskMb
 	OpenFiles   int64   // descriptors; bounds the connections of clients
 	NetworkMbps float64 // informative
-	DiskMb      int64   // informative
+	DiskMb      int64   // MiB; near it a store begins no new programs
 }
 
 // FaultTolerance is how many machines, zones and regions the system may lose at once and still keep all its rules.
 type FaultTolerance struct {
 	Machines int // a group has twice as many replicas and one: more bear more losses, and cost disks, messages and time for a commit
-	Zones    int // informative: placement spreads over zones in any case
-	Regions  int // informative
+	Zones    int // bounds the replicas of a shard in one zone; 0: as 1. More bear the loss of more zones, and need as many more of them
+	Regions  int // bounds the replicas of a shard in one region; 0: not at all
 }
 
 // CloudAPI is the access to the platform's list of endpoints.
