--- a/internal/tier/proxy/loadbalancer_test.go
+++ b/internal/tier/proxy/loadbalancer_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"mastusher/internal/tier/apierror"
 	"mastusher/internal/tier/balancer"
 	"mastusher/internal/tier/model"
 )
@@ -104,6 +105,34 @@
 	}
 }
 
+func TestLoadBalancer_QueueFull_DisplacedRequestGetsItsOwnRejection(t *testing.T) {
+	// Given a full queue in which a request waits that any endpoint may take,
+	loadBalancer, _ := newSaturatedBalancer(t)
+	loadBalancer.queues["plain"] = balancer.NewQueue(1)
+	displaced := make(chan error, 1)
+	go func() {
+		_, err := loadBalancer.Select(t.Context(), newRequestInfo(2))
+		displaced <- err
+	}()
+	awaitQueued(loadBalancer, 1)
+	// when a more urgent one takes its place that has no attempts left,
+	ctx, cancel := context.WithCancel(t.Context())
+	newcomer := newRequestInfo(0)
+	newcomer.AttemptsUsed = newcomer.Route.MaxAttempts
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		_, _ = loadBalancer.Select(ctx, newcomer)
+	}()
+	// then the first one is told when it may come back, which says nothing to a request without attempts.
+	var rejection *RejectionError
+	if err := <-displaced; !errors.As(err, &rejection) || rejection.Kind != apierror.Overloaded || rejection.RetryAfter <= 0 {
+		t.Errorf("got %v", err)
+	}
+	cancel()
+	<-ended
+}
+
 func TestLoadBalancer_MayHaveRun_IsNotQueued(t *testing.T) {
 	loadBalancer, _ := newSaturatedBalancer(t)
 	info := newRequestInfo(0)
--- a/internal/tier/proxy/queue.go
+++ b/internal/tier/proxy/queue.go
@@ -42,7 +42,7 @@
 	waiter := &queuedWaiter{info: info, expiresAt: entry.ExpiresAt, result: make(chan selectResult, 1)}
 	b.waiting[entry.ID] = waiter
 	if displaced, full := b.queueFor(info.Service.Name).Push(entry); full {
-		b.resolve(displaced.ID, selectResult{err: b.rejectionFor(info)})
+		b.resolve(displaced.ID, selectResult{err: b.rejectionFor(b.waiting[displaced.ID].info)})
 	}
 	b.dispatch(info.Service.Name)
 	return entry.ID, waiter, nil
