--- a/internal/tier/command/store.go
+++ b/internal/tier/command/store.go
@@ -51,7 +51,7 @@
 	defer stopGroups() // hands over what the groups lead, for which they need the server
 	// Each shard takes part as soon as it is open. The store joins, and so learns the placement, once all are: one that can't
 	// read its disk, or ends over it repeatedly, must be replaced.
-	if err := p.retryStart(ctx, "shards on the disk", shards.Recover); err != nil {
+	if err = p.retryStart(ctx, "shards on the disk", shards.Recover); err != nil {
 		return err
 	}
 	p.useDiskSeeds(member, shards.MemberAddresses())
