group: a member that forgets its state while it compacts frees the disk

Found by reading the change again: awaitCompaction left the disk's slot in use, so that Forget failed with ErrSlotInUse and the files stayed. Red without the change: not run.

--- a/internal/tier/group/compaction.go
+++ b/internal/tier/group/compaction.go
@@ -143,6 +143,7 @@
 	}
 	g.cancelCompaction()
 	<-g.compaction.written
+	g.disk.AbandonCompaction(g.compaction.disk) // else the disk would take its slot for in use
 	g.compaction = nil
 }
 
--- a/internal/tier/group/compaction_background_test.go
+++ b/internal/tier/group/compaction_background_test.go
@@ -181,3 +181,19 @@
 		t.Errorf("its last entry is %d, want 90", got)
 	}
 }
+
+func TestStopAndForget_DuringCompaction_FreesTheDisk(t *testing.T) {
+	m := newBackgroundMember(t)
+	m.commit(20)
+	write := m.work[0]
+	m.work = nil
+	go write()
+	m.group.StopAndForget(func() {})
+	if _, err := m.group.RunOnce(); err != nil {
+		t.Fatal(err)
+	}
+	found := (&singleMember{t: t, disk: m.disk}).recovered()
+	if found.Snapshot == nil || found.Snapshot.Index != 0 || len(found.Entries) > 0 || found.HardState.Term == 0 {
+		t.Errorf("the disk holds %+v", found)
+	}
+}
