--- a/review/tier/tier.go
+++ b/review/tier/tier.go
@@ -433,6 +433,18 @@
 	p.entries = append(p.entries, entry)
 }
 
+// Remove removes an endpoint.
+func (p *Platform) Remove(id string) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	for i := range p.entries {
+		if p.entries[i].ID == id {
+			p.entries = append(p.entries[:i], p.entries[i+1:]...)
+			return
+		}
+	}
+}
+
 // Record is the file in which a case notes what was sent, answered and run.
 type Record struct {
 	mutex sync.Mutex
