--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -e
 cd "$(dirname "$0")"
 mkdir -p bin
-CGO_ENABLED=0 GOFLAGS=-mod=mod GOWORK=off go build -buildvcs=false -o bin/ ./1 ./2
+CGO_ENABLED=0 GOFLAGS=-mod=mod GOWORK=off go build -buildvcs=false -o bin/ ./1 ./2 ./3
