review: turns of running programs take the stores over their machines' memory

Cause: near the limit a store refuses only turns that begin a program; all contents lie in memory as a whole.

--- a/review/tier/tier.go
+++ b/review/tier/tier.go
@@ -215,6 +215,21 @@
 	}
 }
 
+// ResidentKb returns the resident memory of the process in KiB, without pages of files; 0 if it doesn't run.
+func (p *Process) ResidentKb() int {
+	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.command.Process.Pid))
+	if err != nil {
+		return 0
+	}
+	for _, line := range strings.Split(string(raw), "\n") {
+		if rest, found := strings.CutPrefix(line, "RssAnon:"); found {
+			value, _ := strconv.Atoi(strings.Fields(rest)[0])
+			return value
+		}
+	}
+	return 0
+}
+
 // Disk returns the data folder of the process's machine.
 func (p *Process) Disk() string { return filepath.Join(p.tier.Folder, "disk", p.machine.Name) }
 
