upstream: never send a request again over a connection that has carried it

Cause: an answer counts as that of a send by its X-Attempt-Id, which is the id of the client's try and the same in each send. An endpoint that is full refuses with X-Not-Run, and may be tried again once the others have refused too, often over the same kept connection. A second copy of the first refusal that arrives there late, in the place of the next answer, carries the id of the send that the endpoint runs at that moment, and counted as its refusal.

Change: a request remembers the connections that have carried it, and takes none of them again: of the idle ones it takes another, or a new one is opened, within the endpoint's bound. A second copy on the earlier connection then meets another id, and is skipped as foreign. The two events are counted: mastusher_foreign_answers_total and mastusher_repeated_sends_total.

--- a/internal/tier/metrics/metrics.go
+++ b/internal/tier/metrics/metrics.go
@@ -45,6 +45,15 @@
 	UnknownZone ZoneClass = "unknown"
 )
 
+// ConnectionAge tells whether a connection has carried other requests, the value of the label connection.
+type ConnectionAge string
+
+// Ages of connections.
+const (
+	NewConnection    ConnectionAge = "new"
+	ReusedConnection ConnectionAge = "kept"
+)
+
 // orderBuckets are the bucket bounds of the histogram of order steps, in seconds.
 var orderBuckets = []float64{.005, .01, .025, .05, .1, .25, .5, 1, 2.5, 5}
 
@@ -58,6 +67,9 @@
 	elections    prometheus.Counter
 	rejections   *prometheus.CounterVec
 
+	foreignResponses prometheus.Counter
+	repeatedSends    *prometheus.CounterVec
+
 	mutex       sync.Mutex
 	lookUpZone  func(host string) ZoneClass // nil: the zones of all hosts are unknown
 	zoneClasses map[string]ZoneClass        // by host
@@ -77,10 +89,15 @@
 		orders: counters("orders_total", "Configurations that the operator has sent, by outcome.", "outcome"),
 		elections: prometheus.NewCounter(prometheus.CounterOpts{Namespace: "mastusher", Name: "elections_total",
 			Help: "Owners of the configuration's group that this member has seen elected."}),
-		rejections:  counters("own_answers_total", "Requests that the proxy has answered by itself, by kind.", "kind"),
+		rejections: counters("own_answers_total", "Requests that the proxy has answered by itself, by kind.", "kind"),
+		foreignResponses: prometheus.NewCounter(prometheus.CounterOpts{Namespace: "mastusher", Name: "foreign_answers_total",
+			Help: "Answers of endpoints that came in the place of the answer to another request."}),
+		repeatedSends: counters("repeated_sends_total", "Requests sent again to an endpoint that had not run them, by age of the connection.",
+			"connection"),
 		zoneClasses: map[string]ZoneClass{},
 	}
-	m.registry.MustRegister(m.messageBytes, m.sentBytes, m.orderSeconds, m.orders, m.elections, m.rejections)
+	m.registry.MustRegister(m.messageBytes, m.sentBytes, m.orderSeconds, m.orders, m.elections, m.rejections,
+		m.foreignResponses, m.repeatedSends)
 	return m
 }
 
@@ -121,6 +138,14 @@
 // CountRejection counts a request that the proxy itself answered with an error, by the text of the apierror.Kind.
 func (m *Metrics) CountRejection(kind string) { m.rejections.WithLabelValues(kind).Inc() }
 
+// CountForeignResponse counts an endpoint's response that came in the place of the response to another request.
+func (m *Metrics) CountForeignResponse() { m.foreignResponses.Inc() }
+
+// CountRepeatedSend counts a request that is sent again to an endpoint that has not run it.
+func (m *Metrics) CountRepeatedSend(age ConnectionAge) {
+	m.repeatedSends.WithLabelValues(string(age)).Inc()
+}
+
 // zoneClass returns the zone class of a peer, from the cache or the lookup function.
 func (m *Metrics) zoneClass(address string) ZoneClass {
 	host, _, err := net.SplitHostPort(address)
--- a/internal/tier/metrics/metrics_test.go
+++ b/internal/tier/metrics/metrics_test.go
@@ -40,6 +40,8 @@
 	m.CountOrder(metrics.Accepted)
 	m.CountElection()
 	m.CountRejection("no_route")
+	m.CountForeignResponse()
+	m.CountRepeatedSend(metrics.ReusedConnection)
 	got := text(m)
 	for _, want := range []string{
 		`mastusher_link_line_bytes_total{kind="replica",zone="unknown"} 5`,
@@ -52,6 +54,8 @@
 		`mastusher_orders_total{outcome="taken"} 1`,
 		`mastusher_elections_total 1`,
 		`mastusher_own_answers_total{kind="no_route"} 1`,
+		`mastusher_foreign_answers_total 1`,
+		`mastusher_repeated_sends_total{connection="kept"} 1`,
 	} {
 		if !strings.Contains(got, want+"\n") {
 			t.Errorf("missing %s in:\n%s", want, got)
--- a/internal/tier/proxy/options.go
+++ b/internal/tier/proxy/options.go
@@ -18,7 +18,7 @@
 	Views            Views
 	Programs         Programs
 	Selector         Selector
-	Upstream         upstream.Options // of the connections to endpoints; its Network is replaced by the one below
+	Upstream         upstream.Options // of the connections to endpoints; its Network and Metrics are replaced by those below
 	Network          network.Network  // nil: the system's network
 
 	// MaxClientConnections limits the connections of clients; 0: unlimited. A connection over the limit is closed unread. A larger
--- a/internal/tier/proxy/server.go
+++ b/internal/tier/proxy/server.go
@@ -52,6 +52,7 @@
 	}
 	options.Network = network.OrSystem(options.Network)
 	options.Upstream.Network = options.Network
+	options.Upstream.Metrics = options.Metrics
 	p := &Proxy{
 		options:    options,
 		pool:       upstream.NewPool(options.Upstream),
--- a/internal/tier/upstream/doc.go
+++ b/internal/tier/upstream/doc.go
@@ -6,9 +6,11 @@
 // run it (MayHaveRun). Responses are parsed by net/http, but http.Transport isn't used: it pools by address and retries requests.
 //
 // A response must carry the X-Attempt-Id of its request. A response with another id, or without one on a reused connection, is
-// foreign: a late response to an earlier request. It is skipped, and its connection is not reused.
+// foreign: a late response to an earlier request. It is skipped, and its connection is not reused. A request that is sent again has the
+// same id, so it never goes over a connection that has carried it before: a late second response to its earlier send can't be taken for
+// the response to the new one.
 //
-// A Pool is safe for concurrent use. A Response belongs to one goroutine, which must close it. A long request is written by a second
-// goroutine while its response is read; Pool.Do (on failure) or Response.Close waits for that goroutine. The reaper, which closes
-// expired idle connections, is a timer that runs only while there are idle connections and is stopped by Pool.Close.
+// A Pool is safe for concurrent use, a Request isn't. A Response belongs to one goroutine, which must close it. A long request is written
+// by a second goroutine while its response is read; Pool.Do (on failure) or Response.Close waits for that goroutine. The reaper, which
+// closes expired idle connections, is a timer that runs only while there are idle connections and is stopped by Pool.Close.
 package upstream
--- a/internal/tier/upstream/exchange.go
+++ b/internal/tier/upstream/exchange.go
@@ -7,6 +7,8 @@
 	"net"
 	"net/http"
 	"sync"
+
+	"mastusher/internal/tier/metrics"
 )
 
 const (
@@ -45,7 +47,7 @@
 	if err := ctx.Err(); err != nil {
 		return nil, &Error{Kind: NeverSent, Reason: Cancelled, Err: context.Cause(ctx)}
 	}
-	c, failure := p.acquire(ctx, endpoint, request.AttemptID == "")
+	c, failure := p.acquire(ctx, endpoint, request)
 	if failure != nil {
 		if ctx.Err() != nil {
 			failure.Reason = Cancelled
@@ -94,7 +96,9 @@
 // Response.Close waits for.
 func (e *exchange) run() (*Response, *Error) {
 	e.stop = e.connection.abortOnDone(e.ctx)
+	e.countRepeatedSend()
 	e.connection.requests++
+	e.request.carriedBy = append(e.request.carriedBy, e.connection)
 	e.connection.carriedHead = e.connection.carriedHead || e.request.Method == http.MethodHead
 	if e.request.bodyLength() > directWriteBytes {
 		e.writeDone = make(chan writeResult, 1)
@@ -112,6 +116,18 @@
 	return newResponse(e, response), nil
 }
 
+// countRepeatedSend counts the send if the request has been sent to the endpoint before.
+func (e *exchange) countRepeatedSend() {
+	if !e.request.sentTo(e.connection.endpoint.id) {
+		return
+	}
+	age := metrics.ReusedConnection
+	if e.connection.requests == 0 {
+		age = metrics.NewConnection
+	}
+	e.pool.options.Metrics.CountRepeatedSend(age)
+}
+
 // readError converts an error of readHead to an Error. It ends a write in progress first, whose result tells whether any bytes were
 // sent.
 func (e *exchange) readError(err error) *Error {
@@ -195,6 +211,7 @@
 		if e.matches(response) {
 			return response, nil
 		}
+		e.pool.options.Metrics.CountForeignResponse()
 		e.notReusable = true
 		foreign++
 		if foreign > maxForeignResponses || c.carriedHead || !skipForeign(response) {
@@ -203,8 +220,9 @@
 	}
 }
 
-// matches reports whether a response belongs to this request. A response without an id does if the connection has carried no other
-// request. A response with several ids belongs to no request.
+// matches reports whether a response belongs to this exchange. A response with the request's id does, since the connection has carried
+// the request only once (Request.mayUse): it can't be a late response to an earlier exchange of the same request. A response without an
+// id does if the connection has carried no other request. A response with several ids belongs to no request.
 func (e *exchange) matches(response *http.Response) bool {
 	ids := response.Header[AttemptIDHeader]
 	if len(ids) == 0 {
--- a/internal/tier/upstream/mutants_test.go
+++ b/internal/tier/upstream/mutants_test.go
@@ -8,6 +8,16 @@
 
 func TestMutantsAreNoticed(t *testing.T) {
 	mutation.Test(t, []mutation.Mutant{
+		{
+			Name: "a request goes over a connection that has carried it",
+			Change: mutation.Change{
+				File: "request.go",
+				Old:  `r.AttemptID != "" && !slices.Contains(r.carriedBy, c)`,
+				New:  `r.AttemptID != ""`,
+			},
+			Run:    "^TestDo_RefusedRequestSentAgain_LateCopyOfRefusalIsNoAnswer$",
+			Always: true,
+		},
 		{
 			Name:   "a cancelled request's connection is closed without a reset",
 			Change: mutation.Change{File: "connection.go", Old: "\t\tc.resetOnClose()\n", New: ""},
--- a/internal/tier/upstream/options.go
+++ b/internal/tier/upstream/options.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"mastusher/internal/tier/metrics"
 	"mastusher/internal/tier/network"
 )
 
@@ -23,6 +24,7 @@
 	MaxHeaderBytes    int64            // largest head of a response; default 64 KiB
 	Now               func() time.Time // nil: time.Now
 	Network           network.Network  // nil: the operating system's
+	Metrics           *metrics.Metrics // of foreign responses and repeated sends; nil: metrics of the Pool's own, which nobody reads
 }
 
 // The default values of Options.
@@ -55,6 +57,9 @@
 		o.MaxHeaderBytes = DefaultMaxHeaderBytes
 	}
 	o.Network = network.OrSystem(o.Network)
+	if o.Metrics == nil {
+		o.Metrics = metrics.New()
+	}
 	if o.Now == nil {
 		o.Now = time.Now
 	}
--- a/internal/tier/upstream/pool.go
+++ b/internal/tier/upstream/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 )
@@ -52,26 +53,27 @@
 	}
 }
 
-// acquire returns an idle connection to the endpoint or a new one. If fresh is set, it always returns a new one.
-func (p *Pool) acquire(ctx context.Context, endpoint Endpoint, fresh bool) (*connection, *Error) {
+// acquire returns an idle connection to the endpoint on which the request may be sent, or a new one.
+func (p *Pool) acquire(ctx context.Context, endpoint Endpoint, request *Request) (*connection, *Error) {
 	for {
-		idle, reserved, failure := p.takeIdleOrReserve(endpoint, fresh)
+		idle, reserved, failure := p.takeIdleOrReserve(endpoint, request)
 		if failure != nil {
 			return nil, failure
 		}
 		if reserved != nil {
 			return p.connect(ctx, endpoint, reserved)
 		}
-		if !fresh && idle.reusable(p.options.Now()) {
+		if request.mayUse(idle) && idle.reusable(p.options.Now()) {
 			return idle, nil
 		}
 		p.discard(idle)
 	}
 }
 
-// takeIdleOrReserve takes the idle connection that was released last. If there is none, it reserves a slot for a new one. If fresh is
-// set, it takes an idle connection only if the endpoint has no free slot, so that the caller can discard it to free one.
-func (p *Pool) takeIdleOrReserve(endpoint Endpoint, fresh bool) (idle *connection, reserved *endpointConns, failure *Error) {
+// takeIdleOrReserve takes, of the idle connections on which the request may be sent, the one that was released last. If there is none,
+// it reserves a slot for a new one. If the endpoint has no free slot, it takes an idle connection on which the request may not be sent,
+// so that the caller can discard it to free one.
+func (p *Pool) takeIdleOrReserve(endpoint Endpoint, request *Request) (idle *connection, reserved *endpointConns, failure *Error) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	if p.closed {
@@ -82,19 +84,32 @@
 		conns = &endpointConns{id: endpoint.ID}
 		p.endpoints[endpoint.ID] = conns
 	}
-	full := endpoint.MaxConnections > 0 && conns.total >= endpoint.MaxConnections
-	if last := len(conns.idle) - 1; last >= 0 && (full || !fresh) {
-		idle = conns.idle[last]
-		conns.idle[last] = nil
-		conns.idle = conns.idle[:last]
-		p.inUse[idle] = struct{}{}
-		return idle, nil, nil
+	position := conns.lastIdleFor(request)
+	if full := endpoint.MaxConnections > 0 && conns.total >= endpoint.MaxConnections; full && position < 0 {
+		position = len(conns.idle) - 1
+		if position < 0 {
+			return nil, nil, &Error{Kind: NeverSent, Reason: PoolExhausted}
+		}
+	}
+	if position < 0 {
+		conns.total++
+		return nil, conns, nil
 	}
-	if full {
-		return nil, nil, &Error{Kind: NeverSent, Reason: PoolExhausted}
+	idle = conns.idle[position]
+	conns.idle = slices.Delete(conns.idle, position, position+1)
+	p.inUse[idle] = struct{}{}
+	return idle, nil, nil
+}
+
+// lastIdleFor returns the position of the idle connection that was released last among those on which the request may be sent; -1: there
+// is none.
+func (e *endpointConns) lastIdleFor(request *Request) int {
+	for position := len(e.idle) - 1; position >= 0; position-- {
+		if request.mayUse(e.idle[position]) {
+			return position
+		}
 	}
-	conns.total++
-	return nil, conns, nil
+	return -1
 }
 
 // connect establishes a new connection in a reserved slot. If that fails, it releases the slot.
--- a/internal/tier/upstream/request.go
+++ b/internal/tier/upstream/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -12,7 +13,8 @@
 	Name, Value string
 }
 
-// Request is a request to be written as it is. Only Content-Length and X-Time-Left-Ms are added to its header fields.
+// Request is a request to be written as it is. Only Content-Length and X-Time-Left-Ms are added to its header fields. It may be sent
+// several times, one after the other.
 type Request struct {
 	Method        string
 	Target        string   // request target: path and query, written byte for byte
@@ -26,6 +28,20 @@
 	// Deadline is when the caller stops waiting for the response. The time left until then is sent as X-Time-Left-Ms, computed when
 	// the request is written, since establishing a connection takes time too. Zero: no X-Time-Left-Ms is sent.
 	Deadline time.Time
+
+	carriedBy []*connection // connections on which the request has been sent
+}
+
+// mayUse reports whether the request may be sent on a connection that has carried other requests. A request without an id may not: an
+// answer without one can't be told from a late answer to another request. A request that the connection has carried before may not
+// either: all its sends have the same id, so a late second answer to the earlier send would count as the answer to this one.
+func (r *Request) mayUse(c *connection) bool {
+	return r.AttemptID != "" && !slices.Contains(r.carriedBy, c)
+}
+
+// sentTo reports whether the request has been sent to an endpoint.
+func (r *Request) sentTo(endpointID string) bool {
+	return slices.ContainsFunc(r.carriedBy, func(c *connection) bool { return c.endpoint.id == endpointID })
 }
 
 // minTimeLeftMs is the smallest value of X-Time-Left-Ms.
