rollout: take the answers in their order under any leader, not as one batch

Cause: the tests that decide a roll-out depend on the order of the answers, and their state was in the leader's memory alone. Proxies report sums since the order. A leader that had just been elected or started took all of them as one or two batches, in which many good answers hid the bad ones since; and it finished on the reports of the proxies that it had heard so far.

Change: - Proxies keep the answers of a roll-out in order (rollout.History: intervals of 250 ms, 40 at most, older ones merged) and report them whole. An analysis that begins, was interrupted or lacked reports takes all answers in order of time; one that goes on adds the newest, as before. - Nothing is finished on incomplete evidence: a controller that has heard of a roll-out only after its beginning waits until as many proxies have reported as run, or for 2 s; after 2 s without any report, until they come. - Proxies repeat an unchanged report each second during a roll-out, so that a controller that has started meanwhile also hears of idle ones. - "roll-out decided" says on how many intervals, up to which ratio, and whether on complete evidence. A report without history counts as one interval.

The stored body of a report in wire/testdata gets the new field; the one before is kept in a file of its own, and read and written alike.

--- a/internal/tier/controller/order_mutants_test.go
+++ b/internal/tier/controller/order_mutants_test.go
@@ -147,6 +147,24 @@
 		},
 		Run: "^TestRollout_StatsOfEarlierOrder_Ignored",
 	},
+	{
+		Name: "the answers that proxies report aren't put in order",
+		Change: mutation.Change{
+			File: "rollout_stats.go",
+			Old:  "	rollout.Sort(evidence.Answers)\n",
+			New:  "",
+		},
+		Run: "^TestStatsTable_AnswersOfProxies_InTheOrderOfTheirTimes$",
+	},
+	{
+		Name: "one report counts for those of all proxies",
+		Change: mutation.Change{
+			File: "rollout_stats.go",
+			Old:  "	return heard >= proxies\n",
+			New:  "	return heard > 0\n",
+		},
+		Run: "^TestRollout_ReportsMissingAfterRestart_NotFinished$",
+	},
 }
 
 // TestOrderMutantsAreNoticed checks that tests detect these mutants. Those of the random histories are detected with the default seeds.
--- a/internal/tier/controller/rollout_analysis.go
+++ b/internal/tier/controller/rollout_analysis.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"maps"
+	"math"
 	"slices"
 	"time"
 
 	"github.com/go-kit/log/level"
 
+	"mastusher/internal/tier/membership"
 	"mastusher/internal/tier/model"
 	"mastusher/internal/tier/rollout"
 	"mastusher/internal/tier/wait"
@@ -19,6 +21,7 @@
 	decideTimeout    = time.Second            // for the group to commit a decision or a version
 	commitDelay      = 100 * time.Millisecond // approximate time from sending an order until members apply it
 	reportTimeout    = 2 * time.Second        // longest time until a proxy that knows of a roll-out has reported on it
+	reportDelay      = time.Second            // usual time from a proxy's learning of a roll-out until its first report on it
 )
 
 // analysisLoop evaluates the roll-outs in service while this member is the leader.
@@ -37,18 +40,38 @@
 		return !slices.ContainsFunc(active, func(current rollout.Rollout) bool { return current.Index == index })
 	})
 	for _, current := range active {
-		if analyses[current.Index] == nil {
-			analyses[current.Index] = rollout.NewAnalysis()
-		}
 		if !c.group.Status().IsLeader {
+			delete(analyses, current.Index) // the former analysis of a leader that is elected again would lack the time between
 			continue
 		}
-		target, knownFor := c.versionStats.duringRollout(&current, now)
+		if analyses[current.Index] == nil {
+			analyses[current.Index] = rollout.NewAnalysis()
+		}
+		target, knownFor := c.versionStats.duringRollout(&current, now, c.runningProxies())
 		baseline := c.versionStats.total(current.Service, current.Baseline)
-		if state := analyses[current.Index].Evaluate(current, c.elapsed(&current, now, knownFor), target, baseline); state != rollout.InService {
-			c.proposeDecision(ctx, current, state, target.Total(), baseline.Total())
+		analysis := analyses[current.Index]
+		if state := analysis.Evaluate(current, c.elapsed(&current, now, knownFor), target, baseline); state != rollout.InService {
+			c.proposeDecision(ctx, current, state, evaluation{target, baseline, analysis.PeakRatio()})
+		}
+	}
+}
+
+// evaluation is what a decision was based on.
+type evaluation struct {
+	target    rollout.Evidence
+	baseline  rollout.StatsByRoute
+	peakRatio float64 // highest log-likelihood ratio of any test
+}
+
+// runningProxies returns the number of proxies that run, as far as this process knows: each has an agent on its machine.
+func (c *Controller) runningProxies() int {
+	count := 0
+	for _, m := range c.options.Fleet.Members() {
+		if m.Role == membership.Agent && !m.DeadOrLeft() {
+			count++
 		}
 	}
+	return count
 }
 
 // elapsed returns how long a roll-out has been in service: the longer of the times for which this process and any proxy have known
@@ -66,7 +89,7 @@
 }
 
 // proposeDecision proposes the end of a roll-out. If that fails, the next evaluation proposes it again.
-func (c *Controller) proposeDecision(ctx context.Context, current rollout.Rollout, state rollout.State, target, baseline rollout.Stats) {
+func (c *Controller) proposeDecision(ctx context.Context, current rollout.Rollout, state rollout.State, on evaluation) {
 	bounded, cancel := context.WithTimeout(ctx, decideTimeout)
 	defer cancel()
 	decision := &rollout.Decision{Service: current.Service, Target: current.Target, ProposalIndex: current.Index, State: state}
@@ -75,8 +98,10 @@
 			"state", state, "err", err)
 		return
 	}
+	target, baseline := on.target.Totals.Total(), on.baseline.Total()
 	level.Info(c.options.Logger).Log("msg", "roll-out decided", "service", current.Service, "target", current.Target, "state", state,
-		"good", target.Good, "bad", target.Bad, "baselineGood", baseline.Good, "baselineBad", baseline.Bad)
+		"good", target.Good, "bad", target.Bad, "baselineGood", baseline.Good, "baselineBad", baseline.Bad,
+		"intervals", len(on.target.Answers), "ratio", math.Round(on.peakRatio), "complete", on.target.Complete)
 }
 
 // initialVersions returns the initial version of each service: the one with the most endpoints, and of equals the first by name. The
--- a/internal/tier/controller/rollout_stats.go
+++ b/internal/tier/controller/rollout_stats.go
@@ -14,10 +14,16 @@
 // duration of roll-outs. A longer one keeps the counts of idle proxies in the baseline, and takes memory for ended processes.
 const maxReportSilence = 15 * time.Minute
 
+// maxReportGap is the longest time between two reports of any proxies during a roll-out. Proxies repeat theirs each second; a longer gap
+// means that this process was cut off, or stood still.
+const maxReportGap = reportTimeout
+
 // statsTable holds the newest report of each proxy process. It is safe for concurrent use.
 type statsTable struct {
-	mutex   sync.Mutex
-	sources map[string]proxyReport // by proxy process; its counts only grow, so a report replaces the one before
+	mutex        sync.Mutex
+	sources      map[string]proxyReport // by proxy process; its counts only grow, so a report replaces the one before
+	lastReportAt time.Duration
+	heardSince   time.Duration // since when reports have arrived without a gap
 }
 
 // proxyReport is the newest report of a proxy process.
@@ -32,14 +38,16 @@
 func (t *statsTable) replace(now time.Duration, report wire.VersionStatsReport) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
+	if len(t.sources) == 0 || now-t.lastReportAt > maxReportGap {
+		t.heardSince = now
+	}
+	t.lastReportAt = now
 	t.sources[report.Source] = proxyReport{at: now, versions: report.Versions}
 	maps.DeleteFunc(t.sources, func(_ string, known proxyReport) bool { return now-known.at > maxReportSilence })
 }
 
-// each calls visit for each report of a service's version. visit must not call methods of the table.
+// each calls visit for each report of a service's version. The caller must hold the mutex.
 func (t *statsTable) each(service, version string, visit func(at time.Duration, stats *wire.VersionStats)) {
-	t.mutex.Lock()
-	defer t.mutex.Unlock()
 	for _, source := range t.sources {
 		for i := range source.versions {
 			if source.versions[i].Service == service && source.versions[i].Version == version {
@@ -51,20 +59,63 @@
 
 // total sums up all stats of a service's version, by route.
 func (t *statsTable) total(service, version string) rollout.StatsByRoute {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
 	sums := rollout.StatsByRoute{}
 	t.each(service, version, func(_ time.Duration, stats *wire.VersionStats) { sums.Add(stats.Route, stats.Stats) })
 	return sums
 }
 
-// duringRollout sums up the stats of the target during one roll-out, by route. knownFor is the longest time for which any proxy has
-// known of the roll-out; 0: none has reported.
-func (t *statsTable) duringRollout(current *rollout.Rollout, now time.Duration) (sums rollout.StatsByRoute, knownFor time.Duration) {
-	sums = rollout.StatsByRoute{}
+// duringRollout returns what proxies have reported of the target during one roll-out. proxies is the number of proxies that run. knownFor is
+// the longest time for which any proxy has known of the roll-out; 0: none has reported.
+func (t *statsTable) duringRollout(current *rollout.Rollout, now time.Duration, proxies int) (evidence rollout.Evidence, knownFor time.Duration) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	evidence.Totals = rollout.StatsByRoute{}
 	t.each(current.Service, current.Target, func(at time.Duration, stats *wire.VersionStats) {
 		if stats.Order == current.Index {
-			sums.Add(stats.Route, stats.Stats)
+			evidence.Totals.Add(stats.Route, stats.Stats)
+			evidence.Answers = appendAnswers(evidence.Answers, at, stats)
 			knownFor = max(knownFor, now-at+time.Duration(stats.AgeMs)*time.Millisecond)
 		}
 	})
-	return sums, knownFor
+	rollout.Sort(evidence.Answers)
+	evidence.Complete = t.isComplete(now, knownFor, proxies)
+	return evidence, knownFor
+}
+
+// appendAnswers appends the answers of a report that arrived at a time. The counts of a proxy that reports no history are one interval.
+func appendAnswers(answers []rollout.RouteAnswers, at time.Duration, stats *wire.VersionStats) []rollout.RouteAnswers {
+	history := stats.History
+	if len(history) == 0 {
+		history = []rollout.Interval{rollout.NewInterval(stats.AgeMs, &stats.Stats)}
+	}
+	for i := range history {
+		age := time.Duration(history[i].AgeMs) * time.Millisecond
+		answers = append(answers, rollout.RouteAnswers{Route: stats.Route, At: at - age, Interval: &history[i]})
+	}
+	return answers
+}
+
+// isComplete reports whether the newest reports of all proxies have arrived: reports have come without a gap until now, and since the
+// roll-out's beginning, or from as many processes as there are proxies, or for as long as a report may take. Before the first report on a
+// roll-out nothing is missing. The caller must hold the mutex.
+func (t *statsTable) isComplete(now, knownFor time.Duration, proxies int) bool {
+	if knownFor == 0 || proxies == 0 {
+		return true
+	}
+	if now-t.lastReportAt > maxReportGap {
+		return false
+	}
+	heardFor := now - t.heardSince
+	if heardFor >= reportTimeout || knownFor <= heardFor+reportDelay {
+		return true
+	}
+	heard := 0
+	for _, source := range t.sources {
+		if source.at >= t.heardSince {
+			heard++
+		}
+	}
+	return heard >= proxies
 }
--- a/internal/tier/controller/rollout_test.go
+++ b/internal/tier/controller/rollout_test.go
@@ -76,7 +76,7 @@
 			// Then the roll-out's time in service follows from these.
 			f.now, f.skew = time.Hour, test.skew
 			newestRollout := f.newestRollout("lm")
-			_, known := f.versionStats.duringRollout(&newestRollout, f.now)
+			_, known := f.versionStats.duringRollout(&newestRollout, f.now, 1)
 			if got := f.elapsed(&newestRollout, f.now, known); got != test.want {
 				t.Errorf("time in service %v, want %v", got, test.want)
 			}
@@ -94,8 +94,8 @@
 	f.versionStats.replace(0, wire.VersionStatsReport{Source: "p", Versions: []wire.VersionStats{stats(0, 30, 20), stats(second, 3, 0)}})
 	f.versionStats.replace(0, wire.VersionStatsReport{Source: "q", Versions: []wire.VersionStats{stats(first, 7, 6), stats(second, 2, 1)}})
 	// Then only the stats of the second roll-out count for the target, and all of them if the version is the baseline.
-	target, _ := f.versionStats.duringRollout(&rollout.Rollout{Proposal: rollout.Proposal{Service: "lm", Target: "v2"}, Index: second}, 0)
-	if got := target.Total(); got.Sent != 5 || got.Bad != 1 {
+	target, _ := f.versionStats.duringRollout(&rollout.Rollout{Proposal: rollout.Proposal{Service: "lm", Target: "v2"}, Index: second}, 0, 2)
+	if got := target.Totals.Total(); got.Sent != 5 || got.Bad != 1 {
 		t.Errorf("the target has %d requests, %d of which failed; want 5 and 1", got.Sent, got.Bad)
 	}
 	if got := f.versionStats.total("lm", "v2").Total(); got.Sent != 42 || got.Bad != 27 {
--- a/internal/tier/rollout/analysis.go
+++ b/internal/tier/rollout/analysis.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -21,36 +22,70 @@
 	deadlineMargin   = 300 * time.Millisecond // time before the deadline at which a target with fewer good answers is decided
 )
 
-// Analysis decides one roll-out by repeated evaluation of its stats. Each route is tested separately, for failures and for slow
-// answers: many good routes must not hide one that fails.
-type Analysis struct {
-	processed StatsByRoute // the target's stats that the tests already include
-	tests     map[string]routeTests
-	rejected  bool // by the test of any route
+// Evidence is what proxies have reported of a target during its roll-out.
+type Evidence struct {
+	Totals  StatsByRoute
+	Answers []RouteAnswers // all answers in the order in which they came
+
+	// Complete is false if reports of proxies may be missing, for example since the controller has started a moment ago.
+	Complete bool
 }
 
-// routeTests holds the two tests of one route.
-type routeTests struct {
-	failures, latency sequentialTest
+// RouteAnswers holds answers of the target on one route that came at about the same time.
+type RouteAnswers struct {
+	Route string
+	At    time.Duration // when they came, by the controller's monotonic clock
+	*Interval
 }
 
-// NewAnalysis returns an analysis that has evaluated no answers yet.
-func NewAnalysis() *Analysis {
-	return &Analysis{processed: StatsByRoute{}, tests: map[string]routeTests{}}
+// Sort puts answers into the order in which they came. The order of answers that came at the same time doesn't depend on the one before.
+func Sort(answers []RouteAnswers) {
+	slices.SortStableFunc(answers, func(a, b RouteAnswers) int {
+		return cmp.Or(cmp.Compare(a.At, b.At), cmp.Compare(a.Route, b.Route), cmp.Compare(a.Bad, b.Bad), cmp.Compare(a.Good, b.Good))
+	})
 }
 
-// Evaluate decides a roll-out from the time that it has been in service and from all stats so far of its target and its baseline.
-// It returns Finished or Reverted, or InService while the decision is open.
-func (a *Analysis) Evaluate(rollout Rollout, elapsed time.Duration, target, baseline StatsByRoute) State {
-	a.update(target, baseline)
+// maxEvaluationGap is the longest time between two evaluations for which the order of the answers between them doesn't matter.
+const maxEvaluationGap = time.Second
+
+// Analysis decides one roll-out by repeated evaluation of its evidence. Each route is tested separately, for failures and for slow
+// answers: many good routes must not hide one that fails.
+//
+// Each evaluation adds the answers since the last one to the tests. Where more than these are new, since the analysis has just begun, was
+// interrupted, or lacked reports, the tests begin again and take all answers in their order: a version may have turned bad after many
+// good answers, which must not count as one with the bad ones.
+type Analysis struct {
+	tests       map[string]routeTests
+	processed   StatsByRoute  // the target's stats that the tests include
+	complete    bool          // the last evaluation was on complete evidence
+	evaluatedAt time.Duration // time in service at the last evaluation
+	rejected    bool          // by the test of any route
+	peak        float64       // highest log-likelihood ratio of any test so far
+}
+
+// NewAnalysis returns an analysis that has evaluated no answers yet.
+func NewAnalysis() *Analysis { return &Analysis{} }
+
+// PeakRatio returns the highest log-likelihood ratio, bad to good version, that any test has had.
+func (a *Analysis) PeakRatio() float64 { return a.peak }
+
+// Evaluate decides a roll-out from the time that it has been in service, the evidence on its target, and all stats of its baseline. It
+// returns Finished or Reverted, or InService while the decision is open. It never returns Finished on incomplete evidence.
+func (a *Analysis) Evaluate(rollout Rollout, elapsed time.Duration, target Evidence, baseline StatsByRoute) State {
+	if a.complete && target.Complete && elapsed-a.evaluatedAt <= maxEvaluationGap {
+		a.update(target.Totals, baseline)
+	} else {
+		a.replay(target, baseline)
+	}
+	a.complete, a.evaluatedAt = target.Complete, elapsed
 	if a.rejected {
 		return Reverted
 	}
 	duration := time.Duration(rollout.DurationMs) * time.Millisecond
 	early := max(finishEarly, time.Duration(finishEarlyShare*float64(duration)))
-	sum := target.Total()
+	sum := target.Totals.Total()
 	switch {
-	case elapsed < duration-early:
+	case elapsed < duration-early || !target.Complete:
 		return InService
 	case sum.Good >= minGoodAnswers:
 		return Finished
@@ -62,6 +97,16 @@
 	return Finished
 }
 
+// replay begins the tests again with all answers in their order.
+func (a *Analysis) replay(target Evidence, baseline StatsByRoute) {
+	a.tests = map[string]routeTests{}
+	a.processed = maps.Clone(target.Totals)
+	expected := expectations{baseline: baseline, allRoutes: baseline.Total(), byRoute: map[string]expectation{}}
+	for _, answer := range target.Answers {
+		a.add(answer.Route, answer.Interval, expected.of(answer.Route))
+	}
+}
+
 // update adds the answers since the last evaluation to the tests.
 func (a *Analysis) update(target, baseline StatsByRoute) {
 	allRoutes := baseline.Total()
@@ -72,23 +117,70 @@
 		}
 		recent := current.since(a.processed[route])
 		a.processed[route] = current
-		expected := baseline[route]
-		if expected.Good+expected.Bad < minBaselineAnswers {
-			expected = allRoutes
-		}
-		a.tests[route] = a.tests[route].add(recent, expected)
-		a.rejected = a.rejected || a.tests[route].rejects()
+		interval := NewInterval(0, &recent)
+		a.add(route, &interval, newExpectation(baseline[route], allRoutes))
+	}
+}
+
+// add adds answers to the tests of a route.
+func (a *Analysis) add(route string, next *Interval, expected expectation) {
+	updated := a.tests[route].add(next, expected)
+	a.tests[route] = updated
+	a.rejected = a.rejected || updated.rejects()
+	a.peak = max(a.peak, updated.failures.logLikelihoodRatio, updated.latency.logLikelihoodRatio)
+}
+
+// expectations holds what is expected of a version that is as good as the baseline, by route.
+type expectations struct {
+	baseline  StatsByRoute
+	allRoutes Stats
+	byRoute   map[string]expectation // those that were asked for
+}
+
+// of returns the expectation of a route.
+func (e *expectations) of(route string) expectation {
+	expected, known := e.byRoute[route]
+	if !known {
+		expected = newExpectation(e.baseline[route], e.allRoutes)
+		e.byRoute[route] = expected
 	}
+	return expected
+}
+
+// expectation is how a version that is as good as the baseline answers on one route.
+type expectation struct {
+	badShare     float64
+	knowsLatency bool    // the baseline has enough answers to test the latency
+	slowFrom     int     // first latency bucket of slow answers
+	slowShare    float64 // share of slow answers
+}
+
+// newExpectation returns the expectation that follows from the baseline's answers on the route, or on all routes if it has few there.
+func newExpectation(route, allRoutes Stats) expectation {
+	if route.Good+route.Bad < minBaselineAnswers {
+		route = allRoutes
+	}
+	expected := expectation{badShare: baselineBadShare(route.Bad, route.Good)}
+	if count := route.latencyCount(); count >= minBaselineAnswers {
+		expected.knowsLatency = true
+		expected.slowFrom = route.medianBucket() + slowBucketOffset
+		slow := route.countFromBucket(expected.slowFrom)
+		expected.slowShare = baselineBadShare(slow, count-slow)
+	}
+	return expected
+}
+
+// routeTests holds the two tests of one route.
+type routeTests struct {
+	failures, latency sequentialTest
 }
 
-// add returns the tests after the target's recent answers have been added to them. expected holds the baseline's answers to compare with.
-func (t routeTests) add(recent, expected Stats) routeTests {
-	t.failures.add(recent.Bad, recent.Good, baselineBadShare(expected.Bad, expected.Good))
-	if expected.latencyCount() >= minBaselineAnswers {
-		slowFrom := expected.medianBucket() + slowBucketOffset
-		slow := recent.countFromBucket(slowFrom)
-		expectedSlow := expected.countFromBucket(slowFrom)
-		t.latency.add(slow, recent.latencyCount()-slow, baselineBadShare(expectedSlow, expected.latencyCount()-expectedSlow))
+// add returns the tests after the target's next answers have been added to them.
+func (t routeTests) add(next *Interval, expected expectation) routeTests {
+	t.failures.add(next.Bad, next.Good, expected.badShare)
+	if expected.knowsLatency {
+		all, slow := next.countLatencies(expected.slowFrom)
+		t.latency.add(slow, all-slow, expected.slowShare)
 	}
 	return t
 }
--- a/internal/tier/rollout/analysis_test.go
+++ b/internal/tier/rollout/analysis_test.go
@@ -1,6 +1,7 @@
 package rollout_test
 
 import (
+	"flag"
 	"fmt"
 	"maps"
 	"math"
@@ -51,18 +52,47 @@
 	lastRequestAt time.Duration // when the target got its last request
 	state         rollout.State
 	endedAt       time.Duration // when the roll-out was last evaluated while in service
+
+	// newLeaderEvery is how long a leader stays: with the next one begins a new analysis. 0: one leader stays.
+	newLeaderEvery time.Duration
+
+	histories map[historyKey]*rollout.History // of the target's answers
+}
+
+// historyKey names the history that a proxy keeps of a route.
+type historyKey struct {
+	proxy int
+	route string
+}
+
+// simulationStart is the time of day at which simulated roll-outs begin.
+var simulationStart = time.Unix(1_700_000_000, 0)
+
+// evidence returns what the proxies report of the target.
+func (s *simulatedRollout) evidence(now time.Duration, totals rollout.StatsByRoute) rollout.Evidence {
+	evidence := rollout.Evidence{Totals: copyOf(totals), Complete: true}
+	for key, history := range s.histories {
+		for _, interval := range history.Intervals(simulationStart.Add(now)) {
+			at := now - time.Duration(interval.AgeMs)*time.Millisecond
+			evidence.Answers = append(evidence.Answers, rollout.RouteAnswers{Route: key.route, At: at, Interval: &interval})
+		}
+	}
+	rollout.Sort(evidence.Answers)
+	return evidence
 }
 
 // run simulates requests at random times, sends the target its share of them, and evaluates the roll-out at intervals.
 func (s *simulatedRollout) run() {
 	roll := rollout.Rollout{Proposal: rollout.Proposal{DurationMs: s.duration.Milliseconds()}.WithBounds(bounds, proxies), State: rollout.InService}
 	target, baseline := rollout.StatsByRoute{}, rollout.StatsByRoute{}
+	s.histories = map[historyKey]*rollout.History{}
 	for range 200 {
-		s.answer(baseline, s.route(), false, 0)
+		s.answer(baseline, 0, s.route(), false, 0)
 	}
 	type report struct {
-		at               time.Duration
-		target, baseline rollout.StatsByRoute
+		at       time.Duration
+		target   rollout.Evidence
+		baseline rollout.StatsByRoute
 	}
 	var reports []report
 	analysis := rollout.NewAnalysis()
@@ -79,7 +109,10 @@
 	for now := time.Duration(0); now < s.duration; {
 		now += time.Duration(s.random.ExpFloat64() / s.perSecond * float64(time.Second))
 		for ; next <= now; next += evaluationInterval {
-			reports = append(reports, report{next, copyOf(target), copyOf(baseline)})
+			reports = append(reports, report{next, s.evidence(next, target), copyOf(baseline)})
+			if s.newLeaderEvery > 0 && next%s.newLeaderEvery < evaluationInterval {
+				analysis = rollout.NewAnalysis()
+			}
 			for len(reports) > 1 && reports[1].at+feedbackDelay <= next {
 				reports = reports[1:]
 			}
@@ -104,13 +137,13 @@
 			sent[proxy][route]++
 		}
 		if !toTarget {
-			s.answer(baseline, route, false, now)
+			s.answer(baseline, proxy, route, false, now)
 			continue
 		}
 		credit[proxy]--
 		s.target++
 		s.lastRequestAt = now
-		s.answer(target, route, true, now)
+		s.answer(target, proxy, route, true, now)
 	}
 }
 
@@ -125,11 +158,10 @@
 	return len(s.behavior.routeShares) - 1
 }
 
-// answer draws the answer to one request and adds it to the stats of a version.
-func (s *simulatedRollout) answer(stats rollout.StatsByRoute, route int, isTarget bool, now time.Duration) {
+// answer draws the answer to one request of a proxy, and adds it to the stats of a version and to the proxy's history of the target.
+func (s *simulatedRollout) answer(stats rollout.StatsByRoute, proxy, route int, isTarget bool, now time.Duration) {
 	name := fmt.Sprint("route-", route)
-	t := stats[name]
-	t.Sent++
+	t := rollout.Stats{Sent: 1}
 	bad := s.random.Float64() < s.behavior.baselineBadShare
 	took := medianLatencyMs * math.Exp(0.4*s.random.NormFloat64())
 	if isTarget && !s.behavior.isGood && now >= s.behavior.badFrom && (s.behavior.badRoute < 0 || s.behavior.badRoute == route) && s.random.Float64() < s.behavior.badShare {
@@ -145,7 +177,15 @@
 		t.Good++
 		t.ObserveLatency(time.Duration(took * float64(time.Millisecond)))
 	}
-	stats[name] = t
+	stats.Add(name, t)
+	if !isTarget {
+		return
+	}
+	key := historyKey{proxy, name}
+	if s.histories[key] == nil {
+		s.histories[key] = &rollout.History{}
+	}
+	s.histories[key].Add(simulationStart.Add(now), &t)
 }
 
 func copyOf(stats rollout.StatsByRoute) rollout.StatsByRoute {
@@ -156,8 +196,10 @@
 	return c
 }
 
+var simulatedRuns = flag.Int("rollouts", 100, "simulated roll-outs of each kind")
+
 func TestAnalysis_BadVersions_RevertedInTime(t *testing.T) {
-	const runs = 100
+	runs := *simulatedRuns
 	even, uneven := []float64{0.5, 0.5}, []float64{0.75, 0.25}
 	behaviors := []behavior{
 		{name: "errors", badShare: 0.3, badRoute: -1, routeShares: even},
@@ -170,6 +212,7 @@
 	for _, b := range behaviors {
 		t.Run(b.name, func(t *testing.T) {
 			missed := 0
+			var verdictAfter time.Duration
 			for seed := range uint64(runs) {
 				// Given a roll-out of a bad version,
 				s := &simulatedRollout{random: rand.New(rand.NewPCG(seed, 1)), behavior: b, perSecond: 28, duration: 14 * time.Second}
@@ -184,18 +227,21 @@
 				}
 				if s.state != rollout.Reverted {
 					missed++
+					continue
 				}
+				verdictAfter += s.endedAt - b.badFrom
 			}
 			// and the roll-out is reverted.
 			if missed > runs/100 {
 				t.Errorf("%d of %d roll-outs of bad versions were not reverted", missed, runs)
 			}
+			t.Logf("%d of %d missed, mean time to the verdict %v", missed, runs, verdictAfter/time.Duration(max(runs-missed, 1)))
 		})
 	}
 }
 
 func TestAnalysis_GoodVersions_FinishedByDeadline(t *testing.T) {
-	const runs = 100
+	runs := *simulatedRuns
 	for _, perSecond := range []float64{0.05, 0.5, 5, 28, 100} {
 		for _, failing := range []float64{0, 0.02} {
 			t.Run(fmt.Sprint(perSecond, " requests per second, a share of ", failing, " fails"), func(t *testing.T) {
@@ -214,6 +260,7 @@
 				if missed > runs/20 {
 					t.Errorf("%d of %d roll-outs of good versions were not finished", missed, runs)
 				}
+				t.Logf("%d of %d not finished", missed, runs)
 			})
 		}
 	}
@@ -223,7 +270,7 @@
 	// Given a roll-out of a service that gets no requests,
 	roll := rollout.Rollout{Proposal: rollout.Proposal{DurationMs: 10_000}}
 	// when its deadline is near,
-	got := rollout.NewAnalysis().Evaluate(roll, 9800*time.Millisecond, rollout.StatsByRoute{}, rollout.StatsByRoute{})
+	got := rollout.NewAnalysis().Evaluate(roll, 9800*time.Millisecond, rollout.Evidence{Complete: true}, rollout.StatsByRoute{})
 	// then the roll-out is finished.
 	if got != rollout.Finished {
 		t.Errorf("Evaluate returned %s, want finished", got)
@@ -233,7 +280,7 @@
 func TestAnalysis_NoAnswers_Reverted(t *testing.T) {
 	// Given a target that has got requests and answered none,
 	roll := rollout.Rollout{Proposal: rollout.Proposal{DurationMs: 10_000}}
-	target := rollout.StatsByRoute{"r": {Sent: 12}}
+	target := rollout.Evidence{Totals: rollout.StatsByRoute{"r": {Sent: 12}}, Complete: true}
 	baseline := rollout.StatsByRoute{"r": {Sent: 100, Good: 99}}
 	// when the roll-out is evaluated near its deadline,
 	got := rollout.NewAnalysis().Evaluate(roll, 9800*time.Millisecond, target, baseline)
@@ -247,7 +294,7 @@
 	// Given an analysis and two states of the same stats, the newer with two bad answers, the older with one,
 	roll := rollout.Rollout{Proposal: rollout.Proposal{DurationMs: 10_000}}
 	baseline := rollout.StatsByRoute{"r": {Sent: 100, Good: 99}}
-	newer, older := rollout.StatsByRoute{"r": {Sent: 4, Good: 2, Bad: 2}}, rollout.StatsByRoute{"r": {Sent: 2, Good: 1, Bad: 1}}
+	newer, older := evidenceOf(rollout.Stats{Sent: 4, Good: 2, Bad: 2}), evidenceOf(rollout.Stats{Sent: 2, Good: 1, Bad: 1})
 	analysis := rollout.NewAnalysis()
 	// when it evaluates the newer stats and the older ones in turn,
 	for range 5 {
@@ -259,3 +306,86 @@
 		t.Errorf("Evaluate returned %s, want in_service", got)
 	}
 }
+
+// evidenceOf returns complete evidence with intervals of one route, a second apart.
+func evidenceOf(intervals ...rollout.Stats) rollout.Evidence {
+	evidence := rollout.Evidence{Totals: rollout.StatsByRoute{}, Complete: true}
+	for i := range intervals {
+		interval := rollout.NewInterval(0, &intervals[i])
+		evidence.Totals.Add("r", intervals[i])
+		evidence.Answers = append(evidence.Answers, rollout.RouteAnswers{Route: "r", At: time.Duration(i) * time.Second, Interval: &interval})
+	}
+	return evidence
+}
+
+// TestAnalysis_LeadersChange_DecisionStays guards against review case 3: a new leader took all answers so far as one, so that the good
+// answers from before hid the bad ones of a version that had just turned bad.
+func TestAnalysis_LeadersChange_DecisionStays(t *testing.T) {
+	late := behavior{name: "errors after 9 s", badShare: 0.5, badFrom: 9 * time.Second, badRoute: -1, routeShares: []float64{1}}
+	good := behavior{name: "good", isGood: true, routeShares: []float64{1}}
+	for _, b := range []behavior{late, good} {
+		t.Run(b.name, func(t *testing.T) {
+			for seed := range uint64(30) {
+				// Given a roll-out under one leader, and the same one under leaders that stay for a moment,
+				steady := &simulatedRollout{random: rand.New(rand.NewPCG(seed, 3)), behavior: b, perSecond: 100, duration: 14 * time.Second}
+				changing := &simulatedRollout{random: rand.New(rand.NewPCG(seed, 3)), behavior: b, perSecond: 100, duration: 14 * time.Second,
+					newLeaderEvery: 300 * time.Millisecond}
+				// when both get the same requests until the deadline,
+				steady.run()
+				changing.run()
+				// then both are decided alike, at about the same time.
+				if steady.state != changing.state || (steady.endedAt-changing.endedAt).Abs() > time.Second {
+					t.Errorf("seed %d: %s at %v under changing leaders, want %s at %v", seed, changing.state, changing.endedAt, steady.state, steady.endedAt)
+				}
+				if want := map[bool]rollout.State{true: rollout.Finished, false: rollout.Reverted}[b.isGood]; steady.state != want {
+					t.Errorf("seed %d: %s, want %s", seed, steady.state, want)
+				}
+			}
+		})
+	}
+}
+
+func TestAnalysis_IncompleteEvidence_NotFinished(t *testing.T) {
+	// Given a controller that may lack reports, at the end of a roll-out,
+	roll := rollout.Rollout{Proposal: rollout.Proposal{DurationMs: 10_000}}
+	baseline := rollout.StatsByRoute{"r": {Sent: 100, Good: 99}}
+	good := evidenceOf(rollout.Stats{Sent: 30, Good: 30})
+	bad := evidenceOf(rollout.Stats{Sent: 30, Good: 30}, rollout.Stats{Sent: 8, Bad: 8})
+	good.Complete, bad.Complete = false, false
+	// then it doesn't finish the roll-out, but reverts one of a version that is bad by what it knows.
+	if got := rollout.NewAnalysis().Evaluate(roll, 9800*time.Millisecond, good, baseline); got != rollout.InService {
+		t.Errorf("Evaluate returned %s for good answers, want in_service", got)
+	}
+	if got := rollout.NewAnalysis().Evaluate(roll, 9800*time.Millisecond, bad, baseline); got != rollout.Reverted {
+		t.Errorf("Evaluate returned %s for bad answers, want reverted", got)
+	}
+}
+
+func TestAnalysis_Interrupted_TakesAnswersInOrder(t *testing.T) {
+	roll := rollout.Rollout{Proposal: rollout.Proposal{DurationMs: 60_000}}
+	baseline := rollout.StatsByRoute{"r": {Sent: 100, Good: 99}}
+	for _, test := range []struct {
+		name          string
+		evaluatedLast time.Duration
+		wasIncomplete bool
+	}{
+		{"no evaluation for a while", 5 * time.Second, false},
+		{"reports were missing at the last evaluation", 9900 * time.Millisecond, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			// Given an analysis that has evaluated some good answers and was interrupted,
+			analysis := rollout.NewAnalysis()
+			before := evidenceOf(rollout.Stats{Sent: 3, Good: 3})
+			before.Complete = !test.wasIncomplete
+			if got := analysis.Evaluate(roll, test.evaluatedLast, before, baseline); got != rollout.InService {
+				t.Fatalf("Evaluate returned %s at first, want in_service", got)
+			}
+			// when many more good answers and then some bad ones are known,
+			after := evidenceOf(rollout.Stats{Sent: 3, Good: 3}, rollout.Stats{Sent: 200, Good: 200}, rollout.Stats{Sent: 6, Bad: 6})
+			// then the good ones don't hide the bad ones.
+			if got := analysis.Evaluate(roll, 10*time.Second, after, baseline); got != rollout.Reverted {
+				t.Errorf("Evaluate returned %s, want reverted", got)
+			}
+		})
+	}
+}
--- a/internal/tier/rollout/mutants_test.go
+++ b/internal/tier/rollout/mutants_test.go
@@ -79,7 +79,48 @@
 	},
 }
 
+// evidenceMutants lose the order of answers, or decide before all are known.
+var evidenceMutants = []mutation.Mutant{
+	{
+		Name: "a history loses the order of answers",
+		Change: mutation.Change{
+			File: "history.go",
+			Old:  "now.Sub(h.intervals[last].began) < intervalLength",
+			New:  "now.Sub(h.intervals[last].began) < 1000*intervalLength",
+		},
+		Run: "^TestHistory_Answers_KeepTheirOrder$",
+	},
+	{
+		Name: "a new analysis takes all answers as one",
+		Change: mutation.Change{
+			File: "analysis.go",
+			Old:  "	a.processed = maps.Clone(target.Totals)\n",
+			New:  "	a.processed = StatsByRoute{}\n	a.update(target.Totals, baseline)\n	target.Answers = nil\n",
+		},
+		Run:    "^TestAnalysis_LeadersChange_DecisionStays$",
+		Always: true,
+	},
+	{
+		Name: "an analysis goes on after an interruption",
+		Change: mutation.Change{
+			File: "analysis.go",
+			Old:  "elapsed-a.evaluatedAt <= maxEvaluationGap",
+			New:  "elapsed >= a.evaluatedAt",
+		},
+		Run: "^TestAnalysis_Interrupted_TakesAnswersInOrder$",
+	},
+	{
+		Name: "a roll-out is finished on incomplete evidence",
+		Change: mutation.Change{
+			File: "analysis.go",
+			Old:  "elapsed < duration-early || !target.Complete",
+			New:  "elapsed < duration-early",
+		},
+		Run: "^TestAnalysis_IncompleteEvidence_NotFinished$",
+	},
+}
+
 func TestMutantsAreNoticed(t *testing.T) {
 	t.Parallel()
-	mutation.Test(t, slices.Concat(duplicateMutants, inProgressMutants))
+	mutation.Test(t, slices.Concat(duplicateMutants, inProgressMutants, evidenceMutants))
 }
--- a/internal/tier/rollout/stats.go
+++ b/internal/tier/rollout/stats.go
@@ -55,6 +55,17 @@
 	return s.Sent >= other.Sent && s.Good >= other.Good && s.Bad >= other.Bad && s.latencyCount() >= other.latencyCount()
 }
 
+// latencyCounts lists the latency buckets that have answers.
+func (s *Stats) latencyCounts() []LatencyCount {
+	var list []LatencyCount
+	for bucket, count := range s.LatencyBuckets {
+		if count != 0 {
+			list = append(list, LatencyCount{Bucket: int64(bucket), Count: count})
+		}
+	}
+	return list
+}
+
 // latencyCount returns the number of answers whose latency was counted.
 func (s *Stats) latencyCount() int64 {
 	var sum int64
--- a/internal/tier/versionstats/counter.go
+++ b/internal/tier/versionstats/counter.go
@@ -17,6 +17,10 @@
 // unresponsiveAfter is the time without a first byte from which on a client's cancellation counts as a failure of the version.
 const unresponsiveAfter = 2 * time.Second
 
+// maxReportAge is the time after which a report is made again though nothing has changed. With a longer one, a controller that has
+// started during a rollout knows the counts of idle proxies later.
+const maxReportAge = time.Second
+
 // Balancer is the balancer that a Counter wraps.
 type Balancer interface {
 	proxy.Selector
@@ -62,14 +66,21 @@
 
 	mutex     sync.Mutex              // guards the fields below; never held while the balancer is called
 	endpoints map[string]endpointInfo // by endpoint ID
-	stats     map[key]*rollout.Stats
+	stats     map[key]*counts
 	orders    map[version]activeOrder // rollouts in progress, by target
-	changed   bool                    // a count or the versions have changed since the last Report
+	changed   bool                    // a count or the versions have changed since the last report
+	reported  time.Time               // when the last report was made
+}
+
+// counts are what was counted for a key.
+type counts struct {
+	rollout.Stats
+	history rollout.History // the answers in their order; empty outside of rollouts
 }
 
 // New returns a counter without counts. The source identifies this run of the proxy process, as each run counts from zero.
 func New(balancer Balancer, source string) *Counter {
-	return &Counter{balancer: balancer, source: source, endpoints: map[string]endpointInfo{}, stats: map[key]*rollout.Stats{},
+	return &Counter{balancer: balancer, source: source, endpoints: map[string]endpointInfo{}, stats: map[key]*counts{},
 		orders: map[version]activeOrder{}, now: time.Now}
 }
 
@@ -115,7 +126,7 @@
 		}
 		delete(c.stats, k)
 		k.order = 0
-		c.statsOf(k).Add(*ended)
+		c.countsOf(k).Add(ended.Stats)
 	}
 }
 
@@ -130,7 +141,7 @@
 	if e, known := c.endpoints[selection.ID]; known {
 		t.key = key{version: e.version, route: info.Route.Name, order: c.orders[e.version].number}
 		t.counted, t.warmingUp = true, c.now().Before(e.warmUpUntil)
-		c.statsOf(t.key).Sent++
+		c.countsOf(t.key).Sent++
 	}
 	c.mutex.Unlock()
 	selection.Ticket = t
@@ -151,20 +162,26 @@
 	if !t.counted {
 		return
 	}
+	var answer rollout.Stats
+	observe(&answer, outcome, t.warmingUp)
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	observe(c.statsOf(t.key), outcome, t.warmingUp)
+	counted := c.countsOf(t.key)
+	counted.Add(answer)
+	if t.key.order != 0 {
+		counted.history.Add(c.now(), &answer)
+	}
 }
 
-// statsOf returns the counts of a key for a change, and marks the counts as changed. The caller must hold the mutex.
-func (c *Counter) statsOf(k key) *rollout.Stats {
+// countsOf returns the counts of a key for a change, and marks the counts as changed. The caller must hold the mutex.
+func (c *Counter) countsOf(k key) *counts {
 	c.changed = true
-	counts := c.stats[k]
-	if counts == nil {
-		counts = &rollout.Stats{}
-		c.stats[k] = counts
+	counted := c.stats[k]
+	if counted == nil {
+		counted = &counts{}
+		c.stats[k] = counted
 	}
-	return counts
+	return counted
 }
 
 // observe counts the outcome of an attempt. Attempts that never ran or that the client cancelled early aren't counted, as they say
@@ -193,20 +210,22 @@
 	return outcome.Elapsed / time.Duration(outcome.Events+2)
 }
 
-// Report returns the counts since the start of the process. It returns false if no rollout is in progress or nothing has changed since
-// the last call.
+// Report returns the counts since the start of the process. It returns false if no rollout is in progress, or if nothing has changed since
+// a report that is not older than maxReportAge: a controller that has started since then has no earlier report.
 func (c *Counter) Report() (wire.VersionStatsReport, bool) {
+	now := c.now()
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if len(c.orders) == 0 || !c.changed {
+	if len(c.orders) == 0 || !c.changed && now.Sub(c.reported) < maxReportAge {
 		return wire.VersionStatsReport{}, false
 	}
-	c.changed = false
+	c.changed, c.reported = false, now
 	report := wire.VersionStatsReport{Source: c.source, Versions: make([]wire.VersionStats, 0, len(c.stats))}
-	for k, counts := range c.stats {
-		entry := wire.VersionStats{Service: k.service, Route: k.route, Version: k.name, Order: k.order, Stats: *counts}
+	for k, counted := range c.stats {
+		entry := wire.VersionStats{Service: k.service, Route: k.route, Version: k.name, Order: k.order, Stats: counted.Stats}
 		if active := c.orders[k.version]; k.order != 0 && active.number == k.order {
-			entry.AgeMs = c.now().Sub(active.since).Milliseconds()
+			entry.AgeMs = now.Sub(active.since).Milliseconds()
+			entry.History = counted.history.Intervals(now)
 		}
 		report.Versions = append(report.Versions, entry)
 	}
--- a/internal/tier/versionstats/counter_test.go
+++ b/internal/tier/versionstats/counter_test.go
@@ -131,3 +131,61 @@
 		t.Error(diff)
 	}
 }
+
+// TestCounter_NothingChanged_ReportsAgainDuringRollout: a controller that has started during a rollout needs the counts of idle proxies too.
+func TestCounter_NothingChanged_ReportsAgainDuringRollout(t *testing.T) {
+	// Given a proxy that has reported, and gets no requests since,
+	now := time.Unix(1000, 0)
+	c := New(&fakeBalancer{}, "p")
+	c.now = func() time.Time { return now }
+	c.SetVersions([]view.ServiceVersions{{Service: "s", Current: "v1", Target: "v2", Order: 7}})
+	if _, due := c.Report(); !due {
+		t.Fatal("no report on a new rollout")
+	}
+	// then it reports again each second while the rollout is in progress, and no more after that.
+	for _, test := range []struct {
+		after    time.Duration
+		ended    bool
+		wantsDue bool
+	}{{900 * time.Millisecond, false, false}, {100 * time.Millisecond, false, true}, {500 * time.Millisecond, false, false},
+		{500 * time.Millisecond, false, true}, {5 * time.Second, true, false}} {
+		now = now.Add(test.after)
+		if test.ended {
+			c.SetVersions([]view.ServiceVersions{{Service: "s", Current: "v2"}})
+		}
+		if _, due := c.Report(); due != test.wantsDue {
+			t.Errorf("%v later, with the rollout ended %v: due %v, want %v", test.after, test.ended, due, test.wantsDue)
+		}
+	}
+}
+
+func TestCounter_AnswersOfRollout_ReportedInOrder(t *testing.T) {
+	// Given a version that fails one request in its rollout after two good answers,
+	now := time.Unix(1000, 0)
+	c := New(&fakeBalancer{}, "p")
+	c.now = func() time.Time { return now }
+	c.SetEndpoints([]model.Endpoint{{ID: "a", Service: "s", Version: "v1"}, {ID: "b", Service: "s", Version: "v2"}})
+	c.SetVersions([]view.ServiceVersions{{Service: "s", Current: "v1", Target: "v2", Order: 7}})
+	for _, result := range []proxy.Result{proxy.Succeeded, proxy.Succeeded, proxy.ErrorResponse} {
+		for _, endpoint := range []string{"a", "b"} {
+			selection, err := c.Select(t.Context(), &proxy.RequestInfo{AttemptID: endpoint, Route: &model.Route{Name: "r"}})
+			if err != nil {
+				t.Fatal(err)
+			}
+			c.Done(selection, proxy.Outcome{Result: result})
+		}
+		now = now.Add(time.Second)
+	}
+	// then its report has them in order, and the version in service has no history.
+	report, _ := c.Report()
+	zeroLatency := []rollout.LatencyCount{{Bucket: 0, Count: 1}}
+	want := []rollout.Interval{{AgeMs: 3000, Good: 1, Latencies: zeroLatency}, {AgeMs: 2000, Good: 1, Latencies: zeroLatency}, {AgeMs: 1000, Bad: 1}}
+	for _, versions := range report.Versions {
+		if versions.Version == "v1" && versions.History != nil {
+			t.Errorf("the version in service has the history %v, want none", versions.History)
+		}
+		if diff := cmp.Diff(want, versions.History); versions.Version == "v2" && diff != "" {
+			t.Error(diff)
+		}
+	}
+}
--- a/internal/tier/wire/format_test.go
+++ b/internal/tier/wire/format_test.go
@@ -108,6 +108,27 @@
 	}
 }
 
+// TestBodyFormat_ReportWithoutHistory_IsReadAndWrittenAlike decodes the stored report of versions that kept no history of a roll-out's
+// answers, and encodes it again.
+func TestBodyFormat_ReportWithoutHistory_IsReadAndWrittenAlike(t *testing.T) {
+	stored, err := os.ReadFile("testdata/report-without-history.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var read wire.VersionStatsReport
+	if err := json.Unmarshal(stored, &read); err != nil {
+		t.Fatal(err)
+	}
+	if text := cmp.Diff(string(bytes.TrimSpace(stored)), string(encode(t, read))); text != "" {
+		t.Error(text)
+	}
+	for i := range read.Versions {
+		if history := read.Versions[i].History; history != nil {
+			t.Errorf("version %d has the history %v, want none", i, history)
+		}
+	}
+}
+
 // TestMethodFormat_NamesAndPorts_AreThoseOfEarlierVersions checks the method names and port offsets with which processes of different
 // versions call each other.
 func TestMethodFormat_NamesAndPorts_AreThoseOfEarlierVersions(t *testing.T) {
--- a/internal/tier/wire/version_stats.go
+++ b/internal/tier/wire/version_stats.go
@@ -16,4 +16,7 @@
 	Order   uint64        `json:"order,omitempty"` // the order that started the roll-out of this version; 0: none, or it has ended
 	AgeMs   int64         `json:"ageMs,omitempty"` // time since the proxy first learned of the order, ms
 	Stats   rollout.Stats `json:"tally"`
+
+	// History holds the answers of a roll-out in the order in which they came; empty outside of roll-outs.
+	History []rollout.Interval `json:"history,omitempty"`
 }
