controller: finish no roll-out before proxies have been heard, and replay after a gap

Cause: a controller that started when the time of a roll-out was over by the time of day finished it after 2 s though no proxy had reported, for example after a loss of all power, when proxies come back later than the core; and the counts of a proxy that was cut off for a while came as one batch, in which answers from before the gap hid later ones.

Change: evidence is complete only where proxies have been heard lately, if any run; a report of a known process that comes after a gap of 2 s has the tests take all answers in their order again.

Tests: TestRollout_RestartAfterDeadline_WaitsForReports (finished "on no report" before), TestStatsTable_ReportsMissing_EvidenceIncomplete, TestStatsTable_ProxyReportsAfterGap_Counted, TestAnalysis_Interrupted_*.

On the way: what counts running members stood twice (membership.CountRunning; its test moves along); the mutant "a compaction waits for a transfer without bound" didn't compile; the plug-in benchmark wrapped a nil error when a replay differed.

--- a/cmd/plugin-benchmark/run.go
+++ b/cmd/plugin-benchmark/run.go
@@ -115,8 +115,11 @@
 	}
 	from := time.Now()
 	output, err := exec.Command(o.relay, append([]string{"replay"}, files...)...).CombinedOutput()
-	if err != nil || !strings.Contains(string(output), "every decision is the same") {
-		return fmt.Errorf("replaying the capture, want the same decisions: %w; output: %s", err, output)
+	if err != nil {
+		return fmt.Errorf("replaying the capture: %w; output: %s", err, output)
+	}
+	if !strings.Contains(string(output), "every decision is the same") {
+		return fmt.Errorf("the replay's decisions differ from the capture's; output: %s", output)
 	}
 	r.note = fmt.Sprintf("%d bytes a message; replayed at %.0f times its pace, with the program's start", sizeOf(files)/int64(messages),
 		float64(o.seconds)/time.Since(from).Seconds())
--- a/internal/tier/command/agent.go
+++ b/internal/tier/command/agent.go
@@ -22,7 +22,7 @@
 	handlers := transport.NewHandlers()
 	transport.HandleNotice(handlers, wire.MethodVersionStats, func(_ string, report wire.VersionStatsReport) { p.forwardVersionStats(member, report) })
 	transport.Handle(handlers, wire.MethodProxies, func(context.Context, string, wire.ProxiesRequest) (wire.ProxiesResponse, error) {
-		return wire.ProxiesResponse{Count: countProxies(member.Members())}, nil
+		return wire.ProxiesResponse{Count: membership.CountRunning(member.Members(), membership.Agent)}, nil // each has a proxy
 	})
 	leave, err := p.serve(stopping, address, member, handlers)
 	if err != nil {
@@ -34,17 +34,6 @@
 	return nil
 }
 
-// countProxies returns the number of running proxies: one for each agent that is neither dead nor has left.
-func countProxies(members []membership.Member) int {
-	count := 0
-	for _, m := range members {
-		if m.Role == membership.Agent && !m.DeadOrLeft() {
-			count++
-		}
-	}
-	return count
-}
-
 // forwardVersionStats forwards a proxy's report to every controller, since any of them may be the leader that evaluates roll-outs.
 func (p *process) forwardVersionStats(member *node.Node, report wire.VersionStatsReport) {
 	for _, m := range member.Members() {
--- a/internal/tier/controller/rollout_analysis.go
+++ b/internal/tier/controller/rollout_analysis.go
@@ -36,6 +36,7 @@
 	c.mutex.Lock()
 	active := c.state.rollouts.Active()
 	c.mutex.Unlock()
+	proxies := membership.CountRunning(c.options.Fleet.Members(), membership.Agent) // each agent has a proxy
 	maps.DeleteFunc(analyses, func(index uint64, _ *rollout.Analysis) bool {
 		return !slices.ContainsFunc(active, func(current rollout.Rollout) bool { return current.Index == index })
 	})
@@ -47,7 +48,7 @@
 		if analyses[current.Index] == nil {
 			analyses[current.Index] = rollout.NewAnalysis()
 		}
-		target, knownFor := c.versionStats.duringRollout(&current, now, c.runningProxies())
+		target, knownFor := c.versionStats.duringRollout(&current, now, proxies)
 		baseline := c.versionStats.total(current.Service, current.Baseline)
 		analysis := analyses[current.Index]
 		if state := analysis.Evaluate(current, c.elapsed(&current, now, knownFor), target, baseline); state != rollout.InService {
@@ -63,17 +64,6 @@
 	peakRatio float64 // highest log-likelihood ratio of any test
 }
 
-// runningProxies returns the number of proxies that run, as far as this process knows: each has an agent on its machine.
-func (c *Controller) runningProxies() int {
-	count := 0
-	for _, m := range c.options.Fleet.Members() {
-		if m.Role == membership.Agent && !m.DeadOrLeft() {
-			count++
-		}
-	}
-	return count
-}
-
 // elapsed returns how long a roll-out has been in service: the longer of the times for which this process and any proxy have known
 // of it. A proposal that was committed long after it was sent has been in service only since its commit. If no proxy has sent a
 // request to the target, the time of day when the order was sent is used, once proxies have had time to report.
--- a/internal/tier/controller/rollout_stats.go
+++ b/internal/tier/controller/rollout_stats.go
@@ -14,8 +14,8 @@
 // duration of roll-outs. A longer one keeps the counts of idle proxies in the baseline, and takes memory for ended processes.
 const maxReportSilence = 15 * time.Minute
 
-// maxReportGap is the longest time between two reports of any proxies during a roll-out. Proxies repeat theirs each second; a longer gap
-// means that this process was cut off, or stood still.
+// maxReportGap is the longest time between two reports of a proxy during a roll-out. Proxies repeat theirs each second; a longer gap
+// means that the proxy or this process was cut off, or stood still.
 const maxReportGap = reportTimeout
 
 // statsTable holds the newest report of each proxy process. It is safe for concurrent use.
@@ -24,6 +24,7 @@
 	sources      map[string]proxyReport // by proxy process; its counts only grow, so a report replaces the one before
 	lastReportAt time.Duration
 	heardSince   time.Duration // since when reports have arrived without a gap
+	afterGap     uint64        // reports of known processes that came after a gap
 }
 
 // proxyReport is the newest report of a proxy process.
@@ -41,6 +42,9 @@
 	if len(t.sources) == 0 || now-t.lastReportAt > maxReportGap {
 		t.heardSince = now
 	}
+	if known, ok := t.sources[report.Source]; ok && now-known.at > maxReportGap {
+		t.afterGap++
+	}
 	t.lastReportAt = now
 	t.sources[report.Source] = proxyReport{at: now, versions: report.Versions}
 	maps.DeleteFunc(t.sources, func(_ string, known proxyReport) bool { return now-known.at > maxReportSilence })
@@ -81,6 +85,7 @@
 	})
 	rollout.Sort(evidence.Answers)
 	evidence.Complete = t.isComplete(now, knownFor, proxies)
+	evidence.AfterGap = t.afterGap
 	return evidence, knownFor
 }
 
@@ -98,17 +103,17 @@
 }
 
 // isComplete reports whether the newest reports of all proxies have arrived: reports have come without a gap until now, and since the
-// roll-out's beginning, or from as many processes as there are proxies, or for as long as a report may take. Before the first report on a
-// roll-out nothing is missing. The caller must hold the mutex.
+// roll-out's beginning, or from as many processes as there are proxies, or for as long as a report may take. The caller must hold the
+// mutex.
 func (t *statsTable) isComplete(now, knownFor time.Duration, proxies int) bool {
-	if knownFor == 0 || proxies == 0 {
+	if proxies == 0 {
 		return true
 	}
-	if now-t.lastReportAt > maxReportGap {
+	if len(t.sources) == 0 || now-t.lastReportAt > maxReportGap {
 		return false
 	}
 	heardFor := now - t.heardSince
-	if heardFor >= reportTimeout || knownFor <= heardFor+reportDelay {
+	if heardFor >= reportTimeout || knownFor > 0 && knownFor <= heardFor+reportDelay {
 		return true
 	}
 	heard := 0
--- a/internal/tier/controller/rollout_stats_test.go
+++ b/internal/tier/controller/rollout_stats_test.go
@@ -50,7 +50,9 @@
 		now      time.Duration
 		want     bool
 	}{
-		{"no report yet", nil, proxies, time.Second, true},
+		{"no report yet", nil, proxies, time.Second, false},
+		{"no report for long", nil, proxies, time.Minute, false},
+		{"no report, and no proxy runs", nil, 0, time.Second, true},
 		{"heard from the beginning", []arrival{{time.Second, "a", 200 * time.Millisecond}}, proxies, 1500 * time.Millisecond, true},
 		{"one proxy after a restart", []arrival{{time.Second, "a", 9 * time.Second}}, proxies, 1500 * time.Millisecond, false},
 		{"the same proxy twice", []arrival{{time.Second, "a", 9 * time.Second}, {1200 * time.Millisecond, "a", 9200 * time.Millisecond}}, proxies,
@@ -105,3 +107,20 @@
 		t.Errorf("%d good and %d bad answers in all, want 13 and 8", sum.Good, sum.Bad)
 	}
 }
+
+func TestStatsTable_ProxyReportsAfterGap_Counted(t *testing.T) {
+	table := newStatsTable()
+	current := rollout.Rollout{Proposal: rollout.Proposal{Service: "lm", Target: "v2"}, Index: 7}
+	// Given two proxies that report each second, and a gap of 3 s in the reports of one,
+	for second := range 10 {
+		now := time.Duration(second) * time.Second
+		table.replace(now, wire.VersionStatsReport{Source: "a"})
+		if second < 3 || second > 5 {
+			table.replace(now, wire.VersionStatsReport{Source: "b"})
+		}
+	}
+	// then one report came after a gap.
+	if evidence, _ := table.duringRollout(&current, 10*time.Second, 2); evidence.AfterGap != 1 {
+		t.Errorf("%d reports came after a gap, want 1", evidence.AfterGap)
+	}
+}
--- a/internal/tier/controller/rollout_takeover_test.go
+++ b/internal/tier/controller/rollout_takeover_test.go
@@ -208,3 +208,32 @@
 		}
 	})
 }
+
+// TestRollout_RestartAfterDeadline_WaitsForReports: a controller that starts when the time of a roll-out is over by the time of day doesn't
+// finish it before it has heard of the proxies, which may have seen that the version is bad.
+func TestRollout_RestartAfterDeadline_WaitsForReports(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		// Given a roll-out of a bad version whose time is over, and a controller that has just started,
+		run := newTakeover(t)
+		for number := range 100 {
+			run.answer(number, "new", proxy.ErrorResponse)
+			run.answer(number, "old", proxy.Succeeded)
+		}
+		time.Sleep(takeoverDuration + time.Second)
+		run.versionStats = newStatsTable()
+		// when no proxy reports for longer than a report may take,
+		for range 40 {
+			run.analyzeRollouts(t.Context(), run.analyses)
+			time.Sleep(analysisInterval)
+		}
+		// then the roll-out stays in service, and it is reverted once the proxies report.
+		if state := run.newestRollout("lm").State; state != rollout.InService {
+			t.Errorf("%s without any report, want in_service", state)
+		}
+		run.report()
+		run.analyzeRollouts(t.Context(), run.analyses)
+		if state := run.newestRollout("lm").State; state != rollout.Reverted {
+			t.Errorf("%s on the reports of all proxies, want reverted", state)
+		}
+	})
+}
--- a/internal/tier/group/mutants_test.go
+++ b/internal/tier/group/mutants_test.go
@@ -16,7 +16,7 @@
 		},
 		{
 			Name:   "a compaction waits for a transfer without bound",
-			Change: mutation.Change{File: "compaction.go", Old: "bound *= transferBoundFactor", New: "return nil"},
+			Change: mutation.Change{File: "compaction.go", Old: "bound *= transferBoundFactor", New: "return false"},
 			Run:    "^TestCompact_SnapshotBeingSent_Waits$",
 		},
 		{
--- a/internal/tier/command/agent_test.go
+++ b/internal/tier/membership/count_test.go
@@ -1,4 +1,4 @@
-package command
+package membership_test
 
 import (
 	"testing"
@@ -6,7 +6,7 @@
 	"mastusher/internal/tier/membership"
 )
 
-func TestCountProxies_CountsAgents(t *testing.T) {
+func TestCountRunning_DeadAndLeft_NotCounted(t *testing.T) {
 	members := []membership.Member{
 		{Name: "a", Role: membership.Agent},
 		{Name: "b", Role: membership.Agent, State: membership.StateDead},
@@ -15,7 +15,7 @@
 		{Name: "e", Role: membership.Store},
 		{Name: "f", Role: membership.Agent, State: membership.StateSuspect},
 	}
-	if got := countProxies(members); got != 2 {
-		t.Errorf("%d proxies counted, want 2", got)
+	if got := membership.CountRunning(members, membership.Agent); got != 2 {
+		t.Errorf("%d agents counted, want 2", got)
 	}
 }
--- a/internal/tier/membership/member.go
+++ b/internal/tier/membership/member.go
@@ -47,6 +47,17 @@
 // DeadOrLeft reports whether the member is dead or has left.
 func (m Member) DeadOrLeft() bool { return m.State == StateDead || m.State == StateLeft }
 
+// CountRunning returns the number of members of a role that are neither dead nor have left.
+func CountRunning(members []Member, role Role) int {
+	count := 0
+	for _, m := range members {
+		if m.Role == role && !m.DeadOrLeft() {
+			count++
+		}
+	}
+	return count
+}
+
 // sameProcess reports whether both records describe the same run of a process.
 func (m Member) sameProcess(other Member) bool {
 	return m.ID == other.ID && m.Address == other.Address && m.Control == other.Control &&
--- a/internal/tier/rollout/analysis.go
+++ b/internal/tier/rollout/analysis.go
@@ -29,6 +29,9 @@
 
 	// Complete is false if reports of proxies may be missing, for example since the controller has started a moment ago.
 	Complete bool
+
+	// AfterGap grows with each report that came after a gap, and may hold answers from before those of other proxies.
+	AfterGap uint64
 }
 
 // RouteAnswers holds answers of the target on one route that came at about the same time.
@@ -58,6 +61,7 @@
 	tests       map[string]routeTests
 	processed   StatsByRoute  // the target's stats that the tests include
 	complete    bool          // the last evaluation was on complete evidence
+	afterGap    uint64        // Evidence.AfterGap at the last evaluation
 	evaluatedAt time.Duration // time in service at the last evaluation
 	rejected    bool          // by the test of any route
 	peak        float64       // highest log-likelihood ratio of any test so far
@@ -72,12 +76,12 @@
 // Evaluate decides a roll-out from the time that it has been in service, the evidence on its target, and all stats of its baseline. It
 // returns Finished or Reverted, or InService while the decision is open. It never returns Finished on incomplete evidence.
 func (a *Analysis) Evaluate(rollout Rollout, elapsed time.Duration, target Evidence, baseline StatsByRoute) State {
-	if a.complete && target.Complete && elapsed-a.evaluatedAt <= maxEvaluationGap {
+	if a.mayUpdate(elapsed, &target) {
 		a.update(target.Totals, baseline)
 	} else {
 		a.replay(target, baseline)
 	}
-	a.complete, a.evaluatedAt = target.Complete, elapsed
+	a.complete, a.afterGap, a.evaluatedAt = target.Complete, target.AfterGap, elapsed
 	if a.rejected {
 		return Reverted
 	}
@@ -97,6 +101,11 @@
 	return Finished
 }
 
+// mayUpdate reports whether the answers since the last evaluation are all that is new.
+func (a *Analysis) mayUpdate(elapsed time.Duration, target *Evidence) bool {
+	return a.complete && target.Complete && target.AfterGap == a.afterGap && elapsed-a.evaluatedAt <= maxEvaluationGap
+}
+
 // replay begins the tests again with all answers in their order.
 func (a *Analysis) replay(target Evidence, baseline StatsByRoute) {
 	a.tests = map[string]routeTests{}
--- a/internal/tier/rollout/analysis_test.go
+++ b/internal/tier/rollout/analysis_test.go
@@ -368,9 +368,11 @@
 		name          string
 		evaluatedLast time.Duration
 		wasIncomplete bool
+		afterGap      uint64
 	}{
-		{"no evaluation for a while", 5 * time.Second, false},
-		{"reports were missing at the last evaluation", 9900 * time.Millisecond, true},
+		{"no evaluation for a while", 5 * time.Second, false, 0},
+		{"reports were missing at the last evaluation", 9900 * time.Millisecond, true, 0},
+		{"the reports of a proxy were missing", 9900 * time.Millisecond, false, 1},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			// Given an analysis that has evaluated some good answers and was interrupted,
@@ -382,6 +384,7 @@
 			}
 			// when many more good answers and then some bad ones are known,
 			after := evidenceOf(rollout.Stats{Sent: 3, Good: 3}, rollout.Stats{Sent: 200, Good: 200}, rollout.Stats{Sent: 6, Bad: 6})
+			after.AfterGap = test.afterGap
 			// then the good ones don't hide the bad ones.
 			if got := analysis.Evaluate(roll, 10*time.Second, after, baseline); got != rollout.Reverted {
 				t.Errorf("Evaluate returned %s, want reverted", got)
