rollout: don't finish a version that is more likely bad than good by its newest answers

Cause: at the end of a roll-out whatever no test rejects was finished, however near a test was to it, and answers on several routes weren't seen together.

Change: a target whose newest answers, on one route or on all together, give a log-likelihood ratio of 5 or more is left in service with its share until the tests decide: the next answers reject it or bring the ratio down. 5 s after its deadline it is reverted. Nothing is rejected that wasn't before, and no bound of a test has moved.

Test: TestAnalysis_BadAnswersBeforeDeadline_DecidedByTheNext; a mutant.

--- a/internal/tier/rollout/analysis.go
+++ b/internal/tier/rollout/analysis.go
@@ -48,6 +48,13 @@
 	})
 }
 
+// A target that no test rejects, but that is more likely bad than good by its newest answers, is neither finished nor reverted yet. It
+// gets its share of the requests until the tests decide.
+const (
+	undecidedRatio = 5               // log-likelihood ratio, bad to good version, from which a target isn't finished
+	maxUndecided   = 5 * time.Second // after the deadline, until such a target is reverted
+)
+
 // maxEvaluationGap is the longest time between two evaluations for which the order of the answers between them doesn't matter.
 const maxEvaluationGap = time.Second
 
@@ -59,6 +66,7 @@
 // good answers, which must not count as one with the bad ones.
 type Analysis struct {
 	tests       map[string]routeTests
+	allRoutes   routeTests    // of the answers on all routes together; rejects nothing, but may leave the roll-out undecided
 	processed   StatsByRoute  // the target's stats that the tests include
 	complete    bool          // the last evaluation was on complete evidence
 	afterGap    uint64        // Evidence.AfterGap at the last evaluation
@@ -91,6 +99,8 @@
 	switch {
 	case elapsed < duration-early || !target.Complete:
 		return InService
+	case a.isUndecided():
+		return stateOfUndecided(elapsed - duration)
 	case sum.Good >= minGoodAnswers:
 		return Finished
 	case elapsed < duration-deadlineMargin:
@@ -101,6 +111,23 @@
 	return Finished
 }
 
+// isUndecided reports whether the newest answers say that the target is bad, but not clearly enough to reject it.
+func (a *Analysis) isUndecided() bool {
+	ratio := a.allRoutes.ratio()
+	for _, tests := range a.tests {
+		ratio = max(ratio, tests.ratio())
+	}
+	return ratio >= undecidedRatio
+}
+
+// stateOfUndecided returns the state of a roll-out that is still undecided some time after its deadline.
+func stateOfUndecided(overdue time.Duration) State {
+	if overdue < maxUndecided {
+		return InService
+	}
+	return Reverted
+}
+
 // mayUpdate reports whether the answers since the last evaluation are all that is new.
 func (a *Analysis) mayUpdate(elapsed time.Duration, target *Evidence) bool {
 	return a.complete && target.Complete && target.AfterGap == a.afterGap && elapsed-a.evaluatedAt <= maxEvaluationGap
@@ -108,7 +135,7 @@
 
 // replay begins the tests again with all answers in their order.
 func (a *Analysis) replay(target Evidence, baseline StatsByRoute) {
-	a.tests = map[string]routeTests{}
+	a.tests, a.allRoutes = map[string]routeTests{}, routeTests{}
 	a.processed = maps.Clone(target.Totals)
 	expected := expectations{baseline: baseline, allRoutes: baseline.Total(), byRoute: map[string]expectation{}}
 	for _, answer := range target.Answers {
@@ -131,12 +158,13 @@
 	}
 }
 
-// add adds answers to the tests of a route.
+// add adds answers to the tests of a route and to those of all routes.
 func (a *Analysis) add(route string, next *Interval, expected expectation) {
 	updated := a.tests[route].add(next, expected)
 	a.tests[route] = updated
+	a.allRoutes = a.allRoutes.add(next, expected)
 	a.rejected = a.rejected || updated.rejects()
-	a.peak = max(a.peak, updated.failures.logLikelihoodRatio, updated.latency.logLikelihoodRatio)
+	a.peak = max(a.peak, updated.ratio())
 }
 
 // expectations holds what is expected of a version that is as good as the baseline, by route.
@@ -179,7 +207,7 @@
 	return expected
 }
 
-// routeTests holds the two tests of one route.
+// routeTests holds the two tests of one route, or of all.
 type routeTests struct {
 	failures, latency sequentialTest
 }
@@ -194,6 +222,11 @@
 	return t
 }
 
+// ratio returns the higher log-likelihood ratio of the two tests.
+func (t routeTests) ratio() float64 {
+	return max(t.failures.logLikelihoodRatio, t.latency.logLikelihoodRatio)
+}
+
 // rejects reports whether either test rejects the target.
 func (t routeTests) rejects() bool {
 	return t.failures.rejectsTarget() || t.latency.rejectsTarget()
--- a/internal/tier/rollout/analysis_test.go
+++ b/internal/tier/rollout/analysis_test.go
@@ -25,6 +25,7 @@
 	evaluationInterval   = 150 * time.Millisecond // between two evaluations
 	feedbackDelay        = 600 * time.Millisecond // from an answer until the proxies apply the decision that follows from it
 	medianLatencyMs      = 300.0
+	maxOverdue           = 6 * time.Second // simulated after the deadline while the roll-out is in service
 	rollbackTimeout      = 5 * time.Second // from the target's 50th bad answer until it must get no more requests
 )
 
@@ -106,7 +107,7 @@
 	}
 	s.state = rollout.InService
 	next := time.Duration(0)
-	for now := time.Duration(0); now < s.duration; {
+	for now := time.Duration(0); now < s.duration || s.state == rollout.InService && now < s.duration+maxOverdue; {
 		now += time.Duration(s.random.ExpFloat64() / s.perSecond * float64(time.Second))
 		for ; next <= now; next += evaluationInterval {
 			reports = append(reports, report{next, s.evidence(next, target), copyOf(baseline)})
@@ -121,7 +122,10 @@
 				s.endedAt = next
 			}
 		}
-		s.total++
+		isBeforeDeadline := now < s.duration
+		if isBeforeDeadline {
+			s.total++
+		}
 		proxy, route := s.random.IntN(proxies), s.route()
 		toTarget := s.state == rollout.Finished
 		if s.state == rollout.InService {
@@ -141,7 +145,9 @@
 			continue
 		}
 		credit[proxy]--
-		s.target++
+		if isBeforeDeadline {
+			s.target++
+		}
 		s.lastRequestAt = now
 		s.answer(target, proxy, route, true, now)
 	}
@@ -245,7 +251,7 @@
 	for _, perSecond := range []float64{0.05, 0.5, 5, 28, 100} {
 		for _, failing := range []float64{0, 0.02} {
 			t.Run(fmt.Sprint(perSecond, " requests per second, a share of ", failing, " fails"), func(t *testing.T) {
-				missed := 0
+				missed, reverted := 0, 0
 				for seed := range uint64(runs) {
 					// Given a roll-out of a version that is as good as the one in service,
 					s := &simulatedRollout{random: rand.New(rand.NewPCG(seed, 2)), behavior: behavior{isGood: true, baselineBadShare: failing, routeShares: []float64{0.75, 0.25}},
@@ -253,14 +259,17 @@
 					// when the service gets requests until the deadline,
 					s.run()
 					// then the roll-out is finished.
-					if s.state == rollout.Reverted || s.state == rollout.InService && perSecond > 1 {
+					if s.state == rollout.Reverted {
+						reverted++
+					}
+					if s.state == rollout.Reverted || (s.state == rollout.InService || s.endedAt > s.duration) && perSecond > 1 {
 						missed++
 					}
 				}
 				if missed > runs/20 {
 					t.Errorf("%d of %d roll-outs of good versions were not finished", missed, runs)
 				}
-				t.Logf("%d of %d not finished", missed, runs)
+				t.Logf("%d of %d not finished by the deadline, %d of them reverted", missed, runs, reverted)
 			})
 		}
 	}
@@ -392,3 +401,46 @@
 		})
 	}
 }
+
+// TestAnalysis_BadAnswersBeforeDeadline_DecidedByTheNext guards against a version that turns bad shortly before its roll-out is decided: a few
+// bad answers, spread over routes, reject it on none of them, and yet it must not be finished.
+func TestAnalysis_BadAnswersBeforeDeadline_DecidedByTheNext(t *testing.T) {
+	const duration = 10 * time.Second
+	roll := rollout.Rollout{Proposal: rollout.Proposal{DurationMs: duration.Milliseconds()}}
+	baseline := rollout.StatsByRoute{"r": {Sent: 200, Good: 200}, "q": {Sent: 200, Good: 200}}
+	// Given many good answers and one bad one on each of two routes, shortly before the deadline,
+	evidence := evidenceOf(rollout.Stats{Sent: 60, Good: 60})
+	evidence.Answers = append(evidence.Answers, answersAt("r", 8*time.Second, rollout.Stats{Bad: 1}), answersAt("q", 9*time.Second, rollout.Stats{Bad: 1}))
+	for _, test := range []struct {
+		name    string
+		next    []rollout.RouteAnswers
+		elapsed time.Duration // when these are evaluated
+		want    rollout.State
+	}{
+		{"no answer yet", nil, duration + time.Second, rollout.InService},
+		{"good answers", []rollout.RouteAnswers{answersAt("r", 9500*time.Millisecond, rollout.Stats{Good: 10})}, duration - 400*time.Millisecond, rollout.Finished},
+		{"good answers after the deadline", []rollout.RouteAnswers{answersAt("r", duration+time.Second, rollout.Stats{Good: 10})}, duration + 2*time.Second, rollout.Finished},
+		{"bad answers", []rollout.RouteAnswers{answersAt("r", 9500*time.Millisecond, rollout.Stats{Bad: 2})}, duration - 400*time.Millisecond, rollout.Reverted},
+		{"no answer for long", nil, duration + 5*time.Second, rollout.Reverted},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			analysis := rollout.NewAnalysis()
+			// then the roll-out isn't decided at once, but by the answers that come next.
+			if got := analysis.Evaluate(roll, duration-600*time.Millisecond, evidence, baseline); got != rollout.InService {
+				t.Errorf("Evaluate returned %s at first, want in_service", got)
+			}
+			after := evidence
+			after.Answers = slices.Concat(evidence.Answers, test.next)
+			after.AfterGap++
+			if got := analysis.Evaluate(roll, test.elapsed, after, baseline); got != test.want {
+				t.Errorf("Evaluate returned %s later, want %s", got, test.want)
+			}
+		})
+	}
+}
+
+// answersAt returns answers on one route.
+func answersAt(route string, at time.Duration, stats rollout.Stats) rollout.RouteAnswers {
+	interval := rollout.NewInterval(0, &stats)
+	return rollout.RouteAnswers{Route: route, At: at, Interval: &interval}
+}
--- a/internal/tier/rollout/mutants_test.go
+++ b/internal/tier/rollout/mutants_test.go
@@ -109,6 +109,15 @@
 		},
 		Run: "^TestAnalysis_Interrupted_TakesAnswersInOrder$",
 	},
+	{
+		Name: "a roll-out is finished whatever its newest answers are",
+		Change: mutation.Change{
+			File: "analysis.go",
+			Old:  "\treturn ratio >= undecidedRatio\n",
+			New:  "\treturn ratio < 0\n",
+		},
+		Run: "^TestAnalysis_BadAnswersBeforeDeadline_DecidedByTheNext$",
+	},
 	{
 		Name: "a roll-out is finished on incomplete evidence",
 		Change: mutation.Change{
