rollout: go on with the tests when the counts of an ended proxy are dropped

Cause: a controller drops the counts of a proxy process 15 minutes after its last report. The sums of a longer roll-out are then lower than what the tests had taken, and whatever came next was ignored as older until the sums had grown past them: a version that turned bad in that time wasn't noticed.

Change: where the sums lack what the tests include, the tests take all answers that are still known, in their order.

Test: TestAnalysis_CountsOfEndedProxyForgotten_LaterAnswersCount (fails on the code before: in_service, want reverted); a mutant.

--- a/internal/tier/controller/rollout_stats.go
+++ b/internal/tier/controller/rollout_stats.go
@@ -10,8 +10,8 @@
 )
 
 // maxReportSilence is how long the counts of a proxy process are kept after its last report. Each start of a proxy is a new process,
-// and the counts of ended ones would otherwise stay forever; a process that reports again restores its counts. The time exceeds the
-// duration of roll-outs. A longer one keeps the counts of idle proxies in the baseline, and takes memory for ended processes.
+// and the counts of ended ones would otherwise stay forever; a process that reports again restores its counts, and each that runs does so
+// during a roll-out. A longer time keeps the counts of idle proxies in the baseline, and takes memory for ended processes.
 const maxReportSilence = 15 * time.Minute
 
 // maxReportGap is the longest time between two reports of a proxy during a roll-out. Proxies repeat theirs each second; a longer gap
--- a/internal/tier/rollout/analysis.go
+++ b/internal/tier/rollout/analysis.go
@@ -61,9 +61,9 @@
 // Analysis decides one roll-out by repeated evaluation of its evidence. Each route is tested separately, for failures and for slow
 // answers: many good routes must not hide one that fails.
 //
-// Each evaluation adds the answers since the last one to the tests. Where more than these are new, since the analysis has just begun, was
-// interrupted, or lacked reports, the tests begin again and take all answers in their order: a version may have turned bad after many
-// good answers, which must not count as one with the bad ones.
+// Each evaluation adds the answers since the last one to the tests. Where these aren't all that has changed, since the analysis has just
+// begun, was interrupted, or lacked reports, the tests begin again and take all answers in their order: a version may have turned bad after
+// many good answers, which must not count as one with the bad ones.
 type Analysis struct {
 	tests       map[string]routeTests
 	allRoutes   routeTests    // of the answers on all routes together; rejects nothing, but may leave the roll-out undecided
@@ -130,7 +130,20 @@
 
 // mayUpdate reports whether the answers since the last evaluation are all that is new.
 func (a *Analysis) mayUpdate(elapsed time.Duration, target *Evidence) bool {
-	return a.complete && target.Complete && target.AfterGap == a.afterGap && elapsed-a.evaluatedAt <= maxEvaluationGap
+	return a.complete && target.Complete && target.AfterGap == a.afterGap && elapsed-a.evaluatedAt <= maxEvaluationGap &&
+		a.isIncludedIn(target.Totals)
+}
+
+// isIncludedIn reports whether the stats have all answers that the tests include. They don't if the reports are older, or if the counts of
+// a proxy that has ended are no longer kept.
+func (a *Analysis) isIncludedIn(target StatsByRoute) bool {
+	for route, processed := range a.processed {
+		current := target[route]
+		if !current.includes(processed) {
+			return false
+		}
+	}
+	return true
 }
 
 // replay begins the tests again with all answers in their order.
@@ -148,9 +161,6 @@
 	allRoutes := baseline.Total()
 	for _, route := range slices.Sorted(maps.Keys(target)) {
 		current := target[route]
-		if !current.includes(a.processed[route]) {
-			continue // these stats are older than those processed
-		}
 		recent := current.since(a.processed[route])
 		a.processed[route] = current
 		interval := NewInterval(0, &recent)
--- a/internal/tier/rollout/analysis_test.go
+++ b/internal/tier/rollout/analysis_test.go
@@ -444,3 +444,35 @@
 	interval := rollout.NewInterval(0, &stats)
 	return rollout.RouteAnswers{Route: route, At: at, Interval: &interval}
 }
+
+// TestAnalysis_CountsOfEndedProxyForgotten_LaterAnswersCount guards against a long roll-out whose tests stand still: the counts of a proxy
+// that has ended are dropped after a while, and the sums are lower than before until as many answers have come.
+func TestAnalysis_CountsOfEndedProxyForgotten_LaterAnswersCount(t *testing.T) {
+	roll := rollout.Rollout{Proposal: rollout.Proposal{DurationMs: 3_600_000}}
+	baseline := rollout.StatsByRoute{"r": {Sent: 1000, Good: 1000}}
+	for _, test := range []struct {
+		name string
+		next rollout.Stats
+		want rollout.State
+	}{
+		{"the version turns bad", rollout.Stats{Sent: 6, Bad: 6}, rollout.Reverted},
+		{"the version stays good", rollout.Stats{Sent: 43, Good: 40, Bad: 3}, rollout.InService},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			// Given an analysis of many answers, most of them of a proxy that has ended,
+			analysis := rollout.NewAnalysis()
+			all := evidenceOf(rollout.Stats{Sent: 200, Good: 200}, rollout.Stats{Sent: 10, Good: 10})
+			for second := range 3 {
+				if got := analysis.Evaluate(roll, time.Duration(second)*time.Second, all, baseline); got != rollout.InService {
+					t.Fatalf("Evaluate returned %s at first, want in_service", got)
+				}
+			}
+			// when the counts of that proxy are dropped, and further answers come,
+			after := evidenceOf(rollout.Stats{Sent: 10, Good: 10}, test.next)
+			// then these count at once.
+			if got := analysis.Evaluate(roll, 2500*time.Millisecond, after, baseline); got != test.want {
+				t.Errorf("Evaluate returned %s, want %s", got, test.want)
+			}
+		})
+	}
+}
--- a/internal/tier/rollout/mutants_test.go
+++ b/internal/tier/rollout/mutants_test.go
@@ -100,6 +100,15 @@
 		Run:    "^TestAnalysis_LeadersChange_DecisionStays$",
 		Always: true,
 	},
+	{
+		Name: "an analysis goes on from sums that have shrunk",
+		Change: mutation.Change{
+			File: "analysis.go",
+			Old:  " &&\n\t\ta.isIncludedIn(target.Totals)\n",
+			New:  "\n",
+		},
+		Run: "^TestAnalysis_CountsOfEndedProxyForgotten_LaterAnswersCount$",
+	},
 	{
 		Name: "an analysis goes on after an interruption",
 		Change: mutation.Change{
