--- a/internal/tier/rollout/analysis.go
+++ b/internal/tier/rollout/analysis.go
@@ -1,7 +1,6 @@
 package rollout
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -9,10 +8,8 @@
 
 // Thresholds of an analysis.
 const (
-	slowBucketOffset   = 4  // an answer is slow if its latency bucket is at least this far above the baseline's median bucket
-	minBaselineAnswers = 10 // baseline answers needed to use those of one route instead of all routes, and to test the latency
-	minGoodAnswers     = 3  // good answers needed to finish a roll-out before deadlineMargin
-	minSentToRevert    = 8  // at deadlineMargin, a target with fewer than minGoodAnswers is reverted if it was sent this many requests
+	minGoodAnswers  = 3 // good answers needed to finish a roll-out before deadlineMargin
+	minSentToRevert = 8 // at deadlineMargin, a target with fewer than minGoodAnswers is reverted if it was sent this many requests
 )
 
 // A roll-out that no test rejects is decided some time before its deadline, so that the decision is known by then.
@@ -22,32 +19,6 @@
 	deadlineMargin   = 300 * time.Millisecond // time before the deadline at which a target with fewer good answers is decided
 )
 
-// Evidence is what proxies have reported of a target during its roll-out.
-type Evidence struct {
-	Totals  StatsByRoute
-	Answers []RouteAnswers // all answers in the order in which they came
-
-	// Complete is false if reports of proxies may be missing, for example since the controller has started a moment ago.
-	Complete bool
-
-	// AfterGap grows with each report that came after a gap, and may hold answers from before those of other proxies.
-	AfterGap uint64
-}
-
-// RouteAnswers holds answers of the target on one route that came at about the same time.
-type RouteAnswers struct {
-	Route string
-	At    time.Duration // when they came, by the controller's monotonic clock
-	*Interval
-}
-
-// Sort puts answers into the order in which they came. The order of answers that came at the same time doesn't depend on the one before.
-func Sort(answers []RouteAnswers) {
-	slices.SortStableFunc(answers, func(a, b RouteAnswers) int {
-		return cmp.Or(cmp.Compare(a.At, b.At), cmp.Compare(a.Route, b.Route), cmp.Compare(a.Bad, b.Bad), cmp.Compare(a.Good, b.Good))
-	})
-}
-
 // A target that no test rejects, but that is more likely bad than good by its newest answers, is neither finished nor reverted yet. It
 // gets its share of the requests until the tests decide.
 const (
@@ -176,68 +147,3 @@
 	a.rejected = a.rejected || updated.rejects()
 	a.peak = max(a.peak, updated.ratio())
 }
-
-// expectations holds what is expected of a version that is as good as the baseline, by route.
-type expectations struct {
-	baseline  StatsByRoute
-	allRoutes Stats
-	byRoute   map[string]expectation // those that were asked for
-}
-
-// of returns the expectation of a route.
-func (e *expectations) of(route string) expectation {
-	expected, known := e.byRoute[route]
-	if !known {
-		expected = newExpectation(e.baseline[route], e.allRoutes)
-		e.byRoute[route] = expected
-	}
-	return expected
-}
-
-// expectation is how a version that is as good as the baseline answers on one route.
-type expectation struct {
-	badShare     float64
-	knowsLatency bool    // the baseline has enough answers to test the latency
-	slowFrom     int     // first latency bucket of slow answers
-	slowShare    float64 // share of slow answers
-}
-
-// newExpectation returns the expectation that follows from the baseline's answers on the route, or on all routes if it has few there.
-func newExpectation(route, allRoutes Stats) expectation {
-	if route.Good+route.Bad < minBaselineAnswers {
-		route = allRoutes
-	}
-	expected := expectation{badShare: baselineBadShare(route.Bad, route.Good)}
-	if count := route.latencyCount(); count >= minBaselineAnswers {
-		expected.knowsLatency = true
-		expected.slowFrom = route.medianBucket() + slowBucketOffset
-		slow := route.countFromBucket(expected.slowFrom)
-		expected.slowShare = baselineBadShare(slow, count-slow)
-	}
-	return expected
-}
-
-// routeTests holds the two tests of one route, or of all.
-type routeTests struct {
-	failures, latency sequentialTest
-}
-
-// add returns the tests after the target's next answers have been added to them.
-func (t routeTests) add(next *Interval, expected expectation) routeTests {
-	t.failures.add(next.Bad, next.Good, expected.badShare)
-	if expected.knowsLatency {
-		all, slow := next.countLatencies(expected.slowFrom)
-		t.latency.add(slow, all-slow, expected.slowShare)
-	}
-	return t
-}
-
-// ratio returns the higher log-likelihood ratio of the two tests.
-func (t routeTests) ratio() float64 {
-	return max(t.failures.logLikelihoodRatio, t.latency.logLikelihoodRatio)
-}
-
-// rejects reports whether either test rejects the target.
-func (t routeTests) rejects() bool {
-	return t.failures.rejectsTarget() || t.latency.rejectsTarget()
-}
--- a/internal/tier/rollout/sprt.go
+++ b/internal/tier/rollout/sprt.go
@@ -39,3 +39,28 @@
 func baselineBadShare(bad, good int64) float64 {
 	return min(max(float64(bad)/float64(bad+good+priorAnswers), minBaselineBadShare), maxBaselineBadShare)
 }
+
+// routeTests holds the two tests of one route, or of all.
+type routeTests struct {
+	failures, latency sequentialTest
+}
+
+// add returns the tests after the target's next answers have been added to them.
+func (t routeTests) add(next *Interval, expected expectation) routeTests {
+	t.failures.add(next.Bad, next.Good, expected.badShare)
+	if expected.knowsLatency {
+		all, slow := next.countLatencies(expected.slowFrom)
+		t.latency.add(slow, all-slow, expected.slowShare)
+	}
+	return t
+}
+
+// ratio returns the higher log-likelihood ratio of the two tests.
+func (t routeTests) ratio() float64 {
+	return max(t.failures.logLikelihoodRatio, t.latency.logLikelihoodRatio)
+}
+
+// rejects reports whether either test rejects the target.
+func (t routeTests) rejects() bool {
+	return t.failures.rejectsTarget() || t.latency.rejectsTarget()
+}
