rollout: only failures leave a roll-out undecided at its deadline

The ratio that keeps a roll-out open past its deadline took slow answers too. Endpoints that have just started answer slowly, and where traffic is low few answers follow: two slow ones of four would have had a good version reverted 5 s after its deadline that was finished before.

Test: TestAnalysis_FewSlowAnswers_FinishedByDeadline.

--- a/internal/tier/rollout/analysis.go
+++ b/internal/tier/rollout/analysis.go
@@ -19,8 +19,8 @@
 	deadlineMargin   = 300 * time.Millisecond // time before the deadline at which a target with fewer good answers is decided
 )
 
-// A target that no test rejects, but that is more likely bad than good by its newest answers, is neither finished nor reverted yet. It
-// gets its share of the requests until the tests decide.
+// A target that no test rejects, but that more likely fails than not by its newest answers, is neither finished nor reverted yet. It gets
+// its share of the requests until the tests decide.
 const (
 	undecidedRatio = 5               // log-likelihood ratio, bad to good version, from which a target isn't finished
 	maxUndecided   = 5 * time.Second // after the deadline, until such a target is reverted
@@ -37,13 +37,13 @@
 // many good answers, which must not count as one with the bad ones.
 type Analysis struct {
 	tests       map[string]routeTests
-	allRoutes   routeTests    // of the answers on all routes together; rejects nothing, but may leave the roll-out undecided
-	processed   StatsByRoute  // the target's stats that the tests include
-	complete    bool          // the last evaluation was on complete evidence
-	afterGap    uint64        // Evidence.AfterGap at the last evaluation
-	evaluatedAt time.Duration // time in service at the last evaluation
-	rejected    bool          // by the test of any route
-	peak        float64       // highest log-likelihood ratio of any test so far
+	allRoutes   sequentialTest // of failures on all routes together; rejects nothing, but may leave the roll-out undecided
+	processed   StatsByRoute   // the target's stats that the tests include
+	complete    bool           // the last evaluation was on complete evidence
+	afterGap    uint64         // Evidence.AfterGap at the last evaluation
+	evaluatedAt time.Duration  // time in service at the last evaluation
+	rejected    bool           // by the test of any route
+	peak        float64        // highest log-likelihood ratio of any test so far
 }
 
 // NewAnalysis returns an analysis that has evaluated no answers yet.
@@ -82,11 +82,12 @@
 	return Finished
 }
 
-// isUndecided reports whether the newest answers say that the target is bad, but not clearly enough to reject it.
+// isUndecided reports whether the newest answers say that the target fails, but not clearly enough to reject it. Slow answers don't count:
+// those of endpoints that have just started are slow, and few requests follow them where traffic is low.
 func (a *Analysis) isUndecided() bool {
-	ratio := a.allRoutes.ratio()
+	ratio := a.allRoutes.logLikelihoodRatio
 	for _, tests := range a.tests {
-		ratio = max(ratio, tests.ratio())
+		ratio = max(ratio, tests.failures.logLikelihoodRatio)
 	}
 	return ratio >= undecidedRatio
 }
@@ -119,7 +120,7 @@
 
 // replay begins the tests again with all answers in their order.
 func (a *Analysis) replay(target Evidence, baseline StatsByRoute) {
-	a.tests, a.allRoutes = map[string]routeTests{}, routeTests{}
+	a.tests, a.allRoutes = map[string]routeTests{}, sequentialTest{}
 	a.processed = maps.Clone(target.Totals)
 	expected := expectations{baseline: baseline, allRoutes: baseline.Total(), byRoute: map[string]expectation{}}
 	for _, answer := range target.Answers {
@@ -139,11 +140,11 @@
 	}
 }
 
-// add adds answers to the tests of a route and to those of all routes.
+// add adds answers to the tests of a route and to the one of all routes.
 func (a *Analysis) add(route string, next *Interval, expected expectation) {
 	updated := a.tests[route].add(next, expected)
 	a.tests[route] = updated
-	a.allRoutes = a.allRoutes.add(next, expected)
+	a.allRoutes.add(next.Bad, next.Good, expected.badShare)
 	a.rejected = a.rejected || updated.rejects()
 	a.peak = max(a.peak, updated.ratio())
 }
--- a/internal/tier/rollout/analysis_test.go
+++ b/internal/tier/rollout/analysis_test.go
@@ -476,3 +476,24 @@
 		})
 	}
 }
+
+func TestAnalysis_FewSlowAnswers_FinishedByDeadline(t *testing.T) {
+	const duration = 10 * time.Second
+	roll := rollout.Rollout{Proposal: rollout.Proposal{DurationMs: duration.Milliseconds()}}
+	// Given a service with little traffic, and a target whose first answers were slow,
+	baselineStats, slow, fast := rollout.Stats{Sent: 50, Good: 50}, rollout.Stats{Sent: 2, Good: 2}, rollout.Stats{Sent: 2, Good: 2}
+	for range 50 {
+		baselineStats.ObserveLatency(20 * time.Millisecond)
+	}
+	for range 2 {
+		slow.ObserveLatency(200 * time.Millisecond)
+		fast.ObserveLatency(20 * time.Millisecond)
+	}
+	evidence := evidenceOf(slow, fast)
+	// when it is evaluated at the end of its roll-out,
+	got := rollout.NewAnalysis().Evaluate(roll, duration-600*time.Millisecond, evidence, rollout.StatsByRoute{"r": baselineStats})
+	// then it is finished.
+	if got != rollout.Finished {
+		t.Errorf("Evaluate returned %s, want finished", got)
+	}
+}
--- a/internal/tier/rollout/sprt.go
+++ b/internal/tier/rollout/sprt.go
@@ -40,7 +40,7 @@
 	return min(max(float64(bad)/float64(bad+good+priorAnswers), minBaselineBadShare), maxBaselineBadShare)
 }
 
-// routeTests holds the two tests of one route, or of all.
+// routeTests holds the two tests of one route.
 type routeTests struct {
 	failures, latency sequentialTest
 }
