--- a/internal/tier/upstream/pool.go
+++ b/internal/tier/upstream/pool.go
@@ -84,21 +84,22 @@
 		conns = &endpointConns{id: endpoint.ID}
 		p.endpoints[endpoint.ID] = conns
 	}
+	full := endpoint.MaxConnections > 0 && conns.total >= endpoint.MaxConnections
 	position := conns.lastIdleFor(request)
-	if full := endpoint.MaxConnections > 0 && conns.total >= endpoint.MaxConnections; full && position < 0 {
+	if position < 0 && full {
 		position = len(conns.idle) - 1
-		if position < 0 {
-			return nil, nil, &Error{Kind: NeverSent, Reason: PoolExhausted}
-		}
 	}
-	if position < 0 {
-		conns.total++
-		return nil, conns, nil
+	if position >= 0 {
+		idle = conns.idle[position]
+		conns.idle = slices.Delete(conns.idle, position, position+1)
+		p.inUse[idle] = struct{}{}
+		return idle, nil, nil
+	}
+	if full {
+		return nil, nil, &Error{Kind: NeverSent, Reason: PoolExhausted}
 	}
-	idle = conns.idle[position]
-	conns.idle = slices.Delete(conns.idle, position, position+1)
-	p.inUse[idle] = struct{}{}
-	return idle, nil, nil
+	conns.total++
+	return nil, conns, nil
 }
 
 // lastIdleFor returns the position of the idle connection that was released last among those on which the request may be sent; -1: there
