rollout: sort the answers only for a replay; no work for roll-outs outside of them

Found on reading the change again; decisions are as they were.

- Each evaluation gathered and sorted all answers of a target, which only a replay needs.
Evidence holds the reported histories now, and Answers() merges them where the tests begin again.
- Controllers listed all members each 150 ms, also followers and without any roll-out; now only a leader with a roll-out does.
- The proxy added a whole Stats for each attempt of any request; again it counts in place, and keeps the single answer during roll-outs alone.

--- a/internal/tier/controller/order_mutants_test.go
+++ b/internal/tier/controller/order_mutants_test.go
@@ -150,9 +150,9 @@
 	{
 		Name: "the answers that proxies report aren't put in order",
 		Change: mutation.Change{
-			File: "rollout_stats.go",
-			Old:  "	rollout.Sort(evidence.Answers)\n",
-			New:  "",
+			File: "../rollout/evidence.go",
+			Old:  "\tslices.SortStableFunc(answers, compareAnswers)\n",
+			New:  "\tslices.Reverse(answers)\n",
 		},
 		Run: "^TestStatsTable_AnswersOfProxies_InTheOrderOfTheirTimes$",
 	},
--- a/internal/tier/controller/rollout_analysis.go
+++ b/internal/tier/controller/rollout_analysis.go
@@ -36,15 +36,15 @@
 	c.mutex.Lock()
 	active := c.state.rollouts.Active()
 	c.mutex.Unlock()
-	proxies := membership.CountRunning(c.options.Fleet.Members(), membership.Agent) // each agent has a proxy
+	if len(active) == 0 || !c.group.Status().IsLeader {
+		clear(analyses) // the former analysis of a leader that is elected again would lack the time between
+		return
+	}
 	maps.DeleteFunc(analyses, func(index uint64, _ *rollout.Analysis) bool {
 		return !slices.ContainsFunc(active, func(current rollout.Rollout) bool { return current.Index == index })
 	})
+	proxies := membership.CountRunning(c.options.Fleet.Members(), membership.Agent) // each agent has a proxy
 	for _, current := range active {
-		if !c.group.Status().IsLeader {
-			delete(analyses, current.Index) // the former analysis of a leader that is elected again would lack the time between
-			continue
-		}
 		if analyses[current.Index] == nil {
 			analyses[current.Index] = rollout.NewAnalysis()
 		}
@@ -57,7 +57,7 @@
 	}
 }
 
-// evaluation is what a decision was based on.
+// evaluation holds the inputs and the result of an analysis, for the log.
 type evaluation struct {
 	target    rollout.Evidence
 	baseline  rollout.StatsByRoute
@@ -91,7 +91,7 @@
 	target, baseline := on.target.Totals.Total(), on.baseline.Total()
 	level.Info(c.options.Logger).Log("msg", "roll-out decided", "service", current.Service, "target", current.Target, "state", state,
 		"good", target.Good, "bad", target.Bad, "baselineGood", baseline.Good, "baselineBad", baseline.Bad,
-		"intervals", len(on.target.Answers), "ratio", math.Round(on.peakRatio), "complete", on.target.Complete)
+		"intervals", on.target.IntervalCount(), "ratio", math.Round(on.peakRatio), "complete", on.target.Complete)
 }
 
 // initialVersions returns the initial version of each service: the one with the most endpoints, and of equals the first by name. The
--- a/internal/tier/controller/rollout_stats.go
+++ b/internal/tier/controller/rollout_stats.go
@@ -79,27 +79,22 @@
 	t.each(current.Service, current.Target, func(at time.Duration, stats *wire.VersionStats) {
 		if stats.Order == current.Index {
 			evidence.Totals.Add(stats.Route, stats.Stats)
-			evidence.Answers = appendAnswers(evidence.Answers, at, stats)
+			evidence.Histories = append(evidence.Histories, reportedHistory(at, stats))
 			knownFor = max(knownFor, now-at+time.Duration(stats.AgeMs)*time.Millisecond)
 		}
 	})
-	rollout.Sort(evidence.Answers)
 	evidence.Complete = t.isComplete(now, knownFor, proxies)
 	evidence.AfterGap = t.afterGap
 	return evidence, knownFor
 }
 
-// appendAnswers appends the answers of a report that arrived at a time. The counts of a proxy that reports no history are one interval.
-func appendAnswers(answers []rollout.RouteAnswers, at time.Duration, stats *wire.VersionStats) []rollout.RouteAnswers {
-	history := stats.History
-	if len(history) == 0 {
-		history = []rollout.Interval{rollout.NewInterval(stats.AgeMs, &stats.Stats)}
+// reportedHistory returns the history in a report that arrived at a time. The counts of a proxy that reports none are one interval.
+func reportedHistory(at time.Duration, stats *wire.VersionStats) rollout.ReportedHistory {
+	intervals := stats.History
+	if len(intervals) == 0 {
+		intervals = []rollout.Interval{rollout.NewInterval(stats.AgeMs, &stats.Stats)}
 	}
-	for i := range history {
-		age := time.Duration(history[i].AgeMs) * time.Millisecond
-		answers = append(answers, rollout.RouteAnswers{Route: stats.Route, At: at - age, Interval: &history[i]})
-	}
-	return answers
+	return rollout.ReportedHistory{Route: stats.Route, ReportedAt: at, Intervals: intervals}
 }
 
 // isComplete reports whether the newest reports of all proxies have arrived: reports have come without a gap until now, and since the
--- a/internal/tier/controller/rollout_stats_test.go
+++ b/internal/tier/controller/rollout_stats_test.go
@@ -96,7 +96,7 @@
 	// then the answers are in the order in which they came, and those without a history came first.
 	evidence, _ := table.duringRollout(&current, 11*time.Second, 3)
 	var got []string
-	for _, answer := range evidence.Answers {
+	for _, answer := range evidence.Answers() {
 		got = append(got, fmt.Sprint(answer.At, " good ", answer.Good, " bad ", answer.Bad))
 	}
 	want := []string{"1.5s good 5 bad 6", "6s good 1 bad 0", "7.5s good 3 bad 0", "8.5s good 4 bad 0", "9s good 0 bad 2"}
--- a/internal/tier/rollout/analysis.go
+++ b/internal/tier/rollout/analysis.go
@@ -58,7 +58,7 @@
 	if a.mayUpdate(elapsed, &target) {
 		a.update(target.Totals, baseline)
 	} else {
-		a.replay(target, baseline)
+		a.replay(&target, baseline)
 	}
 	a.complete, a.afterGap, a.evaluatedAt = target.Complete, target.AfterGap, elapsed
 	if a.rejected {
@@ -70,8 +70,10 @@
 	switch {
 	case elapsed < duration-early || !target.Complete:
 		return InService
+	case a.isUndecided() && elapsed < duration+maxUndecided:
+		return InService
 	case a.isUndecided():
-		return stateOfUndecided(elapsed - duration)
+		return Reverted
 	case sum.Good >= minGoodAnswers:
 		return Finished
 	case elapsed < duration-deadlineMargin:
@@ -92,14 +94,6 @@
 	return ratio >= undecidedRatio
 }
 
-// stateOfUndecided returns the state of a roll-out that is still undecided some time after its deadline.
-func stateOfUndecided(overdue time.Duration) State {
-	if overdue < maxUndecided {
-		return InService
-	}
-	return Reverted
-}
-
 // mayUpdate reports whether the answers since the last evaluation are all that is new.
 func (a *Analysis) mayUpdate(elapsed time.Duration, target *Evidence) bool {
 	return a.complete && target.Complete && target.AfterGap == a.afterGap && elapsed-a.evaluatedAt <= maxEvaluationGap &&
@@ -119,24 +113,24 @@
 }
 
 // replay begins the tests again with all answers in their order.
-func (a *Analysis) replay(target Evidence, baseline StatsByRoute) {
+func (a *Analysis) replay(target *Evidence, baseline StatsByRoute) {
 	a.tests, a.allRoutes = map[string]routeTests{}, sequentialTest{}
 	a.processed = maps.Clone(target.Totals)
-	expected := expectations{baseline: baseline, allRoutes: baseline.Total(), byRoute: map[string]expectation{}}
-	for _, answer := range target.Answers {
-		a.add(answer.Route, answer.Interval, expected.of(answer.Route))
+	expectations := expectationsOf(target.Totals, baseline)
+	for _, answer := range target.Answers() {
+		a.add(answer.Route, answer.Interval, expectations[answer.Route])
 	}
 }
 
 // update adds the answers since the last evaluation to the tests.
 func (a *Analysis) update(target, baseline StatsByRoute) {
-	allRoutes := baseline.Total()
+	expectations := expectationsOf(target, baseline)
 	for _, route := range slices.Sorted(maps.Keys(target)) {
 		current := target[route]
 		recent := current.since(a.processed[route])
 		a.processed[route] = current
 		interval := NewInterval(0, &recent)
-		a.add(route, &interval, newExpectation(baseline[route], allRoutes))
+		a.add(route, &interval, expectations[route])
 	}
 }
 
--- a/internal/tier/rollout/analysis_test.go
+++ b/internal/tier/rollout/analysis_test.go
@@ -69,16 +69,13 @@
 // simulationStart is the time of day at which simulated roll-outs begin.
 var simulationStart = time.Unix(1_700_000_000, 0)
 
-// evidence returns what the proxies report of the target.
+// evidence returns the proxies' reports on the target.
 func (s *simulatedRollout) evidence(now time.Duration, totals rollout.StatsByRoute) rollout.Evidence {
 	evidence := rollout.Evidence{Totals: copyOf(totals), Complete: true}
 	for key, history := range s.histories {
-		for _, interval := range history.Intervals(simulationStart.Add(now)) {
-			at := now - time.Duration(interval.AgeMs)*time.Millisecond
-			evidence.Answers = append(evidence.Answers, rollout.RouteAnswers{Route: key.route, At: at, Interval: &interval})
-		}
+		evidence.Histories = append(evidence.Histories, rollout.ReportedHistory{Route: key.route, ReportedAt: now,
+			Intervals: history.Intervals(simulationStart.Add(now))})
 	}
-	rollout.Sort(evidence.Answers)
 	return evidence
 }
 
@@ -319,14 +316,19 @@
 // evidenceOf returns complete evidence with intervals of one route, a second apart.
 func evidenceOf(intervals ...rollout.Stats) rollout.Evidence {
 	evidence := rollout.Evidence{Totals: rollout.StatsByRoute{}, Complete: true}
-	for i := range intervals {
-		interval := rollout.NewInterval(0, &intervals[i])
-		evidence.Totals.Add("r", intervals[i])
-		evidence.Answers = append(evidence.Answers, rollout.RouteAnswers{Route: "r", At: time.Duration(i) * time.Second, Interval: &interval})
+	for i, interval := range intervals {
+		addAnswers(&evidence, "r", time.Duration(i)*time.Second, interval)
 	}
 	return evidence
 }
 
+// addAnswers adds answers on one route to evidence.
+func addAnswers(evidence *rollout.Evidence, route string, at time.Duration, stats rollout.Stats) {
+	evidence.Totals.Add(route, stats)
+	evidence.Histories = append(evidence.Histories, rollout.ReportedHistory{Route: route, ReportedAt: at,
+		Intervals: []rollout.Interval{rollout.NewInterval(0, &stats)}})
+}
+
 // TestAnalysis_LeadersChange_DecisionStays guards against review case 3: a new leader took all answers so far as one, so that the good
 // answers from before hid the bad ones of a version that had just turned bad.
 func TestAnalysis_LeadersChange_DecisionStays(t *testing.T) {
@@ -409,28 +411,33 @@
 	roll := rollout.Rollout{Proposal: rollout.Proposal{DurationMs: duration.Milliseconds()}}
 	baseline := rollout.StatsByRoute{"r": {Sent: 200, Good: 200}, "q": {Sent: 200, Good: 200}}
 	// Given many good answers and one bad one on each of two routes, shortly before the deadline,
-	evidence := evidenceOf(rollout.Stats{Sent: 60, Good: 60})
-	evidence.Answers = append(evidence.Answers, answersAt("r", 8*time.Second, rollout.Stats{Bad: 1}), answersAt("q", 9*time.Second, rollout.Stats{Bad: 1}))
+	newEvidence := func() rollout.Evidence {
+		evidence := evidenceOf(rollout.Stats{Sent: 60, Good: 60})
+		addAnswers(&evidence, "r", 8*time.Second, rollout.Stats{Bad: 1})
+		addAnswers(&evidence, "q", 9*time.Second, rollout.Stats{Bad: 1})
+		return evidence
+	}
 	for _, test := range []struct {
 		name    string
-		next    []rollout.RouteAnswers
-		elapsed time.Duration // when these are evaluated
+		nextAt  time.Duration
+		next    rollout.Stats
+		elapsed time.Duration // when the next answers are evaluated
 		want    rollout.State
 	}{
-		{"no answer yet", nil, duration + time.Second, rollout.InService},
-		{"good answers", []rollout.RouteAnswers{answersAt("r", 9500*time.Millisecond, rollout.Stats{Good: 10})}, duration - 400*time.Millisecond, rollout.Finished},
-		{"good answers after the deadline", []rollout.RouteAnswers{answersAt("r", duration+time.Second, rollout.Stats{Good: 10})}, duration + 2*time.Second, rollout.Finished},
-		{"bad answers", []rollout.RouteAnswers{answersAt("r", 9500*time.Millisecond, rollout.Stats{Bad: 2})}, duration - 400*time.Millisecond, rollout.Reverted},
-		{"no answer for long", nil, duration + 5*time.Second, rollout.Reverted},
+		{"no answer yet", 0, rollout.Stats{}, duration + time.Second, rollout.InService},
+		{"good answers", 9500 * time.Millisecond, rollout.Stats{Good: 10}, duration - 400*time.Millisecond, rollout.Finished},
+		{"good answers after the deadline", duration + time.Second, rollout.Stats{Good: 10}, duration + 2*time.Second, rollout.Finished},
+		{"bad answers", 9500 * time.Millisecond, rollout.Stats{Bad: 2}, duration - 400*time.Millisecond, rollout.Reverted},
+		{"no answer for long", 0, rollout.Stats{}, duration + 5*time.Second, rollout.Reverted},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			analysis := rollout.NewAnalysis()
 			// then the roll-out isn't decided at once, but by the answers that come next.
-			if got := analysis.Evaluate(roll, duration-600*time.Millisecond, evidence, baseline); got != rollout.InService {
+			if got := analysis.Evaluate(roll, duration-600*time.Millisecond, newEvidence(), baseline); got != rollout.InService {
 				t.Errorf("Evaluate returned %s at first, want in_service", got)
 			}
-			after := evidence
-			after.Answers = slices.Concat(evidence.Answers, test.next)
+			after := newEvidence()
+			addAnswers(&after, "r", test.nextAt, test.next)
 			after.AfterGap++
 			if got := analysis.Evaluate(roll, test.elapsed, after, baseline); got != test.want {
 				t.Errorf("Evaluate returned %s later, want %s", got, test.want)
@@ -439,12 +446,6 @@
 	}
 }
 
-// answersAt returns answers on one route.
-func answersAt(route string, at time.Duration, stats rollout.Stats) rollout.RouteAnswers {
-	interval := rollout.NewInterval(0, &stats)
-	return rollout.RouteAnswers{Route: route, At: at, Interval: &interval}
-}
-
 // TestAnalysis_CountsOfEndedProxyForgotten_LaterAnswersCount guards against a long roll-out whose tests stand still: the counts of a proxy
 // that has ended are dropped after a while, and the sums are lower than before until as many answers have come.
 func TestAnalysis_CountsOfEndedProxyForgotten_LaterAnswersCount(t *testing.T) {
--- a/internal/tier/rollout/mutants_test.go
+++ b/internal/tier/rollout/mutants_test.go
@@ -95,7 +95,7 @@
 		Change: mutation.Change{
 			File: "analysis.go",
 			Old:  "	a.processed = maps.Clone(target.Totals)\n",
-			New:  "	a.processed = StatsByRoute{}\n	a.update(target.Totals, baseline)\n	target.Answers = nil\n",
+			New:  "	a.processed = StatsByRoute{}\n	a.update(target.Totals, baseline)\n	target.Histories = nil\n",
 		},
 		Run:    "^TestAnalysis_LeadersChange_DecisionStays$",
 		Always: true,
--- a/internal/tier/versionstats/counter.go
+++ b/internal/tier/versionstats/counter.go
@@ -162,15 +162,16 @@
 	if !t.counted {
 		return
 	}
-	var answer rollout.Stats
-	observe(&answer, outcome, t.warmingUp)
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	counted := c.countsOf(t.key)
-	counted.Add(answer)
-	if t.key.order != 0 {
-		counted.history.Add(c.now(), &answer)
+	observe(&counted.Stats, outcome, t.warmingUp)
+	if t.key.order == 0 {
+		return
 	}
+	var answer rollout.Stats
+	observe(&answer, outcome, t.warmingUp)
+	counted.history.Add(c.now(), &answer)
 }
 
 // countsOf returns the counts of a key for a change, and marks the counts as changed. The caller must hold the mutex.
