overloadtest: crowds of clients that don't behave, against the memory of processes

Callers: clients that send bodies which stop just short of their end, bodies over the limit, whole 4 MB turns, requests for long answers; also orders, heads at the readiness port and lines between processes without an end. The tests start a tier of real processes (memoryMb 128 on edge and core machines, 200 on storage machines; 1,000 files) and check that no process ends, that resident memory and bytes arrived unread stay within memoryMb, and that descriptors are given back and an ordinary request on each kind of route is answered afterwards. Crowds and bounds are fixed here, before the product changes. localtier gets limits by class of machine.

--- a/.ci/test.sh
+++ b/.ci/test.sh
@@ -11,11 +11,15 @@
 # under the detector.
 without_race=(./control ./internal/relay/simulator ./internal/tier/exchangetest ./internal/tier/fleettest ./internal/tier/replica ./internal/tier/simulation)
 
-pattern=$(printf '%s|' "${without_race[@]#./}")
+# This package measures the memory of processes under crowds of clients, so it runs after all others, one test at a time.
+alone=./internal/tier/overloadtest
+
+pattern=$(printf '%s|' "${without_race[@]#./}" "${alone#./}")
 with_race=$(go list ./cmd/... ./internal/... | grep -vE "^mastusher/(${pattern%|})\$")
 # The events show what failed, so the exit statuses of `go test` are ignored.
 {
 	go test -json "${without_race[@]}" || true
 	# shellcheck disable=SC2086 # a list of packages
 	go test -race -json $with_race || true
-} | go run ./internal/tools/knownred KNOWN-RED.txt $(go list "${without_race[@]}") $with_race
+	go test -json "$alone" || true
+} | go run ./internal/tools/knownred KNOWN-RED.txt $(go list "${without_race[@]}" "$alone") $with_race
--- a/internal/tier/localtier/localtiertest/build.go
+++ b/internal/tier/localtier/localtiertest/build.go
@@ -2,6 +2,7 @@
 package localtiertest
 
 import (
+	"fmt"
 	"os/exec"
 	"path"
 	"path/filepath"
@@ -26,11 +27,21 @@
 
 func build(t testing.TB, command string, flags ...string) string {
 	t.Helper()
-	binary := filepath.Join(t.TempDir(), path.Base(command))
+	binary, err := BuildIn(t.TempDir(), command, flags...)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return binary
+}
+
+// BuildIn builds a command of this project with flags of go build into a folder, and returns the path of its binary. It is for a binary
+// that several tests share.
+func BuildIn(folder, command string, flags ...string) (binary string, err error) {
+	binary = filepath.Join(folder, path.Base(command))
 	arguments := append([]string{"build", "-o", binary}, flags...)
 	output, err := exec.Command("go", append(arguments, command)...).CombinedOutput()
 	if err != nil {
-		t.Fatalf("go build: %v\n%s", err, output)
+		return "", fmt.Errorf("go build: %w\n%s", err, output)
 	}
-	return binary
+	return binary, nil
 }
--- a/internal/tier/localtier/settings.go
+++ b/internal/tier/localtier/settings.go
@@ -14,6 +14,7 @@
 // system starts for the first time.
 func (t *Tier) writeSettings(m Machine, role string, firstBoot bool) error {
 	file := settingsFile(m, role, t.Addresses(CoreClass, ControlPort), t.options.Platform, firstBoot)
+	file["limits"] = t.options.Limits[m.Class].orDefault().section()
 	if m.Class != EdgeClass {
 		disk := t.diskOf(m)
 		if err := os.MkdirAll(disk, 0o755); err != nil {
@@ -31,6 +32,28 @@
 	return os.WriteFile(t.settingsPath(m, role), raw, 0o644)
 }
 
+// Limits are the resource limits in the settings of each process.
+type Limits struct {
+	MemoryMb  int64
+	OpenFiles int64
+}
+
+// defaultLimits are the limits of machines whose class has none in the Options.
+var defaultLimits = Limits{MemoryMb: 256, OpenFiles: 4096}
+
+// orDefault returns the limits, or the defaults if none is set.
+func (l Limits) orDefault() Limits {
+	if l == (Limits{}) {
+		return defaultLimits
+	}
+	return l
+}
+
+// section returns the section of the settings file.
+func (l Limits) section() map[string]any {
+	return map[string]any{"memoryMb": l.MemoryMb, "openFiles": l.OpenFiles}
+}
+
 // settingsPath returns the settings file of a process.
 func (t *Tier) settingsPath(m Machine, role string) string {
 	return filepath.Join(t.options.Folder, m.Name+"-"+role+".yaml")
@@ -67,7 +90,6 @@
 		"seedNodes":       seeds,
 		"firstBoot":       firstBoot,
 		"countsForQuorum": machine.Class != EdgeClass,
-		"limits":          map[string]any{"memoryMb": 256, "openFiles": 4096},
 		"findBy":          "cloud_api",
 		"survive":         map[string]any{"machines": 1, "zones": 0, "regions": 0},
 		"bounds":          map[string]any{"graceS": graceSeconds},
--- a/internal/tier/localtier/tier.go
+++ b/internal/tier/localtier/tier.go
@@ -9,12 +9,14 @@
 	"mastusher/internal/tier/wire"
 )
 
-// Options are the options of a tier. All but ProcessEnv are required.
+// Options are the options of a tier. All but Limits and ProcessEnv are required.
 type Options struct {
 	Command  []string // runs a role, whose name is appended
 	Folder   string   // for settings, disks and logs
 	Platform string   // address of the platform that lists the endpoints
 	Counts   Counts
+	// Limits are the limits of each process, by class of its machine; default: 256 MiB and 4,096 files.
+	Limits map[string]Limits
 	// ProcessEnv returns environment variables (NAME=value) of a machine's processes in addition to SettingsVariable; default nil:
 	// none.
 	ProcessEnv func(m Machine) []string
