memorybudget: one budget of bytes for what callers make a process hold

Cause: limits stood at each place (connections, queues, maxBodyBytes) and nothing bounded their sum; a crowd within each limit takes many times the memory of a machine.

A Budget is drawn from memoryMb. Work reserves its capacity and copies before it takes memory, in one of four classes, of which connections, large and lines leave an eighth at least to small requests. Waiting reservations are granted in order; a caller that makes too little progress loses its lease, but only while another reservation finds no memory. Metrics by class; network.ListenConfig bounds receive buffers, since the platform counts bytes that arrived unread.

--- a/internal/tier/metrics/metrics.go
+++ b/internal/tier/metrics/metrics.go
@@ -10,6 +10,8 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"mastusher/internal/tier/memorybudget"
 )
 
 // Path is the HTTP path of the metrics.
@@ -78,19 +80,19 @@
 // New returns metrics with a registry of their own, all at 0.
 func New() *Metrics {
 	counters := func(name, help string, labels ...string) *prometheus.CounterVec {
-		return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "mastusher", Name: name, Help: help}, labels)
+		return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, labels)
 	}
 	m := &Metrics{
 		registry:     prometheus.NewRegistry(),
 		messageBytes: counters("link_line_bytes_total", "Bytes of lines sent to other processes, before they are packed.", "kind", "zone"),
 		sentBytes:    counters("link_sent_bytes_total", "Bytes sent to other processes over connections, as they go on the wire.", "zone"),
-		orderSeconds: prometheus.NewHistogramVec(prometheus.HistogramOpts{Namespace: "mastusher", Name: "order_seconds",
+		orderSeconds: prometheus.NewHistogramVec(prometheus.HistogramOpts{Namespace: namespace, Name: "order_seconds",
 			Help: "Time of the steps of the operator's configurations.", Buckets: orderBuckets}, []string{"step"}),
 		orders: counters("orders_total", "Configurations that the operator has sent, by outcome.", "outcome"),
-		elections: prometheus.NewCounter(prometheus.CounterOpts{Namespace: "mastusher", Name: "elections_total",
+		elections: prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "elections_total",
 			Help: "Owners of the configuration's group that this member has seen elected."}),
 		rejections: counters("own_answers_total", "Requests that the proxy has answered by itself, by kind.", "kind"),
-		foreignResponses: prometheus.NewCounter(prometheus.CounterOpts{Namespace: "mastusher", Name: "foreign_answers_total",
+		foreignResponses: prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "foreign_answers_total",
 			Help: "Answers of endpoints that came in the place of the answer to another request."}),
 		repeatedSends: counters("repeated_sends_total", "Requests sent again to an endpoint that had not run them, by age of the connection.",
 			"connection"),
@@ -101,6 +103,14 @@
 	return m
 }
 
+// SetMemory adds the metrics of the budget for callers' memory; nil adds none. It must be called once, before Handler is used.
+func (m *Metrics) SetMemory(budget *memorybudget.Budget) {
+	if budget == nil {
+		return
+	}
+	m.registry.MustRegister(&memoryCollector{budget: budget})
+}
+
 // Handler returns the HTTP handler that serves the metrics.
 func (m *Metrics) Handler() http.Handler {
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
