transport: lines and connections between processes take their memory from the budget

Cause: a read buffer doubled up to MaxLineBytes with no bound on their sum; packed lines unpacked up to 64 MB though 512 KB is the most that is ever packed; receive buffers up to the system's maximum; nothing ended a line that made no progress.

A line over 64 KiB reserves its buffer and the copy that its growth or decoding takes. Without memory the line is skipped to its end: a call is answered with busy, a notice is lost, and the connection goes on, so that small calls on it don't suffer. A stalled line loses its memory once others need it. Every process has a budget and logs what it refuses each second.

--- a/internal/tier/command/environment.go
+++ b/internal/tier/command/environment.go
@@ -58,7 +58,7 @@
 
 // RunStore runs a store until ctx ends, and then until its groups have other leaders.
 func RunStore(ctx context.Context, env Environment) error {
-	return runShared(ctx, env, "store", func(p *process) error { return p.runStore(ctx) })
+	return runShared(ctx, env, storeRole, func(p *process) error { return p.runStore(ctx) })
 }
 
 // RunAgent runs an agent until ctx ends, and then for a part of the grace time, because its proxy may still need it.
--- a/internal/tier/command/process.go
+++ b/internal/tier/command/process.go
@@ -14,6 +14,7 @@
 	"github.com/google/subcommands"
 
 	"mastusher/internal/tier/invariant"
+	"mastusher/internal/tier/memorybudget"
 	"mastusher/internal/tier/metrics"
 	"mastusher/internal/tier/settings"
 	"mastusher/internal/tier/transport"
@@ -38,7 +39,8 @@
 	env        Environment
 	invariants *invariant.Counter
 	metrics    *metrics.Metrics
-	diskSeeds  []string // addresses of other machines that this machine's disk held at the start
+	memory     *memorybudget.Budget // of callers; nil: the settings have no limit
+	diskSeeds  []string             // addresses of other machines that this machine's disk held at the start
 }
 
 // newProcess loads the settings from the system's environment, and sets the runtime's limits.
@@ -62,11 +64,21 @@
 	}
 	logger := log.With(env.Logger, "role", role, "node", loaded.NodeName)
 	p := &process{settings: loaded, logger: logger, pool: transport.NewPoolOn(env.Network), seed: seedOf(loaded.NodeName, role), env: env,
-		invariants: invariant.New(logger), metrics: metrics.New()}
+		invariants: invariant.New(logger), metrics: metrics.New(), memory: callerBudget(role, loaded.Limits.MemoryMb<<20)}
 	p.pool.SetMeter(p.metrics)
+	p.pool.SetMemory(p.memory)
+	p.metrics.SetMemory(p.memory)
 	return p, nil
 }
 
+// callerBudget returns the memory budget of a role with a memory limit in bytes; nil if there is no limit.
+func callerBudget(role string, memoryLimit int64) *memorybudget.Budget {
+	if role == storeRole {
+		return memorybudget.ForStore(memoryLimit)
+	}
+	return memorybudget.ForServer(memoryLimit)
+}
+
 // seedOf returns a seed that differs between processes and between starts.
 func seedOf(node, role string) uint64 {
 	hash := fnv.New64a()
--- a/internal/tier/command/role.go
+++ b/internal/tier/command/role.go
@@ -7,6 +7,9 @@
 	"github.com/google/subcommands"
 )
 
+// storeRole is the name of the role that keeps programs' state.
+const storeRole = "store"
+
 // Role is the subcommand that runs one role of the tier until the process is told to end.
 type Role struct {
 	name     string
@@ -37,7 +40,7 @@
 			run:      (*process).runController,
 		},
 		{
-			name:     "store",
+			name:     storeRole,
 			synopsis: "hold shards of programs' state on a storage machine",
 			place:    "on a storage machine",
 			run:      (*process).runStore,
--- a/internal/tier/command/shutdown.go
+++ b/internal/tier/command/shutdown.go
@@ -24,7 +24,9 @@
 		requested <- time.Now()
 		level.Info(p.logger).Log("msg", "shutdown requested", "grace", p.settings.Bounds.GracePeriod())
 	})
+	stopReports := p.startMemoryReports()
 	err := run()
+	stopReports()
 	if stopping.Err() != nil { // otherwise it ended on its own
 		level.Info(p.logger).Log("msg", EndMessage, "after", time.Since(<-requested))
 	}
--- a/internal/tier/command/start.go
+++ b/internal/tier/command/start.go
@@ -40,6 +40,7 @@
 // listen opens the listener for other processes. It retries while the address is still in use by the previous process.
 func (p *process) listen(ctx context.Context, address string, handlers *transport.Handlers) (server *transport.Server, err error) {
 	handlers.SetMeter(p.metrics)
+	handlers.SetMemory(p.memory)
 	err = p.retryStart(ctx, "address of the link", func() error {
 		server, err = transport.ListenOn(p.env.Network, address, handlers, p.logger)
 		return err
--- a/internal/tier/transport/clientconnection.go
+++ b/internal/tier/transport/clientconnection.go
@@ -8,6 +8,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"mastusher/internal/tier/memorybudget"
 )
 
 // pendingCall is a call without an answer yet.
@@ -74,9 +76,20 @@
 
 // read handles received lines until reading or a line fails.
 func (c *clientConnection) read(socket net.Conn) error {
+	lease, err := c.peer.pool.memory.TryReserve(memorybudget.Lines, 0)
+	if err != nil {
+		return err
+	}
+	defer lease.Release()
 	reader := newLineReader(socket, c.peer.pool.limits.lineBytes)
+	reader.reserveFrom(lease, func() { socket.Close() })
 	for {
 		text, err := reader.next()
+		var refused *refusedLineError
+		if errors.As(err, &refused) {
+			c.failRefused(refused)
+			continue
+		}
 		if err != nil {
 			return err
 		}
@@ -108,6 +121,17 @@
 	return nil
 }
 
+// failRefused fails the call whose answer was dropped for lack of memory.
+func (c *clientConnection) failRefused(refused *refusedLineError) {
+	_, id, ok := refused.call()
+	if !ok {
+		return
+	}
+	if pending := c.removePending(id); pending != nil {
+		pending.done <- c.callError(pending, true, refused)
+	}
+}
+
 // removePending removes and returns a pending call, so that it gets only one result; nil if there is none.
 func (c *clientConnection) removePending(id uint64) *pendingCall {
 	c.mutex.Lock()
--- a/internal/tier/transport/errors.go
+++ b/internal/tier/transport/errors.go
@@ -10,7 +10,7 @@
 	KindInternal      = "internal"       // the handler's error has no kind, or encoding the answer failed
 	KindUnknownMethod = "unknown_method" // no handler is registered for the method
 	KindBadRequest    = "bad_request"    // the body does not match the handler's type, or the number is in use
-	KindBusy          = "busy"           // too many handlers are running for the connection; this one was not started
+	KindBusy          = "busy"           // too many handlers are running for the connection, or there is no memory for the call or its answer
 	KindTooLong       = "too_long"       // the answer exceeds MaxLineBytes
 )
 
--- a/internal/tier/transport/handlers.go
+++ b/internal/tier/transport/handlers.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+
+	"mastusher/internal/tier/memorybudget"
 )
 
 // Handlers maps methods to their handlers. All must be registered before the server listens.
@@ -14,6 +16,7 @@
 	notices  map[string]noticeHandler
 	datagram func(from string, payload []byte)
 	meter    Meter
+	memory   *memorybudget.Budget
 }
 
 type (
@@ -81,6 +84,9 @@
 // SetMeter sets the meter that counts what servers with these handlers send on connections. It must be called before they listen.
 func (h *Handlers) SetMeter(meter Meter) { h.meter = meter }
 
+// SetMemory sets the budget of connections and long lines for servers with these handlers. It must be called before they listen.
+func (h *Handlers) SetMemory(memory *memorybudget.Budget) { h.memory = memory }
+
 // HandleDatagram sets the handler for datagrams, which is called for one datagram after the other. The handler must not block and
 // must not retain the payload.
 func (h *Handlers) HandleDatagram(handle func(from string, payload []byte)) {
--- a/internal/tier/transport/limits.go
+++ b/internal/tier/transport/limits.go
@@ -27,6 +27,12 @@
 	maxConnections     = 2048                   // per server; further ones are closed immediately
 	maxRunningHandlers = 4096                   // per connection; further calls and streams get KindBusy
 	maxCachedAddresses = 1024                   // address texts of datagram senders
+	receiveBufferBytes = 128 << 10              // requested of the system for each connection; it takes up to twice as much
+	connectionBytes    = 16 << 10               // memory of an accepted connection without long lines
+	largeReadBytes     = 1 << 20                // size from which a read buffer grows by half
+	lineCopies         = 2                      // how often a long line is in memory: as received, and while its buffer grows or its body is decoded
+	refusedStartBytes  = 64                     // of a refused line, which tell the call
+	unpackWait         = 2 * time.Second        // for the memory of unpacked lines
 	streamBacklogBytes = 256 << 10              // at this many queued bytes the handler of a stream blocks
 )
 
--- a/internal/tier/transport/pool.go
+++ b/internal/tier/transport/pool.go
@@ -5,6 +5,7 @@
 	"sync"
 	"sync/atomic"
 
+	"mastusher/internal/tier/memorybudget"
 	"mastusher/internal/tier/network"
 )
 
@@ -14,6 +15,7 @@
 	limits   limits
 	network  network.Network
 	meter    Meter
+	memory   *memorybudget.Budget
 	lastID   atomic.Uint64   // number of the last call or stream
 	lifetime context.Context // cancelled by Close
 	end      context.CancelFunc
@@ -39,6 +41,9 @@
 // SetMeter sets the meter that counts what is sent on connections. It must be called before the first call.
 func (p *Pool) SetMeter(meter Meter) { p.meter = meter }
 
+// SetMemory sets the budget of long answers. It must be called before the first call.
+func (p *Pool) SetMemory(memory *memorybudget.Budget) { p.memory = memory }
+
 // newPool is like NewPool but uses the given limits.
 func newPool(bounds limits) *Pool {
 	pool := &Pool{limits: bounds, network: network.System{}, peers: map[string]*peer{}}
--- a/internal/tier/transport/server.go
+++ b/internal/tier/transport/server.go
@@ -12,6 +12,7 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
+	"mastusher/internal/tier/memorybudget"
 	"mastusher/internal/tier/network"
 )
 
@@ -20,6 +21,7 @@
 	handlers *Handlers
 	logger   log.Logger
 	limits   limits
+	memory   *memorybudget.Budget
 	listener net.Listener
 	packets  network.PacketConn
 	done     chan struct{}
@@ -55,6 +57,7 @@
 		handlers:    handlers,
 		logger:      logger,
 		limits:      bounds,
+		memory:      handlers.memory,
 		listener:    listener,
 		packets:     packets,
 		done:        make(chan struct{}),
@@ -96,9 +99,9 @@
 	}
 }
 
-// plainTCP returns a listen configuration without multipath TCP.
+// plainTCP returns a listen configuration without multipath TCP, and with a bounded receive buffer.
 func plainTCP() *net.ListenConfig {
-	config := new(net.ListenConfig)
+	config := network.ListenConfig(receiveBufferBytes)
 	config.SetMultipathTCP(false)
 	return config
 }
@@ -155,8 +158,14 @@
 		socket.Close()
 		return
 	}
+	lease, err := s.memory.TryReserve(memorybudget.Connections, connectionBytes)
+	if err != nil {
+		socket.Close()
+		return
+	}
 	s.setSocketOptions(socket)
 	connection := newServerConnection(s, socket)
+	connection.lease = lease
 	s.connections[connection] = struct{}{}
 	s.running.Add(1)
 	go connection.read()
--- a/internal/tier/transport/serverconnection.go
+++ b/internal/tier/transport/serverconnection.go
@@ -8,6 +8,8 @@
 	"sync"
 
 	"github.com/go-kit/log/level"
+
+	"mastusher/internal/tier/memorybudget"
 )
 
 // serverConnection is an accepted connection. One goroutine reads; the outbox writes.
@@ -15,6 +17,7 @@
 	server *Server
 	socket net.Conn
 	from   string // address of the peer
+	lease  *memorybudget.Lease
 	out    outbox
 	ctx    context.Context // parent of the handlers' contexts; ends with the connection
 	cancel context.CancelFunc
@@ -51,12 +54,19 @@
 func (c *serverConnection) read() {
 	defer c.server.running.Done()
 	defer c.server.remove(c)
+	defer c.lease.Release()
 	defer c.close()
 	reader := newLineReader(c.socket, c.server.limits.lineBytes)
+	reader.reserveFrom(c.lease, c.close)
 	for {
 		text, err := reader.next()
-		if err == nil {
+		var refused *refusedLineError
+		switch {
+		case err == nil:
 			err = c.handleLine(text)
+		case errors.As(err, &refused):
+			c.refuse(refused)
+			continue
 		}
 		if err != nil {
 			c.logError(err)
@@ -65,6 +75,15 @@
 	}
 }
 
+// refuse answers a call or stream whose line was dropped for lack of memory. A notice is lost, as on the network.
+func (c *serverConnection) refuse(refused *refusedLineError) {
+	kind, id, ok := refused.call()
+	level.Warn(c.server.logger).Log("msg", "line refused, no memory", "kind", kind, "peer", c.from)
+	if ok && (kind == callLine || kind == streamLine) {
+		c.sendError(id, unknownMethod, &RemoteError{Kind: KindBusy, Message: refused.Error()})
+	}
+}
+
 // logError logs the end of a connection that is caused by a protocol error of the peer.
 func (c *serverConnection) logError(err error) {
 	var tooLong *TooLongError
@@ -144,7 +163,9 @@
 // Server.Close waits for runCall.
 func (c *serverConnection) runCall(ctx context.Context, id uint64, method string, run callFunc) {
 	defer c.finishHandler(id)
-	answer, err := run(ctx)
+	answered := new(answeredHooks)
+	defer answered.run()
+	answer, err := run(context.WithValue(ctx, answeredKey{}, answered))
 	if err != nil {
 		c.sendError(id, method, err)
 		return
--- a/internal/tier/transport/socket.go
+++ b/internal/tier/transport/socket.go
@@ -5,6 +5,8 @@
 	"syscall"
 
 	"golang.org/x/sys/unix"
+
+	"mastusher/internal/tier/network"
 )
 
 // keepAlive makes the kernel probe idle peers without waking the process.
@@ -33,6 +35,7 @@
 		Timeout:         dialTimeout,
 		KeepAliveConfig: keepAlive,
 		Control: func(_, _ string, raw syscall.RawConn) error {
+			network.SetReceiveBuffer(raw, receiveBufferBytes)
 			return setTCPUserTimeout(raw)
 		},
 	}
