wire, program: contents of turns are encoded once, into a buffer of their size

Cause: encoding/json holds a turn's contents several times while it encodes them (its own growing buffer, which it also pools, and ours), so a 4 MB turn took some 25 MB at the proxy and again at the shard's leader; the cache of chains copied chains that it can't keep.

Requests, responses and log entries of turns append their base64 to a buffer of the right size.

--- a/internal/tier/group/proposal.go
+++ b/internal/tier/group/proposal.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"slices"
 	"strconv"
 )
 
@@ -33,8 +34,12 @@
 	commandKey = `,"c":`
 )
 
+// proposalOverhead is at least what a proposal takes in bytes without its command.
+const proposalOverhead = 128
+
 // appendProposal appends a proposal as JSON. It copies the command without parsing it.
 func appendProposal(buffer []byte, p *proposal) []byte {
+	buffer = slices.Grow(buffer, len(p.Command)+proposalOverhead)
 	buffer = append(buffer, originKey...)
 	buffer = strconv.AppendQuoteToASCII(buffer, p.Origin) // an identity and a number, which JSON quotes in the same way
 	buffer = append(buffer, tokenKey...)
--- a/internal/tier/programclient/prefix_cache.go
+++ b/internal/tier/programclient/prefix_cache.go
@@ -64,7 +64,7 @@
 // addBegun caches the chain of an accepted turn up to its input. If the turn is cached already, the entry is replaced, since the
 // input may differ.
 func (c *prefixCache) addBegun(turn *program.BeginTurn, chain []byte) {
-	if !turn.Remembered || turn.Program == "" {
+	if !turn.Remembered || turn.Program == "" || len(chain)+len(turn.Input) > c.maxBytes {
 		return
 	}
 	text := make([]byte, 0, len(chain)+len(turn.Input))
@@ -84,7 +84,7 @@
 		return
 	}
 	c.evict(known)
-	if !turn.Complete || verdict != program.Accepted {
+	if !turn.Complete || verdict != program.Accepted || len(known.text)+len(turn.Output) > c.maxBytes {
 		return
 	}
 	text := make([]byte, 0, len(known.text)+len(turn.Output))
--- a/internal/tier/store/machine.go
+++ b/internal/tier/store/machine.go
@@ -18,6 +18,14 @@
 	Placement uint64 `json:"placement,omitempty"` // index of the placement
 }
 
+// EncodeJSON implements group.JSONEncoder, for both kinds of entry.
+func (c command) EncodeJSON() (json.RawMessage, error) {
+	if c.Placement == 0 {
+		return c.Command.EncodeJSON()
+	}
+	return json.Marshal(c)
+}
+
 // machine is the state machine of a shard: its programs, and the index of the newest placement that the group follows, so that a new
 // leader never returns to an older placement. It implements group.ChunkedStateMachine, group.StateSizer and group.Replayer.
 type machine struct {
