program: a turn whose proxy is lost keeps its contents for the time it had, not 150 s

Callers saw: whole 4 MB turns that end relays leave their inputs in the stores' memory for 150 s (2 min and 30 s for clocks), while every new turn of anyone gets 503, storage full.

Cause: the stores don't know how long a turn in flight may still end. BeginTurn now tells the time that its request has left (timeLeftMs; absent: as before), and the input is dropped after that and the 30 s for clocks. Tokens reserved stay spent, as before. A turn ends by the request's deadline if it ends completely, so none that can count is dropped. The stored body of the request is written anew for the new field; the earlier one has a file and a test of its own.

Costs: a commit that arrives after that finds no turn, and its tokens count as spent (before: within 150 s).

--- a/internal/tier/program/begin.go
+++ b/internal/tier/program/begin.go
@@ -34,7 +34,7 @@
 	if p != nil {
 		p.reserve(maxTokens)
 	}
-	m.add(t)
+	m.add(t, inFlightMs(begin.TimeLeftMs)+clockMarginMs)
 	return Accepted, parent
 }
 
@@ -73,8 +73,8 @@
 	return m.imported[name]
 }
 
-// add stores a new turn.
-func (m *Machine) add(t *turn) {
+// add stores a new turn, which is retained for some time unless it ends.
+func (m *Machine) add(t *turn, retentionMs int64) {
 	if t.parent != nil {
 		t.parent.children++
 	}
@@ -82,7 +82,7 @@
 	t.sequence = m.sequence
 	m.turns[t.name] = t
 	m.contentBytes += t.contentBytes()
-	m.scheduleExpiry(t)
+	m.expiries.schedule(t, m.clock.nowMs+retentionMs)
 }
 
 // addImported stores an imported chain. The chain isn't queued for expiry: it is retained as long as a turn continues it.
--- a/internal/tier/program/command.go
+++ b/internal/tier/program/command.go
@@ -14,6 +14,8 @@
 	Input      []byte  `json:"input,omitempty"`
 	Imported   []byte  `json:"imported,omitempty"` // the chain of Previous, if another shard stores it
 	AtMs       int64   `json:"atMs"`               // the leader's wall-clock time, Unix ms
+	// TimeLeftMs is the time within which the turn ends if it ends completely; 0: unknown. Earlier proxies don't tell it.
+	TimeLeftMs int64 `json:"timeLeftMs,omitempty"`
 }
 
 // EndTurn commits a turn: its reservation is released and the tokens sent to the client are charged, at least 0 and at most those
@@ -45,8 +47,8 @@
 	BudgetExceeded Verdict = "budget_spent"
 	// TurnNotFound rejects a BeginTurn whose Previous names no complete turn of this shard and that imports no chain.
 	TurnNotFound Verdict = "no_such_turn"
-	// StorageFull rejects a BeginTurn of a new program that the shard's leader doesn't propose, since it is short of memory or
-	// disk.
+	// StorageFull rejects a command that the shard's leader doesn't propose, since it is short of memory or disk: a BeginTurn of a new
+	// program, one with a large input, or an EndTurn with a large output.
 	StorageFull Verdict = "storage_full"
 	// UnknownTurn rejects an EndTurn of a turn that was never begun in this shard or has expired. It also rejects one that is
 	// Complete if the turn was committed as incomplete before and so can't be continued, and commands without a turn's name.
--- a/internal/tier/program/retention.go
+++ b/internal/tier/program/retention.go
@@ -23,6 +23,14 @@
 	return endedRetentionMs
 }
 
+// inFlightMs returns how long a turn in flight may still end, if its relay gives it so much time; 0: unknown.
+func inFlightMs(timeLeftMs int64) int64 {
+	if timeLeftMs <= 0 {
+		return inFlightRetentionMs
+	}
+	return min(timeLeftMs, inFlightRetentionMs)
+}
+
 // requestedRetentionMs converts the retention that a command asks for from seconds to whole milliseconds, up to maxRetentionMs. It
 // returns 0 for NaN and for numbers that aren't positive.
 func requestedRetentionMs(seconds float64) int64 {
--- a/internal/tier/wire/format_test.go
+++ b/internal/tier/wire/format_test.go
@@ -129,6 +129,25 @@
 	}
 }
 
+// TestBodyFormat_BeginWithoutTimeLeft_IsReadAndWrittenAlike decodes the stored request of versions that didn't tell the time that a turn has
+// left, and encodes it again.
+func TestBodyFormat_BeginWithoutTimeLeft_IsReadAndWrittenAlike(t *testing.T) {
+	stored, err := os.ReadFile("testdata/begin-without-time-left.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var read wire.BeginTurnRequest
+	if err := json.Unmarshal(stored, &read); err != nil {
+		t.Fatal(err)
+	}
+	if text := cmp.Diff(string(bytes.TrimSpace(stored)), string(encode(t, read))); text != "" {
+		t.Error(text)
+	}
+	if read.Turn.TimeLeftMs != 0 || len(read.Turn.Input) == 0 || len(read.CachedChains) == 0 {
+		t.Errorf("read %+v", read)
+	}
+}
+
 // TestMethodFormat_NamesAndPorts_AreThoseOfEarlierVersions checks the method names and port offsets with which processes of different
 // versions call each other.
 func TestMethodFormat_NamesAndPorts_AreThoseOfEarlierVersions(t *testing.T) {
