store: large turns are refused before small ones, and what calls take is reserved

Fullness has degrees: from 75 % turns with inputs over 64 KiB are refused, from 85 % new programs and large outputs, from 93 % all remembered turns. Large contents being proposed, and chains being answered with, reserve their copies; contents wait up to 0.3 s. Apply returns the chain's parts, which the handler joins once they are reserved.

Tests that cast a shard's result use its new type.

--- a/internal/tier/command/limit_monitor.go
+++ b/internal/tier/command/limit_monitor.go
@@ -13,29 +13,35 @@
 	"mastusher/internal/tier/wait"
 )
 
-// A store is near a limit once it uses nearLimitShare of its memory or disk, until it uses less than farFromLimitShare of both. Larger
-// shares use more of the machine, but leave less for work in progress: queued messages, a snapshot that is being received, and garbage
-// between two collections.
-const (
-	nearLimitShare    = 0.85
-	farFromLimitShare = 0.78
-	limitInterval     = 200 * time.Millisecond
-)
+// threshold is the share of its memory or disk from which on a store has a degree of fullness, and the share of both below which it has it
+// no more. Larger shares use more of the machine, but leave less for work in progress: queued messages, a snapshot that is being received,
+// and garbage between two collections.
+type threshold struct{ enter, leave float64 }
+
+// thresholds are the shares of each degree.
+var thresholds = map[store.Fullness]threshold{
+	store.ShortOfBulk: {enter: 0.75, leave: 0.70},
+	store.Near:        {enter: 0.85, leave: 0.78},
+	store.Full:        {enter: 0.93, leave: 0.88},
+}
+
+// limitInterval is the interval at which a store's use of memory and disk is measured.
+const limitInterval = 100 * time.Millisecond
 
 // limitMonitor compares a store's use of memory and disk with the limits of its settings. A limit of 0 means no limit.
 type limitMonitor struct {
 	memoryLimit int64 // bytes
 	diskLimit   int64 // bytes
 	logger      log.Logger
-	near        atomic.Bool
+	current     atomic.Int64 // a store.Fullness
 }
 
 func newLimitMonitor(limits settings.Limits, logger log.Logger) *limitMonitor {
 	return &limitMonitor{memoryLimit: limits.MemoryMb << 20, diskLimit: limits.DiskMb << 20, logger: logger}
 }
 
-// isNear reports whether the store should reject new programs.
-func (m *limitMonitor) isNear() bool { return m.near.Load() }
+// fullness returns the store's fullness as last measured.
+func (m *limitMonitor) fullness() store.Fullness { return store.Fullness(m.current.Load()) }
 
 // run checks a store periodically until ctx ends.
 func (m *limitMonitor) run(ctx context.Context, shards *store.Store) {
@@ -48,15 +54,23 @@
 
 // observe updates the state from the bytes of memory and disk in use.
 func (m *limitMonitor) observe(memory, disk int64) {
-	share := nearLimitShare
-	if m.isNear() {
-		share = farFromLimitShare
+	before := m.fullness()
+	now := store.Roomy
+	for degree := store.ShortOfBulk; degree <= store.Full; degree++ {
+		share := thresholds[degree].enter
+		if before >= degree {
+			share = thresholds[degree].leave
+		}
+		if isOver(memory, m.memoryLimit, share) || isOver(disk, m.diskLimit, share) {
+			now = degree
+		}
 	}
-	near := isOver(memory, m.memoryLimit, share) || isOver(disk, m.diskLimit, share)
-	if m.near.Swap(near) != near {
-		level.Warn(m.logger).Log("msg", "storage limit state changed", "near", near, "memoryKB", memory>>10, "memoryLimitKB", m.memoryLimit>>10,
-			"diskKB", disk>>10, "diskLimitKB", m.diskLimit>>10)
+	if now == before {
+		return
 	}
+	m.current.Store(int64(now))
+	level.Warn(m.logger).Log("msg", "storage limit state changed", "near", now >= store.Near, "fullness", now, "memoryKB", memory>>10,
+		"memoryLimitKB", m.memoryLimit>>10, "diskKB", disk>>10, "diskLimitKB", m.diskLimit>>10)
 }
 
 func isOver(used, limit int64, share float64) bool {
--- a/internal/tier/command/limit_monitor_test.go
+++ b/internal/tier/command/limit_monitor_test.go
@@ -6,6 +6,7 @@
 	"github.com/go-kit/log"
 
 	"mastusher/internal/tier/settings"
+	"mastusher/internal/tier/store"
 )
 
 func TestLimitMonitor_UseOfMemoryAndDisk_NearUntilWellBelow(t *testing.T) {
@@ -28,13 +29,29 @@
 			for i := range tc.memory {
 				m.observe(tc.memory[i]*mb, tc.disk[i]*mb)
 			}
-			if m.isNear() != tc.want {
-				t.Errorf("near a limit: %t, want the opposite", m.isNear())
+			if got := m.fullness() >= store.Near; got != tc.want {
+				t.Errorf("near a limit: %t, want the opposite", got)
 			}
 		})
 	}
 }
 
+func TestLimitMonitor_UseOfMemory_DegreesEnteredAndLeft(t *testing.T) {
+	m := newLimitMonitor(settings.Limits{MemoryMb: 100}, log.NewNopLogger())
+	for _, step := range []struct {
+		memory int64 // MiB
+		want   store.Fullness
+	}{
+		{74, store.Roomy}, {75, store.ShortOfBulk}, {71, store.ShortOfBulk}, {85, store.Near}, {93, store.Full}, {89, store.Full},
+		{87, store.Near}, {77, store.ShortOfBulk}, {69, store.Roomy},
+	} {
+		m.observe(step.memory<<20, 0)
+		if got := m.fullness(); got != step.want {
+			t.Errorf("at %d MiB: %v, want %v", step.memory, got, step.want)
+		}
+	}
+}
+
 func TestUsedMemory_GrowsWithWhatIsAllocated(t *testing.T) {
 	before := usedMemory()
 	held := make([]byte, 64<<20)
--- a/internal/tier/command/store.go
+++ b/internal/tier/command/store.go
@@ -80,7 +80,8 @@
 		Now:              p.env.Now,
 		QueueBudgetBytes: int(p.settings.Limits.MemoryMb << 20 / queueBudgetDivisor),
 		RunBackground:    runBackground,
-		IsNearLimit:      limits.isNear,
+		Fullness:         limits.fullness,
+		Memory:           p.memory,
 		Invariants:       p.invariants,
 	}
 }
--- a/internal/tier/controller/cluster_groups_test.go
+++ b/internal/tier/controller/cluster_groups_test.go
@@ -162,7 +162,7 @@
 					return
 				}
 				done = true
-				if got := value.(program.Result).Verdict; got != want {
+				if got := value.(program.UnjoinedResult).Verdict; got != want {
 					c.t.Errorf("shard %d: verdict %s, want %s", shard, got, want)
 				}
 			})
--- a/internal/tier/controller/repair_test.go
+++ b/internal/tier/controller/repair_test.go
@@ -120,7 +120,7 @@
 	begin := program.BeginTurn{Turn: name, Program: "p", Budget: 1 << 40, MaxTokens: 10, AtMs: l.cluster.time().UnixMilli(), Remembered: true,
 		KeepForS: 600, Input: []byte(strings.Repeat("x", 400))}
 	leader.ProposeAsync(program.Command{Begin: &begin}, func(value any, err error) {
-		if result, ok := value.(program.Result); ok && err == nil && result.Verdict == program.Accepted {
+		if result, ok := value.(program.UnjoinedResult); ok && err == nil && result.Verdict == program.Accepted {
 			l.turns[name] = shard
 			l.acknowledged(shard)
 		}
@@ -298,7 +298,7 @@
 		}
 		end := program.EndTurn{Turn: name, Complete: true, Tokens: 1, AtMs: r.time().UnixMilli()}
 		leader.ProposeAsync(program.Command{End: &end}, func(value any, err error) {
-			if result, ok := value.(program.Result); ok && err == nil {
+			if result, ok := value.(program.UnjoinedResult); ok && err == nil {
 				verdicts[name] = result.Verdict
 			}
 		})
--- a/internal/tier/program/machine.go
+++ b/internal/tier/program/machine.go
@@ -32,8 +32,13 @@
 
 // Apply executes a committed command and returns its result.
 func (m *Machine) Apply(command Command) Result {
+	return m.ApplyUnjoined(command).Join()
+}
+
+// ApplyUnjoined executes a committed command and returns its result, without copying the chain.
+func (m *Machine) ApplyUnjoined(command Command) UnjoinedResult {
 	verdict, previous := m.apply(command)
-	return Result{Verdict: verdict, Chain: previous.chain()}
+	return UnjoinedResult{Verdict: verdict, Chain: previous.parts()}
 }
 
 // Replay executes a committed command whose result isn't needed, as on followers and when the log is read at startup. Unlike
@@ -60,11 +65,14 @@
 // Chain returns the inputs and outputs of a complete turn and of all turns before it, oldest first, so that another shard can
 // import them. It reports whether there is such a turn.
 func (m *Machine) Chain(name string) ([]byte, bool) {
+	parts, found := m.UnjoinedChain(name)
+	return parts.Join(), found
+}
+
+// UnjoinedChain is Chain without copying the contents.
+func (m *Machine) UnjoinedChain(name string) (Chain, bool) {
 	t := m.findContinuable(normalizeName(name))
-	if t == nil {
-		return nil, false
-	}
-	return t.chain(), true
+	return t.parts(), t != nil
 }
 
 // Stats returns the size of the state.
--- a/internal/tier/program/turn.go
+++ b/internal/tier/program/turn.go
@@ -1,5 +1,7 @@
 package program
 
+import "slices"
+
 // state is the state of a turn. Its values are part of the stored format.
 type state uint8
 
@@ -63,19 +65,15 @@
 	}
 }
 
-// chain returns the inputs and outputs from the oldest turn up to and including t, in newly allocated memory. It fills the memory
-// from its end, so that it follows the parents only once.
-func (t *turn) chain() []byte {
+// parts returns the inputs and outputs from the oldest turn up to and including t.
+func (t *turn) parts() Chain {
 	if t == nil || t.chainBytes == 0 {
 		return nil
 	}
-	chain := make([]byte, t.chainBytes)
-	end := len(chain)
+	var parts Chain
 	for ; t != nil; t = t.parent {
-		end -= len(t.output)
-		copy(chain[end:], t.output)
-		end -= len(t.input)
-		copy(chain[end:], t.input)
+		parts = append(parts, t.output, t.input)
 	}
-	return chain
+	slices.Reverse(parts)
+	return parts
 }
--- a/internal/tier/store/handlers.go
+++ b/internal/tier/store/handlers.go
@@ -11,24 +11,39 @@
 )
 
 func (s *Store) handleBeginTurn(ctx context.Context, _ string, request wire.BeginTurnRequest) (wire.BeginTurnResponse, error) {
-	if s.rejectsNewPrograms(&request.Turn) {
-		return wire.BeginTurnResponse{Result: program.Result{Verdict: program.StorageFull}}, nil
+	full := wire.BeginTurnResponse{Result: program.Result{Verdict: program.StorageFull}}
+	if !s.fullness().admitsBegin(&request.Turn) {
+		return full, nil
 	}
+	lease, err := s.reserveContents(ctx, len(request.Turn.Input)+len(request.Turn.Imported))
+	if err != nil {
+		return full, nil
+	}
+	defer lease.Release()
 	request.Turn.AtMs = s.options.Now().UnixMilli()
-	result, err := s.propose(ctx, request.Shard, program.Command{Begin: &request.Turn})
-	return wire.OmitCachedPrefix(result, request.CachedChains), err
-}
-
-// rejectsNewPrograms reports whether a turn is rejected because it begins a program whose contents would be kept and this store is
-// short of memory or disk. Stored and running programs are not affected. A duplicate of a turn begun before is rejected too, so that
-// its reservation stays until it expires.
-func (s *Store) rejectsNewPrograms(turn *program.BeginTurn) bool {
-	return turn.Remembered && turn.Previous == "" && s.options.IsNearLimit != nil && s.options.IsNearLimit()
+	applied, err := s.propose(ctx, request.Shard, program.Command{Begin: &request.Turn})
+	if err != nil {
+		return wire.BeginTurnResponse{}, err
+	}
+	if err := s.reserveChain(ctx, applied.Chain); err != nil {
+		return wire.BeginTurnResponse{}, err
+	}
+	result := applied.Join()
+	return wire.OmitCachedPrefix(result, request.CachedChains), nil
 }
 
 func (s *Store) handleEndTurn(ctx context.Context, _ string, request wire.EndTurnRequest) (program.Result, error) {
+	if !s.fullness().admitsEnd(&request.Turn) {
+		return program.Result{Verdict: program.StorageFull}, nil
+	}
+	lease, err := s.reserveContents(ctx, len(request.Turn.Output))
+	if err != nil {
+		return program.Result{Verdict: program.StorageFull}, nil
+	}
+	defer lease.Release()
 	request.Turn.AtMs = s.options.Now().UnixMilli()
-	return s.propose(ctx, request.Shard, program.Command{End: &request.Turn})
+	applied, err := s.propose(ctx, request.Shard, program.Command{End: &request.Turn})
+	return program.Result{Verdict: applied.Verdict}, err
 }
 
 // handleChain answers with a turn's chain, by a linearizable read.
@@ -37,12 +52,16 @@
 	if running == nil {
 		return wire.ChainResponse{}, &NotLeaderError{}
 	}
-	var response wire.ChainResponse
-	err := running.group.Read(ctx, func() { response.Chain, response.Found = running.machine.programs.Chain(request.Turn) })
+	var chain program.Chain
+	var found bool
+	err := running.group.Read(ctx, func() { chain, found = running.machine.programs.UnjoinedChain(request.Turn) })
 	if err != nil {
 		return wire.ChainResponse{}, s.remoteError(err)
 	}
-	return response, nil
+	if err := s.reserveChain(ctx, chain); err != nil {
+		return wire.ChainResponse{}, err
+	}
+	return wire.ChainResponse{Found: found, Chain: chain.Join()}, nil
 }
 
 // handleShardMembers answers with the members of the groups that this store leads.
@@ -59,18 +78,18 @@
 
 // propose commits a command in the shard's log and returns its result. After any error other than a NotLeaderError it is unknown
 // whether the command is committed; commands are idempotent, so the caller may retry.
-func (s *Store) propose(ctx context.Context, number int, command program.Command) (program.Result, error) {
+func (s *Store) propose(ctx context.Context, number int, command program.Command) (program.UnjoinedResult, error) {
 	running := s.shard(number)
 	if running == nil {
-		return program.Result{}, &NotLeaderError{}
+		return program.UnjoinedResult{}, &NotLeaderError{}
 	}
 	applied, err := running.group.Propose(ctx, command)
 	if err != nil {
-		return program.Result{}, s.remoteError(err)
+		return program.UnjoinedResult{}, s.remoteError(err)
 	}
-	result, ok := applied.(program.Result)
+	result, ok := applied.(program.UnjoinedResult)
 	if !ok {
-		return program.Result{}, &noResultError{shard: number}
+		return program.UnjoinedResult{}, &noResultError{shard: number}
 	}
 	return result, nil
 }
--- a/internal/tier/store/machine.go
+++ b/internal/tier/store/machine.go
@@ -35,16 +35,16 @@
 
 func newMachine() *machine { return &machine{programs: program.New()} }
 
-// Apply implements group.StateMachine. It returns a program.Result.
+// Apply implements group.StateMachine. It returns a program.UnjoinedResult.
 func (m *machine) Apply(_ uint64, raw json.RawMessage) any {
 	applied, err := m.decode(raw)
 	switch {
 	case err != nil:
-		return program.Result{Verdict: program.UnknownTurn}
+		return program.UnjoinedResult{Verdict: program.UnknownTurn}
 	case applied.Placement > 0:
-		return program.Result{Verdict: program.Accepted}
+		return program.UnjoinedResult{Verdict: program.Accepted}
 	}
-	return m.programs.Apply(applied.Command)
+	return m.programs.ApplyUnjoined(applied.Command)
 }
 
 // StateBytes implements group.StateSizer.
--- a/internal/tier/store/machine_test.go
+++ b/internal/tier/store/machine_test.go
@@ -29,7 +29,7 @@
 	return program.Command{End: &program.EndTurn{Turn: name, Complete: true, Tokens: 3, Output: []byte("output"), AtMs: 1_700_000_000_100}}
 }
 
-func verdict(result any) program.Verdict { return result.(program.Result).Verdict }
+func verdict(result any) program.Verdict { return result.(program.UnjoinedResult).Verdict }
 
 func TestMachine_Apply_BothKindsOfCommand(t *testing.T) {
 	m := newMachine()
--- a/internal/tier/store/options.go
+++ b/internal/tier/store/options.go
@@ -7,6 +7,7 @@
 
 	"mastusher/internal/tier/group"
 	"mastusher/internal/tier/invariant"
+	"mastusher/internal/tier/memorybudget"
 	"mastusher/internal/tier/storage"
 	"mastusher/internal/tier/transport"
 	"mastusher/internal/tier/wire"
@@ -44,8 +45,10 @@
 	// disk, and takes as much more memory.
 	QueueBudgetBytes int
 
-	// IsNearLimit reports whether the process is short of memory or disk. While it is, new programs are rejected. Nil: never.
-	IsNearLimit func() bool
+	// Fullness reports how much of its memory and disk the process uses. Nil: always Roomy.
+	Fullness func() Fullness
+	// Memory bounds what the store holds of turns that are begun or ended, and of the chains that it answers with; nil: unbounded.
+	Memory *memorybudget.Budget
 
 	// The functions below replace the pool, the clock and goroutines in tests that run a store in memory; if nil, those of
 	// the process are used. None of them may block. Store.Wait does not wait for groups that RunGroup runs.
--- a/internal/tier/store/store.go
+++ b/internal/tier/store/store.go
@@ -24,6 +24,8 @@
 	queueBudget    *group.QueueBudget     // shared by the queues of all groups
 	groups         groupRunner
 
+	waitingContents chan struct{} // has an element for each call that waits for memory for large contents
+
 	mutex           sync.Mutex // guards the fields below, and shard.stoppingSince
 	shards          map[int]*shard
 	placementIndex  uint64         // index of placement; 0: no placement is known
@@ -51,10 +53,13 @@
 		options:        options,
 		receiveLimiter: group.NewSnapshotLimiter(maxSnapshotReceivers),
 		openingToken:   make(chan struct{}, 1),
-		queueBudget:    group.NewQueueBudget(options.QueueBudgetBytes),
-		groups:         groupRunner{logger: options.Logger, failed: make(chan error, 1)},
-		shards:         map[int]*shard{},
-		removed:        map[int]bool{},
+
+		waitingContents: make(chan struct{}, maxWaitingContents),
+
+		queueBudget: group.NewQueueBudget(options.QueueBudgetBytes),
+		groups:      groupRunner{logger: options.Logger, failed: make(chan error, 1)},
+		shards:      map[int]*shard{},
+		removed:     map[int]bool{},
 	}
 	if options.RunGroup == nil {
 		s.options.RunGroup = func(opened *group.Group) { s.groups.run(ctx, opened) }
--- a/internal/tier/store/store_test.go
+++ b/internal/tier/store/store_test.go
@@ -307,8 +307,8 @@
 	if _, err := s.handleEndTurn(testContext(t), "", wire.EndTurnRequest{Turn: program.EndTurn{Turn: "1", Complete: true}}); err != nil {
 		t.Fatal(err)
 	}
-	near := true
-	s.options.IsNearLimit = func() bool { return near }
+	degree := Near
+	s.options.Fullness = func() Fullness { return degree }
 	// when turns begin, then only turns that begin a program whose contents are kept are rejected.
 	for _, tc := range []struct {
 		name string
@@ -324,7 +324,7 @@
 		}
 	}
 	// And once there is enough memory again, the new program is accepted.
-	near = false
+	degree = Roomy
 	if got := begin(program.BeginTurn{Turn: "n", Program: "q", Remembered: true}); got != program.Accepted {
 		t.Errorf("new program with enough memory: %s, want it accepted", got)
 	}
