controller: orders and connections at the operator's port take their memory from the budget

An order reserves four times its length before any of it is read, and waits 2 s for that at most (503, not ready, otherwise). A caller that makes no progress gives way, with 408, once others need its memory. Connections reserve theirs with a head of the largest size, and idle ones give way. A roll-out's body has 64 KiB at most, as other orders than configurations have.

--- a/internal/tier/command/controller.go
+++ b/internal/tier/command/controller.go
@@ -32,7 +32,7 @@
 	err = p.retryStart(ctx, "configuration on the disk", func() error {
 		running, err = controller.Open(controller.Options{ID: id, Address: address, Settings: p.settings, Initial: p.initialMembers(id), Disk: disk,
 			Pool: p.pool, Fleet: member, Reader: reader, Logger: p.logger, Seed: p.seed,
-			RunBackground: runBackground, Metrics: p.metrics, Network: p.env.Network, Now: p.env.Now})
+			RunBackground: runBackground, Metrics: p.metrics, Network: p.env.Network, Now: p.env.Now, Memory: p.memory})
 		return err
 	})
 	if err != nil {
--- a/internal/tier/controller/api_rollouts.go
+++ b/internal/tier/controller/api_rollouts.go
@@ -42,7 +42,7 @@
 		return err
 	}
 	var body rolloutRequest
-	if err := json.NewDecoder(http.MaxBytesReader(e.Response(), e.Request().Body, maxConfigurationBytes)).Decode(&body); err != nil {
+	if err := json.NewDecoder(http.MaxBytesReader(e.Response(), e.Request().Body, maxRequestBytes)).Decode(&body); err != nil {
 		return apierror.New(apierror.BadRequest, "the request body cannot be parsed: %v", err)
 	}
 	if err := body.validate(); err != nil {
--- a/internal/tier/controller/api_settings.go
+++ b/internal/tier/controller/api_settings.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -14,6 +13,7 @@
 
 	"mastusher/internal/tier/apierror"
 	"mastusher/internal/tier/configuration"
+	"mastusher/internal/tier/memorybudget"
 	"mastusher/internal/tier/metrics"
 	"mastusher/internal/tier/model/form"
 )
@@ -23,8 +23,13 @@
 
 // putSettings proposes a configuration. Any member of the group, not only the leader, acknowledges a proposal that was accepted earlier.
 func (c *Controller) putSettings(e echo.Context) error {
+	lease, err := c.reserveOrder(e)
+	if err != nil {
+		return err
+	}
+	defer lease.Release()
 	start := time.Now()
-	proposal, err := readProposal(e)
+	proposal, err := c.readProposal(e, lease)
 	c.options.Metrics.ObserveStep(metrics.ReadStep, time.Since(start))
 	if err == nil && c.wasAccepted(proposal) {
 		return e.NoContent(http.StatusOK)
@@ -82,16 +87,12 @@
 }
 
 // readProposal reads the proposal of a request without validating its configuration.
-func readProposal(e echo.Context) (*configuration.Proposal, error) {
-	request := e.Request()
-	base, err := readBase(request.Header)
+func (c *Controller) readProposal(e echo.Context, lease *memorybudget.Lease) (*configuration.Proposal, error) {
+	base, err := readBase(e.Request().Header)
 	if err != nil {
 		return nil, err
 	}
-	if request.ContentLength > maxConfigurationBytes {
-		return nil, apierror.New(apierror.BodyTooLarge, "the request body exceeds %d bytes", maxConfigurationBytes)
-	}
-	raw, err := io.ReadAll(http.MaxBytesReader(e.Response(), request.Body, maxConfigurationBytes))
+	raw, err := readOrder(e, lease)
 	if err != nil {
 		return nil, bodyError(err)
 	}
--- a/internal/tier/controller/options.go
+++ b/internal/tier/controller/options.go
@@ -8,6 +8,7 @@
 
 	"mastusher/internal/tier/group"
 	"mastusher/internal/tier/membership"
+	"mastusher/internal/tier/memorybudget"
 	"mastusher/internal/tier/metrics"
 	"mastusher/internal/tier/model"
 	"mastusher/internal/tier/network"
@@ -57,6 +58,9 @@
 	// QueryEndpoints has the controller at an address read the platform's endpoint list.
 	QueryEndpoints func(ctx context.Context, address string) ([]model.Endpoint, error)
 
+	// Memory bounds what the controller holds on behalf of those that call the operator's API; nil: unbounded.
+	Memory *memorybudget.Budget
+
 	Metrics *metrics.Metrics // served on the operator's port; default: the controller's own
 	Network network.Network  // on which the operator's port listens; default: the system's
 	Now     func() time.Time // time of day; default: time.Now
--- a/internal/tier/controller/server.go
+++ b/internal/tier/controller/server.go
@@ -9,6 +9,7 @@
 
 	"github.com/labstack/echo/v4"
 
+	"mastusher/internal/tier/memorybudget"
 	"mastusher/internal/tier/metrics"
 	"mastusher/internal/tier/network"
 )
@@ -23,6 +24,14 @@
 	maxHeaderBytes  = 64 << 10
 	maxRequestBytes = 64 << 10 // of the body of an order other than a configuration
 	shutdownTimeout = 500 * time.Millisecond
+	apiWriteTimeout = 20 * time.Second // from the end of a request's head until its response has been written
+
+	apiReceiveBuffer   = 32 << 10                              // requested of the system, bytes
+	apiConnectionBytes = 2*apiReceiveBuffer + 2*maxHeaderBytes // memory of a connection with the head of a request
+	// orderCopies is how often an order is in memory: as read, compacted, decoded and in an entry of the group's log.
+	orderCopies = 4
+	// orderMemoryTimeout bounds how long an order waits for memory.
+	orderMemoryTimeout = 2 * time.Second
 )
 
 // Handler returns the operator's API and the metrics.
@@ -43,12 +52,13 @@
 // Serve serves the operator's API at the address until ctx ends. Then it waits for requests in flight to complete, for shutdownTimeout
 // at most.
 func (c *Controller) Serve(ctx context.Context, address string) error {
-	server := &http.Server{Handler: c.Handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: apiIdleTimeout, MaxHeaderBytes: maxHeaderBytes}
-	listener, err := network.OrSystem(c.options.Network).Listen(context.Background(), new(net.ListenConfig), "tcp", address)
+	server := &http.Server{Handler: c.Handler(), ReadHeaderTimeout: headerTimeout, WriteTimeout: apiWriteTimeout, IdleTimeout: apiIdleTimeout,
+		MaxHeaderBytes: maxHeaderBytes, ConnState: memorybudget.ConnState}
+	listener, err := network.OrSystem(c.options.Network).Listen(context.Background(), network.ListenConfig(apiReceiveBuffer), "tcp", address)
 	if err != nil {
 		return err
 	}
-	return serveUntil(ctx, server, listener)
+	return serveUntil(ctx, server, memorybudget.NewListener(listener, c.options.Memory, apiConnectionBytes))
 }
 
 // serveUntil serves until ctx ends, and then waits for requests in flight, for shutdownTimeout at most.
