proxy: connections, heads, bodies, turns and answers take their memory from one budget

Cause: maxBodyBytes bounds one body, and nothing bounded their sum. A body in chunks doubled its buffer; an announced one was allocated at once; the body was kept until the whole answer had been read; a turn's input was held as JSON twice beside it, also when the stores don't keep it; a turn's output was collected without bound; the system's receive buffers grew to their maximum on both sides.

Each request reserves what it takes before it takes it: its buffers, its body (a large one whole, so that no two wait for each other), the copies that its turn needs until it has begun, its chain, its output. It waits for half of its time, then gets 503, overloaded, unsent. A client that makes no progress loses its share when another finds no memory: 408, a cut answer, a closed connection. A body that can't be sent again is given back with the answer's first bytes. Receive buffers are bounded; a large body enlarges its own. Inputs that the stores don't keep aren't sent to them. upstream: a failed write of a request keeps its connection from being used again also if it is asked for twice.

--- a/internal/tier/command/proxy.go
+++ b/internal/tier/command/proxy.go
@@ -70,6 +70,7 @@
 		Logger:               p.logger,
 		Network:              p.env.Network,
 		MaxClientConnections: maxClients(p.settings.Limits.OpenFiles),
+		Memory:               p.memory,
 		MaxOutage:            p.settings.Bounds.RecoveryWithin(),
 		Checks:               p.invariants,
 		Metrics:              p.metrics,
--- a/internal/tier/proxy/clientconn.go
+++ b/internal/tier/proxy/clientconn.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"sync"
 
+	"mastusher/internal/tier/memorybudget"
 	"mastusher/internal/tier/network"
 )
 
@@ -14,11 +16,35 @@
 type clientConn struct {
 	network.TCPConn
 
-	mutex   sync.Mutex // guards the fields below
-	idle    bool       // no byte of the next request has been read
-	closing bool       // no further request may be read
+	lease     *memorybudget.Lease // of the connection and the heads that arrive on it
+	moreBytes int64               // of the lease, for an enlarged receive buffer; belongs to the goroutine that serves the connection
+
+	mutex     sync.Mutex // guards the fields below
+	idle      bool       // no byte of the next request has been read
+	closing   bool       // no further request may be read
+	inRequest bool       // a request's head has been read, and its response isn't complete
+	headBytes int64      // read of the current head
 }
 
+// Memory of a client's connection, in bytes.
+const (
+	// clientReceiveBuffer is the receive buffer requested of the system, which takes twice as much: it bounds the bytes that a client can
+	// send before they are read.
+	clientReceiveBuffer = 16 << 10
+	// bodyReceiveBuffer is the receive buffer requested once a large body is read, and the memory that the connection takes more from then
+	// on: the system may drop what has arrived if the buffer shrinks.
+	bodyReceiveBuffer = 128 << 10
+	// connectionBytes is what a connection takes: its receive buffer, its goroutine, and net/http's buffers.
+	connectionBytes = 32 << 10
+	// freeHeadBytes is the part of a head that fits into net/http's buffer.
+	freeHeadBytes = 4 << 10
+	// headCopies is how often a head is in memory: as lines, as header fields and as the fields that are forwarded.
+	headCopies = 3
+)
+
+// errHeadRefused is the read error of a head for which there is no memory.
+var errHeadRefused = errors.New("no memory for the head of a request")
+
 // Read reads from the client. While the connection is closing, it does not return the first bytes of a request.
 func (c *clientConn) Read(buffer []byte) (int, error) {
 	n, err := c.TCPConn.Read(buffer)
@@ -31,9 +57,25 @@
 		return 0, net.ErrClosed
 	}
 	c.idle = false
+	if !c.inRequest && !c.reserveHead(n) {
+		return 0, errHeadRefused
+	}
 	return n, err
 }
 
+// reserveHead reserves memory for the next bytes of a head. The caller holds the mutex.
+func (c *clientConn) reserveHead(n int) bool {
+	c.lease.Progressed(n)
+	before := max(c.headBytes, freeHeadBytes)
+	c.headBytes += int64(n)
+	return c.headBytes <= freeHeadBytes || c.lease.TryGrow(memorybudget.Connections, headCopies*(c.headBytes-before))
+}
+
+// awaitHead says that the client is to send a head. It may be made to give its connection back.
+func (c *clientConn) awaitHead() {
+	c.lease.AwaitCaller(func() { c.TCPConn.Close() })
+}
+
 // setResetOnClose makes every close of the connection a reset, or restores the default.
 func (c *clientConn) setResetOnClose(on bool) {
 	seconds := -1
@@ -43,14 +85,27 @@
 	_ = c.TCPConn.SetLinger(seconds)
 }
 
+// enlargeReceiveBuffer lets a large body arrive faster, if there is memory for that. It belongs to the goroutine that serves the connection.
+func (c *clientConn) enlargeReceiveBuffer() {
+	socket, ok := c.TCPConn.(interface{ SetReadBuffer(bytes int) error })
+	if !ok || c.moreBytes > 0 || !c.lease.TryGrow(memorybudget.Connections, bodyReceiveBuffer) {
+		return
+	}
+	c.moreBytes = bodyReceiveBuffer
+	_ = socket.SetReadBuffer(bodyReceiveBuffer) // without it the body arrives more slowly
+}
+
 // responseSent records that a response has been sent and the next request may arrive.
 func (c *clientConn) responseSent() {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	c.idle = true
+	c.idle, c.inRequest, c.headBytes = true, false, 0
+	c.lease.ShrinkTo(memorybudget.Connections, connectionBytes+c.moreBytes)
 	if c.closing {
 		c.TCPConn.Close()
+		return
 	}
+	c.awaitHead()
 }
 
 // closeWhenIdle closes the connection if no request has begun on it, or otherwise once the response has been sent.
@@ -63,16 +118,16 @@
 	}
 }
 
-// beginRequest records that a request has been read. It returns false if the connection has already been closed. That happens to a
-// request that net/http had buffered along with the previous one: none of its bytes passed through Read.
+// beginRequest records that a request's head has been read. It returns false if the connection has already been closed: to give back its
+// memory, or by a shutdown in which net/http had buffered the head along with the previous request, so that none of it passed through Read.
 func (c *clientConn) beginRequest() bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	if c.closing && c.idle {
 		return false
 	}
-	c.idle = false
-	return true
+	c.idle, c.inRequest = false, true
+	return !c.lease.StopAwaiting()
 }
 
 // clientConnKey is the key of the clientConn in a request's context.
--- a/internal/tier/proxy/eventscanner.go
+++ b/internal/tier/proxy/eventscanner.go
@@ -27,6 +27,23 @@
 	dataStart    int // offset in output of the current event's data
 }
 
+// capacityFor returns the bytes that the scanner may hold once it has parsed that many more.
+func (s *eventScanner) capacityFor(next int) int {
+	capacity := grownCapacity(cap(s.pending), len(s.pending)+next)
+	if s.collect {
+		capacity += grownCapacity(cap(s.output), len(s.output)+next)
+	}
+	return capacity
+}
+
+// grownCapacity returns at least the capacity of a slice once it has been appended to until it has so many elements.
+func grownCapacity(capacity, length int) int {
+	if length <= capacity {
+		return capacity
+	}
+	return max(2*capacity, length)
+}
+
 // feed parses the next bytes and returns the complete events, which may be forwarded. The returned bytes are valid until the next
 // call.
 func (s *eventScanner) feed(chunk []byte) []byte {
--- a/internal/tier/proxy/frontend.go
+++ b/internal/tier/proxy/frontend.go
@@ -10,12 +10,14 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
 	kitlog "github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
+	"mastusher/internal/tier/memorybudget"
 	"mastusher/internal/tier/model"
 	"mastusher/internal/tier/network"
 )
@@ -27,6 +29,9 @@
 	acceptBackoff = 10 * time.Millisecond
 	// defaultWriteTimeout bounds the writing of a response without a deadline of its own.
 	defaultWriteTimeout = 10 * time.Second
+	// connectionWait is how long a new connection waits for memory before it is closed, and maxWaitingConnections how many may wait.
+	connectionWait        = 2 * time.Second
+	maxWaitingConnections = 64
 	// finalResponsesTimeout bounds the sending of error responses to the requests that a shutdown abandons.
 	finalResponsesTimeout = 150 * time.Millisecond
 )
@@ -63,10 +68,12 @@
 	handler        http.Handler
 	currentLimits  func() clientLimits
 	maxConnections int
+	memory         *memorybudget.Budget
 	errorLog       *log.Logger
 	baseContext    context.Context    // parent of each request's context
 	cancelRequests context.CancelFunc // cancels baseContext: each request gets an error response, or its response is aborted
-	serving        sync.WaitGroup     // goroutines of the generations
+	serving        sync.WaitGroup     // goroutines of the generations, and of connections that wait for memory
+	waiting        atomic.Int64       // connections that wait for memory
 
 	mutex     sync.Mutex // guards the fields below, and the generations' counts
 	current   *serverGeneration
@@ -93,6 +100,7 @@
 		handler:        handler,
 		currentLimits:  currentLimits,
 		maxConnections: options.MaxClientConnections,
+		memory:         options.Memory,
 		errorLog:       log.New(io.Discard, "", 0),
 		clients:        make(map[*clientConn]struct{}),
 		allClosed:      make(chan struct{}),
@@ -115,7 +123,46 @@
 			}
 			return err
 		}
-		f.assign(&clientConn{TCPConn: connection.(network.TCPConn), idle: true})
+		f.accept(connection.(network.TCPConn))
+	}
+}
+
+// accept reserves memory for a new connection and passes it to a server. If there is none, the connection waits in a goroutine of its own,
+// for a short time, for one that gives its memory back.
+func (f *frontend) accept(connection network.TCPConn) {
+	client := &clientConn{TCPConn: connection, idle: true}
+	var err error
+	if client.lease, err = f.memory.TryReserve(memorybudget.Connections, connectionBytes); err == nil {
+		f.assign(client)
+		return
+	}
+	if f.waiting.Add(1) > maxWaitingConnections {
+		f.waiting.Add(-1)
+		connection.Close()
+		return
+	}
+	f.goUnlessClosed(func() {
+		defer f.waiting.Add(-1)
+		ctx, cancel := context.WithTimeout(f.baseContext, connectionWait)
+		defer cancel()
+		if client.lease, err = f.memory.Reserve(ctx, memorybudget.Connections, connectionBytes); err != nil {
+			connection.Close()
+			return
+		}
+		f.assign(client)
+	})
+}
+
+// goUnlessClosed runs work in a goroutine that shutdown waits for. Once the frontend is closed it runs at once: it ends with baseContext.
+func (f *frontend) goUnlessClosed(work func()) {
+	f.mutex.Lock()
+	closed := f.closed
+	if !closed {
+		f.serving.Go(work)
+	}
+	f.mutex.Unlock()
+	if closed {
+		work()
 	}
 }
 
@@ -130,8 +177,10 @@
 	current := f.admit(client)
 	if current == nil {
 		client.Close()
+		client.lease.Release()
 		return
 	}
+	client.awaitHead()
 	if !current.listener.deliver(client) {
 		f.remove(current, client)
 		client.Close()
@@ -159,6 +208,7 @@
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	g.connections--
+	client.lease.Release()
 	delete(f.clients, client)
 	f.signalIfAllClosed()
 }
--- a/internal/tier/proxy/options.go
+++ b/internal/tier/proxy/options.go
@@ -6,6 +6,7 @@
 	"github.com/go-kit/log"
 
 	"mastusher/internal/tier/invariant"
+	"mastusher/internal/tier/memorybudget"
 	"mastusher/internal/tier/metrics"
 	"mastusher/internal/tier/network"
 	"mastusher/internal/tier/upstream"
@@ -24,6 +25,8 @@
 	// MaxClientConnections limits the connections of clients; 0: unlimited. A connection over the limit is closed unread. A larger
 	// value serves more clients, at the cost of memory and file descriptors.
 	MaxClientConnections int
+	// Memory bounds what the proxy holds on behalf of its clients; nil: unbounded.
+	Memory *memorybudget.Budget
 	// MaxOutage is how long the proxy may reject most requests for lack of a configuration or of an answer from the program stores
 	// before this outage counts as a broken invariant in Checks; 0: never. A larger value reports fewer short outages, and long ones
 	// later. Exceeding it is only counted and logged: requests are rejected as before.
--- a/internal/tier/proxy/request.go
+++ b/internal/tier/proxy/request.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"mastusher/internal/tier/apierror"
+	"mastusher/internal/tier/memorybudget"
 	"mastusher/internal/tier/upstream"
 )
 
@@ -35,6 +36,10 @@
 	priority     string
 	turn         *turn // nil: the request is not a turn
 	scanner      eventScanner
+	lease        *memorybudget.Lease // of the request's memory
+
+	outputReserved int64 // bytes reserved for what scanner collects
+	largeOutput    int64 // part of outputReserved in the class memorybudget.Large
 
 	mayHaveRunAttempts int           // attempts that an endpoint may have run
 	neverSentAttempts  int           // attempts of which no byte was sent
@@ -82,6 +87,10 @@
 		c.writeError(apierror.NoEndpoint, 0)
 		return
 	}
+	if !c.reserveMemory() {
+		return
+	}
+	defer c.releaseMemory()
 	c.body, c.headerFields = getBuffer(), getBuffer()
 	defer c.releaseBuffers()
 	if !c.readBody(routes.Limits.MaxBodyBytes) {
@@ -141,19 +150,29 @@
 	return rand.Uint64()
 }
 
-// readBody reads the body. It returns false if the body is too large and the request has ended with 413. If the body cannot be read,
-// the connection is aborted.
+// releaseMemory gives the request's memory back.
+func (c *clientRequest) releaseMemory() { c.lease.Release() }
+
+// readBody reads the body. It returns false if the request has ended with an error response: the body is too large, there is no memory for
+// it, or its client makes no progress while others wait. If the body cannot be read, the connection is aborted.
 func (c *clientRequest) readBody(limit int64) bool {
 	if connection, ok := c.writer.(deadlineSetter); ok {
 		_ = connection.SetWriteDeadline(c.info.Deadline.Add(writeGracePeriod))
 	}
 	setReadDeadline(c.writer, c.request, c.info.Deadline)
-	err := readBody(c.request, c.body, limit)
-	if errors.Is(err, errBodyTooLarge) {
+	err := c.readRequestBody(c.bodyLimit(limit))
+	var noMemory *memoryError
+	switch {
+	case errors.Is(err, errBodyTooLarge):
 		c.writeError(apierror.BodyTooLarge, 0)
 		return false
-	}
-	if err != nil {
+	case errors.As(err, &noMemory):
+		c.writeError(apierror.Overloaded, 0)
+		return false
+	case errors.Is(err, errCallerStalled):
+		c.writeError(apierror.RequestTimeout, 0)
+		return false
+	case err != nil:
 		abortConnection()
 	}
 	clearReadDeadline(c.writer, c.request)
@@ -179,7 +198,9 @@
 
 // releaseBuffers returns the buffers to the pool. No attempt may still be writing from them.
 func (c *clientRequest) releaseBuffers() {
-	putBuffer(c.body)
+	if c.body != nil {
+		putBuffer(c.body)
+	}
 	putBuffer(c.headerFields)
 }
 
--- a/internal/tier/proxy/requestbody.go
+++ b/internal/tier/proxy/requestbody.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"mastusher/internal/tier/memorybudget"
 )
 
 const (
@@ -15,7 +17,7 @@
 	maxPooledBytes = 64 << 10
 )
 
-// errBodyTooLarge is returned by readBody for a body over its limit. The client then gets an error response instead of a closed
+// errBodyTooLarge is returned by readRequestBody for a body over its limit. The client then gets an error response instead of a closed
 // connection.
 var errBodyTooLarge = errors.New("request body exceeds the configured limit")
 
@@ -55,18 +57,32 @@
 	}
 }
 
-// readBody reads a request's complete body into the buffer. It returns errBodyTooLarge if the body is larger than limit bytes; a limit
-// of 0 means unlimited.
-func readBody(r *http.Request, buffer *[]byte, limit int64) error {
+// readRequestBody reads the request's complete body. The error is errBodyTooLarge if it has more than limit bytes, a *memoryError if there is
+// no memory for it, or errCallerStalled.
+func (c *clientRequest) readRequestBody(limit int64) error {
+	length := c.request.ContentLength
 	switch {
-	case r.ContentLength == 0:
+	case length == 0:
 		return nil
-	case limit > 0 && r.ContentLength > limit:
+	case length > limit:
 		return errBodyTooLarge
-	case r.ContentLength > 0:
-		return readExactly(r.Body, buffer, r.ContentLength)
+	case length > memorybudget.SmallBytes:
+		if err := c.growForBody(length); err != nil {
+			return err
+		}
 	}
-	return readUntilEOF(r.Body, buffer, limit)
+	c.awaitBody()
+	body := &callerReader{body: c.request.Body, lease: c.lease}
+	var err error
+	if length > 0 {
+		err = readExactly(body, c.body, length)
+	} else {
+		err = c.readUntilEOF(body, limit)
+	}
+	if c.lease.StopAwaiting() {
+		return errCallerStalled
+	}
+	return err
 }
 
 // readExactly reads a body of known length and its EOF, so that net/http treats it as read.
@@ -88,27 +104,60 @@
 	return nil
 }
 
-// readUntilEOF reads a body of unknown length, up to limit bytes; 0: unlimited.
-func readUntilEOF(body io.Reader, buffer *[]byte, limit int64) error {
-	data := (*buffer)[:0]
+// readUntilEOF reads a body of unknown length, up to limit bytes. The memory of one that turns out to be large is reserved whole, up to the
+// limit: a body that waited for more while it holds some could wait for another one that does the same.
+func (c *clientRequest) readUntilEOF(body io.Reader, limit int64) error {
+	ended, err := readUpTo(body, c.body, min(limit, memorybudget.SmallBytes))
+	if ended || err != nil {
+		return err
+	}
+	if limit <= memorybudget.SmallBytes {
+		return errBodyTooLarge
+	}
+	if c.lease.StopAwaiting() {
+		return errCallerStalled
+	}
+	if err = c.growForBody(limit + 1); err != nil {
+		return err
+	}
+	c.awaitBody()
+	whole := append(make([]byte, 0, limit+1), *c.body...)
+	*c.body = whole
+	if ended, err = readUpTo(body, c.body, limit); err != nil {
+		return err
+	}
+	if !ended {
+		return errBodyTooLarge
+	}
+	if read := len(*c.body); read < cap(whole)/2 {
+		*c.body = append(make([]byte, 0, read), *c.body...)
+	}
+	c.shrinkToBody(c.bodyMemory(int64(cap(*c.body))))
+	return nil
+}
+
+// readUpTo appends a body to the buffer until it ends, or until the buffer has more than limit bytes.
+func readUpTo(body io.Reader, buffer *[]byte, limit int64) (ended bool, err error) {
+	data := *buffer
 	if cap(data) == 0 {
 		data = make([]byte, 0, initialBodyBytes)
 	}
-	for {
+	for int64(len(data)) <= limit {
 		if len(data) == cap(data) {
 			data = append(data, 0)[:len(data)]
 		}
 		n, err := body.Read(data[len(data):cap(data)])
 		data = data[:len(data)+n]
 		*buffer = data
-		if limit > 0 && int64(len(data)) > limit {
-			return errBodyTooLarge
+		if int64(len(data)) > limit {
+			return false, nil
 		}
 		if err == io.EOF {
-			return nil
+			return true, nil
 		}
 		if err != nil {
-			return err
+			return false, err
 		}
 	}
+	return false, nil
 }
--- a/internal/tier/proxy/response.go
+++ b/internal/tier/proxy/response.go
@@ -202,6 +202,8 @@
 
 // write forwards bytes to the client. If that fails, the client has closed its connection, and the request ends.
 func (c *clientRequest) write(a *attempt, data []byte) {
+	c.awaitReader()
+	defer c.lease.StopAwaiting()
 	if _, err := c.writer.Write(data); err != nil {
 		c.handleClientClosed(a)
 	}
@@ -209,10 +211,13 @@
 
 // flush sends buffered bytes to the client immediately.
 func (c *clientRequest) flush(a *attempt) {
+	c.awaitReader()
+	defer c.lease.StopAwaiting()
 	flusher, ok := c.writer.(interface{ FlushError() error })
 	if ok && flusher.FlushError() != nil {
 		c.handleClientClosed(a)
 	}
+	c.releaseBody(a)
 }
 
 // handleClientClosed ends a request whose client has closed its connection.
--- a/internal/tier/proxy/server.go
+++ b/internal/tier/proxy/server.go
@@ -56,14 +56,14 @@
 	p := &Proxy{
 		options:    options,
 		pool:       upstream.NewPool(options.Upstream),
-		usage:      newUsageCommitter(options.Programs),
+		usage:      newUsageCommitter(options.Programs, options.Memory),
 		rejections: newRejectionCounter(&options),
 	}
-	frontListener, err := options.Network.Listen(context.Background(), new(net.ListenConfig), "tcp4", options.FrontAddress)
+	frontListener, err := options.Network.Listen(context.Background(), network.ListenConfig(clientReceiveBuffer), "tcp4", options.FrontAddress)
 	if err != nil {
 		return nil, err
 	}
-	p.readinessListener, err = options.Network.Listen(context.Background(), new(net.ListenConfig), "tcp4", options.ReadinessAddress)
+	p.readinessListener, err = options.Network.Listen(context.Background(), network.ListenConfig(clientReceiveBuffer), "tcp4", options.ReadinessAddress)
 	if err != nil {
 		frontListener.Close()
 		return nil, err
--- a/internal/tier/proxy/shutdown_test.go
+++ b/internal/tier/proxy/shutdown_test.go
@@ -122,7 +122,7 @@
 						return ctx.Err()
 					}
 				}}
-				committer := newUsageCommitter(stores)
+				committer := newUsageCommitter(stores, nil)
 				committer.commit("key", program.EndTurn{Turn: "id"})
 				cancelled, cancel := context.WithCancel(t.Context())
 				cancel()
@@ -144,7 +144,7 @@
 func TestUsageCommitter_CommitsBesideDrain_AllEndedAfterwards(t *testing.T) {
 	for range 200 {
 		stores := &fakePrograms{ended: make(chan program.EndTurn, 8)}
-		committer := newUsageCommitter(stores)
+		committer := newUsageCommitter(stores, nil)
 		cancelled, cancel := context.WithCancel(t.Context())
 		cancel()
 		var abandoned sync.WaitGroup
@@ -171,7 +171,7 @@
 			<-ctx.Done()
 			return ctx.Err()
 		}}
-		p := &Proxy{options: Options{Logger: log.NewNopLogger()}, pool: upstream.NewPool(upstream.Options{}), usage: newUsageCommitter(stores),
+		p := &Proxy{options: Options{Logger: log.NewNopLogger()}, pool: upstream.NewPool(upstream.Options{}), usage: newUsageCommitter(stores, nil),
 			readinessServer: new(http.Server), frontend: newFrontend(closableListener{}, nil, func() clientLimits { return defaultLimits }, Options{})}
 		p.frontend.clients[&clientConn{}] = struct{}{}
 		p.usage.commit("key", program.EndTurn{Turn: "id"})
--- a/internal/tier/proxy/streaming.go
+++ b/internal/tier/proxy/streaming.go
@@ -11,7 +11,7 @@
 func (c *clientRequest) forwardStream(a *attempt, buffer []byte) (retry bool) {
 	for {
 		n, err := a.response.Read(buffer)
-		if n > 0 && !c.scanEvents(a, buffer[:n]) {
+		if n > 0 && (!c.reserveOutput(n) || !c.scanEvents(a, buffer[:n])) {
 			return c.handleStreamInterrupted(a)
 		}
 		if errors.Is(err, io.EOF) && c.finishAtEOF(a) {
--- a/internal/tier/proxy/turn.go
+++ b/internal/tier/proxy/turn.go
@@ -73,6 +73,9 @@
 // the program stores gave no verdict.
 func (t *turn) begin(ctx context.Context, programs Programs, info *RequestInfo, budget int64, input []byte) (apierror.Kind, []byte, error) {
 	t.reserved = true
+	if !t.stateful {
+		input = nil
+	}
 	result, err := programs.Begin(ctx, t.key, program.BeginTurn{
 		Turn:       t.id,
 		Program:    info.Program,
@@ -82,6 +85,7 @@
 		Previous:   info.PreviousTurn,
 		KeepForS:   info.Route.RetentionS,
 		Input:      input,
+		TimeLeftMs: max(time.Until(info.Deadline).Milliseconds(), 1),
 	})
 	if err != nil {
 		return apierror.StateUnavailable, nil, err
@@ -126,11 +130,15 @@
 	if err != nil {
 		c.proxy.rejections.recordCause(err)
 	}
+	if kind == apierror.None && c.reserveChain(len(chain)) != nil {
+		kind = apierror.Overloaded
+	}
 	if kind != apierror.None {
 		c.commitUnfinishedTurn()
 		c.writeError(kind, 0)
 		return false
 	}
+	c.shrinkToBody(int64(cap(*c.body)))
 	if len(chain) > 0 {
 		c.upstream.Body = [][]byte{chain, *c.body}
 		c.upstream.HasBody = true
--- a/internal/tier/proxy/turn_test.go
+++ b/internal/tier/proxy/turn_test.go
@@ -16,6 +16,9 @@
 
 var turnFields = []string{"Program: p1", "Session: s1", "Finish-Ms: 5200", "Budget: 1080", "X-Token-Counts: 1840,135", "Previous: before"}
 
+// maxTurnTimeMs is the time that the longest request of these tests has.
+const maxTurnTimeMs = 30_000
+
 func TestTurn_Complete_GetsChainAndIsCommitted(t *testing.T) {
 	e := newEndpoint(t, stream(event(1, "one"), "id: 2\ndata: two\ndata: lines\n\n", ": nothing\n\n", event(3, "three")))
 	f := newFixture(t, e)
@@ -34,6 +37,10 @@
 	}
 	wantBegin := []program.BeginTurn{{Turn: "id", Program: "p1", Budget: 1080, MaxTokens: 135, Remembered: true, Previous: "before",
 		KeepForS: 60, Input: []byte("new input")}}
+	if left := f.programs.begins[0].TimeLeftMs; left <= 0 || left > maxTurnTimeMs {
+		t.Errorf("the turn may end within %d ms", left)
+	}
+	f.programs.begins[0].TimeLeftMs = 0
 	if diff := cmp.Diff(wantBegin, f.programs.begins); diff != "" {
 		t.Errorf("begin (-want +got):\n%s", diff)
 	}
--- a/internal/tier/proxy/usage.go
+++ b/internal/tier/proxy/usage.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"mastusher/internal/tier/memorybudget"
 	"mastusher/internal/tier/program"
 )
 
@@ -25,6 +26,8 @@
 	finalCommitsTimeout = 150 * time.Millisecond
 	// maxConcurrentCommits bounds the turns that are committed in the background at the same time.
 	maxConcurrentCommits = 4096
+	// commitBytes is the memory of a commit in the background, without the turn's names: its goroutine and the call to a store.
+	commitBytes = 8 << 10
 )
 
 // usageCommitter commits the usage of turns in the background, each in its own goroutine. drain waits for these goroutines and then
@@ -32,6 +35,7 @@
 // counter is 0.
 type usageCommitter struct {
 	programs Programs
+	memory   *memorybudget.Budget
 	context  context.Context // parent of the contexts of all commits
 	cancel   context.CancelFunc
 	drained  chan struct{} // closed once drain has begun and no commit runs; no commit starts after that
@@ -42,20 +46,26 @@
 }
 
 // newUsageCommitter returns a committer that commits to programs until drain is called.
-func newUsageCommitter(programs Programs) *usageCommitter {
-	u := &usageCommitter{programs: programs, drained: make(chan struct{})}
+func newUsageCommitter(programs Programs, memory *memorybudget.Budget) *usageCommitter {
+	u := &usageCommitter{programs: programs, memory: memory, drained: make(chan struct{})}
 	u.context, u.cancel = context.WithCancel(context.Background())
 	return u
 }
 
-// commit commits a turn in the background. If maxConcurrentCommits are running, or drained is closed, the turn is dropped and its
-// reservation counts as spent.
+// commit commits a turn in the background. If maxConcurrentCommits are running, there is no memory for it, or drained is closed, the turn is
+// dropped and its reservation counts as spent.
 func (u *usageCommitter) commit(key string, turn program.EndTurn) {
+	lease, err := u.memory.TryReserve(memorybudget.Small, commitBytes+int64(len(key)+len(turn.Turn)+outputCopies*len(turn.Output)))
+	if err != nil {
+		return
+	}
 	if !u.startCommit() {
+		lease.Release()
 		return
 	}
 	go func() {
 		defer u.finishCommit()
+		defer lease.Release()
 		ctx, cancel := context.WithTimeout(u.context, commitDeadline)
 		defer cancel()
 		_ = commitTurn(ctx, u.programs, key, turn)
@@ -126,6 +136,9 @@
 	}
 }
 
+// errStorageFull is returned if the program stores don't keep the turn's output, for lack of memory or disk.
+var errStorageFull = errors.New("program stores are short of memory or disk")
+
 // errUnknownTurn is returned if the program stores have no such turn in progress.
 var errUnknownTurn = errors.New("program stores have no such turn in progress")
 
@@ -139,6 +152,8 @@
 		switch {
 		case err == nil && result.Verdict == program.Accepted:
 			return nil
+		case err == nil && result.Verdict == program.StorageFull:
+			return errStorageFull
 		case err == nil:
 			unknown++
 			if turn.Complete || unknown >= maxUnknownTurnAttempts {
--- a/internal/tier/upstream/dial.go
+++ b/internal/tier/upstream/dial.go
@@ -7,8 +7,14 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"mastusher/internal/tier/network"
 )
 
+// receiveBufferBytes is the receive buffer requested for a connection to an endpoint: it bounds the part of a response that has arrived and
+// that its client doesn't read. The system takes up to twice as much.
+const receiveBufferBytes = 32 << 10
+
 // dialFunc opens a connection to an address.
 type dialFunc func(ctx context.Context, address string) (net.Conn, error)
 
@@ -23,6 +29,7 @@
 			Count:    options.KeepAliveCount,
 		},
 		Control: func(_, _ string, raw syscall.RawConn) error {
+			network.SetReceiveBuffer(raw, receiveBufferBytes)
 			return setUserTimeout(raw, options.UserTimeout)
 		},
 	}
--- a/internal/tier/upstream/exchange.go
+++ b/internal/tier/upstream/exchange.go
@@ -162,6 +162,7 @@
 	select {
 	case result := <-e.writeDone:
 		e.writeDone = nil
+		e.notReusable = e.notReusable || result.err != nil
 		return result.err == nil
 	default:
 		return false
--- a/internal/tier/upstream/response.go
+++ b/internal/tier/upstream/response.go
@@ -70,6 +70,9 @@
 // Complete reports whether the body has been read to its end.
 func (r *Response) Complete() bool { return r.complete }
 
+// RequestWritten reports whether the whole request has been written, so that its body isn't accessed any more unless it is sent again.
+func (r *Response) RequestWritten() bool { return r.exchange.writeSucceeded() }
+
 // Close ends the exchange. The connection is returned to the pool if it can carry another request, and closed otherwise. An endpoint
 // stops its work when the connection is closed in the middle of a response.
 func (r *Response) Close() {
