proxy: the readiness port bounds its connections, heads and times

Cause: net/http's defaults: heads of 1 MB, no idle time, no bound on connections.

Heads have 8 KiB at most, a request and its answer 5 s each, a connection 30 s between two requests; each reserves its memory, and idle ones give way.

--- a/internal/tier/proxy/server.go
+++ b/internal/tier/proxy/server.go
@@ -13,6 +13,7 @@
 	"github.com/go-kit/log/level"
 	"github.com/labstack/echo/v4"
 
+	"mastusher/internal/tier/memorybudget"
 	"mastusher/internal/tier/metrics"
 	"mastusher/internal/tier/network"
 	"mastusher/internal/tier/upstream"
@@ -24,8 +25,14 @@
 // ShutdownGracePeriod is the longest time that Shutdown takes after its context has ended, to send final responses and commit turns.
 const ShutdownGracePeriod = finalResponsesTimeout + finalCommitsTimeout
 
-// readinessHeaderTimeout bounds reading the head of a readiness request.
-const readinessHeaderTimeout = 5 * time.Second
+// Bounds of the listener for readiness and metrics.
+const (
+	readinessHeaderTimeout   = 5 * time.Second // reading a request
+	readinessWriteTimeout    = 5 * time.Second
+	readinessIdleTimeout     = 30 * time.Second // of a connection between two requests
+	readinessHeaderBytes     = 4 << 10          // net/http adds as much
+	readinessConnectionBytes = connectionBytes + headCopies*(readinessHeaderBytes+netHTTPHeaderSlop)
+)
 
 // Proxy is the HTTP data path. It is safe for concurrent use.
 type Proxy struct {
@@ -69,7 +76,9 @@
 		return nil, err
 	}
 	p.frontend = newFrontend(frontListener, p.frontHandler(), p.currentLimits, options)
-	p.readinessServer = &http.Server{Handler: p.readinessHandler(), ReadHeaderTimeout: readinessHeaderTimeout}
+	p.readinessListener = memorybudget.NewListener(p.readinessListener, options.Memory, readinessConnectionBytes)
+	p.readinessServer = &http.Server{Handler: p.readinessHandler(), ReadHeaderTimeout: readinessHeaderTimeout, ReadTimeout: readinessHeaderTimeout,
+		WriteTimeout: readinessWriteTimeout, IdleTimeout: readinessIdleTimeout, MaxHeaderBytes: readinessHeaderBytes, ConnState: memorybudget.ConnState}
 	return p, nil
 }
 
