proxy, controller: a caller ended for lack of progress never keeps its connection

Cause: the budget ends a stalled caller from a goroutine of its own, by a deadline on the connection. If the caller went on at that moment, the request ended normally and its connection could carry the next one, whose reads or writes the late deadline would have broken.

A request whose caller was ended now always ends so: a cut answer, or 408, each of which closes the connection.

--- a/internal/tier/controller/api_body.go
+++ b/internal/tier/controller/api_body.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"os"
 	"time"
 
 	"github.com/labstack/echo/v4"
@@ -41,14 +42,22 @@
 func readOrder(e echo.Context, lease *memorybudget.Lease) ([]byte, error) {
 	connection := http.NewResponseController(e.Response().Writer)
 	lease.AwaitCaller(func() { _ = connection.SetReadDeadline(time.Unix(1, 0)) })
-	defer lease.StopAwaiting()
-	body := &orderReader{body: http.MaxBytesReader(e.Response(), e.Request().Body, maxConfigurationBytes), lease: lease}
-	if length := e.Request().ContentLength; length >= 0 {
-		raw := make([]byte, length)
-		_, err := io.ReadFull(body, raw)
-		return raw, err
+	raw, err := readAll(&orderReader{body: http.MaxBytesReader(e.Response(), e.Request().Body, maxConfigurationBytes), lease: lease},
+		e.Request().ContentLength)
+	if lease.StopAwaiting() {
+		return nil, os.ErrDeadlineExceeded
 	}
-	return io.ReadAll(body)
+	return raw, err
+}
+
+// readAll reads a body of a length, or of unknown length if that is negative.
+func readAll(body io.Reader, length int64) ([]byte, error) {
+	if length < 0 {
+		return io.ReadAll(body)
+	}
+	raw := make([]byte, length)
+	_, err := io.ReadFull(body, raw)
+	return raw, err
 }
 
 // orderReader reports the progress of a caller to the lease of its order.
--- a/internal/tier/proxy/response.go
+++ b/internal/tier/proxy/response.go
@@ -200,21 +200,24 @@
 	clientConnOf(c.request).setResetOnClose(false)
 }
 
-// write forwards bytes to the client. If that fails, the client has closed its connection, and the request ends.
+// write forwards bytes to the client. If that fails, the client has closed its connection or was ended for not reading, and the request ends.
 func (c *clientRequest) write(a *attempt, data []byte) {
 	c.awaitReader()
-	defer c.lease.StopAwaiting()
-	if _, err := c.writer.Write(data); err != nil {
+	_, err := c.writer.Write(data)
+	if c.lease.StopAwaiting() || err != nil {
 		c.handleClientClosed(a)
 	}
 }
 
 // flush sends buffered bytes to the client immediately.
 func (c *clientRequest) flush(a *attempt) {
-	c.awaitReader()
-	defer c.lease.StopAwaiting()
 	flusher, ok := c.writer.(interface{ FlushError() error })
-	if ok && flusher.FlushError() != nil {
+	if !ok {
+		return
+	}
+	c.awaitReader()
+	err := flusher.FlushError()
+	if c.lease.StopAwaiting() || err != nil {
 		c.handleClientClosed(a)
 	}
 	c.releaseBody(a)
