--- a/internal/tier/memorybudget/budget_test.go
+++ b/internal/tier/memorybudget/budget_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -83,6 +84,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		b := New(1000, ServerShares)
 		held := reserve(t, b, Large, 375)
+		var mutex sync.Mutex
 		var order []int
 		for i := range 3 {
 			go func() {
@@ -91,7 +93,9 @@
 					t.Error(err)
 					return
 				}
+				mutex.Lock()
 				order = append(order, i)
+				mutex.Unlock()
 				time.Sleep(10 * time.Millisecond)
 				l.Release()
 			}()
@@ -102,6 +106,8 @@
 		}
 		held.Release()
 		time.Sleep(time.Second)
+		mutex.Lock()
+		defer mutex.Unlock()
 		if len(order) != 3 || order[0] != 0 || order[1] != 1 || order[2] != 2 {
 			t.Errorf("granted in the order %v", order)
 		}
--- a/internal/tier/program/command_json.go
+++ b/internal/tier/program/command_json.go
@@ -30,16 +30,15 @@
 	return appendWithContents(buffer, &described, content{outputField, e.Output})
 }
 
-// EncodeJSON returns the command's JSON. It implements group.JSONEncoder.
-func (c Command) EncodeJSON() (json.RawMessage, error) {
+// EncodeCommand returns a command's JSON. It isn't a method, which a type that embeds Command would have too, without its own fields.
+func EncodeCommand(c Command) (json.RawMessage, error) {
 	switch {
 	case c.Begin != nil && c.End == nil:
 		return encloseJSON(`{"begin":`, c.Begin.AppendJSON)
 	case c.End != nil && c.Begin == nil:
 		return encloseJSON(`{"end":`, c.End.AppendJSON)
 	}
-	type plain Command
-	return json.Marshal(plain(c))
+	return json.Marshal(c)
 }
 
 // encloseJSON returns an object with one field.
--- a/internal/tier/program/command_json_test.go
+++ b/internal/tier/program/command_json_test.go
@@ -7,7 +7,7 @@
 	"pgregory.net/rapid"
 )
 
-// TestEncodeJSON_AnyCommand_SameAsEncodingJSON compares the commands' own encoding with encoding/json, whose result is the stored format.
+// TestEncodeCommand_AnyCommand_SameAsEncodingJSON compares the commands' own encoding with encoding/json, whose result is the stored format.
 func TestEncodeJSON_AnyCommand_SameAsEncodingJSON(t *testing.T) {
 	text := rapid.OneOf(rapid.String(), rapid.SampledFrom([]string{`,"atMs":`, `"`, "<&>", ""}))
 	bytes := rapid.SliceOfN(rapid.Byte(), 0, 50)
@@ -23,7 +23,7 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			got, err := command.EncodeJSON()
+			got, err := EncodeCommand(command)
 			if err != nil || string(got) != string(want) {
 				t.Errorf("%s, %v, want %s", got, err, want)
 			}
--- a/internal/tier/store/handlers.go
+++ b/internal/tier/store/handlers.go
@@ -78,12 +78,12 @@
 
 // propose commits a command in the shard's log and returns its result. After any error other than a NotLeaderError it is unknown
 // whether the command is committed; commands are idempotent, so the caller may retry.
-func (s *Store) propose(ctx context.Context, number int, command program.Command) (program.UnjoinedResult, error) {
+func (s *Store) propose(ctx context.Context, number int, turn program.Command) (program.UnjoinedResult, error) {
 	running := s.shard(number)
 	if running == nil {
 		return program.UnjoinedResult{}, &NotLeaderError{}
 	}
-	applied, err := running.group.Propose(ctx, command)
+	applied, err := running.group.Propose(ctx, command{Command: turn})
 	if err != nil {
 		return program.UnjoinedResult{}, s.remoteError(err)
 	}
--- a/internal/tier/store/machine.go
+++ b/internal/tier/store/machine.go
@@ -21,7 +21,7 @@
 // EncodeJSON implements group.JSONEncoder, for both kinds of entry.
 func (c command) EncodeJSON() (json.RawMessage, error) {
 	if c.Placement == 0 {
-		return c.Command.EncodeJSON()
+		return program.EncodeCommand(c.Command)
 	}
 	return json.Marshal(c)
 }
