proxy: a body in chunks is served again where neither memory nor bodies have a limit

Cause: a large body in chunks gets a buffer of the whole limit. Without memoryMb in the settings and maxBodyBytes in the configuration that limit is an eighth of the largest integer, so that making the buffer panicked and the client's connection was closed.

Without a budget the buffer grows as the body arrives, as it did before. TestBody_InChunksWithoutAnyLimit_Served failed before (no response).

--- a/internal/tier/proxy/requestbody.go
+++ b/internal/tier/proxy/requestbody.go
@@ -121,15 +121,17 @@
 		return err
 	}
 	c.awaitBody()
-	whole := append(make([]byte, 0, limit+1), *c.body...)
-	*c.body = whole
+	if c.lease != nil {
+		// Without a budget there may be no limit either; then the buffer grows as the body arrives.
+		*c.body = append(make([]byte, 0, limit+1), *c.body...)
+	}
 	if ended, err = readUpTo(body, c.body, limit); err != nil {
 		return err
 	}
 	if !ended {
 		return errBodyTooLarge
 	}
-	if read := len(*c.body); read < cap(whole)/2 {
+	if read := len(*c.body); read < cap(*c.body)/2 {
 		*c.body = append(make([]byte, 0, read), *c.body...)
 	}
 	c.shrinkToBody(c.bodyMemory(int64(cap(*c.body))))
--- a/internal/tier/proxy/requestmemory_test.go
+++ b/internal/tier/proxy/requestmemory_test.go
@@ -180,3 +180,19 @@
 		}
 	}
 }
+
+func TestBody_InChunksWithoutAnyLimit_Served(t *testing.T) {
+	e := newEndpoint(t, respondWith(200, "answer"))
+	f := newFixture(t, e)
+	f.config.Limits.MaxBodyBytes = 0
+	f.views.routes.Store(NewRoutes(f.config))
+	body := strings.Repeat("x", 3<<20)
+	c := f.dial()
+	c.send(fmt.Sprintf("POST /safe/x HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: id\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(body), body))
+	if got := c.readResponse("POST"); got.status != 200 {
+		t.Fatalf("%+v", got)
+	}
+	if request := <-e.requests; request.body != body {
+		t.Errorf("the endpoint got %d bytes", len(request.body))
+	}
+}
