--- a/internal/tier/controller/api_body.go
+++ b/internal/tier/controller/api_body.go
@@ -42,8 +42,8 @@
 func readOrder(e echo.Context, lease *memorybudget.Lease) ([]byte, error) {
 	connection := http.NewResponseController(e.Response().Writer)
 	lease.AwaitCaller(func() { _ = connection.SetReadDeadline(time.Unix(1, 0)) })
-	raw, err := readAll(&orderReader{body: http.MaxBytesReader(e.Response(), e.Request().Body, maxConfigurationBytes), lease: lease},
-		e.Request().ContentLength)
+	body := http.MaxBytesReader(e.Response(), e.Request().Body, maxConfigurationBytes)
+	raw, err := readAll(lease.Reader(body), e.Request().ContentLength)
 	if lease.StopAwaiting() {
 		return nil, os.ErrDeadlineExceeded
 	}
@@ -59,16 +59,3 @@
 	_, err := io.ReadFull(body, raw)
 	return raw, err
 }
-
-// orderReader reports the progress of a caller to the lease of its order.
-type orderReader struct {
-	body  io.Reader
-	lease *memorybudget.Lease
-}
-
-// Read implements io.Reader.
-func (r *orderReader) Read(buffer []byte) (int, error) {
-	n, err := r.body.Read(buffer)
-	r.lease.Progressed(n)
-	return n, err
-}
--- a/internal/tier/controller/api_settings.go
+++ b/internal/tier/controller/api_settings.go
@@ -29,7 +29,7 @@
 	}
 	defer lease.Release()
 	start := time.Now()
-	proposal, err := c.readProposal(e, lease)
+	proposal, err := readProposal(e, lease)
 	c.options.Metrics.ObserveStep(metrics.ReadStep, time.Since(start))
 	if err == nil && c.wasAccepted(proposal) {
 		return e.NoContent(http.StatusOK)
@@ -87,7 +87,7 @@
 }
 
 // readProposal reads the proposal of a request without validating its configuration.
-func (c *Controller) readProposal(e echo.Context, lease *memorybudget.Lease) (*configuration.Proposal, error) {
+func readProposal(e echo.Context, lease *memorybudget.Lease) (*configuration.Proposal, error) {
 	base, err := readBase(e.Request().Header)
 	if err != nil {
 		return nil, err
--- a/internal/tier/proxy/request.go
+++ b/internal/tier/proxy/request.go
@@ -90,7 +90,7 @@
 	if !c.reserveMemory() {
 		return
 	}
-	defer c.releaseMemory()
+	defer c.lease.Release()
 	c.body, c.headerFields = getBuffer(), getBuffer()
 	defer c.releaseBuffers()
 	if !c.readBody(routes.Limits.MaxBodyBytes) {
@@ -150,9 +150,6 @@
 	return rand.Uint64()
 }
 
-// releaseMemory gives the request's memory back.
-func (c *clientRequest) releaseMemory() { c.lease.Release() }
-
 // readBody reads the body. It returns false if the request has ended with an error response: the body is too large, there is no memory for
 // it, or its client makes no progress while others wait. If the body cannot be read, the connection is aborted.
 func (c *clientRequest) readBody(limit int64) bool {
--- a/internal/tier/proxy/requestbody.go
+++ b/internal/tier/proxy/requestbody.go
@@ -72,7 +72,7 @@
 		}
 	}
 	c.awaitBody()
-	body := &callerReader{body: c.request.Body, lease: c.lease}
+	body := c.lease.Reader(c.request.Body)
 	var err error
 	if length > 0 {
 		err = readExactly(body, c.body, length)
--- a/internal/tier/proxy/requestmemory.go
+++ b/internal/tier/proxy/requestmemory.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/base64"
 	"errors"
-	"io"
 	"time"
 
 	"mastusher/internal/tier/apierror"
@@ -111,19 +110,6 @@
 	return c.proxy.options.Memory.Limit() / unlimitedBodyDivisor
 }
 
-// callerReader reads a client's body, and reports the client's progress to the request's lease.
-type callerReader struct {
-	body  io.Reader
-	lease *memorybudget.Lease
-}
-
-// Read implements io.Reader.
-func (r *callerReader) Read(buffer []byte) (int, error) {
-	n, err := r.body.Read(buffer)
-	r.lease.Progressed(n)
-	return n, err
-}
-
 // awaitBody says that the request waits for its client's body, which may be ended to give its memory back.
 func (c *clientRequest) awaitBody() {
 	connection, ok := c.writer.(deadlineSetter)
