proxy: the end of a response is judged by the length its client was sent

Cause: the last byte of a kept turn's response is withheld until the turn is committed. It was found by the bytes sent over all attempts, compared with the Content-Length of the last attempt alone, so the last byte of each read of a resumed part was withheld. The same mix-up refused to resume a stream once more if the part that was cut had a length.

Ruled out: reads that split events (the same writes hold in chunks), the reading of the second part (holds without a kept turn), the endpoint. Of the eight cases of TestResumedStream_EachFramingOfTheRest_ForwardedAsSent just one fails on the code before, a kept turn whose rest has a length and comes in several reads; in one read it holds. TestResumedStream_RestWithLengthIsCut_ResumesOnceMore fails before too.

Change: clientResponse (what the client was sent, and its framing) and transcript (the events it was sent) live as long as the request; attempt has its own eventParser and count of events. A clientResponse sees bytes and no attempt, so the two lengths can't be compared any more. eventscanner.go is eventparser.go; rewind and restart are gone, since an attempt's parser ends with it. Their tests ask the same of a transcript and the next attempt's parser: TestEventScanner_Rewind_ForgetsUnforwardedEvents is TestTranscript_EventsOfAttemptNotForwarded_AreNotInIt. The mutants of the moved lines make the same mistakes in the new ones.

--- a/internal/tier/exchangetest/mutants_test.go
+++ b/internal/tier/exchangetest/mutants_test.go
@@ -14,9 +14,9 @@
 		attempt  = "../proxy/attempt.go"
 		call     = "../proxy/request.go"
 		retries  = "../proxy/retries.go"
-		deliver  = "../proxy/response.go"
 		stream   = "../proxy/streaming.go"
-		events   = "../proxy/eventscanner.go"
+		events   = "../proxy/eventparser.go"
+		reply    = "../proxy/clientresponse.go"
 	)
 	change := func(file, from, to string) mutation.Change { return mutation.Change{File: file, Old: from, New: to} }
 	mutation.Test(t, []mutation.Mutant{
@@ -37,20 +37,21 @@
 			Change: change(attempt, "return notRun || response.Status == http.StatusMisdirectedRequest",
 				"return notRun || response.Status == http.StatusMisdirectedRequest || response.Status == http.StatusServiceUnavailable")},
 		{Name: "a stream closed inside an event looks complete", Run: "TestResponse_EndsAtEachByte_LooksIncomplete",
-			Change: change(stream, "return a.response.CloseDelimited && c.scanner.insideEvent()", "return false")},
+			Change: change(stream, "return a.response.CloseDelimited && a.parser.insideEvent()", "return false")},
 		{Name: "a resumed stream repeats old events", Run: "TestCampaign",
-			Change: change(events, "	if !s.resumed || !s.hasID && !s.hasData {", "	if s.resumed || !s.resumed {")},
+			Change: change(events, "	if !p.resumed || !p.hasID && !p.hasData {", "	if p.resumed || !p.resumed {")},
 		{Name: "a stream is resumed in the middle of an event", Run: "TestCampaign",
-			Change: change(stream, "	c.scanner.restart()\n	return true", "	return true")},
+			Change: change(stream, "	a.parser = newEventParser(&c.transcript, c.keepsOutput())\n", "	a.parser = newEventParser(&c.transcript, c.keepsOutput())\n	a.parser.pending = c.leftOver\n	defer func() { c.leftOver = a.parser.pending }()\n"),
+			Also: []mutation.Change{change(call, "	transcript   transcript\n", "	transcript   transcript\n	leftOver     []byte\n")}},
 		{Name: "any stream is resumed", Run: "TestCampaign",
 			Change: change(stream, "return c.info.Route.Resumable &&", "return "),
 			Also:   []mutation.Change{change(retries, "return retryable(c.info.Route) && c.mayHaveRunAttempts", "return c.mayHaveRunAttempts")}},
 		{Name: "a turn's last byte is sent before the stores have committed its end", Run: "TestCampaign",
-			Change: change(stream, "return c.turn != nil && c.turn.stateful && a.response.ContentLength > 0", "return false")},
+			Change: change(reply, "	r.withholdsEnd = r.length > 0\n", "")},
 		{Name: "a close-delimited response stays close-delimited towards the client", Run: "TestProxy_Killed_ResponseLooksIncomplete",
-			Change: change(deliver, "	c.resetIfCloseDelimited(header)\n", "	if a.response.CloseDelimited {\n		header[\"Transfer-Encoding\"] = []string{\"identity\"}\n	}\n")},
+			Change: change(reply, "	r.resetIfCloseDelimited()\n", "	if from.CloseDelimited {\n		header[\"Transfer-Encoding\"] = []string{\"identity\"}\n	}\n")},
 		{Name: "an abandoned HTTP/1.0 response ends with an orderly close", Run: "TestResponse_ClientReadsNothing_LooksIncomplete",
-			Change: change(deliver, "		client.setResetOnClose(true)\n", "")},
+			Change: change(reply, "		client.setResetOnClose(true)\n", "")},
 		{Name: "work continues for a client that has disconnected", Run: "TestClient_ClosesWhileResponseComes_EndsWork",
 			Change: change(call, "context.WithDeadline(c.request.Context(), c.info.Deadline)", "context.WithDeadline(context.WithoutCancel(c.request.Context()), c.info.Deadline)")},
 	})
--- a/internal/tier/proxy/attempt.go
+++ b/internal/tier/proxy/attempt.go
@@ -13,17 +13,19 @@
 // errAttemptTimeout is the cause with which an attempt's context is cancelled at its selection's timeout.
 var errAttemptTimeout = errors.New("attempt exceeded its timeout")
 
-// attempt is the state of one send of a request to one endpoint.
+// attempt is the state of one send of a request to one endpoint. What outlives it, since another attempt may go on from there, stands in
+// clientRequest, clientResponse and transcript.
 type attempt struct {
-	selection    Selection
-	started      time.Time
-	context      context.Context
-	cancel       context.CancelCauseFunc // nil: there is no timeout
-	timer        *time.Timer             // nil: there is no timeout, or it was stopped
-	outcome      Outcome
-	response     *upstream.Response
-	eventsBefore int64 // events counted in earlier attempts
-	reported     bool  // the selector has been given the outcome
+	selection Selection
+	started   time.Time
+	context   context.Context
+	cancel    context.CancelCauseFunc // nil: there is no timeout
+	timer     *time.Timer             // nil: there is no timeout, or it was stopped
+	outcome   Outcome
+	response  *upstream.Response
+	parser    eventParser // of a stream
+	events    int64       // forwarded to the client
+	reported  bool        // the selector has been given the outcome
 }
 
 // sendAttempt selects an endpoint, sends the request to it and handles the response. It returns true if the request is to be retried.
@@ -33,7 +35,7 @@
 		c.handleRejection(err)
 		return false
 	}
-	a := &attempt{selection: selection, started: c.proxy.options.Now(), eventsBefore: c.scanner.count}
+	a := &attempt{selection: selection, started: c.proxy.options.Now()}
 	a.outcome.Result = IncompleteResponse
 	c.startTimeout(a)
 	defer c.finishAttempt(a)
@@ -61,8 +63,8 @@
 		a.cancel(nil)
 	}
 	a.outcome.Elapsed = c.proxy.options.Now().Sub(a.started)
-	a.outcome.Events = c.scanner.count - a.eventsBefore
-	a.outcome.Tokens = a.outcome.Events * tokensPerEvent(c.info.Service)
+	a.outcome.Events = a.events
+	a.outcome.Tokens = a.events * tokensPerEvent(c.info.Service)
 	c.proxy.options.Selector.Done(a.selection, a.outcome)
 }
 
@@ -116,8 +118,8 @@
 
 // lastEventID returns the id of the last event that the client has received, in this response or in an earlier one.
 func (c *clientRequest) lastEventID() string {
-	if c.scanner.lastID != "" {
-		return c.scanner.lastID
+	if c.transcript.lastID != "" {
+		return c.transcript.lastID
 	}
 	return firstValue(c.request.Header, headerLastEventID)
 }
@@ -137,7 +139,7 @@
 	if c.shouldRetryStatus(a.response.Status) {
 		return c.retryErrorResponse(a)
 	}
-	if c.headerWritten && a.response.Status/100 != 2 {
+	if c.response.begun && a.response.Status/100 != 2 {
 		return c.handleIncomplete(a)
 	}
 	return c.forwardResponse(a)
--- a/internal/tier/proxy/budget_test.go
+++ b/internal/tier/proxy/budget_test.go
@@ -59,7 +59,7 @@
 }
 
 // turn runs one turn and waits until it is committed, unless it is rejected for its budget.
-func (f *fixture) turn(store *budgetStore, route, id string) clientResponse {
+func (f *fixture) turn(store *budgetStore, route, id string) receivedResponse {
 	f.t.Helper()
 	c := f.dial()
 	c.request("POST", "/"+route+"/x", id, "input", tightBudget...)
--- a/internal/tier/proxy/doc.go
+++ b/internal/tier/proxy/doc.go
@@ -9,7 +9,8 @@
 //   - request.go: Proxy.serve matches the route, reads the body and calls sendWithRetries
 //   - turn.go, usage.go: a turn's budget is reserved before the first attempt, and its usage committed after the last
 //   - attempt.go: one attempt at one endpoint; retries.go: what follows an attempt without a response to forward
-//   - response.go, streaming.go, eventscanner.go: forwarding a response at once, as it arrives, or event by event
+//   - response.go, streaming.go, eventparser.go: forwarding a response at once, as it arrives, or event by event
+//   - clientresponse.go, transcript.go: what the client was sent, by all attempts together
 //   - errorresponse.go, rejections.go: the proxy's own error responses, and their counts and metrics
 //   - loadbalancer.go, queue.go: LoadBalancer, the Selector built on package balancer
 //
@@ -21,7 +22,7 @@
 //
 // # Concurrency
 //
-// Each request is served by one goroutine of net/http, which owns its clientRequest. Proxy and LoadBalancer are safe for concurrent
+// Each request is served by one goroutine of net/http, which owns its clientRequest and, one after the other, its attempts. Proxy and LoadBalancer are safe for concurrent
 // use. The other goroutines are: one per serverGeneration, which Shutdown waits for; one per listener and the one that reports rejections,
 // which Serve waits for; and one per turn that is committed in the background, which Shutdown waits for within
 // ShutdownGracePeriod.
--- a/internal/tier/proxy/fixture_test.go
+++ b/internal/tier/proxy/fixture_test.go
@@ -93,6 +93,7 @@
 			route("stream", model.Streaming, nil),
 			route("resume", model.Streaming, func(r *model.Route) { r.Resumable = true }),
 			route("turn", model.Streaming, func(r *model.Route) { r.Stateful, r.RetentionS = true, 60 }),
+			route("resume-turn", model.Streaming, func(r *model.Route) { r.Stateful, r.RetentionS, r.Resumable, r.MaxAttempts = true, 60, true, 3 }),
 		},
 		Services: []model.Service{
 			{Name: "plain", Protocol: "h1"},
--- a/internal/tier/proxy/mutants_test.go
+++ b/internal/tier/proxy/mutants_test.go
@@ -40,7 +40,7 @@
 		{Name: "no request ends at the route's timeout", Run: routeTimeoutTest,
 			Change: change("request.go", "allowed = time.Duration(routeTimeoutMs) * time.Millisecond", "allowed = time.Minute")},
 		{Name: "an interrupted turn spends its whole reservation", Run: budgetTest,
-			Change: change("turn.go", "Tokens: scanner.count * t.tokensPerEvent", "Tokens: 1 << 40")},
+			Change: change("turn.go", "Tokens: sent.count * t.tokensPerEvent", "Tokens: 1 << 40")},
 		{Name: "a turn that is over its budget is sent", Run: budgetTest,
 			Change: change("turn.go", "\t\tt.reserved = false\n\t\treturn apierror.BudgetExhausted, nil, nil", "\t\treturn apierror.None, nil, nil")},
 		{Name: "a turn that was never sent isn't committed", Run: budgetTest,
--- a/internal/tier/proxy/request.go
+++ b/internal/tier/proxy/request.go
@@ -35,10 +35,11 @@
 	headerFields *[]byte
 	priority     string
 	turn         *turn // nil: the request is not a turn
-	scanner      eventScanner
+	transcript   transcript
+	response     clientResponse
 	lease        *memorybudget.Lease // of the request's memory
 
-	outputReserved int64 // bytes reserved for what scanner collects
+	outputReserved int64 // bytes reserved for what transcript and an attempt's parser hold
 	largeOutput    int64 // part of outputReserved in the class memorybudget.Large
 
 	mayHaveRunAttempts int           // attempts that an endpoint may have run
@@ -47,8 +48,6 @@
 	mayHaveRun         bool          // an endpoint may have run the request
 	rejectionKind      apierror.Kind // kind of error response while no endpoint may have run the request
 	retryAfter         time.Duration
-	headerWritten      bool // a response's head has been sent to the client
-	resetsOnClose      bool // every close of the client's connection is a reset
 	answeredLocally    bool // the proxy's own error response has been sent to the client
 }
 
@@ -74,6 +73,7 @@
 		return
 	}
 	c := &clientRequest{proxy: p, writer: w, request: r, rejectionKind: apierror.NoEndpoint}
+	c.response = clientResponse{writer: w, request: r}
 	c.info.Route = route
 	c.info.ArrivedAt = arrivedAt
 	c.info.Deadline = arrivedAt.Add(allowedTime(r.Header, route.TimeoutMs))
@@ -209,8 +209,10 @@
 	defer c.commitUnfinishedTurn()
 	for c.sendAttempt() {
 	}
-	if !c.headerWritten && !c.answeredLocally {
+	if !c.response.begun && !c.answeredLocally {
 		abortConnection() // net/http would send 200 by itself
 	}
-	c.restoreGracefulClose()
+	if c.response.restoreGracefulClose() != nil {
+		abortConnection()
+	}
 }
--- a/internal/tier/proxy/requestmemory.go
+++ b/internal/tier/proxy/requestmemory.go
@@ -131,7 +131,7 @@
 // releaseBody gives back the memory of a body that won't be sent again: the response has begun, can't be resumed, and the endpoint has
 // got the whole request.
 func (c *clientRequest) releaseBody(a *attempt) {
-	if c.body == nil || !c.headerWritten || c.info.Route.Resumable || !a.response.RequestWritten() {
+	if c.body == nil || !c.response.begun || c.info.Route.Resumable || !a.response.RequestWritten() {
 		return
 	}
 	putBuffer(c.body)
@@ -140,9 +140,10 @@
 	c.lease.ShrinkTo(memorybudget.Lines, 0)
 }
 
-// reserveOutput reserves memory for the next bytes of a stream, as far as they are collected or withheld. It returns false if there is none.
-func (c *clientRequest) reserveOutput(next int) bool {
-	needed := outputCopies*int64(c.scanner.capacityFor(next)) - freeOutputBytes
+// reserveOutput reserves memory for the next bytes of an attempt's stream, as far as they are collected or withheld. It returns false if
+// there is none.
+func (c *clientRequest) reserveOutput(parser *eventParser, next int) bool {
+	needed := outputCopies*int64(c.transcript.capacityFor(parser.outputCapacityFor(next))+parser.capacityFor(next)) - freeOutputBytes
 	if needed <= c.outputReserved {
 		return true
 	}
--- a/internal/tier/proxy/response.go
+++ b/internal/tier/proxy/response.go
@@ -3,10 +3,9 @@
 import (
 	"errors"
 	"io"
-	"net/http"
-	"strconv"
 
 	"mastusher/internal/tier/model"
+	"mastusher/internal/tier/upstream"
 )
 
 const (
@@ -24,7 +23,7 @@
 	if cap(*buffer) < copyBufferBytes {
 		*buffer = make([]byte, 0, copyBufferBytes)
 	}
-	if c.info.Route.Kind == model.Streaming && a.response.Status/100 == 2 && (c.turn != nil || !a.response.Complete()) {
+	if c.forwardsEvents(a.response) {
 		return c.forwardStream(a, (*buffer)[:cap(*buffer)])
 	}
 	length := a.response.ContentLength
@@ -37,6 +36,14 @@
 	return c.forwardUnbuffered(a, (*buffer)[:cap(*buffer)])
 }
 
+// forwardsEvents reports whether a response is forwarded event by event: a stream, and whatever continues one.
+func (c *clientRequest) forwardsEvents(response *upstream.Response) bool {
+	if c.info.Route.Kind != model.Streaming || response.Status/100 != 2 {
+		return false
+	}
+	return c.turn != nil || c.response.begun || !response.Complete()
+}
+
 // forwardShort reads a short response completely and then forwards it.
 func (c *clientRequest) forwardShort(a *attempt, buffer *[]byte) (retry bool) {
 	data := (*buffer)[:0]
@@ -130,7 +137,7 @@
 
 // handleInterrupted handles a response that was interrupted.
 func (c *clientRequest) handleInterrupted(a *attempt) (retry bool) {
-	if !c.headerWritten {
+	if !c.response.begun {
 		return c.handleIncomplete(a)
 	}
 	a.outcome.Result = c.incompleteResult(a)
@@ -157,53 +164,47 @@
 	c.recordMayHaveRun(a.outcome.Result)
 }
 
-// writeHeader forwards the head of a response, once. A close-delimited response is forwarded in chunks, so that it cannot look
-// complete if it is interrupted or this process ends.
+// writeHeader forwards the head of a response, unless that of an earlier attempt has been forwarded.
 func (c *clientRequest) writeHeader(a *attempt) {
-	if c.headerWritten {
-		return
-	}
-	c.headerWritten = true
-	c.proxy.rejections.addServed()
-	header := c.writer.Header()
-	c.proxy.closeIfDraining(header)
-	copyResponseHeader(header, a.response.Header)
-	if a.response.ContentLength >= 0 && firstValue(a.response.Header, "Content-Length") != "" {
-		header["Content-Length"] = []string{strconv.FormatInt(a.response.ContentLength, 10)}
+	if c.startResponse() {
+		c.response.begin(a.response)
 	}
-	c.resetIfCloseDelimited(header)
-	c.writer.WriteHeader(a.response.Status)
 }
 
-// resetIfCloseDelimited makes every close of the client's connection a reset if only a close marks the end of the response: to an
-// HTTP/1.0 client, without a length. net/http closes the connection by itself when a write fails, and the system when this process
-// ends.
-func (c *clientRequest) resetIfCloseDelimited(header http.Header) {
-	if c.request.ProtoAtLeast(1, 1) || firstValue(header, "Content-Length") != "" {
-		return
-	}
-	if client := clientConnOf(c.request); client != nil {
-		client.setResetOnClose(true)
-		c.resetsOnClose = true
+// writeStreamHeader is writeHeader for a stream. The end of a stateful turn's stream is withheld until the turn is committed.
+func (c *clientRequest) writeStreamHeader(a *attempt) {
+	switch {
+	case !c.startResponse():
+	case c.keepsOutput():
+		c.response.beginWithholdingEnd(a.response)
+	default:
+		c.response.begin(a.response)
 	}
 }
 
-// restoreGracefulClose flushes the complete response, then lets the client's connection close without a reset.
-func (c *clientRequest) restoreGracefulClose() {
-	if !c.resetsOnClose {
-		return
-	}
-	flusher, ok := c.writer.(interface{ FlushError() error })
-	if ok && flusher.FlushError() != nil {
-		abortConnection()
+// startResponse prepares the head of the client's response. It returns false if the response has begun.
+func (c *clientRequest) startResponse() bool {
+	if c.response.begun {
+		return false
 	}
-	clientConnOf(c.request).setResetOnClose(false)
+	c.proxy.rejections.addServed()
+	c.proxy.closeIfDraining(c.writer.Header())
+	return true
 }
 
 // write forwards bytes to the client. If that fails, the client has closed its connection or was ended for not reading, and the request ends.
 func (c *clientRequest) write(a *attempt, data []byte) {
 	c.awaitReader()
-	_, err := c.writer.Write(data)
+	err := c.response.write(data)
+	if c.lease.StopAwaiting() || err != nil {
+		c.handleClientClosed(a)
+	}
+}
+
+// releaseEnd writes what was withheld of the response until its turn was committed.
+func (c *clientRequest) releaseEnd(a *attempt) {
+	c.awaitReader()
+	err := c.response.releaseEnd()
 	if c.lease.StopAwaiting() || err != nil {
 		c.handleClientClosed(a)
 	}
@@ -211,12 +212,8 @@
 
 // flush sends buffered bytes to the client immediately.
 func (c *clientRequest) flush(a *attempt) {
-	flusher, ok := c.writer.(interface{ FlushError() error })
-	if !ok {
-		return
-	}
 	c.awaitReader()
-	err := flusher.FlushError()
+	err := c.response.flush()
 	if c.lease.StopAwaiting() || err != nil {
 		c.handleClientClosed(a)
 	}
--- /dev/null
+++ b/internal/tier/proxy/resumption_test.go
@@ -0,0 +1,124 @@
+package proxy
+
+import (
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"mastusher/internal/tier/program"
+)
+
+// writePause separates the writes of an endpoint, so that the proxy reads them one by one.
+const writePause = 2 * time.Millisecond
+
+// writeEach writes parts one by one.
+func writeEach(socket net.Conn, parts ...string) {
+	for _, part := range parts {
+		_, _ = io.WriteString(socket, part)
+		time.Sleep(writePause)
+	}
+}
+
+// cutStream responds with events in chunks and closes the connection after the last of them.
+func cutStream(events ...string) func(net.Conn, receivedRequest) bool {
+	return func(socket net.Conn, request receivedRequest) bool {
+		_, _ = io.WriteString(socket, sealedHead(200, request, streamHead))
+		for _, one := range events {
+			writeEach(socket, chunk(one))
+		}
+		return false
+	}
+}
+
+// measuredStream responds with events, one by one, behind their Content-Length.
+func measuredStream(events ...string) func(net.Conn, receivedRequest) bool {
+	return func(socket net.Conn, request receivedRequest) bool {
+		_, _ = io.WriteString(socket, sealedHead(200, request, "Content-Type: text/event-stream", withLength(strings.Join(events, ""))))
+		writeEach(socket, events...)
+		return true
+	}
+}
+
+// unframedStream responds with events, one by one, whose end is that of the connection.
+func unframedStream(events ...string) func(net.Conn, receivedRequest) bool {
+	return func(socket net.Conn, request receivedRequest) bool {
+		_, _ = io.WriteString(socket, sealedHead(200, request, "Content-Type: text/event-stream"))
+		writeEach(socket, events...)
+		return false
+	}
+}
+
+// chunkedStream responds with events, each in a chunk and a write of its own.
+func chunkedStream(events ...string) func(net.Conn, receivedRequest) bool {
+	return func(socket net.Conn, request receivedRequest) bool {
+		_, _ = io.WriteString(socket, sealedHead(200, request, streamHead))
+		for _, one := range events {
+			writeEach(socket, chunk(one))
+		}
+		_, _ = io.WriteString(socket, lastChunk)
+		return true
+	}
+}
+
+// The end of a resumed stream was judged by the Content-Length of its last part: the last byte of each event of that part was withheld,
+// and all of them came after the stream.
+func TestResumedStream_EachFramingOfTheRest_ForwardedAsSent(t *testing.T) {
+	before := []string{event(1, "one"), event(2, "two")}
+	rest := []string{event(3, "three"), event(4, "four"), event(5, "five")}
+	want := strings.Join(append(before, rest...), "")
+	framings := map[string]func(net.Conn, receivedRequest) bool{
+		"chunks":          chunkedStream(rest...),
+		"length":          measuredStream(rest...),
+		"close-delimited": unframedStream(rest...),
+		"one write with a length": respondWith(200, strings.Join(rest, ""),
+			"Content-Type: text/event-stream"),
+	}
+	for name, script := range framings {
+		for _, route := range []string{"resume", "resume-turn"} {
+			t.Run(route+"/"+name, func(t *testing.T) {
+				f := newFixture(t, newEndpoint(t, cutStream(before...)), newEndpoint(t, script))
+				c := f.dial()
+				c.request("POST", "/"+route+"/x", "id", "input", turnFields...)
+				if got := c.readResponse("POST"); got.err != nil || got.body != want {
+					t.Errorf("got %q, %v", got.body, got.err)
+				}
+				wantEnd := program.EndTurn{Turn: "id", Complete: true, Tokens: 15}
+				if route == "resume-turn" {
+					wantEnd.Output = []byte("one\ntwo\nthree\nfour\nfive\n")
+				}
+				if diff := cmp.Diff(wantEnd, <-f.programs.ended); diff != "" {
+					t.Errorf("end (-want +got):\n%s", diff)
+				}
+				first, second := <-f.selector.outcomes, <-f.selector.outcomes
+				if first.Result != IncompleteResponse || first.Events != 2 || second.Result != Succeeded || second.Events != 3 || second.Tokens != 9 {
+					t.Errorf("outcomes %+v, %+v", first, second)
+				}
+			})
+		}
+	}
+}
+
+// A stream that was being resumed was given up when the part with a Content-Length was cut, though its client had been sent no length.
+func TestResumedStream_RestWithLengthIsCut_ResumesOnceMore(t *testing.T) {
+	cutRest := func(socket net.Conn, request receivedRequest) bool {
+		_, _ = io.WriteString(socket, sealedHead(200, request, "Content-Type: text/event-stream", "Content-Length: 1000"))
+		writeEach(socket, event(2, "two"), "id: 3\ndata: th")
+		return false
+	}
+	f := newFixture(t, newEndpoint(t, cutStream(event(1, "one"))), newEndpoint(t, cutRest),
+		newEndpoint(t, measuredStream(event(3, "three"), event(4, "four"))))
+	c := f.dial()
+	c.request("POST", "/resume-turn/x", "id", "input", turnFields...)
+	want := event(1, "one") + event(2, "two") + event(3, "three") + event(4, "four")
+	if got := c.readResponse("POST"); got.err != nil || got.body != want {
+		t.Errorf("got %q, %v", got.body, got.err)
+	}
+	wantEnd := program.EndTurn{Turn: "id", Complete: true, Tokens: 12, Output: []byte("one\ntwo\nthree\nfour\n")}
+	if diff := cmp.Diff(wantEnd, <-f.programs.ended); diff != "" {
+		t.Errorf("end (-want +got):\n%s", diff)
+	}
+}
--- a/internal/tier/proxy/retries.go
+++ b/internal/tier/proxy/retries.go
@@ -39,7 +39,7 @@
 // shouldRetryStatus reports whether a response with this status is discarded in favour of another attempt. After the last attempt the
 // client gets the response.
 func (c *clientRequest) shouldRetryStatus(status int) bool {
-	return status >= http.StatusInternalServerError && !c.headerWritten && retryable(c.info.Route) &&
+	return status >= http.StatusInternalServerError && !c.response.begun && retryable(c.info.Route) &&
 		c.mayHaveRunAttempts+1 < c.info.Route.MaxAttempts
 }
 
@@ -119,7 +119,7 @@
 		c.info.RejectedBy = append(c.info.RejectedBy, a.selection.ID)
 	}
 	c.rejectionKind, c.retryAfter = apierror.EndpointRefused, a.outcome.RetryAfter
-	if a.response.Status == http.StatusBadRequest && !c.headerWritten {
+	if a.response.Status == http.StatusBadRequest && !c.response.begun {
 		return c.forwardResponse(a)
 	}
 	drainBufferedBody(a.response)
@@ -154,7 +154,7 @@
 // request has not run are used only if no endpoint may have run it.
 func (c *clientRequest) abandon() {
 	switch {
-	case c.headerWritten:
+	case c.response.begun:
 		abortConnection()
 	case !c.mayHaveRun:
 		c.writeError(c.rejectionKind, c.retryAfter)
--- a/internal/tier/proxy/streaming_test.go
+++ b/internal/tier/proxy/streaming_test.go
@@ -207,17 +207,22 @@
 	}
 }
 
-func TestEventScanner_Rewind_ForgetsUnforwardedEvents(t *testing.T) {
-	scanner := eventScanner{collect: true}
-	scanner.feed([]byte(event(1, "one") + "id: 2\nda"))
-	before := scanner.progress()
-	scanner.feed([]byte("ta: two\n\n" + event(3, "three") + "id: 4"))
-	scanner.rewind(before)
-	if scanner.count != 1 || scanner.lastID != "1" || string(scanner.output) != "one\n" {
-		t.Errorf("%d events up to %q, output %q", scanner.count, scanner.lastID, scanner.output)
+func TestTranscript_EventsOfAttemptNotForwarded_AreNotInIt(t *testing.T) {
+	// given an attempt of which the first event was forwarded, and the others were not
+	var sent transcript
+	parser := newEventParser(&sent, true)
+	forwarded := parser.feed([]byte(event(1, "one") + "id: 2\nda"))
+	sent.add(&forwarded)
+	parser.feed([]byte("ta: two\n\n" + event(3, "three") + "id: 4"))
+	// then the transcript ends with the first event, and another attempt goes on from there
+	if sent.count != 1 || sent.lastID != "1" || string(sent.output) != "one\n" {
+		t.Errorf("%d events up to %q, output %q", sent.count, sent.lastID, sent.output)
 	}
-	if got := string(scanner.feed([]byte(event(2, "two")))); got != event(2, "two") || string(scanner.output) != "one\ntwo\n" {
-		t.Errorf("forwarded %q, output %q", got, scanner.output)
+	parser = newEventParser(&sent, true)
+	next := parser.feed([]byte(event(2, "two")))
+	sent.add(&next)
+	if string(next.bytes) != event(2, "two") || string(sent.output) != "one\ntwo\n" {
+		t.Errorf("forwarded %q, output %q", next.bytes, sent.output)
 	}
 }
 
--- a/internal/tier/proxy/testclient_test.go
+++ b/internal/tier/proxy/testclient_test.go
@@ -50,8 +50,8 @@
 	c.send(head + "\r\n" + body)
 }
 
-// clientResponse is a response with its complete body, or with the error that ended the body.
-type clientResponse struct {
+// receivedResponse is a response with its complete body, or with the error that ended the body.
+type receivedResponse struct {
 	status int
 	header http.Header
 	body   string
@@ -69,11 +69,11 @@
 	return response
 }
 
-func (c *client) readResponse(method string) clientResponse {
+func (c *client) readResponse(method string) receivedResponse {
 	c.t.Helper()
 	response := c.readHead(method)
 	body, err := io.ReadAll(response.Body)
-	return clientResponse{response.StatusCode, response.Header, string(body), response.Close, err}
+	return receivedResponse{response.StatusCode, response.Header, string(body), response.Close, err}
 }
 
 // closedSilently reports whether the connection ends without any byte.
--- a/internal/tier/proxy/turn.go
+++ b/internal/tier/proxy/turn.go
@@ -25,10 +25,8 @@
 	id             string
 	stateful       bool // its input and output become part of the program's history
 	tokensPerEvent int64
-	reserved       bool   // Begin was called: the stores may hold a reservation
-	committed      bool   // the commit has been started
-	bytesForwarded int64  // of the response
-	withheld       []byte // last byte of the response, until the turn is committed
+	reserved       bool // Begin was called: the stores may hold a reservation
+	committed      bool // the commit has been started
 }
 
 // newTurn returns the turn of a request and its program's budget in tokens, or nil if the request is not a turn. A request without an
@@ -107,10 +105,10 @@
 }
 
 // endCommand returns the command that commits the turn's usage, and the output of a complete stateful turn.
-func (t *turn) endCommand(complete bool, scanner *eventScanner) program.EndTurn {
-	end := program.EndTurn{Turn: t.id, Complete: complete, Tokens: scanner.count * t.tokensPerEvent}
+func (t *turn) endCommand(complete bool, sent *transcript) program.EndTurn {
+	end := program.EndTurn{Turn: t.id, Complete: complete, Tokens: sent.count * t.tokensPerEvent}
 	if complete && t.stateful {
-		end.Output = scanner.output
+		end.Output = sent.output
 	}
 	return end
 }
@@ -123,7 +121,6 @@
 	if c.turn == nil {
 		return true
 	}
-	c.scanner.collect = c.turn.stateful
 	bounded, cancel := context.WithTimeout(c.context, beginTimeout(c.info.Deadline.Sub(c.proxy.options.Now())))
 	defer cancel()
 	kind, chain, err := c.turn.begin(bounded, c.proxy.options.Programs, &c.info, budget, *c.body)
@@ -158,5 +155,5 @@
 		return
 	}
 	c.turn.committed = true
-	c.proxy.usage.commit(c.turn.key, c.turn.endCommand(false, &c.scanner))
+	c.proxy.usage.commit(c.turn.key, c.turn.endCommand(false, &c.transcript))
 }
