exchangetest: kept turns that may be resumed, lengths on each route, many writes

Cause: the campaign had resumption only without turns, and in chunks; a stream with a Content-Length only on turns that are never resumed.

Change: a route that is stateful and resumable, with three attempts; a success with a Content-Length on each route; responses written in pieces. The oracle also compares the tokens that the stores counted, and the events that the selector was told of over all attempts, with the events that the client got.

--- a/internal/tier/exchangetest/boundary_test.go
+++ b/internal/tier/exchangetest/boundary_test.go
@@ -8,10 +8,10 @@
 
 var (
 	allRoutes  = []routeKind{onceRoute, safeRoute, streamRoute, resumeRoute}
-	withTurns  = append(allRoutes, turnRoute) // allRoutes and that of turns
+	withTurns  = append(allRoutes, turnRoute, resumeTurnRoute) // allRoutes and those of turns
 	allEndings = []ending{orderlyClose, resetClose, halfClose}
 	endings    = map[ending]string{orderlyClose: "closed", resetClose: "reset", halfClose: "half-closed"}
-	framings   = map[responseKind]string{success: "success", chunked: "chunked", closeDelimited: "close-delimited", informational: "after 1xx",
+	framings   = map[responseKind]string{success: "success", withLength: "with a length", chunked: "chunked", closeDelimited: "close-delimited", informational: "after 1xx",
 		failure: "failure", rejected: "rejected", notRun: "not run", misdirected: "misdirected"}
 )
 
@@ -53,6 +53,10 @@
 	switch {
 	case route == turnRoute:
 		return kind == success || kind == chunked
+	case route == resumeTurnRoute:
+		return kind == chunked
+	case kind == withLength:
+		return false
 	case route.streaming() && kind == chunked:
 		return false
 	}
@@ -92,10 +96,12 @@
 				continue
 			}
 			var requests []*requestScript
-			for at := range responseLength(newRequest(route, 0, completeScript(kind, 2))) {
-				broken := completeScript(kind, 2)
+			for at := range responseLength(newRequest(route, 0, completeScript(kind, 4))) {
+				broken := completeScript(kind, 4)
 				broken.breakAfter, broken.end = at, end
-				requests = append(requests, newRequest(route, at, broken, completeScript(success, 2)))
+				next := completeScript(success, 4)
+				next.pieceSize = 10
+				requests = append(requests, newRequest(route, at, broken, next))
 			}
 			for at, result := range runRequests(t, requests) {
 				if ended := kind == closeDelimited && end != resetClose; route.retryable() && !ended && (!result.complete() || result.status != 200) {
--- a/internal/tier/exchangetest/endpoint_test.go
+++ b/internal/tier/exchangetest/endpoint_test.go
@@ -6,12 +6,16 @@
 	"io"
 	"net"
 	"net/textproto"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
 	"time"
 )
 
+// pieceDelay is the pause between the pieces of a response.
+const pieceDelay = time.Millisecond
+
 // endpoint is one endpoint, which follows the scripts of the requests that it receives.
 type endpoint struct {
 	id       string
@@ -97,13 +101,13 @@
 		return err == nil
 	}
 	if script.breakAfter >= 0 && script.breakAfter < len(wire) {
-		if sendSplit(conn, wire[:script.breakAfter], script.split, script.splitDelay) {
+		if sendPieces(conn, wire[:script.breakAfter], script) {
 			e.env.responseWritten(current)
 		}
 		disconnect(conn, script.end)
 		return false
 	}
-	if !sendSplit(conn, wire, script.split, script.splitDelay) {
+	if !sendPieces(conn, wire, script) {
 		return false
 	}
 	e.env.responseWritten(current)
@@ -123,6 +127,20 @@
 	return true
 }
 
+// sendPieces writes a response in the writes of its script, with a pause after each.
+func sendPieces(conn *memoryConn, data []byte, script attemptScript) bool {
+	if script.pieceSize == 0 {
+		return sendSplit(conn, data, script.split, script.splitDelay)
+	}
+	for piece := range slices.Chunk(data, script.pieceSize) {
+		if _, err := conn.Write(piece); err != nil {
+			return false
+		}
+		time.Sleep(pieceDelay)
+	}
+	return true
+}
+
 // sendSplit writes data in two parts with a pause between them.
 func sendSplit(conn *memoryConn, data []byte, split int, splitDelay time.Duration) bool {
 	if split >= len(data) {
--- a/internal/tier/exchangetest/environment_test.go
+++ b/internal/tier/exchangetest/environment_test.go
@@ -19,7 +19,6 @@
 
 const (
 	endpointCount = 3
-	maxAttempts   = 2 // per request that may have run, on each route
 	// cooldown is how long an environment runs on after its last request: longer than any deadline.
 	cooldown = 5 * time.Second
 )
@@ -73,8 +72,9 @@
 	running   sync.WaitGroup
 
 	mutex    sync.Mutex
-	attempts []*endpointAttempt // of all requests, in the order of their start
-	unlisted map[int]bool       // endpoints that the selector doesn't choose, by number
+	attempts []*endpointAttempt         // of all requests, in the order of their start
+	unlisted map[int]bool               // endpoints that the selector doesn't choose, by number
+	outcomes map[string][]proxy.Outcome // of the attempts of each request, by attempt ID
 }
 
 // runScenario runs a scenario and returns its environment, which has recorded what happened.
@@ -88,7 +88,8 @@
 }
 
 func newEnvironment(t *testing.T, s scenario) *environment {
-	env := &environment{scenario: s, network: newMemoryNetwork(), requests: make(map[string]*requestScript), unlisted: make(map[int]bool)}
+	env := &environment{scenario: s, network: newMemoryNetwork(), requests: make(map[string]*requestScript), unlisted: make(map[int]bool),
+		outcomes: make(map[string][]proxy.Outcome)}
 	env.stores = &fakeStores{environment: env, attempted: make(map[string]bool), committed: make(map[string][]program.EndTurn)}
 	for _, requests := range s.clients {
 		env.clients = append(env.clients, &client{env: env, requests: requests})
@@ -120,9 +121,9 @@
 		Services: []model.Service{{Name: "service", Protocol: "h1"}},
 		Limits:   model.Limits{MaxHeaderBytes: 16 << 10, MaxBodyBytes: 4 << 20, HeaderTimeoutMs: 3000, IdleTimeoutMs: int64(2000 + number)},
 	}
-	for _, kind := range []routeKind{safeRoute, onceRoute, streamRoute, resumeRoute, turnRoute} {
-		route := model.Route{Name: string(kind), Host: "a.example", PathPrefix: "/" + string(kind) + "/", Service: "service", MaxAttempts: maxAttempts,
-			TimeoutMs: 3000, LatencyTargetMs: 200, Resumable: kind == resumeRoute, Stateful: kind == turnRoute, RetentionS: 60}
+	for _, kind := range []routeKind{safeRoute, onceRoute, streamRoute, resumeRoute, turnRoute, resumeTurnRoute} {
+		route := model.Route{Name: string(kind), Host: "a.example", PathPrefix: "/" + string(kind) + "/", Service: "service", MaxAttempts: kind.maxAttempts(),
+			TimeoutMs: 3000, LatencyTargetMs: 200, Resumable: kind.resumable(), Stateful: kind.stateful(), RetentionS: 60}
 		switch {
 		case kind.streaming():
 			route.Kind = model.Streaming
@@ -242,7 +243,7 @@
 		if env.unlisted[number] || slices.Contains(facts.Excluded, e.id) {
 			continue
 		}
-		choice := proxy.Selection{ID: e.id, Address: e.address, MaxConnections: env.scenario.maxConnections}
+		choice := proxy.Selection{ID: e.id, Address: e.address, MaxConnections: env.scenario.maxConnections, Ticket: facts.AttemptID}
 		if request := env.requests[facts.AttemptID]; request != nil && request.route.retryable() {
 			choice.Timeout = request.attemptTimeout
 		}
@@ -262,4 +263,9 @@
 func (env *environment) FirstEvent(proxy.Selection, string) {}
 
 // Done implements proxy.Selector.
-func (env *environment) Done(proxy.Selection, proxy.Outcome) {}
+func (env *environment) Done(selection proxy.Selection, outcome proxy.Outcome) {
+	env.mutex.Lock()
+	defer env.mutex.Unlock()
+	id, _ := selection.Ticket.(string)
+	env.outcomes[id] = append(env.outcomes[id], outcome)
+}
--- a/internal/tier/exchangetest/oracle_test.go
+++ b/internal/tier/exchangetest/oracle_test.go
@@ -163,9 +163,12 @@
 // checkRequest checks the attempts and the response of one request.
 func (o *oracle) checkRequest(result *clientResult) {
 	o.checkAttempts(result)
-	if result.request.route == turnRoute {
+	if result.request.route.stateful() {
 		o.checkTurn(result)
 	}
+	if result.request.route.streaming() {
+		o.checkOutcomes(result)
+	}
 	if !result.disconnectedAt.IsZero() {
 		o.checkDisconnect(result)
 	}
@@ -199,7 +202,7 @@
 // not have read it, or the stores may not have committed the turn's end. The proxy then drops what it has not forwarded yet, and the
 // client may only see its connection close.
 func (o *oracle) mayStayUnanswered(request *requestScript) bool {
-	uncommitted := request.route == turnRoute && request.endResult != commitAccepted
+	uncommitted := request.route.stateful() && request.endResult != commitAccepted
 	return uncommitted || o.env.scenario.has(crash) || request.readStall > 0 || slices.ContainsFunc(o.attempts[request], func(s receivedRequest) bool { return s.attempt != nil && s.attempt.truncates() })
 }
 
@@ -219,7 +222,7 @@
 			o.report(request, "TWICE: attempt %d of %d may have run, and others followed", i+1, len(arrived))
 		}
 	}
-	if mayHaveRun > maxAttempts {
+	if mayHaveRun > request.route.maxAttempts() {
 		o.report(request, "BUDGET: %d attempts that may have run", mayHaveRun)
 	}
 	if request.sendLimit >= 0 && request.sendLimit < len(request.wire()) && len(arrived) > 0 {
@@ -248,11 +251,26 @@
 	if result.complete() && (!committed || !end.Complete || string(end.Output) != outputOf(result.body)) {
 		o.report(result.request, "LOST: looks complete, but the stores committed: %v, %+v", committed, end)
 	}
-	if events := int64(bytes.Count(result.body, []byte("\n\n"))); committed && end.Tokens < events {
+	events := int64(bytes.Count(result.body, []byte("\n\n")))
+	if committed && (end.Tokens < events || result.complete() && end.Tokens != events) {
 		o.report(result.request, "BUDGET: the client received %d events, and the stores counted %d tokens", events, end.Tokens)
 	}
 }
 
+// checkOutcomes checks that the selector was told of each event of a complete stream once, with the attempt that it came from.
+func (o *oracle) checkOutcomes(result *clientResult) {
+	if !result.complete() || result.status != 200 || result.request.method == "HEAD" || result.header.Get("X-Server-Seal") == "" {
+		return
+	}
+	var told int64
+	for _, outcome := range o.env.outcomes[result.request.id] {
+		told += outcome.Events
+	}
+	if events := int64(bytes.Count(result.body, []byte("\n\n"))); told != events {
+		o.report(result.request, "ORDER: the client received %d events, and the selector was told of %d", events, told)
+	}
+}
+
 // outputOf returns the data of all events, each line followed by a line feed.
 func outputOf(events []byte) string {
 	var output strings.Builder
@@ -284,7 +302,7 @@
 	seal := result.header.Get("X-Server-Seal")
 	if seal == "" {
 		partial := result.request.sendLimit >= 0 && result.status == 400
-		refused := result.request.route == turnRoute && result.status == rejectionStatuses[result.request.beginResult]
+		refused := result.request.route.stateful() && result.status == rejectionStatuses[result.request.beginResult]
 		if !partial && !refused && !slices.Contains([]int{502, 503, 504}, result.status) {
 			o.report(result.request, "MIXED: unexpected status %d of the proxy's own", result.status)
 		}
@@ -350,7 +368,7 @@
 // lacksLastByte reports whether the last event of a turn's truncated response lacks only its last byte, which the proxy holds back until
 // the turn's end is committed.
 func lacksLastByte(result *clientResult, event []byte, by *endpointAttempt, number int) bool {
-	return result.truncated() && result.request.route == turnRoute && string(event)+"\n" == string(by.event(number))
+	return result.truncated() && result.request.route.stateful() && string(event)+"\n" == string(by.event(number))
 }
 
 // attemptOfEvent returns the attempt whose event with that number equals event; nil: none.
--- a/internal/tier/exchangetest/scenario_draw_test.go
+++ b/internal/tier/exchangetest/scenario_draw_test.go
@@ -70,7 +70,7 @@
 func drawRequest(source *drawSource, id string, faulty bool) *requestScript {
 	request := &requestScript{
 		id:         id,
-		route:      oneOf(source, onceRoute, onceRoute, safeRoute, resumeRoute, resumeRoute, streamRoute, turnRoute),
+		route:      oneOf(source, onceRoute, onceRoute, safeRoute, resumeRoute, resumeRoute, streamRoute, turnRoute, resumeTurnRoute, resumeTurnRoute),
 		method:     oneOf(source, "POST", "GET", "GET", "HEAD"),
 		startDelay: source.upTo(40),
 		sendLimit:  -1,
@@ -83,7 +83,7 @@
 			request.chunks = oneOf(source, 0, 0, 1, 3)
 		}
 	}
-	if request.route == turnRoute {
+	if request.route.stateful() {
 		request.chain = oneOf(source, 0, 300, 50_000)
 	}
 	request.split, request.splitDelay = source.below(200), source.upTo(10)
@@ -111,7 +111,7 @@
 		request.readStall = source.upTo(1500)
 	}
 	request.attemptTimeout = time.Duration(oneOf(source, 0, 0, 20)) * time.Millisecond
-	for range 1 + source.below(3) {
+	for range 1 + source.below(4) {
 		if source.one(3) {
 			request.attempts = append(request.attempts, drawFaultFreeAttempt(source, request))
 			continue
@@ -122,9 +122,12 @@
 
 // drawFaultFreeAttempt draws an attempt without a fault.
 func drawFaultFreeAttempt(s *drawSource, r *requestScript) attemptScript {
-	script := completeScript(oneOf(s, success, success, chunked, informational, closeDelimited), 0)
+	script := completeScript(oneOf(s, success, success, chunked, informational, closeDelimited, withLength), 0)
 	script.size = drawSize(s, r)
 	script.delay, script.split, script.splitDelay = s.upTo(20), s.below(300), s.upTo(10)
+	if r.route.streaming() {
+		script.pieceSize = oneOf(s, 0, 0, 5, 17, 60)
+	}
 	return script
 }
 
@@ -147,7 +150,7 @@
 		script.early, script.readOnDelay = true, s.upTo(60)
 	}
 	faults := 6
-	if r.route == resumeRoute {
+	if r.route.resumable() {
 		faults = 3 // more truncated responses, so that many streams are resumed
 		script.size = 8
 	}
--- a/internal/tier/exchangetest/script_test.go
+++ b/internal/tier/exchangetest/script_test.go
@@ -12,18 +12,33 @@
 type routeKind string
 
 const (
-	safeRoute   routeKind = "safe"
-	onceRoute   routeKind = "once"
-	streamRoute routeKind = "stream"
-	resumeRoute routeKind = "resume"
-	turnRoute   routeKind = "turn" // a stream that the stores record
+	safeRoute       routeKind = "safe"
+	onceRoute       routeKind = "once"
+	streamRoute     routeKind = "stream"
+	resumeRoute     routeKind = "resume"
+	turnRoute       routeKind = "turn"        // a stream that the stores record
+	resumeTurnRoute routeKind = "resume-turn" // a stream that the stores record, and that may be resumed
 )
 
 // retryable reports whether a request on this route may run more than once.
-func (r routeKind) retryable() bool { return r == safeRoute || r == resumeRoute }
+func (r routeKind) retryable() bool { return r == safeRoute || r.resumable() }
+
+// resumable reports whether a stream of this route may be taken up at another endpoint.
+func (r routeKind) resumable() bool { return r == resumeRoute || r == resumeTurnRoute }
+
+// stateful reports whether the stores record the turns of this route.
+func (r routeKind) stateful() bool { return r == turnRoute || r == resumeTurnRoute }
+
+// maxAttempts returns the bound on the attempts of a request that may have run.
+func (r routeKind) maxAttempts() int {
+	if r == resumeTurnRoute {
+		return 3
+	}
+	return 2
+}
 
 // streaming reports whether a successful response on this route is a stream of events.
-func (r routeKind) streaming() bool { return r == streamRoute || r == resumeRoute || r == turnRoute }
+func (r routeKind) streaming() bool { return r == streamRoute || r.resumable() || r.stateful() }
 
 // ending is how a side ends a connection.
 type ending int
@@ -51,6 +66,7 @@
 
 const (
 	success        responseKind = iota // with a Content-Length; chunked if it is a stream and not a turn
+	withLength                         // a success with a Content-Length, on each route
 	chunked                            // a success with chunked encoding
 	closeDelimited                     // a success whose end is that of the connection
 	informational                      // 1xx responses, then a success
@@ -88,6 +104,7 @@
 	delay          time.Duration // before the response
 	split          int           // bytes of the response that are sent first
 	splitDelay     time.Duration // after the first bytes
+	pieceSize      int           // bytes of the response in each of the writes after that; 0: all in one
 	breakAfter     int           // bytes of the response after which the connection ends; -1: all are sent
 	end            ending        // how it ends the connection after the response
 	endDelay       time.Duration // before it ends the connection
@@ -168,7 +185,7 @@
 
 // forwardedBody returns the body that endpoints must receive: for a turn, the chain of the turns before it and then its own body.
 func (r *requestScript) forwardedBody() []byte {
-	if r.route != turnRoute {
+	if !r.route.stateful() {
 		return r.body()
 	}
 	return append(pattern("chain of "+r.id+" ", r.chain), r.body()...)
@@ -348,7 +365,7 @@
 		return []byte(head + "X-Not-Run: 1\r\nContent-Length: 0\r\n\r\n")
 	case script.kind == closeDelimited:
 		head += "\r\n"
-	case script.kind == chunked || r.request.route.streaming() && r.request.route != turnRoute && r.status() == 200:
+	case script.kind == chunked || script.kind != withLength && r.request.route.streaming() && !r.request.route.stateful() && r.status() == 200:
 		head += "Transfer-Encoding: chunked\r\n\r\n"
 		body = r.chunks(body)
 	case script.kind == rejected:
