proxy: a stream is only resumed in the encoding that its client was told

Callers would see: a stream that was cut goes on with bytes of another Content-Encoding, whose head they never get, and ends as complete.

Cause: of a response that continues another one only the status was checked. Its head isn't forwarded, by the protocol, so what the head says of the body must agree with the head that the client has.

Change: clientResponse.continues compares the encoding too; another one counts as an incomplete response, and the next endpoint is asked.

Measured: TestResumedStream_RestIsEncodedOtherwise_NotJoined fails without the check. Found by reading; not seen in service.

--- a/internal/tier/proxy/clientresponse.go
+++ b/internal/tier/proxy/clientresponse.go
@@ -17,12 +17,13 @@
 	writer  http.ResponseWriter
 	request *http.Request
 
-	begun         bool   // the head has been sent
-	length        int64  // Content-Length that the client was sent, or unknownLength
-	written       int64  // bytes of the body that were written, without the withheld one
-	withholdsEnd  bool   // the last byte of a body of known length is withheld until releaseEnd
-	withheld      []byte // that byte, once it has come; empty: none
-	resetsOnClose bool   // every close of the client's connection is a reset
+	begun           bool   // the head has been sent
+	length          int64  // Content-Length that the client was sent, or unknownLength
+	written         int64  // bytes of the body that were written, without the withheld one
+	contentEncoding string // that the client was told; empty: none
+	withholdsEnd    bool   // the last byte of a body of known length is withheld until releaseEnd
+	withheld        []byte // that byte, once it has come; empty: none
+	resetsOnClose   bool   // every close of the client's connection is a reset
 }
 
 // begin sends the head of an endpoint's response. A close-delimited response is forwarded in chunks, so that it cannot look complete if
@@ -30,6 +31,7 @@
 func (r *clientResponse) begin(from *upstream.Response) {
 	r.begun = true
 	r.length = unknownLength
+	r.contentEncoding = firstValue(from.Header, headerContentEncoding)
 	header := r.writer.Header()
 	copyResponseHeader(header, from.Header)
 	if from.ContentLength >= 0 && firstValue(from.Header, "Content-Length") != "" {
@@ -47,6 +49,12 @@
 	r.withholdsEnd = r.length > 0
 }
 
+// continues reports whether the body of another attempt's response may follow what the client was sent. Its head is not sent to the client,
+// so its body must be encoded as the client was told.
+func (r *clientResponse) continues(with *upstream.Response) bool {
+	return with.Status/100 == 2 && firstValue(with.Header, headerContentEncoding) == r.contentEncoding
+}
+
 // hasLength reports whether the client was sent a Content-Length.
 func (r *clientResponse) hasLength() bool { return r.begun && r.length != unknownLength }
 
--- a/internal/tier/proxy/headers.go
+++ b/internal/tier/proxy/headers.go
@@ -12,23 +12,24 @@
 
 // Header fields of the protocol, in canonical form, and the cookie of the subject.
 const (
-	headerTimeLeft       = upstream.TimeLeftHeader
-	headerExpectedServer = "X-Expected-Server"
-	headerPriority       = "Priority"
-	headerServerSeal     = "X-Server-Seal"
-	headerNotRun         = "X-Not-Run"
-	headerServerLoad     = "X-Server-Load"
-	headerLastEventID    = "Last-Event-Id"
-	headerProgram        = "Program"
-	headerSession        = "Session"
-	headerFinishMs       = "Finish-Ms"
-	headerBudget         = "Budget"
-	headerPrevious       = "Previous"
-	headerModel          = "X-Model"
-	headerPromptPrefix   = "X-Prompt-Prefix"
-	headerTokenCounts    = "X-Token-Counts"
-	headerRetryAfter     = "Retry-After"
-	subjectCookie        = "X-Subject"
+	headerTimeLeft        = upstream.TimeLeftHeader
+	headerExpectedServer  = "X-Expected-Server"
+	headerPriority        = "Priority"
+	headerServerSeal      = "X-Server-Seal"
+	headerNotRun          = "X-Not-Run"
+	headerServerLoad      = "X-Server-Load"
+	headerLastEventID     = "Last-Event-Id"
+	headerProgram         = "Program"
+	headerSession         = "Session"
+	headerFinishMs        = "Finish-Ms"
+	headerBudget          = "Budget"
+	headerPrevious        = "Previous"
+	headerModel           = "X-Model"
+	headerPromptPrefix    = "X-Prompt-Prefix"
+	headerTokenCounts     = "X-Token-Counts"
+	headerRetryAfter      = "Retry-After"
+	headerContentEncoding = "Content-Encoding"
+	subjectCookie         = "X-Subject"
 )
 
 // isHopByHop reports whether a field isn't forwarded because it applies to one connection only (RFC 9110 section 7.6.1). It includes
--- a/internal/tier/proxy/resumption_test.go
+++ b/internal/tier/proxy/resumption_test.go
@@ -122,3 +122,18 @@
 		t.Errorf("end (-want +got):\n%s", diff)
 	}
 }
+
+// The rest of a stream was forwarded in another encoding than the client had been told: bytes that its head doesn't describe.
+func TestResumedStream_RestIsEncodedOtherwise_NotJoined(t *testing.T) {
+	encoded := respondWith(200, "\x1f\x8b\x08 not events", "Content-Type: text/event-stream", "Content-Encoding: gzip")
+	f := newFixture(t, newEndpoint(t, cutStream(event(1, "one"))), newEndpoint(t, encoded), newEndpoint(t, measuredStream(event(2, "two"))))
+	c := f.dial()
+	c.request("POST", "/resume-turn/x", "id", "input", turnFields...)
+	if got := c.readResponse("POST"); got.err != nil || got.body != event(1, "one")+event(2, "two") {
+		t.Errorf("got %q, %v", got.body, got.err)
+	}
+	wantEnd := program.EndTurn{Turn: "id", Complete: true, Tokens: 6, Output: []byte("one\ntwo\n")}
+	if diff := cmp.Diff(wantEnd, <-f.programs.ended); diff != "" {
+		t.Errorf("end (-want +got):\n%s", diff)
+	}
+}
