balancer: the load in a stream's head isn't taken for the load at its end

Seen by reading, in the class of 'joined events': a figure of one moment of an attempt judged at another. Not shown to have harmed callers.

Cause: X-Server-Load comes with a response's head. FirstEvent recorded it, and Done recorded it again at the end of the stream, seconds later, with the calls in flight of that moment, over all newer reports of other requests.

Change: Done records the report only of an attempt without a first event.

Measured: TestDone_StreamEnds_LoadOfItsHeadIsNotRecordedAgain fails before (4 calls of others from the head, 0 by the newer report).

--- a/internal/tier/balancer/load_test.go
+++ b/internal/tier/balancer/load_test.go
@@ -59,3 +59,27 @@
 		t.Errorf("limit while calls are overdue: %d, want 8", got)
 	}
 }
+
+// The load in a stream's head was recorded again at the stream's end, over all reports that had come since.
+func TestDone_StreamEnds_LoadOfItsHeadIsNotRecordedAgain(t *testing.T) {
+	balancer := newBalancer(endpointsOf("feeds", 1, 6))
+	busy, idle := Load{Running: 5, Capacity: 6}, Load{Running: 1, Capacity: 6}
+	long := balancer.Select(0, retryableRequest())
+	balancer.Sent(0, &long.Attempt)
+	balancer.FirstEvent(10*time.Millisecond, &long.Attempt, busy)
+
+	// Given a newer report, of a short call,
+	short := balancer.Select(2*time.Second, retryableRequest())
+	balancer.Sent(2*time.Second, &short.Attempt)
+	balancer.Done(2050*time.Millisecond, &short.Attempt, Outcome{Elapsed: 50 * time.Millisecond, Load: idle})
+	e := balancer.endpoints["feeds-0"]
+	if e.load.othersInFlight != 0 {
+		t.Fatalf("calls of others after the newer report: %v, want 0", e.load.othersInFlight)
+	}
+
+	// when the stream ends, then the newer report stands.
+	balancer.Done(2100*time.Millisecond, &long.Attempt, Outcome{Elapsed: 2100 * time.Millisecond, Load: busy})
+	if e.load.othersInFlight != 0 || e.load.reportedAt != 2050*time.Millisecond {
+		t.Errorf("calls of others: %v, reported at %v; want those of the newer report", e.load.othersInFlight, e.load.reportedAt)
+	}
+}
--- a/internal/tier/balancer/outcome.go
+++ b/internal/tier/balancer/outcome.go
@@ -55,11 +55,14 @@
 	b.recordOutcome(a, o)
 }
 
-// removeInFlight removes an attempt from the counts of attempts in flight, and records the load reported at its end.
+// removeInFlight removes an attempt from the counts of attempts in flight, and records the load that its response reported. A response
+// reports the load with its head: that of a stream was recorded with its first event, and is old by the end.
 func (b *Balancer) removeInFlight(a *Attempt, report Load) {
 	e := a.endpoint
 	a.sent = false
-	e.recordLoad(b.now, report, len(e.inFlight)) // the report still includes the attempt
+	if !a.firstEventSeen {
+		e.recordLoad(b.now, report, len(e.inFlight)) // the report still includes the attempt
+	}
 	e.inFlight = slices.DeleteFunc(e.inFlight, func(other *Attempt) bool { return other == a })
 	b.inFlight--
 	if a.probe {
