proxy: an answer that the proxy has no memory for isn't its endpoint's failure

Would be seen under load of large outputs: endpoints are taken for failing, and a version in a roll-out for bad, though they answered whole.

Cause: where the memory of a request finds no more for a turn's output, the attempt ended like one whose endpoint broke it off.

Change: a result of its own, OutOfMemory, which the balancer takes for a call that was given up, and roll-outs don't count.

Measured: TestStream_NoMemoryForOutput_IsNotTheEndpointsFailure got IncompleteResponse without the change. Found by reading.

--- a/internal/tier/proxy/api.go
+++ b/internal/tier/proxy/api.go
@@ -95,6 +95,7 @@
 	TimedOut                             // abandoned at the selection's timeout
 	DeadlineExceeded                     // the request's deadline passed
 	ClientClosed                         // the client closed its connection
+	OutOfMemory                          // abandoned, since the proxy had no memory for the response
 	Cancelled                            // not sent: the endpoint was withdrawn, the deadline passed or the client closed its connection
 )
 
--- a/internal/tier/proxy/attempt.go
+++ b/internal/tier/proxy/attempt.go
@@ -25,6 +25,7 @@
 	response  *upstream.Response
 	parser    eventParser // of a stream
 	events    int64       // forwarded to the client
+	noMemory  bool        // the proxy had no memory for the response
 	reported  bool        // the selector has been given the outcome
 }
 
--- a/internal/tier/proxy/loadbalancer.go
+++ b/internal/tier/proxy/loadbalancer.go
@@ -214,6 +214,8 @@
 		return balancer.TimedOut
 	case Cancelled:
 		return balancer.NotSent
+	case OutOfMemory:
+		return balancer.Cancelled
 	case ClientClosed:
 		if float64(outcome.Elapsed) >= timeoutFraction*float64(timeLeft) {
 			return balancer.TimedOut
--- a/internal/tier/proxy/requestmemory.go
+++ b/internal/tier/proxy/requestmemory.go
@@ -142,8 +142,9 @@
 
 // reserveOutput reserves memory for the next bytes of an attempt's stream, as far as they are collected or withheld. It returns false if
 // there is none.
-func (c *clientRequest) reserveOutput(parser *eventParser, next int) bool {
-	needed := outputCopies*int64(c.transcript.capacityFor(parser.outputCapacityFor(next))+parser.capacityFor(next)) - freeOutputBytes
+func (c *clientRequest) reserveOutput(a *attempt, next int) bool {
+	held := c.transcript.capacityFor(a.parser.outputCapacityFor(next)) + a.parser.capacityFor(next)
+	needed := outputCopies*int64(held) - freeOutputBytes
 	if needed <= c.outputReserved {
 		return true
 	}
@@ -152,6 +153,7 @@
 		class = memorybudget.Large
 	}
 	if !c.lease.TryGrow(class, more) {
+		a.noMemory = true
 		return false
 	}
 	c.outputReserved = needed
--- a/internal/tier/proxy/requestmemory_test.go
+++ b/internal/tier/proxy/requestmemory_test.go
@@ -196,3 +196,28 @@
 		t.Errorf("the endpoint got %d bytes", len(request.body))
 	}
 }
+
+// An answer that the proxy had no memory for was blamed on its endpoint, as if that had broken it off.
+func TestStream_NoMemoryForOutput_IsNotTheEndpointsFailure(t *testing.T) {
+	const limit = 1 << 20
+	budget, change := withMemory(limit)
+	e := newEndpoint(t, func(socket net.Conn, request receivedRequest) bool {
+		_, _ = io.WriteString(socket, sealedHead(200, request, streamHead)+chunk(event(1, "one")))
+		for {
+			if _, err := io.WriteString(socket, chunk(event(2, strings.Repeat("x", 64<<10)))); err != nil {
+				return false
+			}
+		}
+	})
+	f := newFixtureWith(t, change, e)
+	c := f.dial()
+	c.request("POST", "/turn/x", "id", "input", turnFields...)
+	if got := c.readResponse("POST"); got.err == nil {
+		t.Errorf("a response of %d bytes looks complete", len(got.body))
+	}
+	if outcome := <-f.selector.outcomes; outcome.Result != OutOfMemory {
+		t.Errorf("outcome %+v, want OutOfMemory", outcome)
+	}
+	c.socket.Close()
+	awaitReleased(t, budget)
+}
--- a/internal/tier/proxy/retries.go
+++ b/internal/tier/proxy/retries.go
@@ -106,6 +106,8 @@
 		return DeadlineExceeded
 	case errors.Is(context.Cause(a.context), errAttemptTimeout):
 		return TimedOut
+	case a.noMemory:
+		return OutOfMemory
 	}
 	return IncompleteResponse
 }
--- a/internal/tier/proxy/streaming.go
+++ b/internal/tier/proxy/streaming.go
@@ -10,7 +10,7 @@
 	a.parser = newEventParser(&c.transcript, c.keepsOutput())
 	for {
 		n, err := a.response.Read(buffer)
-		if n > 0 && (!c.reserveOutput(&a.parser, n) || !c.forwardNext(a, buffer[:n])) {
+		if n > 0 && (!c.reserveOutput(a, n) || !c.forwardNext(a, buffer[:n])) {
 			return c.handleStreamInterrupted(a)
 		}
 		if errors.Is(err, io.EOF) && c.finishAtEOF(a) {
--- a/internal/tier/versionstats/counter_test.go
+++ b/internal/tier/versionstats/counter_test.go
@@ -82,6 +82,7 @@
 		{Result: proxy.NeverSent},
 		{Result: proxy.ClientClosed, Elapsed: time.Second},
 		{Result: proxy.ClientClosed, FirstByte: time.Second, Elapsed: 9 * time.Second},
+		{Result: proxy.OutOfMemory, FirstByte: time.Second, Elapsed: 9 * time.Second},
 	} {
 		// Given empty counts, when an attempt ends in a way that says nothing about the version,
 		var stats rollout.Stats
