proxy: an attempt that resumes a stream is weighed by the tokens that are left

Cause: MaxOutputTokens is the request's; the balancer took it for each attempt's, in the cost of an endpoint and in how long a call that was given up may still run there.

Change: the tokens that the client was sent by earlier attempts are taken off.

Measured: TestResumedStream_NextAttempt_GeneratesTheRest had 135 for the second attempt, 129 now. Found by reading.

--- a/internal/tier/proxy/api.go
+++ b/internal/tier/proxy/api.go
@@ -41,6 +41,7 @@
 	PromptPrefix    string // X-Prompt-Prefix
 	PromptTokens    int64
 	MaxOutputTokens int64
+	SentTokens      int64         // that the client was sent by earlier attempts, and that the next one doesn't generate again
 	ProgramTimeLeft time.Duration // from ArrivedAt until the program should end; 0: unknown
 	BodyBytes       int           // size of the body that endpoints get
 	ArrivedAt       time.Time
--- a/internal/tier/proxy/loadbalancer.go
+++ b/internal/tier/proxy/loadbalancer.go
@@ -242,7 +242,7 @@
 		AffinityKey:    affinityKey(info),
 		PrefixTokens:   prefix,
 		UncachedTokens: own,
-		OutputTokens:   int(info.MaxOutputTokens),
+		OutputTokens:   int(max(info.MaxOutputTokens-info.SentTokens, 0)),
 	}
 }
 
--- a/internal/tier/proxy/resumption_test.go
+++ b/internal/tier/proxy/resumption_test.go
@@ -137,3 +137,18 @@
 		t.Errorf("end (-want +got):\n%s", diff)
 	}
 }
+
+// An attempt that resumes a stream was weighed as if it had to generate all of it.
+func TestResumedStream_NextAttempt_GeneratesTheRest(t *testing.T) {
+	f := newFixture(t, newEndpoint(t, cutStream(event(1, "one"), event(2, "two"))), newEndpoint(t, chunkedStream(event(3, "three"))))
+	c := f.dial()
+	c.request("POST", "/resume/x", "id", "input", turnFields...)
+	if got := c.readResponse("POST"); got.err != nil {
+		t.Fatal(got.err)
+	}
+	for attempt, want := range []int{135, 135 - 6} {
+		if got := balancerRequest(&f.selector.infos[attempt]).OutputTokens; got != want {
+			t.Errorf("attempt %d is to generate %d tokens, want %d", attempt, got, want)
+		}
+	}
+}
--- a/internal/tier/proxy/streaming.go
+++ b/internal/tier/proxy/streaming.go
@@ -115,6 +115,7 @@
 	if !c.resumable() || !c.mayRetry() {
 		abortConnection()
 	}
+	c.info.SentTokens = c.transcript.count * tokensPerEvent(c.info.Service)
 	return true
 }
 
