proxy: resumed streams are counted, by how the end of the part that goes on is marked

Cause: nothing that a process exports told a stream that was resumed from one that wasn't, or by what framing it went on.

Change: mastusher_resumed_streams_total with the label framing.

--- a/internal/tier/metrics/metrics.go
+++ b/internal/tier/metrics/metrics.go
@@ -56,6 +56,16 @@
 	ReusedConnection ConnectionAge = "kept"
 )
 
+// Framing is how an endpoint marks the end of a body, the value of the label framing.
+type Framing string
+
+// Framings of a body.
+const (
+	FramedByLength Framing = "length"
+	FramedByChunks Framing = "chunks"
+	FramedByClose  Framing = "close"
+)
+
 // orderBuckets are the bucket bounds of the histogram of order steps, in seconds.
 var orderBuckets = []float64{.005, .01, .025, .05, .1, .25, .5, 1, 2.5, 5}
 
@@ -71,6 +81,7 @@
 
 	foreignResponses prometheus.Counter
 	repeatedSends    *prometheus.CounterVec
+	resumedStreams   *prometheus.CounterVec
 
 	mutex       sync.Mutex
 	lookUpZone  func(host string) ZoneClass // nil: the zones of all hosts are unknown
@@ -96,10 +107,11 @@
 			Help: "Answers of endpoints that came in the place of the answer to another request."}),
 		repeatedSends: counters("repeated_sends_total", "Requests sent again to an endpoint that had not run them, by age of the connection.",
 			"connection"),
+		resumedStreams: counters("resumed_streams_total", "Streams that an answer of another endpoint continues, by how its end is marked.", "framing"),
 		zoneClasses: map[string]ZoneClass{},
 	}
 	m.registry.MustRegister(m.messageBytes, m.sentBytes, m.orderSeconds, m.orders, m.elections, m.rejections,
-		m.foreignResponses, m.repeatedSends)
+		m.foreignResponses, m.repeatedSends, m.resumedStreams)
 	return m
 }
 
@@ -156,6 +168,11 @@
 	m.repeatedSends.WithLabelValues(string(age)).Inc()
 }
 
+// CountResumedStream counts a stream that is continued by the response of another endpoint than the one that began it.
+func (m *Metrics) CountResumedStream(framing Framing) {
+	m.resumedStreams.WithLabelValues(string(framing)).Inc()
+}
+
 // zoneClass returns the zone class of a peer, from the cache or the lookup function.
 func (m *Metrics) zoneClass(address string) ZoneClass {
 	host, _, err := net.SplitHostPort(address)
--- a/internal/tier/metrics/metrics_test.go
+++ b/internal/tier/metrics/metrics_test.go
@@ -42,6 +42,7 @@
 	m.CountRejection("no_route")
 	m.CountForeignResponse()
 	m.CountRepeatedSend(metrics.ReusedConnection)
+	m.CountResumedStream(metrics.FramedByLength)
 	got := text(m)
 	for _, want := range []string{
 		`mastusher_link_line_bytes_total{kind="replica",zone="unknown"} 5`,
@@ -56,6 +57,7 @@
 		`mastusher_own_answers_total{kind="no_route"} 1`,
 		`mastusher_foreign_answers_total 1`,
 		`mastusher_repeated_sends_total{connection="kept"} 1`,
+		`mastusher_resumed_streams_total{framing="length"} 1`,
 	} {
 		if !strings.Contains(got, want+"\n") {
 			t.Errorf("missing %s in:\n%s", want, got)
--- a/internal/tier/proxy/streaming.go
+++ b/internal/tier/proxy/streaming.go
@@ -3,11 +3,17 @@
 import (
 	"errors"
 	"io"
+
+	"mastusher/internal/tier/metrics"
+	"mastusher/internal/tier/upstream"
 )
 
 // forwardStream forwards a stream event by event. It returns true if the stream is to be resumed at another endpoint.
 func (c *clientRequest) forwardStream(a *attempt, buffer []byte) (retry bool) {
 	a.parser = newEventParser(&c.transcript, c.keepsOutput())
+	if c.response.begun {
+		c.proxy.options.Metrics.CountResumedStream(framingOf(a.response))
+	}
 	for {
 		n, err := a.response.Read(buffer)
 		if n > 0 && (!c.reserveOutput(a, n) || !c.forwardNext(a, buffer[:n])) {
@@ -22,6 +28,17 @@
 	}
 }
 
+// framingOf returns how the end of a response's body is marked.
+func framingOf(response *upstream.Response) metrics.Framing {
+	switch {
+	case response.ContentLength >= 0:
+		return metrics.FramedByLength
+	case response.CloseDelimited:
+		return metrics.FramedByClose
+	}
+	return metrics.FramedByChunks
+}
+
 // forwardNext forwards the events that data completes. It returns false if the attempt timed out before its first event, or if the
 // stream is unforwardable.
 func (c *clientRequest) forwardNext(a *attempt, data []byte) bool {
