store: contents expire in shards that get no commands

Cause: a shard's clock goes by the commands in its log, and contents expire with commands only, eight turns each. A full store refuses turns before they become commands. So where all that comes is refused, nothing expires, and all that comes is refused for good.

Change: a leader proposes a command that only advances the clock, in each shard that keeps contents and had no command for 5 s, and one a second while more is due than one command removes. What is in it stays bounded: 10 s of the clock a command.

--- a/internal/tier/command/store.go
+++ b/internal/tier/command/store.go
@@ -35,6 +35,7 @@
 	limits := newLimitMonitor(p.settings.Limits, p.logger)
 	shards := store.New(running, p.storeOptions(id, address, disk, limits))
 	background.Go(func() { limits.run(running, shards) })
+	background.Go(func() { shards.RunExpiry(running) })
 	stopGroups := func() {
 		end()
 		shards.Wait()
--- a/internal/tier/store/machine.go
+++ b/internal/tier/store/machine.go
@@ -30,13 +30,15 @@
 // leader never returns to an older placement. It implements group.ChunkedStateMachine, group.StateSizer and group.Replayer.
 type machine struct {
 	programs  *program.Machine
-	placement atomic.Uint64 // index of the placement; also read by goroutines other than the group's
+	placement atomic.Uint64                    // index of the placement; also read by goroutines other than the group's
+	idleness  atomic.Pointer[program.Idleness] // of programs after the last entry; also read by other goroutines
 }
 
 func newMachine() *machine { return &machine{programs: program.New()} }
 
 // Apply implements group.StateMachine. It returns a program.UnjoinedResult.
 func (m *machine) Apply(_ uint64, raw json.RawMessage) any {
+	defer m.recordIdleness()
 	applied, err := m.decode(raw)
 	switch {
 	case err != nil:
@@ -52,6 +54,7 @@
 
 // Replay implements group.Replayer. Unlike Apply, it does not assemble the chain.
 func (m *machine) Replay(_ uint64, raw json.RawMessage) {
+	defer m.recordIdleness()
 	if applied, err := m.decode(raw); err == nil && applied.Placement == 0 {
 		m.programs.Replay(applied.Command)
 	}
@@ -87,6 +90,7 @@
 		return err
 	}
 	m.placement.Store(placementIndexIn(state))
+	m.recordIdleness()
 	return nil
 }
 
@@ -149,6 +153,7 @@
 		return err
 	}
 	r.machine.placement.Store(*r.placement)
+	r.machine.recordIdleness()
 	return nil
 }
 
--- a/internal/tier/store/shard.go
+++ b/internal/tier/store/shard.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
@@ -25,6 +26,8 @@
 	afterFunc     func(delay time.Duration, run func())
 	stoppingSince time.Time // zero unless the replica is being stopped; guarded by Store.mutex
 
+	advancingClock atomic.Bool // a proposal that advances the clock is pending
+
 	mutex              sync.Mutex       // guards the fields below and orders calls of SetTargetMembers
 	placementIndex     uint64           // of the newest placement that this store knows; 0: none
 	targetMembers      []replica.Member // members by the newest placement
