group: a compaction is due once the state has shrunk to half, whatever the log's length

Change: a compaction is also due when the state has less than half of its largest size since the last one, by more than CompactionBytes.

--- a/internal/tier/group/compaction.go
+++ b/internal/tier/group/compaction.go
@@ -43,16 +43,35 @@
 	return g.finishCompaction()
 }
 
-// isCompactionDue reports whether the log has reached its bound and a new snapshot would shorten it.
+// shrunkStateFactor is by how much the state must have shrunk for a compaction whatever the log's length. A smaller factor gives memory
+// and disk back sooner, and writes the state more often.
+const shrunkStateFactor = 2
+
+// isCompactionDue reports whether a new snapshot would shorten the log, which has reached its bound, or free what the state has dropped.
 func (g *Group) isCompactionDue() bool {
+	if g.replica.SnapshotMetadata().Index <= g.snapshotIndex {
+		return false
+	}
+	return g.hasLogReachedBound() || g.hasStateShrunk()
+}
+
+// hasStateShrunk reports whether the entries in memory and the snapshot on disk hold much that the state has dropped since the last
+// compaction. Compactions for this alone don't interrupt a snapshot that is being sent or received.
+func (g *Group) hasStateShrunk() bool {
+	sizer, ok := g.options.StateMachine.(StateSizer)
+	if !ok || g.replica.IsSendingSnapshot() || g.replica.IsReceivingSnapshot() {
+		return false
+	}
+	return shrunkStateFactor*sizer.StateBytes()+g.options.CompactionBytes < g.peakStateBytes
+}
+
+// hasLogReachedBound reports whether the log has grown by its bound since the last compaction.
+func (g *Group) hasLogReachedBound() bool {
 	bound := max(g.options.CompactionBytes, int64(logToStateRatio*float64(g.disk.SnapshotBytes())))
 	if g.replica.IsSendingSnapshot() || g.replica.IsReceivingSnapshot() {
 		bound *= transferBoundFactor
 	}
-	if g.disk.LogBytes()-g.logBytesAtCompaction < bound {
-		return false
-	}
-	return g.replica.SnapshotMetadata().Index > g.snapshotIndex
+	return g.disk.LogBytes()-g.logBytesAtCompaction >= bound
 }
 
 // beginCompaction captures the state and starts writing it in the background. It does nothing while another member holds the
@@ -70,6 +89,9 @@
 	}
 	g.replica.AbortIncomingSnapshot()
 	g.releaseReceiveSlot(false)
+	if sizer, ok := g.options.StateMachine.(StateSizer); ok {
+		g.peakStateBytes = sizer.StateBytes()
+	}
 	begun := &compaction{snapshot: snapshot, disk: disk, written: make(chan struct{})}
 	g.compaction = begun
 	state := g.stateMachine.CaptureChunks()
--- a/internal/tier/group/group.go
+++ b/internal/tier/group/group.go
@@ -26,6 +26,7 @@
 	entries              []replica.Entry // in the log after the last snapshot
 	snapshotIndex        uint64          // index of the last entry that the snapshot covers
 	logBytesAtCompaction int64           // length of the log after the last compaction
+	peakStateBytes       int64           // largest size of the state since then
 	stateMachine         ChunkedStateMachine
 	initialState         []json.RawMessage // chunks of the state before any command was applied
 	receiving            bool              // whether this member holds a slot of options.ReceiveLimiter
--- a/internal/tier/group/stats.go
+++ b/internal/tier/group/stats.go
@@ -32,6 +32,7 @@
 	if sizer, ok := g.options.StateMachine.(StateSizer); ok {
 		stats.StateBytes = sizer.StateBytes()
 	}
+	g.peakStateBytes = max(g.peakStateBytes, stats.StateBytes)
 	g.stats.Store(&stats)
 }
 
