command: a store that rejects turns collects its garbage each five seconds

Cause: a store's fullness goes by the memory that the runtime has from the system, garbage included. A process that rejects what comes allocates little, so the collector next runs by itself after two minutes, and the store goes on to reject for what it no longer holds.

Change: while it rejects anything, a store collects and returns memory each 5 s.

--- a/internal/tier/command/limit_monitor.go
+++ b/internal/tier/command/limit_monitor.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"runtime/debug"
 	"sync/atomic"
 	"time"
 
@@ -28,12 +29,17 @@
 // limitInterval is the interval at which a store's use of memory and disk is measured.
 const limitInterval = 100 * time.Millisecond
 
+// collectInterval is the interval at which a store that rejects commands collects its garbage and returns memory to the system. Without
+// it, what has expired would count as used until the garbage collector runs by itself, in an idle process after two minutes.
+const collectInterval = 5 * time.Second
+
 // limitMonitor compares a store's use of memory and disk with the limits of its settings. A limit of 0 means no limit.
 type limitMonitor struct {
 	memoryLimit int64 // bytes
 	diskLimit   int64 // bytes
 	logger      log.Logger
 	current     atomic.Int64 // a store.Fullness
+	collected   time.Time    // when garbage was last collected for lack of memory
 }
 
 func newLimitMonitor(limits settings.Limits, logger log.Logger) *limitMonitor {
@@ -49,9 +55,21 @@
 		_, stats := shards.Stats()
 		// A compaction writes a second snapshot before it removes the first one.
 		m.observe(usedMemory(), 2*stats.SnapshotBytes+stats.LogBytes)
+		if m.isCollectionDue(time.Now()) {
+			debug.FreeOSMemory()
+		}
 	})
 }
 
+// isCollectionDue reports whether garbage is to be collected, since the store rejects commands and has not collected for collectInterval.
+func (m *limitMonitor) isCollectionDue(now time.Time) bool {
+	if m.fullness() == store.Roomy || now.Sub(m.collected) < collectInterval {
+		return false
+	}
+	m.collected = now
+	return true
+}
+
 // observe updates the state from the bytes of memory and disk in use.
 func (m *limitMonitor) observe(memory, disk int64) {
 	before := m.fullness()
--- a/internal/tier/command/limit_monitor_test.go
+++ b/internal/tier/command/limit_monitor_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/go-kit/log"
 
@@ -63,3 +64,21 @@
 	}
 	_ = held[0]
 }
+
+// A store whose contents had expired went on to reject turns, since nothing in an idle process collects garbage.
+func TestLimitMonitor_Rejects_GarbageIsCollectedNowAndThen(t *testing.T) {
+	m := newLimitMonitor(settings.Limits{MemoryMb: 100}, log.NewNopLogger())
+	now := time.Unix(1000, 0)
+	if m.isCollectionDue(now) {
+		t.Error("due in a store with room")
+	}
+	m.observe(80<<20, 0)
+	for _, step := range []struct {
+		after time.Duration
+		want  bool
+	}{{0, true}, {collectInterval - 1, false}, {collectInterval, true}, {collectInterval + 1, false}} {
+		if got := m.isCollectionDue(now.Add(step.after)); got != step.want {
+			t.Errorf("due %v after the first collection: %v", step.after, got)
+		}
+	}
+}
