store: large contents leave room for small programs, and garbage doesn't refuse them

Cause: large outputs were kept until the memory in use reached 85 %, the share from which on new programs are refused too; and once there, a store refuses them until it is below 78 %, which takes what the crowd wrote to expire (90 s at least).

Change: contents of turns and logs have shares of their own: from 45 % of memoryMb on inputs over 64 KiB are refused, from 50 % on ends with outputs over 64 KiB (a new degree, 'small'). 'full', from 93 % on, is as before. So some 60 MB of the 160 are for small programs.

Tests: those of the limit monitor give six tenths of the memory to contents, so that their tables hold unchanged but for the new degree; a large output is refused from the new degree on, which is lower than before.

--- a/internal/tier/command/limit_monitor.go
+++ b/internal/tier/command/limit_monitor.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"runtime/debug"
 	"sync/atomic"
 	"time"
@@ -14,16 +15,38 @@
 	"mastusher/internal/tier/wait"
 )
 
-// threshold is the share of its memory or disk from which on a store has a degree of fullness, and the share of both below which it has it
-// no more. Larger shares use more of the machine, but leave less for work in progress: queued messages, a snapshot that is being received,
-// and garbage between two collections.
+// threshold is the share of a limit from which on a store has a degree of fullness, and the share below which it has it no more.
 type threshold struct{ enter, leave float64 }
 
-// thresholds are the shares of each degree.
-var thresholds = map[store.Fullness]threshold{
-	store.ShortOfBulk: {enter: 0.75, leave: 0.70},
-	store.Near:        {enter: 0.85, leave: 0.78},
-	store.Full:        {enter: 0.93, leave: 0.88},
+// none is the threshold of what has no effect on a degree.
+var none = threshold{enter: math.Inf(1), leave: math.Inf(1)}
+
+// thresholds are the shares of a degree.
+type thresholds struct {
+	// used is the share of memory, or of disk, that is in use. Larger shares use more of the machine, but leave less for work in progress:
+	// queued messages, a snapshot that is being received, and garbage between two collections.
+	used threshold
+	// contents is the share of memory that the contents of turns and the logs take, without work in progress and garbage. What is between
+	// the thresholds of large contents and the use of memory from which on new programs are rejected is left to small ones.
+	contents threshold
+	// alongside is the share of memory that contents and logs must take besides if the use of memory is to count. Where they take less, what
+	// fills the memory is work in progress with large contents, which rejecting small ones would not help.
+	alongside threshold
+}
+
+// degrees are the thresholds of each degree.
+var degrees = map[store.Fullness]thresholds{
+	store.ShortOfBulk: {used: threshold{enter: 0.75, leave: 0.70}, contents: threshold{enter: 0.45, leave: 0.42}},
+	store.OutOfBulk:   {used: threshold{enter: 0.80, leave: 0.74}, contents: threshold{enter: 0.50, leave: 0.47}},
+	store.Near:        {used: threshold{enter: 0.85, leave: 0.78}, contents: none, alongside: threshold{enter: 0.50, leave: 0.47}},
+	store.Full:        {used: threshold{enter: 0.93, leave: 0.88}, contents: none},
+}
+
+// usage is what a store uses, in bytes.
+type usage struct {
+	memory   int64 // that the process has from the system
+	contents int64 // of turns and logs, part of memory
+	disk     int64
 }
 
 // limitInterval is the interval at which a store's use of memory and disk is measured.
@@ -54,7 +77,7 @@
 	wait.Every(ctx, limitInterval, func() {
 		_, stats := shards.Stats()
 		// A compaction writes a second snapshot before it removes the first one.
-		m.observe(usedMemory(), 2*stats.SnapshotBytes+stats.LogBytes)
+		m.observe(usage{memory: usedMemory(), contents: stats.StateBytes + stats.LogBytes, disk: 2*stats.SnapshotBytes + stats.LogBytes})
 		if m.isCollectionDue(time.Now()) {
 			debug.FreeOSMemory()
 		}
@@ -70,25 +93,38 @@
 	return true
 }
 
-// observe updates the state from the bytes of memory and disk in use.
-func (m *limitMonitor) observe(memory, disk int64) {
+// observe updates the state from what is in use.
+func (m *limitMonitor) observe(now usage) {
 	before := m.fullness()
-	now := store.Roomy
+	after := store.Roomy
 	for degree := store.ShortOfBulk; degree <= store.Full; degree++ {
-		share := thresholds[degree].enter
-		if before >= degree {
-			share = thresholds[degree].leave
-		}
-		if isOver(memory, m.memoryLimit, share) || isOver(disk, m.diskLimit, share) {
-			now = degree
+		if m.hasDegree(degree, before >= degree, now) {
+			after = degree
 		}
 	}
-	if now == before {
+	if after == before {
 		return
 	}
-	m.current.Store(int64(now))
-	level.Warn(m.logger).Log("msg", "storage limit state changed", "near", now >= store.Near, "fullness", now, "memoryKB", memory>>10,
-		"memoryLimitKB", m.memoryLimit>>10, "diskKB", disk>>10, "diskLimitKB", m.diskLimit>>10)
+	m.current.Store(int64(after))
+	level.Warn(m.logger).Log("msg", "storage limit state changed", "near", after >= store.Near, "fullness", after, "memoryKB", now.memory>>10,
+		"memoryLimitKB", m.memoryLimit>>10, "diskKB", now.disk>>10, "diskLimitKB", m.diskLimit>>10, "contentsKB", now.contents>>10)
+}
+
+// hasDegree reports whether a store that uses so much has a degree, which it had before or not.
+func (m *limitMonitor) hasDegree(degree store.Fullness, had bool, now usage) bool {
+	used, contents := degrees[degree].used.share(had), degrees[degree].contents.share(had)
+	if isOver(now.disk, m.diskLimit, used) || isOver(now.contents, m.memoryLimit, contents) {
+		return true
+	}
+	return isOver(now.memory, m.memoryLimit, used) && isOver(now.contents, m.memoryLimit, degrees[degree].alongside.share(had))
+}
+
+// share returns the share that counts for a degree which a store had before or not.
+func (t threshold) share(had bool) float64 {
+	if had {
+		return t.leave
+	}
+	return t.enter
 }
 
 func isOver(used, limit int64, share float64) bool {
--- a/internal/tier/command/limit_monitor_test.go
+++ b/internal/tier/command/limit_monitor_test.go
@@ -10,6 +10,11 @@
 	"mastusher/internal/tier/store"
 )
 
+// usageOf returns the use of so much memory, six tenths of it for contents, and disk.
+func usageOf(memory, disk int64) usage {
+	return usage{memory: memory, contents: memory * 6 / 10, disk: disk}
+}
+
 func TestLimitMonitor_UseOfMemoryAndDisk_NearUntilWellBelow(t *testing.T) {
 	const mb = 1 << 20
 	for _, tc := range []struct {
@@ -28,7 +33,7 @@
 		t.Run(tc.name, func(t *testing.T) {
 			m := newLimitMonitor(tc.limits, log.NewNopLogger())
 			for i := range tc.memory {
-				m.observe(tc.memory[i]*mb, tc.disk[i]*mb)
+				m.observe(usageOf(tc.memory[i]*mb, tc.disk[i]*mb))
 			}
 			if got := m.fullness() >= store.Near; got != tc.want {
 				t.Errorf("near a limit: %t, want the opposite", got)
@@ -43,10 +48,10 @@
 		memory int64 // MiB
 		want   store.Fullness
 	}{
-		{74, store.Roomy}, {75, store.ShortOfBulk}, {71, store.ShortOfBulk}, {85, store.Near}, {93, store.Full}, {89, store.Full},
-		{87, store.Near}, {77, store.ShortOfBulk}, {69, store.Roomy},
+		{74, store.Roomy}, {75, store.ShortOfBulk}, {71, store.ShortOfBulk}, {80, store.OutOfBulk}, {85, store.Near}, {93, store.Full},
+		{89, store.Full}, {87, store.Near}, {77, store.OutOfBulk}, {73, store.ShortOfBulk}, {69, store.Roomy},
 	} {
-		m.observe(step.memory<<20, 0)
+		m.observe(usageOf(step.memory<<20, 0))
 		if got := m.fullness(); got != step.want {
 			t.Errorf("at %d MiB: %v, want %v", step.memory, got, step.want)
 		}
@@ -72,7 +77,7 @@
 	if m.isCollectionDue(now) {
 		t.Error("due in a store with room")
 	}
-	m.observe(80<<20, 0)
+	m.observe(usageOf(80<<20, 0))
 	for _, step := range []struct {
 		after time.Duration
 		want  bool
@@ -82,3 +87,36 @@
 		}
 	}
 }
+
+// Large contents took all memory up to the share from which on new programs are rejected, small ones too.
+func TestLimitMonitor_Contents_LargeOnesLeaveRoomForSmall(t *testing.T) {
+	m := newLimitMonitor(settings.Limits{MemoryMb: 100}, log.NewNopLogger())
+	for _, step := range []struct {
+		contents int64 // MiB
+		want     store.Fullness
+	}{
+		{44, store.Roomy}, {45, store.ShortOfBulk}, {43, store.ShortOfBulk}, {50, store.OutOfBulk}, {48, store.OutOfBulk}, {46, store.ShortOfBulk},
+		{41, store.Roomy}, {70, store.OutOfBulk},
+	} {
+		m.observe(usage{memory: step.contents << 20, contents: step.contents << 20})
+		if got := m.fullness(); got != step.want {
+			t.Errorf("with contents of %d MiB: %v, want %v", step.contents, got, step.want)
+		}
+	}
+}
+
+// Large turns in progress and their garbage made a store refuse small new programs, which take next to nothing.
+func TestLimitMonitor_WorkInProgressFillsMemory_SmallProgramsGoOn(t *testing.T) {
+	m := newLimitMonitor(settings.Limits{MemoryMb: 100}, log.NewNopLogger())
+	for _, step := range []struct {
+		memory, contents int64 // MiB
+		want             store.Fullness
+	}{
+		{90, 30, store.OutOfBulk}, {90, 49, store.OutOfBulk}, {90, 50, store.Near}, {90, 48, store.Near}, {90, 46, store.OutOfBulk}, {93, 30, store.Full},
+	} {
+		m.observe(usage{memory: step.memory << 20, contents: step.contents << 20})
+		if got := m.fullness(); got != step.want {
+			t.Errorf("at %d MiB, %d MiB of them contents: %v, want %v", step.memory, step.contents, got, step.want)
+		}
+	}
+}
--- a/internal/tier/metrics/metrics.go
+++ b/internal/tier/metrics/metrics.go
@@ -108,7 +108,7 @@
 		repeatedSends: counters("repeated_sends_total", "Requests sent again to an endpoint that had not run them, by age of the connection.",
 			"connection"),
 		resumedStreams: counters("resumed_streams_total", "Streams that an answer of another endpoint continues, by how its end is marked.", "framing"),
-		zoneClasses: map[string]ZoneClass{},
+		zoneClasses:    map[string]ZoneClass{},
 	}
 	m.registry.MustRegister(m.messageBytes, m.sentBytes, m.orderSeconds, m.orders, m.elections, m.rejections,
 		m.foreignResponses, m.repeatedSends, m.resumedStreams)
--- a/internal/tier/overloadtest/fixture_test.go
+++ b/internal/tier/overloadtest/fixture_test.go
@@ -71,6 +71,12 @@
 
 // newFixtureWith is newFixture with other limits, by class of machine.
 func newFixtureWith(t testing.TB, limits map[string]localtier.Limits) *fixture {
+	t.Helper()
+	return newFixtureOf(t, localtier.Counts{Core: 3, Storage: 3, Edge: 1}, limits)
+}
+
+// newFixtureOf is newFixtureWith for other numbers of machines.
+func newFixtureOf(t testing.TB, counts localtier.Counts, limits map[string]localtier.Limits) *fixture {
 	t.Helper()
 	binary, err := buildTier()
 	if err != nil {
@@ -81,7 +87,7 @@
 	endpoints := startEndpoints(t)
 	folder := t.TempDir()
 	tier, err := localtier.Start(localtier.Options{Command: []string{binary}, Folder: folder, Platform: endpoints.Address(),
-		Counts: localtier.Counts{Core: 3, Storage: 3, Edge: 1}, Limits: limits})
+		Counts: counts, Limits: limits})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -177,7 +183,12 @@
 
 // ordinaryRequest sends one small request and returns an error unless its complete answer has status 200.
 func (f *fixture) ordinaryRequest(ctx context.Context, client *http.Client, path string) error {
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+f.front+path, strings.NewReader("an ordinary request\n"))
+	return f.ordinaryRequestAt(ctx, client, f.front, path)
+}
+
+// ordinaryRequestAt is ordinaryRequest for the proxy at an address.
+func (f *fixture) ordinaryRequestAt(ctx context.Context, client *http.Client, front, path string) error {
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+front+path, strings.NewReader("an ordinary request\n"))
 	if err != nil {
 		return err
 	}
@@ -221,9 +232,15 @@
 
 // checkMemory checks that no process had more memory than its settings allow.
 func (f *fixture) checkMemory(peaks map[*localtier.Process]memory) {
+	f.t.Helper()
+	f.checkMemoryWithin(peaks, limits())
+}
+
+// checkMemoryWithin checks that no process had more memory than limits, by class of machine, allow.
+func (f *fixture) checkMemoryWithin(peaks map[*localtier.Process]memory, limits map[string]localtier.Limits) {
 	f.t.Helper()
 	for p, peak := range peaks {
-		limit := limits()[p.Machine.Class].MemoryMb
+		limit := limits[p.Machine.Class].MemoryMb
 		f.t.Logf("%v: peak of memory %d MB, of which %d MB had arrived and were unread", p, peak.total()>>20, peak.unread>>20)
 		if peak.total() > limit<<20 {
 			f.t.Errorf("%v had %d MB of memory (%d MB resident, %d MB unread), more than its %d MB",
--- a/internal/tier/overloadtest/honest_test.go
+++ b/internal/tier/overloadtest/honest_test.go
@@ -43,11 +43,7 @@
 	}
 	for _, test := range cases {
 		b.Run(test.name, func(b *testing.B) {
-			f := newFixtureWith(b, map[string]localtier.Limits{
-				localtier.EdgeClass:    {MemoryMb: deploymentEdgeMb, OpenFiles: deploymentFiles},
-				localtier.CoreClass:    {MemoryMb: deploymentCoreMb, OpenFiles: deploymentFiles},
-				localtier.StorageClass: {MemoryMb: deploymentStoreMb, OpenFiles: deploymentFiles},
-			})
+			f := newFixtureWith(b, deploymentLimits())
 			ctx, cancel := context.WithTimeout(b.Context(), honestTime)
 			defer cancel()
 			meter := startMemoryMeter(f.tier.Processes)
--- a/internal/tier/store/fullness.go
+++ b/internal/tier/store/fullness.go
@@ -17,13 +17,14 @@
 const (
 	Roomy       Fullness = iota // rejects nothing
 	ShortOfBulk                 // rejects turns with inputs over memorybudget.SmallBytes
-	Near                        // rejects new programs, and ends with large outputs
+	OutOfBulk                   // rejects ends with outputs over memorybudget.SmallBytes
+	Near                        // rejects new programs
 	Full                        // rejects all turns whose contents would be kept
 )
 
 // String returns the name in log lines.
 func (f Fullness) String() string {
-	return [...]string{Roomy: "roomy", ShortOfBulk: "short", Near: "near", Full: "full"}[f]
+	return [...]string{Roomy: "roomy", ShortOfBulk: "short", OutOfBulk: "small", Near: "near", Full: "full"}[f]
 }
 
 // admitsBegin reports whether a turn may be begun.
@@ -41,7 +42,7 @@
 
 // admitsEnd reports whether a turn may be ended with its output.
 func (f Fullness) admitsEnd(turn *program.EndTurn) bool {
-	return len(turn.Output) <= memorybudget.SmallBytes || f < Near
+	return len(turn.Output) <= memorybudget.SmallBytes || f < OutOfBulk
 }
 
 // fullness returns the store's fullness now.
--- a/internal/tier/store/fullness_test.go
+++ b/internal/tier/store/fullness_test.go
@@ -33,7 +33,7 @@
 		if !degree.admitsEnd(&program.EndTurn{Complete: true, Output: small}) {
 			t.Errorf("the end of a turn with a small output is rejected at %v", degree)
 		}
-		if got, want := degree.admitsEnd(&program.EndTurn{Complete: true, Output: large}), degree < Near; got != want {
+		if got, want := degree.admitsEnd(&program.EndTurn{Complete: true, Output: large}), degree < OutOfBulk; got != want {
 			t.Errorf("the end of a turn with a large output at %v: admitted %v", degree, got)
 		}
 	}
