--- a/internal/tier/proxy/streammodel_test.go
+++ b/internal/tier/proxy/streammodel_test.go
@@ -91,12 +91,24 @@
 
 // modelRun is a stream that several endpoints send parts of, in turn.
 type modelRun struct {
+	mutex    sync.Mutex // guards the fields below against endpoints that still serve attempts of the run before
 	events   []modelEvent
 	attempts []modelAttempt
+	next     int   // number of the next attempt
+	from     []int // id after which each attempt was asked to go on
+}
 
-	mutex sync.Mutex
-	next  int   // number of the next attempt
-	from  []int // id after which each attempt was asked to go on
+// draw makes another run of the model.
+func (m *modelRun) draw(t *rapid.T) {
+	events := drawEvents(t)
+	count := rapid.IntRange(1, 3).Draw(t, "attempts")
+	var attempts []modelAttempt
+	for i := range count {
+		attempts = append(attempts, drawModelAttempt(t, i == count-1))
+	}
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.events, m.attempts, m.next, m.from = events, attempts, 0, nil
 }
 
 // respond is the script of all endpoints: each attempt sends the events after Last-Event-Id.
@@ -106,11 +118,11 @@
 	attempt := m.attempts[min(m.next, len(m.attempts)-1)]
 	m.next++
 	m.from = append(m.from, last)
+	body := m.textAfter(last)
 	m.mutex.Unlock()
 	if attempt.early {
 		return false
 	}
-	body := m.textAfter(last)
 	head := "Content-Type: text/event-stream"
 	switch attempt.framing {
 	case framedByLength:
@@ -160,7 +172,7 @@
 		return m.events
 	}
 	at := slices.IndexFunc(m.events, func(e modelEvent) bool { return e.id == id })
-	return m.events[at+1:]
+	return slices.Clone(m.events[at+1:])
 }
 
 // expectation is what a client gets, and what is kept of it.
@@ -173,6 +185,8 @@
 // expected follows the attempts by the rules of the protocol: what an attempt completes is forwarded, and the next one goes on after the
 // last event with an id. resumable says that the route allows this; maxAttempts bounds the attempts.
 func (m *modelRun) expected(resumable bool, maxAttempts int) expectation {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
 	var want expectation
 	last, begun, hasLength := 0, false, false
 	for number := range maxAttempts {
@@ -272,13 +286,7 @@
 	number := 0
 	rapid.Check(t, func(t *rapid.T) {
 		number++
-		model.next, model.from = 0, nil
-		model.events = drawEvents(t)
-		attempts := rapid.IntRange(1, 3).Draw(t, "attempts")
-		model.attempts = nil
-		for i := range attempts {
-			model.attempts = append(model.attempts, drawModelAttempt(t, i == attempts-1))
-		}
+		model.draw(t)
 		route := rapid.SampledFrom([]string{"stream", "turn", "resume", "resume-turn", "resume-turn"}).Draw(t, "route")
 		isHTTP10 := rapid.IntRange(0, 3).Draw(t, "HTTP/1.0") == 0
 		id := "t" + strconv.Itoa(number)
