balancer: a response that its proxy dropped leaves nothing in flight

Such an attempt ended as Cancelled, which counts the call as running on for as long as its tokens would take: 300,000 tokens, half an hour, for each, so that the endpoint counted as full.

Change: a kind of its own, Discarded, that changes nothing; the connection is closed.

--- a/internal/tier/balancer/load_test.go
+++ b/internal/tier/balancer/load_test.go
@@ -83,3 +83,16 @@
 		t.Errorf("calls of others: %v, reported at %v; want those of the newer report", e.load.othersInFlight, e.load.reportedAt)
 	}
 }
+
+// A response that the proxy had no memory for counted as a call that goes on for as long as all its tokens would take, and so took the
+// endpoint's places for half an hour.
+func TestDone_Discarded_LeavesNothingInFlight(t *testing.T) {
+	balancer := newBalancer(endpointsOf("feeds", 1, 6))
+	d := balancer.Select(0, retryableRequest())
+	balancer.Sent(0, &d.Attempt)
+	balancer.Done(time.Second, &d.Attempt, Outcome{Kind: Discarded, Elapsed: time.Second})
+	e := balancer.endpoints["feeds-0"]
+	if got := e.estimatedInFlight(time.Second, 0); got != 0 {
+		t.Errorf("in flight: %v, want none", got)
+	}
+}
--- a/internal/tier/balancer/request.go
+++ b/internal/tier/balancer/request.go
@@ -86,6 +86,7 @@
 	ConnectFailure                 // no connection could be established, so nothing was sent
 	Misdirected                    // the server at the address answered that it isn't this endpoint
 	NotSent                        // the attempt was cancelled before anything was sent, which says nothing about the endpoint
+	Discarded                      // the caller dropped the response for a reason of its own, which says nothing about the endpoint either
 )
 
 // Load is an endpoint's report of its own load. Capacity 0 means that there was no report.
--- a/internal/tier/proxy/loadbalancer.go
+++ b/internal/tier/proxy/loadbalancer.go
@@ -215,7 +215,7 @@
 	case Cancelled:
 		return balancer.NotSent
 	case OutOfMemory:
-		return balancer.Cancelled
+		return balancer.Discarded
 	case ClientClosed:
 		if float64(outcome.Elapsed) >= timeoutFraction*float64(timeLeft) {
 			return balancer.TimedOut
--- a/internal/tier/proxy/loadbalancer_test.go
+++ b/internal/tier/proxy/loadbalancer_test.go
@@ -179,7 +179,7 @@
 		{Outcome{Result: ClientClosed, Elapsed: left / 2}, balancer.Cancelled},
 		{Outcome{Result: ClientClosed, Elapsed: left}, balancer.TimedOut},
 		{Outcome{Result: Cancelled}, balancer.NotSent},
-		{Outcome{Result: OutOfMemory, Elapsed: left}, balancer.Cancelled},
+		{Outcome{Result: OutOfMemory, Elapsed: left}, balancer.Discarded},
 		{Outcome{Result: Cancelled, Elapsed: left}, balancer.NotSent},
 	}
 	for _, test := range cases {
