store: large contents are judged as they come, not by samples of the memory in use

Cause: fullness is sampled each 100 ms; what came between two samples was all taken.

Change: large contents count as they are proposed, as state and as JSON in the log, and are refused if with them all contents would exceed the limit. New programs are refused from 85 % of use on if contents take 55 % (50 % before), so that there is room between the two in any case.

--- a/internal/tier/command/limit_monitor.go
+++ b/internal/tier/command/limit_monitor.go
@@ -38,7 +38,7 @@
 var degrees = map[store.Fullness]thresholds{
 	store.ShortOfBulk: {used: threshold{enter: 0.75, leave: 0.70}, contents: threshold{enter: 0.45, leave: 0.42}},
 	store.OutOfBulk:   {used: threshold{enter: 0.80, leave: 0.74}, contents: threshold{enter: 0.50, leave: 0.47}},
-	store.Near:        {used: threshold{enter: 0.85, leave: 0.78}, contents: none, alongside: threshold{enter: 0.50, leave: 0.47}},
+	store.Near:        {used: threshold{enter: 0.85, leave: 0.78}, contents: none, alongside: threshold{enter: 0.55, leave: 0.50}},
 	store.Full:        {used: threshold{enter: 0.93, leave: 0.88}, contents: none},
 }
 
@@ -72,6 +72,11 @@
 // fullness returns the store's fullness as last measured.
 func (m *limitMonitor) fullness() store.Fullness { return store.Fullness(m.current.Load()) }
 
+// contentsLimit returns the bytes of contents and logs from which on a store has a degree; 0: no limit.
+func (m *limitMonitor) contentsLimit(degree store.Fullness) int64 {
+	return int64(degrees[degree].contents.enter * float64(m.memoryLimit))
+}
+
 // run checks a store periodically until ctx ends.
 func (m *limitMonitor) run(ctx context.Context, shards *store.Store) {
 	wait.Every(ctx, limitInterval, func() {
--- a/internal/tier/command/store.go
+++ b/internal/tier/command/store.go
@@ -82,8 +82,12 @@
 		QueueBudgetBytes: int(p.settings.Limits.MemoryMb << 20 / queueBudgetDivisor),
 		RunBackground:    runBackground,
 		Fullness:         limits.fullness,
-		Memory:           p.memory,
-		Invariants:       p.invariants,
+
+		MaxInputContents:  limits.contentsLimit(store.ShortOfBulk),
+		MaxOutputContents: limits.contentsLimit(store.OutOfBulk),
+
+		Memory:     p.memory,
+		Invariants: p.invariants,
 	}
 }
 
--- a/internal/tier/store/fullness.go
+++ b/internal/tier/store/fullness.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/base64"
 	"time"
 
 	"mastusher/internal/tier/memorybudget"
@@ -53,6 +54,22 @@
 	return s.options.Fullness()
 }
 
+// takesLarge counts large contents as being proposed until release is called. It returns false if they would not leave room for small
+// programs: with them, all contents and logs would take more than a limit. The use of memory is measured too seldom to judge that.
+func (s *Store) takesLarge(bytes int, limit int64) (release func(), ok bool) {
+	if bytes <= memorybudget.SmallBytes || limit <= 0 {
+		return func() {}, true
+	}
+	kept := int64(bytes) + int64(base64.StdEncoding.EncodedLen(bytes)) // as state, and as JSON in the log
+	proposed := s.largeContents.Add(kept)
+	release = func() { s.largeContents.Add(-kept) }
+	if _, stats := s.Stats(); stats.StateBytes+stats.LogBytes+proposed > limit {
+		release()
+		return nil, false
+	}
+	return release, true
+}
+
 // commandCopies is how often large contents are in memory while a command is proposed: decoded, as JSON, and as an entry of the log.
 const commandCopies = 4
 
--- a/internal/tier/store/fullness_test.go
+++ b/internal/tier/store/fullness_test.go
@@ -5,6 +5,7 @@
 
 	"mastusher/internal/tier/memorybudget"
 	"mastusher/internal/tier/program"
+	"mastusher/internal/tier/storage/memorydisk"
 )
 
 func TestFullness_Commands_RejectedFromADegreeOn(t *testing.T) {
@@ -38,3 +39,31 @@
 		}
 	}
 }
+
+// Many large contents that came at once were all taken, since the use of memory is measured each 100 ms only.
+func TestStore_LargeContentsComeAtOnce_TakenUpToTheirLimit(t *testing.T) {
+	const limit, bytes = 1 << 20, 100 << 10
+	s := newStore(t, memorydisk.New())
+	taken := 0
+	var releases []func()
+	for range 20 {
+		if release, ok := s.takesLarge(bytes, limit); ok {
+			taken++
+			releases = append(releases, release)
+		}
+	}
+	if kept := taken * (bytes + bytes*4/3); kept > limit || kept < limit*3/4 {
+		t.Errorf("%d contents taken, which take %d bytes, of %d", taken, kept, limit)
+	}
+	if _, ok := s.takesLarge(memorybudget.SmallBytes, limit); !ok {
+		t.Error("small contents are refused")
+	}
+	for _, release := range releases {
+		release()
+	}
+	if release, ok := s.takesLarge(bytes, limit); !ok {
+		t.Error("large contents are refused after the others have gone")
+	} else {
+		release()
+	}
+}
--- a/internal/tier/store/handlers.go
+++ b/internal/tier/store/handlers.go
@@ -15,7 +15,13 @@
 	if !s.fullness().admitsBegin(&request.Turn) {
 		return full, nil
 	}
-	lease, err := s.reserveContents(ctx, len(request.Turn.Input)+len(request.Turn.Imported))
+	contents := len(request.Turn.Input) + len(request.Turn.Imported)
+	release, taken := s.takesLarge(contents, s.options.MaxInputContents)
+	if !taken {
+		return full, nil
+	}
+	defer release()
+	lease, err := s.reserveContents(ctx, contents)
 	if err != nil {
 		return full, nil
 	}
@@ -36,6 +42,11 @@
 	if !s.fullness().admitsEnd(&request.Turn) {
 		return program.Result{Verdict: program.StorageFull}, nil
 	}
+	release, taken := s.takesLarge(len(request.Turn.Output), s.options.MaxOutputContents)
+	if !taken {
+		return program.Result{Verdict: program.StorageFull}, nil
+	}
+	defer release()
 	lease, err := s.reserveContents(ctx, len(request.Turn.Output))
 	if err != nil {
 		return program.Result{Verdict: program.StorageFull}, nil
--- a/internal/tier/store/options.go
+++ b/internal/tier/store/options.go
@@ -47,6 +47,9 @@
 
 	// Fullness reports how much of its memory and disk the process uses. Nil: always Roomy.
 	Fullness func() Fullness
+	// MaxInputContents and MaxOutputContents are the bytes of all contents and logs up to which inputs and outputs over
+	// memorybudget.SmallBytes are taken; 0: unbounded. Larger values leave less room for small programs.
+	MaxInputContents, MaxOutputContents int64
 	// Memory bounds what the store holds of turns that are begun or ended, and of the chains that it answers with; nil: unbounded.
 	Memory *memorybudget.Budget
 
--- a/internal/tier/store/store.go
+++ b/internal/tier/store/store.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"mastusher/internal/tier/group"
@@ -24,6 +25,7 @@
 	queueBudget    *group.QueueBudget     // shared by the queues of all groups
 	groups         groupRunner
 
+	largeContents   atomic.Int64  // bytes that large contents being proposed will take
 	waitingContents chan struct{} // has an element for each call that waits for memory for large contents
 
 	mutex           sync.Mutex // guards the fields below, and shard.stoppingSince
