proxy, store, group: what the change wrote twice or three times stands once

Behaviour is as it was. clientRequest.deliver has the wait for the client's reader and what follows a failure, which write, flush and releaseEnd each had; Store.admitContents has the two checks of large contents that both handlers had; Group.stateBytes and isTransferring replace three casts and two conditions; MemberStats.ContentBytes says once what counts as contents. In the tests writeChunks serves cutStream and chunkedStream. The mutant 'a compaction doesn't wait for a transfer' makes the same mistake in the line's new form.

Measured: tests of proxy, store (with -race), group (all its mutants), command and exchangetest pass.

--- a/internal/tier/command/limit_monitor.go
+++ b/internal/tier/command/limit_monitor.go
@@ -82,7 +82,7 @@
 	wait.Every(ctx, limitInterval, func() {
 		_, stats := shards.Stats()
 		// A compaction writes a second snapshot before it removes the first one.
-		m.observe(usage{memory: usedMemory(), contents: stats.StateBytes + stats.LogBytes, disk: 2*stats.SnapshotBytes + stats.LogBytes})
+		m.observe(usage{memory: usedMemory(), contents: stats.ContentBytes(), disk: 2*stats.SnapshotBytes + stats.LogBytes})
 		if m.isCollectionDue(time.Now()) {
 			debug.FreeOSMemory()
 		}
--- a/internal/tier/group/compaction.go
+++ b/internal/tier/group/compaction.go
@@ -58,22 +58,26 @@
 // hasStateShrunk reports whether the entries in memory and the snapshot on disk hold much that the state has dropped since the last
 // compaction. Compactions for this alone don't interrupt a snapshot that is being sent or received.
 func (g *Group) hasStateShrunk() bool {
-	sizer, ok := g.options.StateMachine.(StateSizer)
-	if !ok || g.replica.IsSendingSnapshot() || g.replica.IsReceivingSnapshot() {
+	if g.isTransferring() {
 		return false
 	}
-	return shrunkStateFactor*sizer.StateBytes()+g.options.CompactionBytes < g.peakStateBytes
+	return shrunkStateFactor*g.stateBytes()+g.options.CompactionBytes < g.peakStateBytes
 }
 
 // hasLogReachedBound reports whether the log has grown by its bound since the last compaction.
 func (g *Group) hasLogReachedBound() bool {
 	bound := max(g.options.CompactionBytes, int64(logToStateRatio*float64(g.disk.SnapshotBytes())))
-	if g.replica.IsSendingSnapshot() || g.replica.IsReceivingSnapshot() {
+	if g.isTransferring() {
 		bound *= transferBoundFactor
 	}
 	return g.disk.LogBytes()-g.logBytesAtCompaction >= bound
 }
 
+// isTransferring reports whether a snapshot is being sent or received.
+func (g *Group) isTransferring() bool {
+	return g.replica.IsSendingSnapshot() || g.replica.IsReceivingSnapshot()
+}
+
 // beginCompaction captures the state and starts writing it in the background. It does nothing while another member holds the
 // CompactionLock, since compactions load the processor and the disk; a later iteration tries again. A snapshot that is being
 // received is abandoned, because it is written to the same slot on disk.
@@ -89,9 +93,7 @@
 	}
 	g.replica.AbortIncomingSnapshot()
 	g.releaseReceiveSlot(false)
-	if sizer, ok := g.options.StateMachine.(StateSizer); ok {
-		g.peakStateBytes = sizer.StateBytes()
-	}
+	g.peakStateBytes = g.stateBytes()
 	begun := &compaction{snapshot: snapshot, disk: disk, written: make(chan struct{})}
 	g.compaction = begun
 	state := g.stateMachine.CaptureChunks()
--- a/internal/tier/group/mutants_test.go
+++ b/internal/tier/group/mutants_test.go
@@ -11,7 +11,7 @@
 	mutation.Test(t, []mutation.Mutant{
 		{
 			Name:   "a compaction doesn't wait for a transfer",
-			Change: mutation.Change{File: "compaction.go", Old: "	if g.replica.IsSendingSnapshot() || g.replica.IsReceivingSnapshot() {", New: "if false {"},
+			Change: mutation.Change{File: "compaction.go", Old: "	if g.isTransferring() {\n		bound", New: "	if false {\n		bound"},
 			Run:    "^TestCompact_SnapshotBeingSent_Waits$",
 		},
 		{
--- a/internal/tier/group/stats.go
+++ b/internal/tier/group/stats.go
@@ -19,6 +19,9 @@
 	Entries       int   // log entries in memory
 }
 
+// ContentBytes returns the bytes of the state and of the log, which are both in memory.
+func (s MemberStats) ContentBytes() int64 { return s.StateBytes + s.LogBytes }
+
 // Stats returns the member's sizes at the end of its last iteration.
 func (g *Group) Stats() MemberStats {
 	if stats := g.stats.Load(); stats != nil {
@@ -28,14 +31,19 @@
 }
 
 func (g *Group) recordStats() {
-	stats := MemberStats{SnapshotBytes: g.disk.SnapshotBytes(), LogBytes: g.disk.LogBytes(), Entries: len(g.entries)}
-	if sizer, ok := g.options.StateMachine.(StateSizer); ok {
-		stats.StateBytes = sizer.StateBytes()
-	}
+	stats := MemberStats{StateBytes: g.stateBytes(), SnapshotBytes: g.disk.SnapshotBytes(), LogBytes: g.disk.LogBytes(), Entries: len(g.entries)}
 	g.peakStateBytes = max(g.peakStateBytes, stats.StateBytes)
 	g.stats.Store(&stats)
 }
 
+// stateBytes returns the size of the state, or 0 if the state machine doesn't report it.
+func (g *Group) stateBytes() int64 {
+	if sizer, ok := g.options.StateMachine.(StateSizer); ok {
+		return sizer.StateBytes()
+	}
+	return 0
+}
+
 // phases measures the phases of an iteration.
 type phases struct {
 	clock                func() time.Duration
--- a/internal/tier/proxy/response.go
+++ b/internal/tier/proxy/response.go
@@ -192,32 +192,30 @@
 	return true
 }
 
-// write forwards bytes to the client. If that fails, the client has closed its connection or was ended for not reading, and the request ends.
+// write forwards bytes to the client.
 func (c *clientRequest) write(a *attempt, data []byte) {
-	c.awaitReader()
-	err := c.response.write(data)
-	if c.lease.StopAwaiting() || err != nil {
-		c.handleClientClosed(a)
-	}
+	c.deliver(a, func() error { return c.response.write(data) })
 }
 
 // releaseEnd writes what was withheld of the response until its turn was committed.
 func (c *clientRequest) releaseEnd(a *attempt) {
-	c.awaitReader()
-	err := c.response.releaseEnd()
-	if c.lease.StopAwaiting() || err != nil {
-		c.handleClientClosed(a)
-	}
+	c.deliver(a, c.response.releaseEnd)
 }
 
 // flush sends buffered bytes to the client immediately.
 func (c *clientRequest) flush(a *attempt) {
+	c.deliver(a, c.response.flush)
+	c.releaseBody(a)
+}
+
+// deliver lets send write to the client. If that fails, the client has closed its connection or was ended for not reading, and the request
+// ends.
+func (c *clientRequest) deliver(a *attempt, send func() error) {
 	c.awaitReader()
-	err := c.response.flush()
+	err := send()
 	if c.lease.StopAwaiting() || err != nil {
 		c.handleClientClosed(a)
 	}
-	c.releaseBody(a)
 }
 
 // handleClientClosed ends a request whose client has closed its connection.
--- a/internal/tier/proxy/resumption_test.go
+++ b/internal/tier/proxy/resumption_test.go
@@ -26,14 +26,19 @@
 // cutStream responds with events in chunks and closes the connection after the last of them.
 func cutStream(events ...string) func(net.Conn, receivedRequest) bool {
 	return func(socket net.Conn, request receivedRequest) bool {
-		_, _ = io.WriteString(socket, sealedHead(200, request, streamHead))
-		for _, one := range events {
-			writeEach(socket, chunk(one))
-		}
+		writeChunks(socket, request, events)
 		return false
 	}
 }
 
+// writeChunks writes a head, and events each in a chunk and a write of its own.
+func writeChunks(socket net.Conn, request receivedRequest, events []string) {
+	_, _ = io.WriteString(socket, sealedHead(200, request, streamHead))
+	for _, one := range events {
+		writeEach(socket, chunk(one))
+	}
+}
+
 // measuredStream responds with events, one by one, behind their Content-Length.
 func measuredStream(events ...string) func(net.Conn, receivedRequest) bool {
 	return func(socket net.Conn, request receivedRequest) bool {
@@ -55,10 +60,7 @@
 // chunkedStream responds with events, each in a chunk and a write of its own.
 func chunkedStream(events ...string) func(net.Conn, receivedRequest) bool {
 	return func(socket net.Conn, request receivedRequest) bool {
-		_, _ = io.WriteString(socket, sealedHead(200, request, streamHead))
-		for _, one := range events {
-			writeEach(socket, chunk(one))
-		}
+		writeChunks(socket, request, events)
 		_, _ = io.WriteString(socket, lastChunk)
 		return true
 	}
--- a/internal/tier/store/fullness.go
+++ b/internal/tier/store/fullness.go
@@ -63,13 +63,31 @@
 	kept := int64(bytes) + int64(base64.StdEncoding.EncodedLen(bytes)) // as state, and as JSON in the log
 	proposed := s.largeContents.Add(kept)
 	release = func() { s.largeContents.Add(-kept) }
-	if _, stats := s.Stats(); stats.StateBytes+stats.LogBytes+proposed > limit {
+	if _, stats := s.Stats(); stats.ContentBytes()+proposed > limit {
 		release()
 		return nil, false
 	}
 	return release, true
 }
 
+// admitContents counts contents as being proposed and reserves their memory until release is called. It returns false if large ones would
+// take all contents beyond a limit, or if there is no memory.
+func (s *Store) admitContents(ctx context.Context, bytes int, limit int64) (release func(), ok bool) {
+	uncount, ok := s.takesLarge(bytes, limit)
+	if !ok {
+		return nil, false
+	}
+	lease, err := s.reserveContents(ctx, bytes)
+	if err != nil {
+		uncount()
+		return nil, false
+	}
+	return func() {
+		lease.Release()
+		uncount()
+	}, true
+}
+
 // commandCopies is how often large contents are in memory while a command is proposed: decoded, as JSON, and as an entry of the log.
 const commandCopies = 4
 
--- a/internal/tier/store/handlers.go
+++ b/internal/tier/store/handlers.go
@@ -15,17 +15,11 @@
 	if !s.fullness().admitsBegin(&request.Turn) {
 		return full, nil
 	}
-	contents := len(request.Turn.Input) + len(request.Turn.Imported)
-	release, taken := s.takesLarge(contents, s.options.MaxInputContents)
-	if !taken {
+	release, ok := s.admitContents(ctx, len(request.Turn.Input)+len(request.Turn.Imported), s.options.MaxInputContents)
+	if !ok {
 		return full, nil
 	}
 	defer release()
-	lease, err := s.reserveContents(ctx, contents)
-	if err != nil {
-		return full, nil
-	}
-	defer lease.Release()
 	request.Turn.AtMs = s.options.Now().UnixMilli()
 	applied, err := s.propose(ctx, request.Shard, program.Command{Begin: &request.Turn})
 	if err != nil {
@@ -42,16 +36,11 @@
 	if !s.fullness().admitsEnd(&request.Turn) {
 		return program.Result{Verdict: program.StorageFull}, nil
 	}
-	release, taken := s.takesLarge(len(request.Turn.Output), s.options.MaxOutputContents)
-	if !taken {
+	release, ok := s.admitContents(ctx, len(request.Turn.Output), s.options.MaxOutputContents)
+	if !ok {
 		return program.Result{Verdict: program.StorageFull}, nil
 	}
 	defer release()
-	lease, err := s.reserveContents(ctx, len(request.Turn.Output))
-	if err != nil {
-		return program.Result{Verdict: program.StorageFull}, nil
-	}
-	defer lease.Release()
 	request.Turn.AtMs = s.options.Now().UnixMilli()
 	applied, err := s.propose(ctx, request.Shard, program.Command{End: &request.Turn})
 	return program.Result{Verdict: applied.Verdict}, err
