--- a/internal/tier/command/limit_monitor.go
+++ b/internal/tier/command/limit_monitor.go
@@ -18,7 +18,7 @@
 // threshold is the share of a limit from which on a store has a degree of fullness, and the share below which it has it no more.
 type threshold struct{ enter, leave float64 }
 
-// none is the threshold of what has no effect on a degree.
+// none is a threshold that is never reached.
 var none = threshold{enter: math.Inf(1), leave: math.Inf(1)}
 
 // thresholds are the shares of a degree.
@@ -26,11 +26,11 @@
 	// used is the share of memory, or of disk, that is in use. Larger shares use more of the machine, but leave less for work in progress:
 	// queued messages, a snapshot that is being received, and garbage between two collections.
 	used threshold
-	// contents is the share of memory that the contents of turns and the logs take, without work in progress and garbage. What is between
-	// the thresholds of large contents and the use of memory from which on new programs are rejected is left to small ones.
+	// contents is the share of memory that the contents of turns and the logs take, without work in progress and garbage. The memory between
+	// the thresholds of large contents and the use from which on new programs are rejected is left to small contents.
 	contents threshold
-	// alongside is the share of memory that contents and logs must take besides if the use of memory is to count. Where they take less, what
-	// fills the memory is work in progress with large contents, which rejecting small ones would not help.
+	// alongside is the share of memory that contents and logs must take besides if the use of memory is to count. Where they take less, work in
+	// progress with large contents fills the memory, which rejecting small contents would not help.
 	alongside threshold
 }
 
@@ -42,7 +42,7 @@
 	store.Full:        {used: threshold{enter: 0.93, leave: 0.88}, contents: none},
 }
 
-// usage is what a store uses, in bytes.
+// usage is a store's use of memory and disk, in bytes.
 type usage struct {
 	memory   int64 // that the process has from the system
 	contents int64 // of turns and logs, part of memory
@@ -53,7 +53,7 @@
 const limitInterval = 100 * time.Millisecond
 
 // collectInterval is the interval at which a store that rejects commands collects its garbage and returns memory to the system. Without
-// it, what has expired would count as used until the garbage collector runs by itself, in an idle process after two minutes.
+// it, expired contents would count as used until the garbage collector runs by itself, in an idle process after two minutes.
 const collectInterval = 5 * time.Second
 
 // limitMonitor compares a store's use of memory and disk with the limits of its settings. A limit of 0 means no limit.
@@ -98,7 +98,7 @@
 	return true
 }
 
-// observe updates the state from what is in use.
+// observe updates the fullness from a store's use of memory and disk.
 func (m *limitMonitor) observe(now usage) {
 	before := m.fullness()
 	after := store.Roomy
--- a/internal/tier/exchangetest/oracle_test.go
+++ b/internal/tier/exchangetest/oracle_test.go
@@ -262,12 +262,12 @@
 	if !result.complete() || result.status != 200 || result.request.method == "HEAD" || result.header.Get("X-Server-Seal") == "" {
 		return
 	}
-	var told int64
+	var reported int64
 	for _, outcome := range o.env.outcomes[result.request.id] {
-		told += outcome.Events
+		reported += outcome.Events
 	}
-	if events := int64(bytes.Count(result.body, []byte("\n\n"))); told != events {
-		o.report(result.request, "ORDER: the client received %d events, and the selector was told of %d", events, told)
+	if events := int64(bytes.Count(result.body, []byte("\n\n"))); reported != events {
+		o.report(result.request, "ORDER: the client received %d events, and the selector was told of %d", events, reported)
 	}
 }
 
--- a/internal/tier/group/compaction.go
+++ b/internal/tier/group/compaction.go
@@ -47,7 +47,7 @@
 // and disk back sooner, and writes the state more often.
 const shrunkStateFactor = 2
 
-// isCompactionDue reports whether a new snapshot would shorten the log, which has reached its bound, or free what the state has dropped.
+// isCompactionDue reports whether a new snapshot would shorten a log that has reached its bound, or release data that the state no longer has.
 func (g *Group) isCompactionDue() bool {
 	if g.replica.SnapshotMetadata().Index <= g.snapshotIndex {
 		return false
--- a/internal/tier/group/compaction_shrunk_test.go
+++ b/internal/tier/group/compaction_shrunk_test.go
@@ -22,7 +22,8 @@
 func (m *lastText) Restore(state json.RawMessage) error { return json.Unmarshal(state, &m.text) }
 func (m *lastText) StateBytes() int64                   { return int64(len(m.text)) }
 
-// What a state had dropped stayed in the log's entries and in the snapshot on disk until the log had grown by a quarter of that snapshot.
+// Data that the state no longer had stayed in the log's entries and in the snapshot on disk until the log had grown by a quarter of that
+// snapshot.
 func TestCompact_StateHasShrunk_FreesEntriesAndSnapshot(t *testing.T) {
 	const large, compactionBytes = 1 << 20, 1 << 16
 	own := replica.Member{ID: "a", Address: "a:1"}
--- a/internal/tier/overloadtest/smallturns_test.go
+++ b/internal/tier/overloadtest/smallturns_test.go
@@ -23,8 +23,8 @@
 	smallTurnsBound   = 30 * time.Second // from the crowd's end, less than what it wrote is kept for
 )
 
-// A crowd that fills the stores with large turns must leave room for small new programs at every proxy, beside the crowd and while what it
-// wrote is kept. They were refused with 503, 'storage full', until long after the crowd had gone.
+// A crowd that fills the stores with large turns must leave room for small new programs at every proxy, beside the crowd and while its turns
+// are kept. They were refused with 503, 'storage full', until long after the crowd had gone.
 func TestTurns_CrowdFillsStoresThroughOneProxy_SmallTurnsServedAtEach(t *testing.T) {
 	t.Run("large inputs", func(t *testing.T) {
 		f := newFilledFixture(t)
--- a/internal/tier/program/idle_test.go
+++ b/internal/tier/program/idle_test.go
@@ -2,7 +2,7 @@
 
 import "testing"
 
-// A shard that got no commands, as all were refused for lack of memory, kept what had expired, and so refused commands for good.
+// A shard whose leader rejected all turns for lack of memory got no commands, so that its contents never expired.
 func TestMachine_ClockCommands_ExpireWithoutOtherCommands(t *testing.T) {
 	const (
 		startMs = 1_000_000
--- a/internal/tier/proxy/attempt.go
+++ b/internal/tier/proxy/attempt.go
@@ -140,7 +140,7 @@
 	if c.shouldRetryStatus(a.response.Status) {
 		return c.retryErrorResponse(a)
 	}
-	if c.response.begun && !c.response.continues(a.response) {
+	if c.response.started && !c.response.continues(a.response) {
 		return c.handleIncomplete(a)
 	}
 	return c.forwardResponse(a)
--- a/internal/tier/proxy/clientresponse.go
+++ b/internal/tier/proxy/clientresponse.go
@@ -11,16 +11,16 @@
 const unknownLength = -1
 
 // clientResponse is the response that a client gets. It lives as long as the client's request, and may carry the bodies of several
-// attempts: the head is that of the first one whose response is forwarded. What it decides, it decides by what the client was sent, never
-// by the framing of the response that an attempt forwards.
+// attempts: the head is that of the first one whose response is forwarded. Its decisions depend on the head and bytes sent to the client,
+// never on the framing of the response that an attempt forwards.
 type clientResponse struct {
 	writer  http.ResponseWriter
 	request *http.Request
 
-	begun           bool   // the head has been sent
+	started         bool   // the head has been sent
 	length          int64  // Content-Length that the client was sent, or unknownLength
 	written         int64  // bytes of the body that were written, without the withheld one
-	contentEncoding string // that the client was told; empty: none
+	contentEncoding string // in the head; empty: none
 	withholdsEnd    bool   // the last byte of a body of known length is withheld until releaseEnd
 	withheld        []byte // that byte, once it has come; empty: none
 	resetsOnClose   bool   // every close of the client's connection is a reset
@@ -29,7 +29,7 @@
 // begin sends the head of an endpoint's response. A close-delimited response is forwarded in chunks, so that it cannot look complete if
 // it is interrupted or this process ends.
 func (r *clientResponse) begin(from *upstream.Response) {
-	r.begun = true
+	r.started = true
 	r.length = unknownLength
 	r.contentEncoding = firstValue(from.Header, headerContentEncoding)
 	header := r.writer.Header()
@@ -49,14 +49,14 @@
 	r.withholdsEnd = r.length > 0
 }
 
-// continues reports whether the body of another attempt's response may follow what the client was sent. Its head is not sent to the client,
-// so its body must be encoded as the client was told.
+// continues reports whether the body of another attempt's response may follow the bytes sent so far. Its head is not sent to the client, so
+// its body must have the encoding in the head that was sent.
 func (r *clientResponse) continues(with *upstream.Response) bool {
 	return with.Status/100 == 2 && firstValue(with.Header, headerContentEncoding) == r.contentEncoding
 }
 
 // hasLength reports whether the client was sent a Content-Length.
-func (r *clientResponse) hasLength() bool { return r.begun && r.length != unknownLength }
+func (r *clientResponse) hasLength() bool { return r.started && r.length != unknownLength }
 
 // write writes the next bytes of the body. If they end the body and its end is withheld, it keeps their last byte.
 func (r *clientResponse) write(data []byte) error {
@@ -80,7 +80,7 @@
 	return err
 }
 
-// flush sends what was written to the client immediately.
+// flush sends the bytes written so far to the client immediately.
 func (r *clientResponse) flush() error {
 	flusher, ok := r.writer.(interface{ FlushError() error })
 	if !ok {
--- a/internal/tier/proxy/doc.go
+++ b/internal/tier/proxy/doc.go
@@ -10,7 +10,7 @@
 //   - turn.go, usage.go: a turn's budget is reserved before the first attempt, and its usage committed after the last
 //   - attempt.go: one attempt at one endpoint; retries.go: what follows an attempt without a response to forward
 //   - response.go, streaming.go, eventparser.go: forwarding a response at once, as it arrives, or event by event
-//   - clientresponse.go, transcript.go: what the client was sent, by all attempts together
+//   - clientresponse.go, transcript.go: the response and the events sent to the client, by all attempts together
 //   - errorresponse.go, rejections.go: the proxy's own error responses, and their counts and metrics
 //   - loadbalancer.go, queue.go: LoadBalancer, the Selector built on package balancer
 //
--- a/internal/tier/proxy/request.go
+++ b/internal/tier/proxy/request.go
@@ -209,7 +209,7 @@
 	defer c.commitUnfinishedTurn()
 	for c.sendAttempt() {
 	}
-	if !c.response.begun && !c.answeredLocally {
+	if !c.response.started && !c.answeredLocally {
 		abortConnection() // net/http would send 200 by itself
 	}
 	if c.response.restoreGracefulClose() != nil {
--- a/internal/tier/proxy/requestmemory.go
+++ b/internal/tier/proxy/requestmemory.go
@@ -131,7 +131,7 @@
 // releaseBody gives back the memory of a body that won't be sent again: the response has begun, can't be resumed, and the endpoint has
 // got the whole request.
 func (c *clientRequest) releaseBody(a *attempt) {
-	if c.body == nil || !c.response.begun || c.info.Route.Resumable || !a.response.RequestWritten() {
+	if c.body == nil || !c.response.started || c.info.Route.Resumable || !a.response.RequestWritten() {
 		return
 	}
 	putBuffer(c.body)
@@ -143,8 +143,8 @@
 // reserveOutput reserves memory for the next bytes of an attempt's stream, as far as they are collected or withheld. It returns false if
 // there is none.
 func (c *clientRequest) reserveOutput(a *attempt, next int) bool {
-	held := c.transcript.capacityFor(a.parser.outputCapacityFor(next)) + a.parser.capacityFor(next)
-	needed := outputCopies*int64(held) - freeOutputBytes
+	buffered := c.transcript.capacityFor(a.parser.outputCapacityFor(next)) + a.parser.capacityFor(next)
+	needed := outputCopies*int64(buffered) - freeOutputBytes
 	if needed <= c.outputReserved {
 		return true
 	}
--- a/internal/tier/proxy/requestmemory_test.go
+++ b/internal/tier/proxy/requestmemory_test.go
@@ -197,7 +197,7 @@
 	}
 }
 
-// An answer that the proxy had no memory for was blamed on its endpoint, as if that had broken it off.
+// An attempt that ended for lack of the proxy's memory counted as a failure of its endpoint.
 func TestStream_NoMemoryForOutput_IsNotTheEndpointsFailure(t *testing.T) {
 	const limit = 1 << 20
 	budget, change := withMemory(limit)
--- a/internal/tier/proxy/response.go
+++ b/internal/tier/proxy/response.go
@@ -41,7 +41,7 @@
 	if c.info.Route.Kind != model.Streaming || response.Status/100 != 2 {
 		return false
 	}
-	return c.turn != nil || c.response.begun || !response.Complete()
+	return c.turn != nil || c.response.started || !response.Complete()
 }
 
 // forwardShort reads a short response completely and then forwards it.
@@ -137,7 +137,7 @@
 
 // handleInterrupted handles a response that was interrupted.
 func (c *clientRequest) handleInterrupted(a *attempt) (retry bool) {
-	if !c.response.begun {
+	if !c.response.started {
 		return c.handleIncomplete(a)
 	}
 	a.outcome.Result = c.incompleteResult(a)
@@ -184,7 +184,7 @@
 
 // startResponse prepares the head of the client's response. It returns false if the response has begun.
 func (c *clientRequest) startResponse() bool {
-	if c.response.begun {
+	if c.response.started {
 		return false
 	}
 	c.proxy.rejections.addServed()
@@ -197,7 +197,7 @@
 	c.deliver(a, func() error { return c.response.write(data) })
 }
 
-// releaseEnd writes what was withheld of the response until its turn was committed.
+// releaseEnd writes the end of the response, which was withheld until the turn was committed.
 func (c *clientRequest) releaseEnd(a *attempt) {
 	c.deliver(a, c.response.releaseEnd)
 }
--- a/internal/tier/proxy/resumption_test.go
+++ b/internal/tier/proxy/resumption_test.go
@@ -23,8 +23,8 @@
 	}
 }
 
-// cutStream responds with events in chunks and closes the connection after the last of them.
-func cutStream(events ...string) func(net.Conn, receivedRequest) bool {
+// truncatedStream responds with events in chunks and closes the connection after the last of them.
+func truncatedStream(events ...string) func(net.Conn, receivedRequest) bool {
 	return func(socket net.Conn, request receivedRequest) bool {
 		writeChunks(socket, request, events)
 		return false
@@ -82,7 +82,7 @@
 	for name, script := range framings {
 		for _, route := range []string{"resume", "resume-turn"} {
 			t.Run(route+"/"+name, func(t *testing.T) {
-				f := newFixture(t, newEndpoint(t, cutStream(before...)), newEndpoint(t, script))
+				f := newFixture(t, newEndpoint(t, truncatedStream(before...)), newEndpoint(t, script))
 				c := f.dial()
 				c.request("POST", "/"+route+"/x", "id", "input", turnFields...)
 				if got := c.readResponse("POST"); got.err != nil || got.body != want {
@@ -106,12 +106,12 @@
 
 // A stream that was being resumed was given up when the part with a Content-Length was cut, though its client had been sent no length.
 func TestResumedStream_RestWithLengthIsCut_ResumesOnceMore(t *testing.T) {
-	cutRest := func(socket net.Conn, request receivedRequest) bool {
+	truncatedRest := func(socket net.Conn, request receivedRequest) bool {
 		_, _ = io.WriteString(socket, sealedHead(200, request, "Content-Type: text/event-stream", "Content-Length: 1000"))
 		writeEach(socket, event(2, "two"), "id: 3\ndata: th")
 		return false
 	}
-	f := newFixture(t, newEndpoint(t, cutStream(event(1, "one"))), newEndpoint(t, cutRest),
+	f := newFixture(t, newEndpoint(t, truncatedStream(event(1, "one"))), newEndpoint(t, truncatedRest),
 		newEndpoint(t, measuredStream(event(3, "three"), event(4, "four"))))
 	c := f.dial()
 	c.request("POST", "/resume-turn/x", "id", "input", turnFields...)
@@ -128,7 +128,7 @@
 // The rest of a stream was forwarded in another encoding than the client had been told: bytes that its head doesn't describe.
 func TestResumedStream_RestIsEncodedOtherwise_NotJoined(t *testing.T) {
 	encoded := respondWith(200, "\x1f\x8b\x08 not events", "Content-Type: text/event-stream", "Content-Encoding: gzip")
-	f := newFixture(t, newEndpoint(t, cutStream(event(1, "one"))), newEndpoint(t, encoded), newEndpoint(t, measuredStream(event(2, "two"))))
+	f := newFixture(t, newEndpoint(t, truncatedStream(event(1, "one"))), newEndpoint(t, encoded), newEndpoint(t, measuredStream(event(2, "two"))))
 	c := f.dial()
 	c.request("POST", "/resume-turn/x", "id", "input", turnFields...)
 	if got := c.readResponse("POST"); got.err != nil || got.body != event(1, "one")+event(2, "two") {
@@ -140,9 +140,9 @@
 	}
 }
 
-// An attempt that resumes a stream was weighed as if it had to generate all of it.
+// The load balancer expected an attempt that resumes a stream to generate all tokens of the request.
 func TestResumedStream_NextAttempt_GeneratesTheRest(t *testing.T) {
-	f := newFixture(t, newEndpoint(t, cutStream(event(1, "one"), event(2, "two"))), newEndpoint(t, chunkedStream(event(3, "three"))))
+	f := newFixture(t, newEndpoint(t, truncatedStream(event(1, "one"), event(2, "two"))), newEndpoint(t, chunkedStream(event(3, "three"))))
 	c := f.dial()
 	c.request("POST", "/resume/x", "id", "input", turnFields...)
 	if got := c.readResponse("POST"); got.err != nil {
--- a/internal/tier/proxy/retries.go
+++ b/internal/tier/proxy/retries.go
@@ -39,7 +39,7 @@
 // shouldRetryStatus reports whether a response with this status is discarded in favour of another attempt. After the last attempt the
 // client gets the response.
 func (c *clientRequest) shouldRetryStatus(status int) bool {
-	return status >= http.StatusInternalServerError && !c.response.begun && retryable(c.info.Route) &&
+	return status >= http.StatusInternalServerError && !c.response.started && retryable(c.info.Route) &&
 		c.mayHaveRunAttempts+1 < c.info.Route.MaxAttempts
 }
 
@@ -121,7 +121,7 @@
 		c.info.RejectedBy = append(c.info.RejectedBy, a.selection.ID)
 	}
 	c.rejectionKind, c.retryAfter = apierror.EndpointRefused, a.outcome.RetryAfter
-	if a.response.Status == http.StatusBadRequest && !c.response.begun {
+	if a.response.Status == http.StatusBadRequest && !c.response.started {
 		return c.forwardResponse(a)
 	}
 	drainBufferedBody(a.response)
@@ -156,7 +156,7 @@
 // request has not run are used only if no endpoint may have run it.
 func (c *clientRequest) abandon() {
 	switch {
-	case c.response.begun:
+	case c.response.started:
 		abortConnection()
 	case !c.mayHaveRun:
 		c.writeError(c.rejectionKind, c.retryAfter)
--- a/internal/tier/proxy/streaming.go
+++ b/internal/tier/proxy/streaming.go
@@ -11,7 +11,7 @@
 // forwardStream forwards a stream event by event. It returns true if the stream is to be resumed at another endpoint.
 func (c *clientRequest) forwardStream(a *attempt, buffer []byte) (retry bool) {
 	a.parser = newEventParser(&c.transcript, c.keepsOutput())
-	if c.response.begun {
+	if c.response.started {
 		c.proxy.options.Metrics.CountResumedStream(framingOf(a.response))
 	}
 	for {
@@ -124,7 +124,7 @@
 // handleStreamInterrupted handles a stream that was interrupted. It is resumed at another endpoint if that is allowed and possible
 // without a gap.
 func (c *clientRequest) handleStreamInterrupted(a *attempt) (retry bool) {
-	if !c.response.begun {
+	if !c.response.started {
 		return c.handleIncomplete(a)
 	}
 	a.outcome.Result = c.incompleteResult(a)
--- a/internal/tier/proxy/streammodel_test.go
+++ b/internal/tier/proxy/streammodel_test.go
@@ -27,7 +27,7 @@
 	framedByClose  bodyFraming = "close"
 )
 
-// modelEvent is one event of a stream, and what is kept of it.
+// modelEvent is one event of a stream, with its part of the turn's output.
 type modelEvent struct {
 	text   string // with the blank line that ends it, unless it is the last event and has none
 	output string // its data, each line followed by a line feed
@@ -68,7 +68,7 @@
 	return event
 }
 
-// modelAttempt is what an endpoint does with an attempt.
+// modelAttempt is an endpoint's behaviour in one attempt.
 type modelAttempt struct {
 	framing bodyFraming
 	pieces  []int // sizes of the writes, repeated
@@ -135,7 +135,7 @@
 	m.writePieces(socket, body[:min(attempt.cut, len(body))], &attempt)
 	switch {
 	case !whole && attempt.framing == framedByClose:
-		// The reset must not overtake what was written.
+		// The reset must not overtake the bytes before it.
 		time.Sleep(5 * writePause)
 		return resetConnection(socket, request)
 	case whole && attempt.framing == framedByChunks:
@@ -175,15 +175,15 @@
 	return slices.Clone(m.events[at+1:])
 }
 
-// expectation is what a client gets, and what is kept of it.
+// expectation is the response that a client gets, and the output that is kept for later turns.
 type expectation struct {
 	body, output string
 	count        int64
 	complete     bool
 }
 
-// expected follows the attempts by the rules of the protocol: what an attempt completes is forwarded, and the next one goes on after the
-// last event with an id. resumable says that the route allows this; maxAttempts bounds the attempts.
+// expected follows the attempts by the rules of the protocol: events that an attempt completes are forwarded, and the next attempt continues
+// after the last event with an id. resumable says that the route allows this; maxAttempts bounds the attempts.
 func (m *modelRun) expected(resumable bool, maxAttempts int) expectation {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
@@ -332,7 +332,7 @@
 	return c.readResponse("POST")
 }
 
-// checkKept checks what the stores were told of a turn, and what a later turn's endpoint gets of it.
+// checkKept checks the commit of a turn at the stores, and the body that a later turn's endpoint gets.
 func (f *fixture) checkKept(t *rapid.T, turns *keptTurns, id string, want expectation, later *endpoint) {
 	if !want.complete {
 		return // committed in the background, without output
--- a/internal/tier/store/expiry.go
+++ b/internal/tier/store/expiry.go
@@ -49,7 +49,7 @@
 	return idle.IsExpiryDue || sinceCommand.Abs() >= clockInterval // negative if the clock was set back, or that of another leader is ahead
 }
 
-// recordIdleness publishes what the machine waits for, if that has changed.
+// recordIdleness publishes the idleness of the programs, if it has changed.
 func (m *machine) recordIdleness() {
 	now := m.programs.Idleness()
 	if before := m.idleness.Load(); before == nil || *before != now {
--- a/internal/tier/store/expiry_test.go
+++ b/internal/tier/store/expiry_test.go
@@ -10,7 +10,7 @@
 	"mastusher/internal/tier/wire"
 )
 
-// A store that was full refused all turns before they became commands, and contents expire with commands only: it stayed full for good.
+// A full store rejected all turns before they became commands. Contents expire with commands only, so it stayed full.
 func TestStore_FullAndAllTurnsRefused_ContentsExpire(t *testing.T) {
 	// Given a full store whose contents have been kept for long enough,
 	s := newStore(t, memorydisk.New())
@@ -30,7 +30,7 @@
 		}
 	}
 	s.options.Fullness = func() Fullness { return Full }
-	// when only turns come that it refuses, then what it keeps goes all the same.
+	// when it gets only turns that it rejects, then its contents expire all the same.
 	const longerThanKept = 120
 	for second := 0; ; second++ {
 		answer, err := s.handleBeginTurn(ctx, "", wire.BeginTurnRequest{Turn: program.BeginTurn{Turn: "n", Program: "q", Remembered: true}})
--- a/internal/tier/store/fullness.go
+++ b/internal/tier/store/fullness.go
@@ -55,14 +55,14 @@
 }
 
 // takesLarge counts large contents as being proposed until release is called. It returns false if they would not leave room for small
-// programs: with them, all contents and logs would take more than a limit. The use of memory is measured too seldom to judge that.
+// programs: with them, all contents and logs would take more than a limit. Fullness alone is too coarse for that: it is measured at intervals.
 func (s *Store) takesLarge(bytes int, limit int64) (release func(), ok bool) {
 	if bytes <= memorybudget.SmallBytes || limit <= 0 {
 		return func() {}, true
 	}
-	kept := int64(bytes) + int64(base64.StdEncoding.EncodedLen(bytes)) // as state, and as JSON in the log
-	proposed := s.largeContents.Add(kept)
-	release = func() { s.largeContents.Add(-kept) }
+	retained := int64(bytes) + int64(base64.StdEncoding.EncodedLen(bytes)) // as state, and as JSON in the log
+	proposed := s.largeContents.Add(retained)
+	release = func() { s.largeContents.Add(-retained) }
 	if _, stats := s.Stats(); stats.ContentBytes()+proposed > limit {
 		release()
 		return nil, false
