--- a/internal/tier/overloadtest/fixture_test.go
+++ b/internal/tier/overloadtest/fixture_test.go
@@ -41,9 +41,11 @@
 const (
 	plainPath      = "/tools/a"
 	streamPath     = "/streams/a"
+	resumablePath  = "/resumable/a"
 	turnPath       = "/turns/a"
 	filePath       = "/files/a"
 	streamsPrefix  = "/streams/"
+	resumesPrefix  = "/resumable/"
 	filesPrefix    = "/files/"
 	filesService   = "files"
 	attemptHeader  = "X-Attempt-Id"
@@ -77,6 +79,12 @@
 
 // newFixtureOf is newFixtureWith for other numbers of machines.
 func newFixtureOf(t testing.TB, counts localtier.Counts, limits map[string]localtier.Limits) *fixture {
+	t.Helper()
+	return newFixtureFrom(t, startEndpoints(t).Address(), counts, limits)
+}
+
+// newFixtureFrom is newFixtureOf for the platform at an address.
+func newFixtureFrom(t testing.TB, platform string, counts localtier.Counts, limits map[string]localtier.Limits) *fixture {
 	t.Helper()
 	binary, err := buildTier()
 	if err != nil {
@@ -84,9 +92,8 @@
 	}
 	ctx, cancel := context.WithTimeout(t.Context(), startBound)
 	defer cancel()
-	endpoints := startEndpoints(t)
 	folder := t.TempDir()
-	tier, err := localtier.Start(localtier.Options{Command: []string{binary}, Folder: folder, Platform: endpoints.Address(),
+	tier, err := localtier.Start(localtier.Options{Command: []string{binary}, Folder: folder, Platform: platform,
 		Counts: counts, Limits: limits})
 	if err != nil {
 		t.Fatal(err)
@@ -114,10 +121,12 @@
 	return f
 }
 
-// configuration returns the configuration of the tests: routes for turns, tools, streams and files.
+// configuration returns the configuration of the tests: routes for turns, tools, streams, streams that may be resumed, and files.
 func configuration() model.Configuration {
 	c := localtier.Configuration(1, retention, model.Route{Name: "streams", Host: localtier.Host, PathPrefix: streamsPrefix, Kind: model.Streaming,
 		TimeoutMs: localtier.RequestTimeout.Milliseconds(), LatencyTargetMs: 500, Service: turnService, MaxAttempts: 2, EventGapTargetMs: 250},
+		model.Route{Name: "resumable", Host: localtier.Host, PathPrefix: resumesPrefix, Kind: model.Streaming, Resumable: true,
+			TimeoutMs: localtier.RequestTimeout.Milliseconds(), LatencyTargetMs: 500, Service: turnService, MaxAttempts: 2, EventGapTargetMs: 250},
 		model.Route{Name: "files", Host: localtier.Host, PathPrefix: filesPrefix, Kind: model.Retryable,
 			TimeoutMs: localtier.RequestTimeout.Milliseconds(), LatencyTargetMs: 500, Service: filesService, MaxAttempts: 2})
 	c.Services = append(c.Services, model.Service{Name: filesService, HealthPath: "/health", MaxConnections: endpointConnections, Protocol: "h1"})
@@ -146,9 +155,15 @@
 
 // runThen is run with something that is done between the crowd's end and the checks.
 func (f *fixture) runThen(clients int, act func(ctx context.Context, client int), afterwards func()) {
+	f.t.Helper()
+	f.runFor(crowdTime, clients, act, afterwards)
+}
+
+// runFor is runThen for another time.
+func (f *fixture) runFor(duration time.Duration, clients int, act func(ctx context.Context, client int), afterwards func()) {
 	f.t.Helper()
 	meter := startMemoryMeter(f.tier.Processes)
-	ctx, cancel := context.WithTimeout(f.t.Context(), crowdTime)
+	ctx, cancel := context.WithTimeout(f.t.Context(), duration)
 	defer cancel()
 	var crowd sync.WaitGroup
 	for client := range clients {
