upstream: a response's head is bounded by what it takes once it is parsed

What callers saw: a proxy runs out of memory and ends, with all requests on it, while endpoints answer with heads inside the 64 KiB that are allowed.

Cause: a head was bounded by its bytes alone, and parsed into up to 25 times as much: 16,000 small fields, or as many names in Trailer, are entries of maps. A request reserves 128 KiB for all that it gets back.

--- a/internal/tier/proxy/request.go
+++ b/internal/tier/proxy/request.go
@@ -41,6 +41,7 @@
 
 	outputReserved int64 // bytes reserved for what transcript and an attempt's parser hold
 	largeOutput    int64 // part of outputReserved in the class memorybudget.Large
+	headReserved   int64 // bytes reserved for the head of an attempt's response
 
 	mayHaveRunAttempts int           // attempts that an endpoint may have run
 	neverSentAttempts  int           // attempts of which no byte was sent
@@ -189,6 +190,8 @@
 		HasBody:   c.request.ContentLength != 0 || firstValue(c.request.Header, "Content-Length") != "",
 		AttemptID: c.info.AttemptID,
 		Deadline:  c.info.Deadline,
+
+		ReserveHead: c.reserveHead,
 	}
 	c.info.BodyBytes = len(*c.body)
 }
--- a/internal/tier/proxy/requestmemory.go
+++ b/internal/tier/proxy/requestmemory.go
@@ -163,6 +163,18 @@
 	return true
 }
 
+// reserveHead reserves memory for the head of an attempt's response, as many bytes in all. It returns false if there is none.
+func (c *clientRequest) reserveHead(bytes int64) bool {
+	if bytes <= c.headReserved {
+		return true
+	}
+	if !c.lease.TryGrow(memorybudget.Small, bytes-c.headReserved) {
+		return false
+	}
+	c.headReserved = bytes
+	return true
+}
+
 // reserveChain reserves the memory of a turn's chain, which lies in memory until the response has begun.
 func (c *clientRequest) reserveChain(bytes int) error {
 	return c.awaitMemory(func(ctx context.Context) error { return c.lease.Grow(ctx, memorybudget.Lines, int64(bytes)) })
--- a/internal/tier/proxy/retries.go
+++ b/internal/tier/proxy/retries.go
@@ -49,6 +49,7 @@
 	if errors.As(err, &failure) && failure.Kind == upstream.NeverSent {
 		return c.handleNeverSent(a, failure.Reason)
 	}
+	a.noMemory = failure != nil && failure.Reason == upstream.NoMemory
 	return c.handleIncomplete(a)
 }
 
--- a/internal/tier/upstream/connection.go
+++ b/internal/tier/upstream/connection.go
@@ -26,9 +26,10 @@
 	socket    net.Conn
 	raw       syscall.RawConn // nil: the connection isn't a socket of the operating system
 	reader    *bufio.Reader
-	readLeft  int64     // bytes that may still be read before reads fail with errHeadTooLarge
-	requests  int       // number of requests written, or being written, on it
-	idleUntil time.Time // when it expires while idle
+	readLeft  int64      // bytes that may still be read before reads fail with errHeadTooLarge
+	head      *headGuard // of the head that is being read; nil: none is
+	requests  int        // number of requests written, or being written, on it
+	idleUntil time.Time  // when it expires while idle
 
 	carriedHead bool // one of the requests was a HEAD, whose response has no body even if its head has a Content-Length
 }
@@ -43,10 +44,10 @@
 	return c
 }
 
-// limitedSocket reads from a connection's socket, at most connection.readLeft bytes.
+// limitedSocket reads from a connection's socket, at most connection.readLeft bytes, and what connection.head accepts.
 type limitedSocket struct{ c *connection }
 
-// Read reads from the socket. It fails with errHeadTooLarge once readLeft is used up.
+// Read reads from the socket. It fails with errHeadTooLarge once readLeft is used up, and with the errors of headGuard.
 func (s limitedSocket) Read(buffer []byte) (int, error) {
 	if s.c.readLeft <= 0 {
 		return 0, errHeadTooLarge
@@ -56,9 +57,28 @@
 	}
 	n, err := s.c.socket.Read(buffer)
 	s.c.readLeft -= int64(n)
+	if s.c.head != nil {
+		if refused := s.c.head.accept(buffer[:n]); refused != nil {
+			return 0, refused
+		}
+	}
 	return n, err
 }
 
+// beginHead bounds what is read until endHead: the head of a response, of which a part may have been read along with the response before.
+// The error is one of headGuard's.
+func (c *connection) beginHead(maxBytes int64, maxFields int, reserve func(bytes int64) bool) error {
+	c.readLeft = maxBytes
+	c.head = &headGuard{maxFields: maxFields, reserve: reserve}
+	buffered, _ := c.reader.Peek(c.reader.Buffered())
+	return c.head.accept(buffered)
+}
+
+// endHead ends the bounds of beginHead.
+func (c *connection) endHead() {
+	c.readLeft, c.head = unlimited, nil
+}
+
 // reusable reports whether an idle connection can carry another request: it hasn't expired, and the endpoint has neither closed it
 // nor sent unsolicited bytes.
 func (c *connection) reusable(now time.Time) bool {
--- a/internal/tier/upstream/errors.go
+++ b/internal/tier/upstream/errors.go
@@ -33,6 +33,7 @@
 	WriteFailed     Reason = "write"       // no byte of the request could be written
 	ReadFailed      Reason = "read"        // reading the response failed
 	ForeignResponse Reason = "foreign"     // only responses to other requests were received
+	NoMemory        Reason = "memory"      // Request.ReserveHead refused the response's head
 	Cancelled       Reason = "cancelled"   // the caller's context ended
 	InvalidRequest  Reason = "bad_request" // the request can't be written as valid HTTP/1.1
 )
--- a/internal/tier/upstream/exchange.go
+++ b/internal/tier/upstream/exchange.go
@@ -29,7 +29,7 @@
 // TimeLeftHeader is the request header field with the time until the request's deadline in milliseconds.
 const TimeLeftHeader = "X-Time-Left-Ms"
 
-// Errors of readHead. readError maps errForeign to ForeignResponse and the others to ReadFailed.
+// Errors of readHead. readError maps errForeign to ForeignResponse, errNoHeadMemory to NoMemory and the others to ReadFailed.
 var (
 	errForeign       = errors.New("response doesn't carry the X-Attempt-Id of its request")
 	errInformational = errors.New("more informational (1xx) responses than allowed before a response")
@@ -132,8 +132,11 @@
 // sent.
 func (e *exchange) readError(err error) *Error {
 	reason := ReadFailed
-	if errors.Is(err, errForeign) {
+	switch {
+	case errors.Is(err, errForeign):
 		reason = ForeignResponse
+	case errors.Is(err, errNoHeadMemory):
+		reason = NoMemory
 	}
 	if e.writeDone != nil {
 		e.connection.socket.Close()
@@ -196,12 +199,14 @@
 	c := e.connection
 	httpRequest := &http.Request{Method: e.request.Method}
 	for informational, foreign := 0, 0; ; {
-		c.readLeft = e.pool.options.MaxHeaderBytes
+		if err := c.beginHead(e.pool.options.MaxHeaderBytes, e.pool.options.MaxHeaderFields, e.request.ReserveHead); err != nil {
+			return nil, err
+		}
 		response, err := http.ReadResponse(c.reader, httpRequest)
 		if err != nil {
 			return nil, err
 		}
-		c.readLeft = unlimited
+		c.endHead()
 		if response.StatusCode < http.StatusOK && response.StatusCode != http.StatusSwitchingProtocols {
 			informational++
 			if informational > maxInformational {
--- a/internal/tier/upstream/request.go
+++ b/internal/tier/upstream/request.go
@@ -29,6 +29,10 @@
 	// the request is written, since establishing a connection takes time too. Zero: no X-Time-Left-Ms is sent.
 	Deadline time.Time
 
+	// ReserveHead reserves memory for the head of a response beyond what each ordinary one takes: so many bytes in all, not as many more. It
+	// is called by Pool.Do as the head arrives; false ends the exchange with NoMemory. Nil: the memory isn't bounded.
+	ReserveHead func(bytes int64) bool
+
 	carriedBy []*connection // connections on which the request has been sent
 }
 
