platformlist: a list is bounded by its entries and bytes as it is decoded

What callers saw: a controller runs out of memory and ends while the platform's list is faulty, and with a list that is taken so does any process that holds the view.

Cause: a page was read whole, up to 8 MiB, and decoded at once into entries that take some forty times the bytes of '{}'; 4,096 such pages were collected; names of megabytes went into the view.

Change: a page is decoded entry by entry, and entries that can't be endpoints are dropped there. A larger list fails as one whose pages never end does: the last list stays in force.

--- a/internal/tier/platformlist/client.go
+++ b/internal/tier/platformlist/client.go
@@ -2,13 +2,12 @@
 
 import (
 	"context"
-	"encoding/json"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/url"
 	"strconv"
+	"syscall"
 	"time"
 
 	"mastusher/internal/tier/network"
@@ -16,11 +15,12 @@
 
 // Bounds of one call.
 const (
-	callTimeout    = 2 * time.Second
-	maxPageBytes   = 8 << 20
-	maxHeaderBytes = 64 << 10
-	maxDrainBytes  = 64 << 10 // of an unwanted response body, read so that its connection can be reused
-	maxRetryAfter  = 5 * time.Second
+	callTimeout        = 2 * time.Second
+	maxPageBytes       = 8 << 20
+	maxHeaderBytes     = 64 << 10
+	receiveBufferBytes = 128 << 10 // requested of the system; it takes up to twice as much
+	maxDrainBytes      = 64 << 10  // of an unwanted response body, read so that its connection can be reused
+	maxRetryAfter      = 5 * time.Second
 )
 
 // connection is one reusable connection to the platform. http.Client must not be used: its transport retries a request when an idle
@@ -37,13 +37,21 @@
 		transport: http.Transport{
 			MaxResponseHeaderBytes: maxHeaderBytes,
 			DisableCompression:     true,
-			DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-				return on.Dial(ctx, new(net.Dialer), network, address)
+			DialContext: func(ctx context.Context, kind, address string) (net.Conn, error) {
+				return on.Dial(ctx, newDialer(), kind, address)
 			},
 		},
 	}
 }
 
+// newDialer returns a dialer that bounds the receive buffer.
+func newDialer() *net.Dialer {
+	return &net.Dialer{Control: func(_, _ string, raw syscall.RawConn) error {
+		network.SetReceiveBuffer(raw, receiveBufferBytes)
+		return nil
+	}}
+}
+
 // send makes one call, on the open connection or else on a new one.
 func (c *connection) send(request *http.Request) (*http.Response, error) {
 	if c.current != nil && c.current.Err() != nil {
@@ -70,7 +78,7 @@
 	}
 }
 
-// fetch gets one page; an empty token selects the first one. Its errors are UnreachableError, StatusError, ErrPageTooLarge,
+// fetch gets one page; an empty token selects the first one. Its errors are UnreachableError, StatusError, ErrPageTooLarge, ErrListTooLarge,
 // ErrMalformedPage, and errors of reading the body.
 func (r *Reader) fetch(ctx context.Context, token string) (page, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
@@ -103,24 +111,6 @@
 	return target.String()
 }
 
-func decodePage(body io.Reader) (page, error) {
-	text, err := io.ReadAll(io.LimitReader(body, maxPageBytes+1))
-	if err != nil {
-		return page{}, err
-	}
-	if len(text) > maxPageBytes {
-		return page{}, ErrPageTooLarge
-	}
-	var decoded page
-	if err := json.Unmarshal(text, &decoded); err != nil {
-		return page{}, fmt.Errorf("%w: %w", ErrMalformedPage, err)
-	}
-	if decoded.Servers == nil {
-		return page{}, fmt.Errorf("%w: field servers is missing", ErrMalformedPage)
-	}
-	return decoded, nil
-}
-
 // parseRetryAfter returns the Retry-After header, in seconds with an optional fraction, bounded by maxRetryAfter; 0 if it is missing
 // or invalid.
 func parseRetryAfter(header http.Header) time.Duration {
--- a/internal/tier/platformlist/errors.go
+++ b/internal/tier/platformlist/errors.go
@@ -33,6 +33,7 @@
 // Errors of invalid responses and options.
 var (
 	ErrPageTooLarge  = errors.New("list of endpoints: page exceeds the size limit")
+	ErrListTooLarge  = errors.New("list of endpoints: list exceeds the size limit")
 	ErrMalformedPage = errors.New("list of endpoints: malformed page")
 	ErrEndlessList   = errors.New("list of endpoints: pages have no end")
 	ErrNoRate        = errors.New("list of endpoints: rate must be above 0 calls per second")
--- a/internal/tier/platformlist/pager.go
+++ b/internal/tier/platformlist/pager.go
@@ -6,21 +6,23 @@
 	"mastusher/internal/tier/model"
 )
 
-// maxPages bounds the pages of one read.
-const maxPages = 4096
-
-// page is one response of the platform.
-type page struct {
-	Servers   []model.Endpoint `json:"servers"`
-	NextToken *string          `json:"nextToken"` // nil or empty: the last page
-}
+// Bounds of one read. They are at least three times the target size (docs/CAPACITY.md), for the list is kept in every process.
+const (
+	maxPages      = 4096
+	maxEntries    = 16384
+	maxListBytes  = 8 << 20
+	maxNameBytes  = 256 // of an endpoint's id, service, address, zone, version or state
+	maxTokenBytes = 4 << 10
+)
 
 // pager collects the pages of one read.
 type pager struct {
-	token string // of the next page; empty for the first page
-	pages int
-	done  bool
-	found map[string]model.Endpoint // by ID
+	token   string // of the next page; empty for the first page
+	pages   int
+	entries int
+	bytes   int
+	done    bool
+	found   map[string]model.Endpoint // by ID
 }
 
 func newPager() *pager {
@@ -29,12 +31,18 @@
 
 // accept adds the page of the current token. An endpoint that moves between pages may occur twice: the later entry replaces the
 // earlier one, except that a draining endpoint stays draining. accept returns ErrEndlessList if a page leads to itself or there are
-// too many pages.
+// too many pages, and ErrListTooLarge if the pages so far have too many entries or bytes.
 func (p *pager) accept(next page) error {
 	p.pages++
+	p.entries += next.Entries
+	p.bytes += next.Bytes
+	if p.entries > maxEntries || p.bytes > maxListBytes {
+		return fmt.Errorf("%w: %d entries and %d bytes on %d pages, want at most %d and %d", ErrListTooLarge, p.entries, p.bytes, p.pages,
+			maxEntries, maxListBytes)
+	}
 	for _, endpoint := range next.Servers {
-		if endpoint.ID == "" || endpoint.Address == "" {
-			continue // the entry does not identify an endpoint
+		if !identifiesEndpoint(&endpoint) {
+			continue
 		}
 		if p.found[endpoint.ID].State == model.Draining {
 			endpoint.State = model.Draining
--- a/internal/tier/platformlist/pager_test.go
+++ b/internal/tier/platformlist/pager_test.go
@@ -42,6 +42,8 @@
 		{name: "an entry without ID and address", pages: []page{{Servers: []model.Endpoint{{Service: "s"}}}}, want: read(), done: true},
 		{name: "not the last page", pages: []page{{NextToken: &second}}, want: read()},
 		{name: "a page that leads to itself", pages: []page{{NextToken: &second}, {NextToken: &second}}, want: read(), wantErr: ErrEndlessList},
+		{name: "too many entries on all pages", pages: []page{{Entries: maxEntries, NextToken: &second}, {Entries: 1}}, want: read(), wantErr: ErrListTooLarge},
+		{name: "too many bytes on all pages", pages: []page{{Bytes: maxListBytes, NextToken: &second}, {Bytes: 1}}, want: read(), wantErr: ErrListTooLarge},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
