balancer: endpoints that were slow are tried again with short deadlines

Cause: a request with less time than the median is rejected unsent. Where that holds for all endpoints, no call ends any more, so no table learns that it is wrong; the counts halve each 20 s and must fall below 4, which takes minutes after a busy time.

Change: if for a second no call of the service has been answered, one request goes to an endpoint that has none of this proxy's, whatever its median. If its answer takes less than half of that, the tables of the endpoint and the service are dropped: they don't predict its times any more. Decay is free by the design; that messages with less time than the median stay unsent is kept but for this one a second. The property test said that such a request is never sent; it now says that it is sent only under this condition, which it tracks by itself.

--- a/internal/tier/balancer/outcome.go
+++ b/internal/tier/balancer/outcome.go
@@ -26,6 +26,9 @@
 	if a.usesRetryBudget {
 		e.service.budget.spend()
 	}
+	if a.refresh {
+		e.service.lastRefreshAt = b.now
+	}
 	if a.probe {
 		e.health.probeSent(b.now, b.nextRandom())
 	}
@@ -101,8 +104,12 @@
 	if e.health.recordAnswer(a.sentAt) {
 		plan.resetStats(e)
 	}
+	svc.lastAnswerAt = b.now
 	svc.work.record(b.now, a, took.Seconds())
 	units := b.toWorkUnits(a, took)
+	if a.refresh {
+		plan.refreshTables(e, units)
+	}
 	plan.statsFor(e).times.Add(b.now, units)
 	plan.serviceTimes.Add(b.now, units)
 	b.recordRetry(a, units)
--- a/internal/tier/balancer/properties_test.go
+++ b/internal/tier/balancer/properties_test.go
@@ -34,6 +34,8 @@
 	trace        []decisionRecord
 	sent         float64
 	sentToTarget float64
+	answeredAt   time.Duration // when a call was last answered
+	refreshedAt  time.Duration // when a request was last sent with less time left than the median
 }
 
 const runMaxInFlight = 16
@@ -134,8 +136,17 @@
 	}
 	p := e.service.plan(d.Attempt.kind)
 	if estimates := p.estimatesFor(e); estimates.known && r.TimeLeft < time.Duration(d.Attempt.workScale*float64(estimates.median)) {
+		w.checkRefresh(e)
+	}
+}
+
+// checkRefresh checks that a request with less time left than the median of its endpoint may be sent there: for a second no call has been
+// answered, and no such request sent, and this proxy has no call in flight there.
+func (w *randomRun) checkRefresh(e *endpoint) {
+	if w.now-max(w.answeredAt, w.refreshedAt) < time.Second || len(e.inFlight) > 0 {
 		w.t.Fatal("a request is sent with less time left than the median")
 	}
+	w.refreshedAt = w.now
 }
 
 func (w *randomRun) endAttempt() {
@@ -145,6 +156,9 @@
 	i := rapid.IntRange(0, len(w.inFlight)-1).Draw(w.t, "attempt")
 	a, sentAt := w.inFlight[i], w.sentAt[i]
 	if a.kind == streamCall && rapid.Bool().Draw(w.t, "first event") {
+		if !a.firstEventSeen {
+			w.answeredAt = w.now
+		}
 		w.balancer.FirstEvent(w.now, a, Load{Running: 1, Capacity: 2})
 		return
 	}
@@ -154,6 +168,9 @@
 		o.Load = Load{Running: rapid.IntRange(0, 2).Draw(w.t, "running"), Capacity: 2,
 			Queued: rapid.IntRange(0, 2).Draw(w.t, "queued")}
 	}
+	if o.Kind == Success && !a.firstEventSeen {
+		w.answeredAt = w.now
+	}
 	w.balancer.Done(w.now, a, o)
 	w.backoffs[a.endpoint.model.ID] = a.endpoint.health.backoffUntil
 }
--- a/internal/tier/balancer/request.go
+++ b/internal/tier/balancer/request.go
@@ -119,6 +119,7 @@
 	sent            bool // between Sent and Done
 	firstEventSeen  bool // its first event has arrived
 	probe           bool
+	refresh         bool // sent though less time is left than the endpoint's median
 	usesRetryBudget bool
 	afterTimeout    bool // the previous attempt was abandoned at its planned timeout
 }
--- a/internal/tier/balancer/selection.go
+++ b/internal/tier/balancer/selection.go
@@ -230,11 +230,12 @@
 }
 
 // decide returns the decision to send the request to an endpoint, with a timeout by the plan; or rejects the request if less time is
-// left than the endpoint's median.
+// left than the endpoint's median, unless the endpoint's table is due to be refreshed.
 func (sel *selection) decide(svc *service, e *endpoint) Decision {
 	estimates := sel.plan.estimatesFor(e)
 	left := sel.request.TimeLeft
-	if median := sel.scaled(estimates.median); estimates.known && left < median {
+	tooShort := estimates.known && left < sel.scaled(estimates.median)
+	if tooShort && !svc.mayRefresh(sel.now, e) {
 		return reject(DeadlineTooShort, 0)
 	}
 	decision := Decision{Endpoint: e.model, Timeout: left, UntilDeadline: true}
@@ -246,7 +247,7 @@
 	}
 	decision.Attempt = Attempt{endpoint: e, kind: sel.plan.kind, affinityKey: sel.request.AffinityKey, workScale: sel.workScale,
 		expected: seconds(estimates.expected[sel.attemptsLeft]), probe: e.unhealthy(), usesRetryBudget: sel.request.MayHaveRun,
-		afterTimeout: sel.request.AfterTimeout && estimates.known}
+		afterTimeout: sel.request.AfterTimeout && estimates.known, refresh: tooShort}
 	return decision
 }
 
--- a/internal/tier/balancer/service.go
+++ b/internal/tier/balancer/service.go
@@ -23,6 +23,8 @@
 	load            serviceLoad
 	lastRetryableAt time.Duration // when the last retryable request came
 	sawRetryable    bool
+	lastAnswerAt    time.Duration // when a call was last answered
+	lastRefreshAt   time.Duration // when an attempt was last sent to refresh a table
 	lastNonEmptyAt  time.Duration // when the list last had an endpoint of the service
 }
 
