balancer: an abandoned call counts as running until its deadline at most

Cause: a cancelled or timed-out call is assumed to run on for its predicted time, all tokens that it may generate included: half an hour for 300,000. Ninety-six of them fill an endpoint of 64 places.

Change: the assumption ends at the request's deadline.

Measured: TestDone_CancelledLongStream_CountsAsInFlightUntilItsDeadline failed before (1 in flight after the deadline).

--- a/internal/tier/balancer/load.go
+++ b/internal/tier/balancer/load.go
@@ -113,10 +113,10 @@
 	}
 }
 
-// remainingTime returns how much longer an abandoned call is assumed to run.
+// remainingTime returns how much longer an abandoned call is assumed to run, at most until its deadline, at which its endpoint stops.
 func (b *Balancer) remainingTime(a *Attempt, o Outcome) time.Duration {
 	svc := a.endpoint.service
 	total := svc.work.predict(a.kind, a.route, a.promptTokens)
 	total += a.outputTokens * a.endpoint.pace.perToken(svc.work.pace.perToken(priorSecondsPerOutputToken))
-	return max(0, seconds(abandonedRunFactor*total)-o.Elapsed)
+	return max(0, min(seconds(abandonedRunFactor*total)-o.Elapsed, a.deadline-b.now))
 }
--- a/internal/tier/balancer/load_test.go
+++ b/internal/tier/balancer/load_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"mastusher/internal/tier/model"
 )
 
 func TestSelect_AllEndpointsAtCapacity_RejectsAsSaturated(t *testing.T) {
@@ -37,6 +39,24 @@
 	}
 }
 
+// A cancelled stream must not count as running beyond its deadline. One that may generate many tokens counted for half an hour, so that its
+// endpoint, though idle, took no requests.
+func TestDone_CancelledLongStream_CountsAsInFlightUntilItsDeadline(t *testing.T) {
+	balancer := newBalancer(endpointsOf("feeds", 1, 6))
+	r := atMostOnceRequest()
+	r.Route.Kind, r.OutputTokens, r.TimeLeft = model.Streaming, 300_000, 4*time.Second
+	d := balancer.Select(0, r)
+	balancer.Sent(0, &d.Attempt)
+	balancer.Done(time.Second, &d.Attempt, Outcome{Kind: Cancelled, Elapsed: time.Second})
+	e := balancer.endpoints["feeds-0"]
+	if got := e.estimatedInFlight(3900*time.Millisecond, 0); got < 1 {
+		t.Errorf("in flight before the deadline: %v, want at least 1", got)
+	}
+	if got := e.estimatedInFlight(4100*time.Millisecond, 0); got > 0 {
+		t.Errorf("in flight after the deadline: %v, want none", got)
+	}
+}
+
 func TestSelect_OneEndpoint_TakesAtMostItsShareOfInFlight(t *testing.T) {
 	balancer := New(Options{Seed: 1, MaxInFlight: 16})
 	list := endpointsOf("feeds", 1, 1000)
--- a/internal/tier/balancer/request.go
+++ b/internal/tier/balancer/request.go
@@ -114,6 +114,7 @@
 	outputTokens    float64
 	workScale       float64       // predicted work as a multiple of workUnit
 	expected        time.Duration // expected time by the plan, in units of work
+	deadline        time.Duration // of the request
 	sentAt          time.Duration
 	firstEventAt    time.Duration
 	sent            bool // between Sent and Done
--- a/internal/tier/balancer/selection.go
+++ b/internal/tier/balancer/selection.go
@@ -245,7 +245,7 @@
 			decision.Timeout, decision.UntilDeadline = timeout, false
 		}
 	}
-	decision.Attempt = Attempt{endpoint: e, kind: sel.plan.kind, affinityKey: sel.request.AffinityKey, workScale: sel.workScale,
+	decision.Attempt = Attempt{endpoint: e, kind: sel.plan.kind, affinityKey: sel.request.AffinityKey, workScale: sel.workScale, deadline: sel.now + left,
 		expected: seconds(estimates.expected[sel.attemptsLeft]), probe: e.unhealthy(), usesRetryBudget: sel.request.MayHaveRun,
 		afterTimeout: sel.request.AfterTimeout && estimates.known, refresh: tooShort}
 	return decision
