--- a/internal/tier/upstream/headmeter.go
+++ b/internal/tier/httphead/meter.go
@@ -1,19 +1,18 @@
-package upstream
+// Package httphead measures the heads of HTTP/1.1 requests and responses as their bytes arrive. Packages proxy and upstream use it to
+// reserve the memory that a head takes once net/http has parsed it, before it is parsed. A Meter belongs to one goroutine.
+package httphead
 
-import (
-	"errors"
-	"strings"
-)
+import "strings"
 
-// Memory of a response's head once it is parsed.
+// Memory of a head once it is parsed.
 const (
-	// freeHeadBytes is the part of a head that fits into a connection's read buffer.
-	freeHeadBytes = readBufferBytes
+	// freeHeadBytes is the part of a head that fits into the buffer from which it is parsed.
+	freeHeadBytes = 4 << 10
 	// headCopies is how often the bytes of a head are in memory: as a line, as header fields, and in the error if they aren't valid.
 	headCopies = 3
-	// freeHeadFields is the number of fields for which no memory is counted: more than ordinary responses have.
+	// freeHeadFields is the number of fields for which no memory is counted: more than ordinary heads have.
 	freeHeadFields = 32
-	// fieldBytes is what a field takes beyond its bytes, in the maps of the response and of what is forwarded.
+	// fieldBytes is what a field takes beyond its bytes, in the maps of what was received and of what is forwarded.
 	fieldBytes = 256
 )
 
@@ -25,9 +24,8 @@
 	return strings.EqualFold(string(name), "trailer") || strings.EqualFold(string(name), "connection")
 }
 
-// headMeter measures the head of a response as its bytes arrive, before it is parsed: a small field takes many times its bytes then. The
-// zero value is at the beginning of a head.
-type headMeter struct {
+// Meter measures a head, of which a small field takes many times its bytes once it is parsed. The zero value is at the beginning of a head.
+type Meter struct {
 	bytes  int
 	fields int  // lines, and names in fields with lists of names
 	ended  bool // the empty line after the head has come
@@ -38,8 +36,8 @@
 	inList    bool                   // the current field's value is a list of names
 }
 
-// add measures the next bytes. Those after the end of the head don't count.
-func (m *headMeter) add(data []byte) {
+// Add measures the next bytes. Those after the end of the head don't count.
+func (m *Meter) Add(data []byte) {
 	for _, b := range data {
 		if m.ended {
 			return
@@ -56,7 +54,7 @@
 }
 
 // addByte measures one byte of a line.
-func (m *headMeter) addByte(b byte) {
+func (m *Meter) addByte(b byte) {
 	switch {
 	case m.inValue:
 		if b == ',' && m.inList {
@@ -74,39 +72,16 @@
 }
 
 // endLine ends a line. An empty one ends the head.
-func (m *headMeter) endLine() {
+func (m *Meter) endLine() {
 	m.fields++
 	m.ended = m.lineBytes == 0
 	m.lineBytes, m.inValue = 0, false
 }
 
-// memory returns the bytes that the head takes beyond those of an ordinary one.
-func (m *headMeter) memory() int64 {
+// Memory returns the bytes that the head takes beyond those of an ordinary one.
+func (m *Meter) Memory() int64 {
 	return headCopies*int64(max(m.bytes-freeHeadBytes, 0)) + fieldBytes*int64(max(m.fields-freeHeadFields, 0))
 }
 
-// Errors of headGuard.
-var (
-	errTooManyFields = errors.New("response head has more fields than the configured maximum")
-	errNoHeadMemory  = errors.New("no memory for the head of a response")
-)
-
-// headGuard bounds the fields and the memory of a head before it is parsed.
-type headGuard struct {
-	headMeter
-	maxFields int
-	reserve   func(bytes int64) bool // reserves so much memory in all; nil: it isn't bounded
-}
-
-// accept measures the next bytes. The error is errTooManyFields or errNoHeadMemory.
-func (g *headGuard) accept(data []byte) error {
-	before := g.memory()
-	g.add(data)
-	if g.fields > g.maxFields {
-		return errTooManyFields
-	}
-	if now := g.memory(); g.reserve != nil && now > before && !g.reserve(now) {
-		return errNoHeadMemory
-	}
-	return nil
-}
+// Fields returns the number of lines, and of names in fields that list names.
+func (m *Meter) Fields() int { return m.fields }
--- a/internal/tier/upstream/headmeter_test.go
+++ b/internal/tier/httphead/meter_test.go
@@ -1,13 +1,12 @@
-package upstream
+package httphead
 
 import (
-	"errors"
 	"fmt"
 	"strings"
 	"testing"
 )
 
-func TestHeadMeter_AnySplit_CountsFieldsUntilTheHeadEnds(t *testing.T) {
+func TestMeter_AnySplit_CountsFieldsUntilTheHeadEnds(t *testing.T) {
 	cases := []struct {
 		name   string
 		text   string
@@ -27,9 +26,9 @@
 	for _, test := range cases {
 		for _, size := range []int{1, 3, len(test.text)} {
 			t.Run(fmt.Sprintf("%s by %d", test.name, size), func(t *testing.T) {
-				var meter headMeter
+				var meter Meter
 				for rest := test.text; len(rest) > 0; rest = rest[min(size, len(rest)):] {
-					meter.add([]byte(rest[:min(size, len(rest))]))
+					meter.Add([]byte(rest[:min(size, len(rest))]))
 				}
 				if meter.fields != test.fields || meter.bytes != test.bytes || meter.ended != test.ended {
 					t.Errorf("%d fields, %d bytes, ended %v, want %d, %d, %v", meter.fields, meter.bytes, meter.ended, test.fields, test.bytes, test.ended)
@@ -39,22 +38,21 @@
 	}
 }
 
-func TestHeadGuard_MoreThanOrdinary_ReservesOnceAndRefuses(t *testing.T) {
-	var asked []int64
-	guard := headGuard{maxFields: 100, reserve: func(bytes int64) bool {
-		asked = append(asked, bytes)
-		return bytes < 20_000
-	}}
-	if err := guard.accept([]byte("HTTP/1.1 200 OK\r\n" + strings.Repeat("x", freeHeadBytes-17))); err != nil || len(asked) != 0 {
-		t.Errorf("an ordinary head: error %v, asked for %v", err, asked)
-	}
-	if err := guard.accept(make([]byte, 1000)); err != nil || len(asked) != 1 || asked[0] != headCopies*1000 {
-		t.Errorf("1,000 bytes more: error %v, asked for %v", err, asked)
-	}
-	if err := guard.accept([]byte("\r\n" + strings.Repeat("a:\n", 98))); !errors.Is(err, errNoHeadMemory) {
-		t.Errorf("memory refused: error %v", err)
+func TestMeter_Memory_CountsWhatExceedsAnOrdinaryHead(t *testing.T) {
+	cases := []struct {
+		name string
+		text string
+		want int64
+	}{
+		{"ordinary head", "GET / HTTP/1.1\r\n" + strings.Repeat("A: 1\r\n", freeHeadFields-2), 0},
+		{"long line", strings.Repeat("x", freeHeadBytes+1000), headCopies * 1000},
+		{"fields", strings.Repeat("a:\n", freeHeadFields+10), fieldBytes * 10},
 	}
-	if err := guard.accept([]byte("a:\na:\n")); !errors.Is(err, errTooManyFields) {
-		t.Errorf("too many fields: error %v", err)
+	for _, test := range cases {
+		var meter Meter
+		meter.Add([]byte(test.text))
+		if got := meter.Memory(); got != test.want {
+			t.Errorf("%s: %d bytes, want %d", test.name, got, test.want)
+		}
 	}
 }
--- a/internal/tier/overloadtest/crowd_test.go
+++ b/internal/tier/overloadtest/crowd_test.go
@@ -341,3 +341,27 @@
 	}
 	f.checkProcesses()
 }
+
+// A request's head inside maxHeaderBytes must not take many times its bytes: with thousands of small fields it did, in each request that an
+// endpoint was at work on.
+func TestHeads_ManySmallFields_MemoryStaysWithinLimit(t *testing.T) {
+	const headBytes = 15 << 10 // inside maxHeaderBytes of the configuration
+	fields := strings.TrimSuffix(strings.ReplaceAll(manyFields(headBytes*5/6), "\n", "\r\n"), "\r\n")
+	t.Run("complete, while endpoints are at work", func(t *testing.T) {
+		f := newFloodFixture(t, 0)
+		f.flooded = []string{fields}
+		silent := flood{moment: afterRequest, head: ordinaryHead, framing: chunkFraming, body: lettersBody, pace: stalled, stallAt: 10}
+		f.flood(headClients, floodTime, func() flood { return silent })
+	})
+	t.Run("incomplete", func(t *testing.T) {
+		f := newFixture(t)
+		f.run(headClients, func(ctx context.Context, _ int) {
+			connection := connect(ctx, f.front)
+			if connection == nil {
+				return
+			}
+			_, _ = io.WriteString(connection, "POST "+plainPath+" HTTP/1.1\r\nHost: "+localtier.Host+"\r\n"+fields+"\r\n")
+			hold(ctx, connection)
+		})
+	})
+}
--- a/internal/tier/overloadtest/floodingendpoint_test.go
+++ b/internal/tier/overloadtest/floodingendpoint_test.go
@@ -199,6 +199,7 @@
 type floodFixture struct {
 	*fixture
 	endpoints *floodingEndpoints
+	flooded   []string // further header fields of flooded requests
 }
 
 // newFloodFixture starts a tier with low limits whose endpoints answer ordinarily.
@@ -230,7 +231,7 @@
 	path := []string{plainPath, streamPath, turnPath, resumablePath, filePath}[client%5]
 	attempt := f.attempt()
 	fields := []string{"Program: flooded-" + attempt, "Budget: 100000000", "X-Token-Counts: 10,300000", timeLeftHeader + ": 4000", "Connection: close"}
-	head := request{path: path, attempt: attempt, fields: fields}.head()
+	head := request{path: path, attempt: attempt, fields: append(fields, f.flooded...)}.head()
 	if _, err := io.WriteString(connection, head); err != nil {
 		connection.Close()
 		return
--- a/internal/tier/proxy/clientconn.go
+++ b/internal/tier/proxy/clientconn.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"sync"
 
+	"mastusher/internal/tier/httphead"
 	"mastusher/internal/tier/memorybudget"
 	"mastusher/internal/tier/network"
 )
@@ -19,11 +20,11 @@
 	lease     *memorybudget.Lease // of the connection and the heads that arrive on it
 	moreBytes int64               // of the lease, for an enlarged receive buffer; belongs to the goroutine that serves the connection
 
-	mutex     sync.Mutex // guards the fields below
-	idle      bool       // no byte of the next request has been read
-	closing   bool       // no further request may be read
-	inRequest bool       // a request's head has been read, and its response isn't complete
-	headBytes int64      // read of the current head
+	mutex     sync.Mutex     // guards the fields below
+	idle      bool           // no byte of the next request has been read
+	closing   bool           // no further request may be read
+	inRequest bool           // a request's head has been read, and its response isn't complete
+	head      httphead.Meter // of the current head
 }
 
 // Memory of a client's connection, in bytes.
@@ -36,10 +37,6 @@
 	bodyReceiveBuffer = 128 << 10
 	// connectionBytes is what a connection takes: its receive buffer, its goroutine, and net/http's buffers.
 	connectionBytes = 32 << 10
-	// freeHeadBytes is the part of a head that fits into net/http's buffer.
-	freeHeadBytes = 4 << 10
-	// headCopies is how often a head is in memory: as lines, as header fields and as the fields that are forwarded.
-	headCopies = 3
 )
 
 // errHeadRefused is the read error of a head for which there is no memory.
@@ -57,18 +54,18 @@
 		return 0, net.ErrClosed
 	}
 	c.idle = false
-	if !c.inRequest && !c.reserveHead(n) {
+	if !c.inRequest && !c.reserveHead(buffer[:n]) {
 		return 0, errHeadRefused
 	}
 	return n, err
 }
 
 // reserveHead reserves memory for the next bytes of a head. The caller holds the mutex.
-func (c *clientConn) reserveHead(n int) bool {
-	c.lease.Progressed(n)
-	before := max(c.headBytes, freeHeadBytes)
-	c.headBytes += int64(n)
-	return c.headBytes <= freeHeadBytes || c.lease.TryGrow(memorybudget.Connections, headCopies*(c.headBytes-before))
+func (c *clientConn) reserveHead(data []byte) bool {
+	c.lease.Progressed(len(data))
+	before := c.head.Memory()
+	c.head.Add(data)
+	return c.lease.TryGrow(memorybudget.Connections, c.head.Memory()-before)
 }
 
 // awaitHead says that the client is to send a head. It may be made to give its connection back.
@@ -99,7 +96,7 @@
 func (c *clientConn) responseSent() {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	c.idle, c.inRequest, c.headBytes = true, false, 0
+	c.idle, c.inRequest, c.head = true, false, httphead.Meter{}
 	c.lease.ShrinkTo(memorybudget.Connections, connectionBytes+c.moreBytes)
 	if c.closing {
 		c.TCPConn.Close()
--- a/internal/tier/proxy/clientconn_test.go
+++ b/internal/tier/proxy/clientconn_test.go
@@ -4,7 +4,10 @@
 	"errors"
 	"io"
 	"net"
+	"strings"
 	"testing"
+
+	"mastusher/internal/tier/memorybudget"
 )
 
 // newPair returns both ends of a client's connection.
@@ -61,6 +64,26 @@
 	}
 }
 
+// A head of small fields must be charged with what it takes once it is parsed. It was charged with its bytes alone.
+func TestClientConn_HeadOfSmallFields_ReservesWhatItTakes(t *testing.T) {
+	const fields = 1000
+	budget := memorybudget.New(10<<20, memorybudget.ServerShares)
+	near, far := newPair(t)
+	near.lease, _ = budget.TryReserve(memorybudget.Connections, connectionBytes)
+	head := "GET / HTTP/1.1\r\n" + strings.Repeat("a:\n", fields) + "\r\n"
+	_, _ = io.WriteString(far, head)
+	if _, err := io.CopyN(io.Discard, struct{ io.Reader }{near}, int64(len(head))); err != nil {
+		t.Fatal(err)
+	}
+	if used := budget.Counts(memorybudget.Connections).Used; used < connectionBytes+fields*200 {
+		t.Errorf("%d bytes are reserved, want at least 200 for each of %d fields", used, fields)
+	}
+	near.responseSent()
+	if used := budget.Counts(memorybudget.Connections).Used; used != connectionBytes {
+		t.Errorf("%d bytes are reserved after the request, want %d", used, connectionBytes)
+	}
+}
+
 func TestClientConn_Idle_IsClosedAtOnce(t *testing.T) {
 	near, far := newPair(t)
 	near.closeWhenIdle()
--- a/internal/tier/proxy/server.go
+++ b/internal/tier/proxy/server.go
@@ -31,7 +31,7 @@
 	readinessWriteTimeout    = 5 * time.Second
 	readinessIdleTimeout     = 30 * time.Second // of a connection between two requests
 	readinessHeaderBytes     = 4 << 10          // net/http adds as much
-	readinessConnectionBytes = connectionBytes + headCopies*(readinessHeaderBytes+netHTTPHeaderSlop)
+	readinessConnectionBytes = connectionBytes
 )
 
 // Proxy is the HTTP data path. It is safe for concurrent use.
--- /dev/null
+++ b/internal/tier/upstream/headguard.go
@@ -0,0 +1,33 @@
+package upstream
+
+import (
+	"errors"
+
+	"mastusher/internal/tier/httphead"
+)
+
+// Errors of headGuard.
+var (
+	errTooManyFields = errors.New("response head has more fields than the configured maximum")
+	errNoHeadMemory  = errors.New("no memory for the head of a response")
+)
+
+// headGuard bounds the fields and the memory of a head before it is parsed.
+type headGuard struct {
+	meter     httphead.Meter
+	maxFields int
+	reserve   func(bytes int64) bool // reserves so much memory in all; nil: it isn't bounded
+}
+
+// accept measures the next bytes. The error is errTooManyFields or errNoHeadMemory.
+func (g *headGuard) accept(data []byte) error {
+	before := g.meter.Memory()
+	g.meter.Add(data)
+	if g.meter.Fields() > g.maxFields {
+		return errTooManyFields
+	}
+	if now := g.meter.Memory(); g.reserve != nil && now > before && !g.reserve(now) {
+		return errNoHeadMemory
+	}
+	return nil
+}
