transport: items of streams take their memory from the budget

Calls and notices reserve lines over 64 KiB, on both sides; a stream, by which an agent feeds views to its proxy, read lines of up to 64 MiB without.

--- a/internal/tier/transport/memory_test.go
+++ b/internal/tier/transport/memory_test.go
@@ -71,6 +71,38 @@
 	}
 }
 
+// An item of a stream must be reserved as other lines are. Streams read lines of up to 64 MiB without asking for memory.
+func TestStream_NoMemoryForLongItem_Fails(t *testing.T) {
+	handlers := NewHandlers()
+	HandleStream(handlers, "long", func(_ context.Context, _ question, send func(reply) error) error { return send(reply{Text: longText}) })
+	server, pool, ctx := startServer(t, "127.0.0.1:0", handlers), startPool(t), testContext(t)
+	budget := memorybudget.New(512<<10, memorybudget.ServerShares)
+	pool.SetMemory(budget)
+	err := Stream(ctx, pool, server.Address(), "long", question{}, func(reply) error { return nil })
+	var refused *refusedLineError
+	if !errors.As(err, &refused) {
+		t.Errorf("error %v, want a refused line", err)
+	}
+	if used := budget.Counts(memorybudget.Lines).Used; used != 0 {
+		t.Errorf("%d bytes are reserved after the stream", used)
+	}
+}
+
+func TestStream_MemoryForLongItem_Received(t *testing.T) {
+	handlers := NewHandlers()
+	HandleStream(handlers, "long", func(_ context.Context, _ question, send func(reply) error) error { return send(reply{Text: longText}) })
+	server, pool, ctx := startServer(t, "127.0.0.1:0", handlers), startPool(t), testContext(t)
+	pool.SetMemory(memorybudget.New(16<<20, memorybudget.ServerShares))
+	received := 0
+	err := Stream(ctx, pool, server.Address(), "long", question{}, func(item reply) error {
+		received += len(item.Text)
+		return nil
+	})
+	if err != nil || received != len(longText) {
+		t.Errorf("%d bytes, error %v; want %d", received, err, len(longText))
+	}
+}
+
 func TestServer_LongLineStopsShort_GivesItsMemoryToOthers(t *testing.T) {
 	budget := memorybudget.New(4<<20, memorybudget.Shares{memorybudget.Connections: 0.1, memorybudget.Small: 1, memorybudget.Lines: 0.9})
 	handlers := echoHandlers()
--- a/internal/tier/transport/stream.go
+++ b/internal/tier/transport/stream.go
@@ -4,12 +4,14 @@
 	"context"
 	"fmt"
 	"net"
+
+	"mastusher/internal/tier/memorybudget"
 )
 
 // Stream requests a series of items on its own connection and calls receive for each, in order, in the caller's goroutine. A slow
 // receive delays the sender; if it blocks for longer than the TCP timeout, the connection is lost. Stream returns nil at the end of
-// the series, the error of receive if that fails, a *RemoteError if the handler fails, and a *CallError if the connection breaks or
-// ctx ends.
+// the series, the error of receive if that fails, a *RemoteError if the handler fails, and a *CallError if the connection breaks, ctx ends
+// or there is no memory for an item.
 func Stream[Request, Item any](ctx context.Context, pool *Pool, address, method string, request Request, receive func(Item) error) error {
 	return pool.stream(ctx, address, method, request, func(body []byte) (func() error, error) {
 		var item Item
@@ -68,7 +70,13 @@
 // receive passes items to the receiver until the series ends. connectionErr is an error of the connection, streamErr an error of the
 // handler or the receiver.
 func (p *Pool) receive(socket net.Conn, id uint64, decodeItem decodeItem) (connectionErr, streamErr error) {
+	lease, err := p.memory.TryReserve(memorybudget.Lines, 0)
+	if err != nil {
+		return err, nil
+	}
+	defer lease.Release()
 	reader := newLineReader(socket, p.limits.lineBytes)
+	reader.reserveFrom(lease, func() { socket.Close() })
 	for {
 		text, err := reader.next()
 		if err != nil {
