proxy: the id of an event is bounded where it is kept and sent on

The id of a stream's last event may have had a megabyte; it was kept beside the event, and sent as Last-Event-Id in the head of the next attempt, whose buffer stayed in a pool.

Change: an id over 1 KiB counts as none: the event is forwarded as it is, and the stream can't be resumed after it, as after any event without id. Buffers over 16 KiB for the heads of requests aren't pooled.

Measured: TestResumedStream_LastIDIsTooLong_NotResumed failed before (the stream was resumed with a head of 500 KB).

--- a/internal/tier/proxy/eventparser.go
+++ b/internal/tier/proxy/eventparser.go
@@ -8,6 +8,9 @@
 // maxEventBytes bounds the size of one event, so that an endpoint whose bytes are not events cannot exhaust memory.
 const maxEventBytes = 1 << 20
 
+// maxEventIDBytes bounds the ids from which a stream can be resumed: they are kept, and sent to the next endpoint. A longer one counts as none.
+const maxEventIDBytes = 1 << 10
+
 // eventBatch is a number of complete events, in the order in which they arrived.
 type eventBatch struct {
 	bytes     []byte // as they arrived; valid until the parser is used again
@@ -157,7 +160,14 @@
 			p.output = append(append(p.output, value...), '\n')
 		}
 	case bytes.Equal(name, idField):
-		p.hasID = true
+		p.setID(value)
+	}
+}
+
+// setID sets the id of the current event. The last id counts.
+func (p *eventParser) setID(value []byte) {
+	p.hasID = len(value) <= maxEventIDBytes
+	if p.hasID {
 		p.id = string(value)
 	}
 }
--- a/internal/tier/proxy/eventparser_test.go
+++ b/internal/tier/proxy/eventparser_test.go
@@ -43,6 +43,12 @@
 			parseResult{Output: "a\n", LastID: "2", Count: 1}},
 		{"no blank line at the end", "data: a\n\nid: 3\ndata: b", parseResult{Output: "a\nb\n", LastID: "3", Count: 2}},
 		{"one line feed at the end", "data: a\n\ndata: b\n", parseResult{Output: "a\nb\n", Count: 2}},
+		{"longest id", "id: " + strings.Repeat("i", maxEventIDBytes) + "\ndata: a\n\n",
+			parseResult{Output: "a\n", LastID: strings.Repeat("i", maxEventIDBytes), Count: 1}},
+		{"id that is too long", "id: 1\ndata: a\n\nid: " + strings.Repeat("i", maxEventIDBytes+1) + "\ndata: b\n\n",
+			parseResult{Output: "a\nb\n", LastID: "1", Count: 2}},
+		{"id after one that is too long", "id: " + strings.Repeat("i", maxEventIDBytes+1) + "\nid: 2\ndata: b\n\n",
+			parseResult{Output: "b\n", LastID: "2", Count: 1}},
 		{"blank lines", "\n\n\ndata: a\n\n\n", parseResult{Output: "a\n", Count: 1}},
 	}
 	for _, test := range cases {
--- a/internal/tier/proxy/resumption_test.go
+++ b/internal/tier/proxy/resumption_test.go
@@ -125,6 +125,25 @@
 	}
 }
 
+// The id of an event must not become a head of half a megabyte at the next endpoint, and a stream whose last event has such an id can't be
+// resumed without a gap.
+func TestResumedStream_LastIDIsTooLong_NotResumed(t *testing.T) {
+	long := "id: " + strings.Repeat("i", 500<<10) + "\ndata: x\n\n"
+	first, second := newEndpoint(t, truncatedStream(event(1, "one"), long)), newEndpoint(t, chunkedStream(event(2, "two")))
+	f := newFixture(t, first, second)
+	c := f.dial()
+	c.send("GET /resume/x HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: id\r\n\r\n")
+	if got := c.readResponse("GET"); got.err == nil {
+		t.Errorf("the stream looks complete: %d bytes", len(got.body))
+	}
+	if outcome := <-f.selector.outcomes; outcome.Result != IncompleteResponse {
+		t.Errorf("outcome %+v, want IncompleteResponse", outcome)
+	}
+	if len(second.requests) != 0 {
+		t.Error("the stream was resumed")
+	}
+}
+
 // The rest of a stream was forwarded in another encoding than the client had been told: bytes that its head doesn't describe.
 func TestResumedStream_RestIsEncodedOtherwise_NotJoined(t *testing.T) {
 	encoded := respondWith(200, "\x1f\x8b\x08 not events", "Content-Type: text/event-stream", "Content-Encoding: gzip")
--- a/internal/tier/upstream/exchange.go
+++ b/internal/tier/upstream/exchange.go
@@ -15,6 +15,8 @@
 	// directWriteBytes is the largest body that is written before the response is read. A longer one is written while the response
 	// is read, since an endpoint may respond without reading all of it.
 	directWriteBytes = 32 << 10
+	// maxPooledHeadBytes is the largest buffer for the head of a request that is kept for later requests.
+	maxPooledHeadBytes = 16 << 10
 	// maxInformational is the largest number of informational (1xx) responses before a response.
 	maxInformational = 16
 	// maxForeignResponses is the largest number of foreign responses that are skipped before a response.
@@ -177,7 +179,9 @@
 	pooled := headBuffers.Get().(*[]byte)
 	defer headBuffers.Put(pooled)
 	head := e.request.appendHead((*pooled)[:0], e.pool.options.Now())
-	*pooled = head[:0]
+	if cap(head) <= maxPooledHeadBytes {
+		*pooled = head[:0]
+	}
 	if len(e.request.Body) == 0 {
 		n, err := e.connection.socket.Write(head)
 		return writeResult{int64(n), err}
