upstream: idle connections are bounded over all endpoints

Change: Options.MaxIdle bounds them over all endpoints; the one that has been idle for the longest time is closed. A proxy allows as many as a sixteenth of its memory limit has room for.

Measured: TestPool_MoreIdleConnectionsThanAllowed_ClosesTheOldest is new with the option. TestEndpoints_BytesOnIdleConnections guards it.

--- a/internal/tier/command/proxy.go
+++ b/internal/tier/command/proxy.go
@@ -21,6 +21,9 @@
 	minClients    = 64
 )
 
+// idleUpstreamDivisor gives the part of the memory limit that idle connections to endpoints may take.
+const idleUpstreamDivisor = 16
+
 // prefixCacheDivisor is the divisor by which the size of the cache for programs' chains follows from the memory limit.
 const prefixCacheDivisor = 64
 
@@ -66,7 +69,7 @@
 		Views:                views,
 		Programs:             programs,
 		Selector:             counter,
-		Upstream:             upstream.Options{},
+		Upstream:             upstream.Options{MaxIdle: maxIdleUpstream(p.settings.Limits.MemoryMb << 20)},
 		Logger:               p.logger,
 		Network:              p.env.Network,
 		MaxClientConnections: maxClients(p.settings.Limits.OpenFiles),
@@ -77,6 +80,11 @@
 	}
 }
 
+// maxIdleUpstream returns the maximum number of idle connections to endpoints for a memory limit in bytes; 0: no limit.
+func maxIdleUpstream(memoryLimit int64) int {
+	return int(memoryLimit / idleUpstreamDivisor / upstream.IdleConnectionBytes)
+}
+
 // maxClients returns the maximum number of client connections for a limit of open files; 0: no limit.
 func maxClients(openFiles int64) int {
 	if openFiles <= 0 {
--- a/internal/tier/overloadtest/flood_test.go
+++ b/internal/tier/overloadtest/flood_test.go
@@ -88,6 +88,7 @@
 	afterRequest  moment = "after request"
 	afterResponse moment = "after response" // an ordinary one, on a connection that is idle then
 	insideStream  moment = "inside stream"  // after some ordinary events
+	whileIdle     moment = "while idle"     // after an ordinary response that comes late, so that many connections are idle at once
 )
 
 var moments = []moment{onConnect, afterHead, afterRequest, afterRequest, afterRequest, afterResponse, insideStream}
--- a/internal/tier/overloadtest/floodingendpoint_test.go
+++ b/internal/tier/overloadtest/floodingendpoint_test.go
@@ -23,6 +23,7 @@
 	floodingEngines = 4
 	floodingTools   = 2
 	ordinaryEvents  = 5
+	lateResponse    = time.Second // of an endpoint that floods while its connection is idle
 )
 
 // floodPlan is what all endpoints do while it is in force: each connection plays the flood that draw returns.
@@ -150,7 +151,10 @@
 	switch {
 	case writer == nil || request.URL.Path == "/health":
 		return answerOrdinarily(connection, id, service, attempt) == nil
-	case writer.moment == afterResponse:
+	case writer.moment == afterResponse || writer.moment == whileIdle:
+		if writer.moment == whileIdle {
+			pause(writer.ctx.Done(), lateResponse)
+		}
 		if answerOrdinarily(connection, id, service, attempt) == nil {
 			writer.play()
 		}
--- a/internal/tier/overloadtest/floods_test.go
+++ b/internal/tier/overloadtest/floods_test.go
@@ -2,6 +2,9 @@
 
 import "testing"
 
+// idleFloodClients is more than the descriptors of a proxy have room for.
+const idleFloodClients = 900
+
 // largeHeadBytes is just inside the 64 KiB that a response's head may have.
 const largeHeadBytes = 64000
 
@@ -43,3 +46,10 @@
 	}
 	playAll(t, floods)
 }
+
+// Bytes that arrive on connections that nobody uses must not fill a proxy's memory.
+func TestEndpoints_BytesOnIdleConnections_MemoryStaysWithinLimit(t *testing.T) {
+	f := newFloodFixture(t, 0)
+	all := flood{moment: whileIdle, head: noiseHead, pace: atOnce}
+	f.flood(idleFloodClients, floodTime, func() flood { return all })
+}
--- a/internal/tier/upstream/connection.go
+++ b/internal/tier/upstream/connection.go
@@ -29,6 +29,7 @@
 	readLeft  int64      // bytes that may still be read before reads fail with errHeadTooLarge
 	head      *headGuard // of the head that is being read; nil: none is
 	requests  int        // number of requests written, or being written, on it
+	idleSince time.Time  // when it was last released
 	idleUntil time.Time  // when it expires while idle
 
 	carriedHead bool // one of the requests was a HEAD, whose response has no body even if its head has a Content-Length
--- a/internal/tier/upstream/dial.go
+++ b/internal/tier/upstream/dial.go
@@ -15,6 +15,9 @@
 // that its client doesn't read. The system takes up to twice as much.
 const receiveBufferBytes = 32 << 10
 
+// IdleConnectionBytes is what an idle connection takes at most: its receive buffer, which its endpoint may fill.
+const IdleConnectionBytes = 2 * receiveBufferBytes
+
 // dialFunc opens a connection to an address.
 type dialFunc func(ctx context.Context, address string) (net.Conn, error)
 
--- a/internal/tier/upstream/options.go
+++ b/internal/tier/upstream/options.go
@@ -12,7 +12,7 @@
 // With larger timeouts, and with more or less frequent keep-alive probes, requests tolerate slower networks, but a dead endpoint is
 // detected later: its requests fail closer to their deadlines, and its connections count against MaxConnections for longer. A larger
 // IdleTimeout or a smaller IdleTimeoutMargin lets more connections be reused, but more requests are sent on connections that the
-// endpoint is about to close. A larger MaxHeaderBytes or MaxHeaderFields accepts longer heads, but an endless head takes that much memory.
+// endpoint is about to close. A larger MaxIdle saves new connections, but endpoints may fill the receive buffers of idle ones. A larger MaxHeaderBytes or MaxHeaderFields accepts longer heads, but an endless head takes that much memory.
 type Options struct {
 	ConnectTimeout    time.Duration    // to establish a connection; default 400 ms
 	UserTimeout       time.Duration    // for sent bytes to be acknowledged (TCP_USER_TIMEOUT, RFC 5482); default 2.5 s
@@ -21,6 +21,7 @@
 	KeepAliveCount    int              // unanswered keep-alive probes after which a connection is dead; default 2
 	IdleTimeout       time.Duration    // of an idle connection if the endpoint sent no Keep-Alive timeout; default 300 ms
 	IdleTimeoutMargin time.Duration    // subtracted from the Keep-Alive timeout that the endpoint sent; default 300 ms
+	MaxIdle           int              // most idle connections to all endpoints; default 0: unlimited
 	MaxHeaderBytes    int64            // largest head of a response; default 64 KiB
 	MaxHeaderFields   int              // most lines in the head of a response, and names listed in Trailer and Connection; default 512
 	Now               func() time.Time // nil: time.Now
--- a/internal/tier/upstream/pool.go
+++ b/internal/tier/upstream/pool.go
@@ -37,6 +37,7 @@
 	mutex         sync.Mutex
 	endpoints     map[string]*endpointConns
 	inUse         map[*connection]struct{}
+	idle          int // connections of all endpoints
 	reaper        *time.Timer
 	reapScheduled bool
 	closed        bool
@@ -92,6 +93,7 @@
 	if position >= 0 {
 		idle = conns.idle[position]
 		conns.idle = slices.Delete(conns.idle, position, position+1)
+		p.idle--
 		p.inUse[idle] = struct{}{}
 		return idle, nil, nil
 	}
@@ -143,19 +145,45 @@
 	}
 }
 
-// release puts a connection back into the pool after a complete response, to be reused within the idle timeout.
+// release puts a connection back into the pool after a complete response, to be reused within the idle timeout. If there are MaxIdle others,
+// the one that has been idle for the longest time is closed.
 func (p *Pool) release(c *connection, idleTimeout time.Duration) {
-	c.idleUntil = p.options.Now().Add(idleTimeout)
+	now := p.options.Now()
+	c.idleSince, c.idleUntil = now, now.Add(idleTimeout)
 	p.mutex.Lock()
 	if p.closed {
 		p.mutex.Unlock()
 		p.discard(c)
 		return
 	}
+	var evicted *connection
+	if p.options.MaxIdle > 0 && p.idle >= p.options.MaxIdle {
+		evicted = p.removeOldestIdle()
+	}
 	delete(p.inUse, c)
 	c.endpoint.idle = append(c.endpoint.idle, c)
+	p.idle++
 	p.scheduleReap()
 	p.mutex.Unlock()
+	if evicted != nil {
+		evicted.socket.Close()
+	}
+}
+
+// removeOldestIdle removes the connection that has been idle for the longest time and frees its slot. There must be an idle connection. The
+// caller holds the mutex.
+func (p *Pool) removeOldestIdle() *connection {
+	var oldest *connection
+	for _, conns := range p.endpoints {
+		if len(conns.idle) > 0 && (oldest == nil || conns.idle[0].idleSince.Before(oldest.idleSince)) {
+			oldest = conns.idle[0]
+		}
+	}
+	conns := oldest.endpoint
+	conns.idle = slices.Delete(conns.idle, 0, 1)
+	p.idle--
+	p.releaseSlot(conns)
+	return oldest
 }
 
 // discard closes a connection that was in use and frees its slot.
@@ -179,6 +207,7 @@
 			c.socket.Close()
 		}
 		conns.total -= len(conns.idle)
+		p.idle -= len(conns.idle)
 		conns.idle = nil
 	}
 	for c := range p.inUse {
--- a/internal/tier/upstream/pool_test.go
+++ b/internal/tier/upstream/pool_test.go
@@ -281,3 +281,41 @@
 		t.Errorf("the endpoint received %d requests on %d connections, want 2 on 2", len(requests), connections)
 	}
 }
+
+// Endpoints may fill the receive buffers of idle connections, so their number must be bounded over all endpoints. Only a process' descriptors and
+// the endpoints' own limits bounded it.
+func TestPool_MoreIdleConnectionsThanAllowed_ClosesTheOldest(t *testing.T) {
+	const maxIdle = 3
+	e := newEndpoint(t, respondKeepAlive)
+	pool := newPool(t, upstream.Options{MaxIdle: maxIdle})
+	ids := []string{"a", "b", "c", "d", "e"}
+	for _, id := range ids {
+		if _, err := exchange(t, pool, e.target(id), newRequest("GET", "/", id)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for i, id := range ids {
+		want := 0
+		if i >= len(ids)-maxIdle {
+			want = 1
+		}
+		if _, idle := pool.Connections(id); idle != want {
+			t.Errorf("endpoint %s has %d idle connections, want %d", id, idle, want)
+		}
+	}
+	for range len(ids) - maxIdle {
+		select {
+		case <-e.closed:
+		case <-time.After(5 * time.Second):
+			t.Fatal("a connection that was evicted is still open")
+		}
+	}
+	for _, id := range ids[2:] { // those that were kept are used again, and count no longer while they are in use
+		if _, err := exchange(t, pool, e.target(id), newRequest("GET", "/", id+"-again")); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if _, connections := e.seen(); connections != len(ids) {
+		t.Errorf("%d connections were opened, want %d", connections, len(ids))
+	}
+}
--- a/internal/tier/upstream/reaper.go
+++ b/internal/tier/upstream/reaper.go
@@ -45,6 +45,7 @@
 			continue
 		}
 		expired = append(expired, c)
+		p.idle--
 		p.releaseSlot(e)
 	}
 	clear(e.idle[len(remaining):])
