--- a/internal/tier/metrics/metrics.go
+++ b/internal/tier/metrics/metrics.go
@@ -66,6 +66,18 @@
 	FramedByClose  Framing = "close"
 )
 
+// Bound tells which bound an endpoint's response has exceeded, the value of the label bound.
+type Bound string
+
+// Bounds of responses.
+const (
+	HeadBytes     Bound = "head_bytes"
+	HeadFields    Bound = "head_fields"
+	Informational Bound = "informational" // 1xx responses before a response
+	EventBytes    Bound = "event_bytes"   // of one event of a stream
+	Memory        Bound = "memory"        // that the proxy had left for it
+)
+
 // orderBuckets are the bucket bounds of the histogram of order steps, in seconds.
 var orderBuckets = []float64{.005, .01, .025, .05, .1, .25, .5, 1, 2.5, 5}
 
@@ -82,6 +94,7 @@
 	foreignResponses prometheus.Counter
 	repeatedSends    *prometheus.CounterVec
 	resumedStreams   *prometheus.CounterVec
+	droppedResponses *prometheus.CounterVec
 
 	mutex       sync.Mutex
 	lookUpZone  func(host string) ZoneClass // nil: the zones of all hosts are unknown
@@ -107,11 +120,12 @@
 			Help: "Answers of endpoints that came in the place of the answer to another request."}),
 		repeatedSends: counters("repeated_sends_total", "Requests sent again to an endpoint that had not run them, by age of the connection.",
 			"connection"),
-		resumedStreams: counters("resumed_streams_total", "Streams that an answer of another endpoint continues, by how its end is marked.", "framing"),
-		zoneClasses:    map[string]ZoneClass{},
+		resumedStreams:   counters("resumed_streams_total", "Streams that an answer of another endpoint continues, by how its end is marked.", "framing"),
+		droppedResponses: counters("dropped_answers_total", "Answers of endpoints that were given up, by the bound that they exceeded.", "bound"),
+		zoneClasses:      map[string]ZoneClass{},
 	}
 	m.registry.MustRegister(m.messageBytes, m.sentBytes, m.orderSeconds, m.orders, m.elections, m.rejections,
-		m.foreignResponses, m.repeatedSends, m.resumedStreams)
+		m.foreignResponses, m.repeatedSends, m.resumedStreams, m.droppedResponses)
 	return m
 }
 
@@ -173,6 +187,11 @@
 	m.resumedStreams.WithLabelValues(string(framing)).Inc()
 }
 
+// CountDroppedResponse counts an endpoint's response that was given up as it exceeded a bound.
+func (m *Metrics) CountDroppedResponse(bound Bound) {
+	m.droppedResponses.WithLabelValues(string(bound)).Inc()
+}
+
 // zoneClass returns the zone class of a peer, from the cache or the lookup function.
 func (m *Metrics) zoneClass(address string) ZoneClass {
 	host, _, err := net.SplitHostPort(address)
--- a/internal/tier/metrics/metrics_test.go
+++ b/internal/tier/metrics/metrics_test.go
@@ -43,6 +43,7 @@
 	m.CountForeignResponse()
 	m.CountRepeatedSend(metrics.ReusedConnection)
 	m.CountResumedStream(metrics.FramedByLength)
+	m.CountDroppedResponse(metrics.HeadFields)
 	got := text(m)
 	for _, want := range []string{
 		`mastusher_link_line_bytes_total{kind="replica",zone="unknown"} 5`,
@@ -58,6 +59,7 @@
 		`mastusher_foreign_answers_total 1`,
 		`mastusher_repeated_sends_total{connection="kept"} 1`,
 		`mastusher_resumed_streams_total{framing="length"} 1`,
+		`mastusher_dropped_answers_total{bound="head_fields"} 1`,
 	} {
 		if !strings.Contains(got, want+"\n") {
 			t.Errorf("missing %s in:\n%s", want, got)
--- a/internal/tier/proxy/eventparser.go
+++ b/internal/tier/proxy/eventparser.go
@@ -29,6 +29,7 @@
 	lastID  string // of the last event with an id, from this attempt or earlier ones
 	// unforwardable says that the rest must not be forwarded: the current event may be a duplicate, or exceeds maxEventBytes.
 	unforwardable bool
+	tooLong       bool // the current event exceeds maxEventBytes
 
 	pending      []byte // bytes of the current event
 	scannedBytes int    // bytes of pending in lines already parsed
@@ -114,7 +115,8 @@
 func (p *eventParser) keepPending(buffer []byte, complete int) {
 	p.scannedBytes -= complete
 	rest := buffer[complete:]
-	p.unforwardable = p.unforwardable || len(rest) > maxEventBytes
+	p.tooLong = p.tooLong || len(rest) > maxEventBytes
+	p.unforwardable = p.unforwardable || p.tooLong
 	if len(rest) == 0 {
 		p.pending = nil
 		return
--- a/internal/tier/proxy/requestmemory.go
+++ b/internal/tier/proxy/requestmemory.go
@@ -8,6 +8,7 @@
 
 	"mastusher/internal/tier/apierror"
 	"mastusher/internal/tier/memorybudget"
+	"mastusher/internal/tier/metrics"
 	"mastusher/internal/tier/model"
 )
 
@@ -154,6 +155,7 @@
 	}
 	if !c.lease.TryGrow(class, more) {
 		a.noMemory = true
+		c.proxy.options.Metrics.CountDroppedResponse(metrics.Memory)
 		return false
 	}
 	c.outputReserved = needed
--- a/internal/tier/proxy/streaming.go
+++ b/internal/tier/proxy/streaming.go
@@ -47,6 +47,9 @@
 		return false
 	}
 	c.forwardEvents(a, &batch)
+	if a.parser.tooLong {
+		c.proxy.options.Metrics.CountDroppedResponse(metrics.EventBytes)
+	}
 	return !a.parser.unforwardable
 }
 
--- a/internal/tier/upstream/exchange.go
+++ b/internal/tier/upstream/exchange.go
@@ -133,6 +133,7 @@
 // readError converts an error of readHead to an Error. It ends a write in progress first, whose result tells whether any bytes were
 // sent.
 func (e *exchange) readError(err error) *Error {
+	countDropped(e.pool.options.Metrics, err)
 	reason := ReadFailed
 	switch {
 	case errors.Is(err, errForeign):
--- a/internal/tier/upstream/headguard.go
+++ b/internal/tier/upstream/headguard.go
@@ -4,6 +4,7 @@
 	"errors"
 
 	"mastusher/internal/tier/httphead"
+	"mastusher/internal/tier/metrics"
 )
 
 // Errors of headGuard.
@@ -31,3 +32,20 @@
 	}
 	return nil
 }
+
+// headBounds are the bounds that the errors of reading a head stand for.
+var headBounds = map[error]metrics.Bound{
+	errHeadTooLarge:  metrics.HeadBytes,
+	errTooManyFields: metrics.HeadFields,
+	errNoHeadMemory:  metrics.Memory,
+	errInformational: metrics.Informational,
+}
+
+// countDropped counts a response whose head has exceeded a bound.
+func countDropped(to *metrics.Metrics, err error) {
+	for exceeded, bound := range headBounds {
+		if errors.Is(err, exceeded) {
+			to.CountDroppedResponse(bound)
+		}
+	}
+}
--- a/internal/tier/upstream/largehead_test.go
+++ b/internal/tier/upstream/largehead_test.go
@@ -3,9 +3,11 @@
 import (
 	"errors"
 	"net"
+	"net/http/httptest"
 	"strings"
 	"testing"
 
+	"mastusher/internal/tier/metrics"
 	"mastusher/internal/tier/upstream"
 )
 
@@ -56,6 +58,23 @@
 	}
 }
 
+func TestDo_HeadOverABound_IsCounted(t *testing.T) {
+	counts := metrics.New()
+	pool := newPool(t, upstream.Options{Metrics: counts})
+	for bound, fields := range map[string]string{
+		"head_fields": strings.Repeat("A:\r\n", upstream.DefaultMaxHeaderFields),
+		"head_bytes":  "Filler: " + strings.Repeat("x", upstream.DefaultMaxHeaderBytes),
+	} {
+		e := newEndpoint(t, respondWithFields(fields))
+		_, _ = exchange(t, pool, e.target(bound), newRequest("GET", "/", "id"))
+		recorder := httptest.NewRecorder()
+		counts.Handler().ServeHTTP(recorder, httptest.NewRequestWithContext(t.Context(), "GET", "/", nil))
+		if want := `mastusher_dropped_answers_total{bound="` + bound + `"} 1`; !strings.Contains(recorder.Body.String(), want) {
+			t.Errorf("missing %s", want)
+		}
+	}
+}
+
 func TestDo_SmallHead_ReservesNothing(t *testing.T) {
 	e := newEndpoint(t, respondWithFields("Filler: x"))
 	request := newRequest("GET", "/", "id")
