proxy: a line of an event is searched for its end once

Each read of a stream searched the whole incomplete line for a line feed again: with an endpoint that sends a line without end in small chunks, the square of its length, up to the megabyte that an event may have, on a machine with 0.4 of a core and for each request on it.

Change: the parser remembers how much of the incomplete line has been searched.

TestEventParser_AnySplit_SameResult holds.

--- a/internal/tier/proxy/bench_test.go
+++ b/internal/tier/proxy/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"fmt"
 	"io"
 	"net"
@@ -98,3 +99,15 @@
 		}()
 	}
 }
+
+// BenchmarkEventParser_LongLineInSmallPieces parses an event of a megabyte without a line feed, as it arrives in chunks of a few bytes.
+func BenchmarkEventParser_LongLineInSmallPieces(b *testing.B) {
+	piece := bytes.Repeat([]byte("x"), 64)
+	for b.Loop() {
+		var sent transcript
+		parser := newEventParser(&sent, false)
+		for fed := 0; fed+len(piece) < maxEventBytes; fed += len(piece) {
+			parser.feed(piece)
+		}
+	}
+}
--- a/internal/tier/proxy/eventparser.go
+++ b/internal/tier/proxy/eventparser.go
@@ -33,6 +33,7 @@
 
 	pending      []byte // bytes of the current event
 	scannedBytes int    // bytes of pending in lines already parsed
+	lineBytes    int    // bytes of pending after these, known to have no line feed
 	output       []byte // data of the events of the last batch, then of the current one
 	batchOutput  int    // length in output of the last batch's data
 	hasData      bool   // of the current event
@@ -87,12 +88,14 @@
 	var batch eventBatch
 	complete := 0
 	for {
-		lineFeed := bytes.IndexByte(buffer[p.scannedBytes:], '\n')
+		searched := p.scannedBytes + p.lineBytes
+		lineFeed := bytes.IndexByte(buffer[searched:], '\n')
 		if lineFeed < 0 {
+			p.lineBytes = len(buffer) - p.scannedBytes
 			break
 		}
-		line := buffer[p.scannedBytes : p.scannedBytes+lineFeed]
-		p.scannedBytes += lineFeed + 1
+		line := buffer[p.scannedBytes : searched+lineFeed]
+		p.scannedBytes, p.lineBytes = searched+lineFeed+1, 0
 		line = bytes.TrimSuffix(line, []byte{'\r'})
 		if len(line) > 0 {
 			p.parseLine(line)
@@ -211,6 +214,6 @@
 	}
 	p.endEvent(&batch)
 	batch.bytes = rest
-	p.pending, p.scannedBytes = nil, 0
+	p.pending, p.scannedBytes, p.lineBytes = nil, 0, 0
 	return batch
 }
