upstream: idle connections on which the endpoint sends are closed

Cause: an idle connection was checked when a request was about to use it. Without one it was kept for the time that its endpoint had announced in Keep-Alive, 600 s here, though the endpoint had sent more or had closed it.

Change: the reaper checks each idle connection once a second, as the next request would.

Measured: TestPool_EndpointSendsOnOrEndsIdleConnection_ItIsClosed failed before in both cases.

--- a/internal/tier/upstream/connection.go
+++ b/internal/tier/upstream/connection.go
@@ -30,6 +30,7 @@
 	head      *headGuard // of the head that is being read; nil: none is
 	requests  int        // number of requests written, or being written, on it
 	idleSince time.Time  // when it was last released
+	probedAt  time.Time  // when it was last released or checked while idle
 	idleUntil time.Time  // when it expires while idle
 
 	carriedHead bool // one of the requests was a HEAD, whose response has no body even if its head has a Content-Length
--- a/internal/tier/upstream/doc.go
+++ b/internal/tier/upstream/doc.go
@@ -12,5 +12,6 @@
 //
 // A Pool is safe for concurrent use, a Request isn't. A Response belongs to one goroutine, which must close it. A long request is written
 // by a second goroutine while its response is read; Pool.Do (on failure) or Response.Close waits for that goroutine. The reaper, which
-// closes expired idle connections, is a timer that runs only while there are idle connections and is stopped by Pool.Close.
+// closes idle connections that have expired, that their endpoint has closed or on which it sends, is a timer that runs only while there are
+// idle connections and is stopped by Pool.Close.
 package upstream
--- a/internal/tier/upstream/pool.go
+++ b/internal/tier/upstream/pool.go
@@ -149,7 +149,7 @@
 // the one that has been idle for the longest time is closed.
 func (p *Pool) release(c *connection, idleTimeout time.Duration) {
 	now := p.options.Now()
-	c.idleSince, c.idleUntil = now, now.Add(idleTimeout)
+	c.idleSince, c.probedAt, c.idleUntil = now, now, now.Add(idleTimeout)
 	p.mutex.Lock()
 	if p.closed {
 		p.mutex.Unlock()
--- a/internal/tier/upstream/pool_test.go
+++ b/internal/tier/upstream/pool_test.go
@@ -319,3 +319,41 @@
 		t.Errorf("%d connections were opened, want %d", connections, len(ids))
 	}
 }
+
+// An idle connection on which the endpoint sends, or which it has closed, must be given up before its time is over. It was kept for as long as
+// the endpoint had announced, with the bytes that had arrived.
+func TestPool_EndpointSendsOnOrEndsIdleConnection_ItIsClosed(t *testing.T) {
+	cases := map[string]func(socket net.Conn) bool{
+		"sends": func(socket net.Conn) bool {
+			_, _ = io.WriteString(socket, strings.Repeat("x", 10_000))
+			return true
+		},
+		"closes": func(socket net.Conn) bool {
+			_ = socket.(*net.TCPConn).CloseWrite()
+			return true
+		},
+	}
+	for name, misbehave := range cases {
+		t.Run(name, func(t *testing.T) {
+			idle := make(chan struct{})
+			e := newEndpoint(t, func(socket net.Conn, request received) bool {
+				respond(socket, request, "body", "Keep-Alive: timeout=600")
+				<-idle
+				return misbehave(socket)
+			})
+			pool := newPool(t, upstream.Options{})
+			if _, err := exchange(t, pool, e.target("e"), newRequest("GET", "/", "id")); err != nil {
+				t.Fatal(err)
+			}
+			if _, count := pool.Connections("e"); count != 1 {
+				t.Fatalf("%d idle connections, want 1", count)
+			}
+			close(idle)
+			select {
+			case <-e.closed:
+			case <-time.After(10 * time.Second):
+				t.Error("the connection is still open")
+			}
+		})
+	}
+}
--- a/internal/tier/upstream/reaper.go
+++ b/internal/tier/upstream/reaper.go
@@ -15,6 +15,18 @@
 	p.reaper.Reset(reapInterval)
 }
 
+// probeInterval is the time after which an idle connection is checked again for an endpoint that has closed it or sends on it.
+const probeInterval = time.Second
+
+// expired reports whether an idle connection is to be closed: its time is over, or a check that was due has found that it can't be reused.
+func (c *connection) expired(now time.Time) bool {
+	if now.Sub(c.probedAt) < probeInterval {
+		return !now.Before(c.idleUntil)
+	}
+	c.probedAt = now
+	return !c.reusable(now)
+}
+
 // reap closes the idle connections that have expired, and schedules the next run if other idle connections remain.
 func (p *Pool) reap() {
 	now := p.options.Now()
@@ -40,7 +52,7 @@
 func (p *Pool) collectExpired(e *endpointConns, now time.Time, expired []*connection) []*connection {
 	remaining := e.idle[:0]
 	for _, c := range e.idle {
-		if now.Before(c.idleUntil) {
+		if !c.expired(now) {
 			remaining = append(remaining, c)
 			continue
 		}
