--- a/internal/tier/platformlist/page_decoder.go
+++ b/internal/tier/platformlist/page_decoder.go
@@ -128,7 +128,7 @@
 			return ErrListTooLarge
 		}
 		var entry model.Endpoint
-		if err := decoder.Decode(&entry); err != nil {
+		if err = decoder.Decode(&entry); err != nil {
 			return err
 		}
 		if identifiesEndpoint(&entry) {
