httphead, transport, platformlist: what the change wrote twice stands once

Behaviour is as it was.

Run: make lint docs policy; the tests of the six packages and viewfeed with the race detector. Tests keep their assertions; one names the exported error.

--- a/internal/tier/httphead/meter.go
+++ b/internal/tier/httphead/meter.go
@@ -36,25 +36,32 @@
 	inList    bool                   // the current field's value is a list of names
 }
 
-// Add measures the next bytes. Those after the end of the head don't count.
-func (m *Meter) Add(data []byte) {
+// Add measures the next bytes, and returns by how many bytes they make Memory grow. Those after the end of the head don't count.
+func (m *Meter) Add(data []byte) (growth int64) {
+	before := m.Memory()
 	for _, b := range data {
 		if m.ended {
-			return
-		}
-		m.bytes++
-		switch b {
-		case '\n':
-			m.endLine()
-		case '\r':
-		default:
-			m.addByte(b)
+			break
 		}
+		m.addByte(b)
 	}
+	return m.Memory() - before
 }
 
-// addByte measures one byte of a line.
+// addByte measures one byte.
 func (m *Meter) addByte(b byte) {
+	m.bytes++
+	switch b {
+	case '\n':
+		m.endLine()
+	case '\r':
+	default:
+		m.addToLine(b)
+	}
+}
+
+// addToLine measures one byte of a line.
+func (m *Meter) addToLine(b byte) {
 	switch {
 	case m.inValue:
 		if b == ',' && m.inList {
--- a/internal/tier/memorybudget/listener.go
+++ b/internal/tier/memorybudget/listener.go
@@ -51,14 +51,14 @@
 	head  httphead.Meter // of the request that arrives, or arrived last
 }
 
-// errHeadRefused is the read error of a head for which there is no memory.
-var errHeadRefused = errors.New("no memory for the head of a request")
+// ErrHeadRefused is the read error of a head for which there is no memory.
+var ErrHeadRefused = errors.New("no memory for the head of a request")
 
 // Read reads from the caller, and reserves what a head takes.
 func (c *connection) Read(buffer []byte) (int, error) {
 	n, err := c.Conn.Read(buffer)
 	if n > 0 && !c.reserveHead(buffer[:n]) {
-		return 0, errHeadRefused
+		return 0, ErrHeadRefused
 	}
 	return n, err
 }
@@ -67,9 +67,7 @@
 func (c *connection) reserveHead(data []byte) bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	before := c.head.Memory()
-	c.head.Add(data)
-	return c.lease.TryGrow(Connections, c.head.Memory()-before)
+	return c.lease.TryGrow(Connections, c.head.Add(data))
 }
 
 // forgetHead gives back what a head took.
--- a/internal/tier/memorybudget/listener_test.go
+++ b/internal/tier/memorybudget/listener_test.go
@@ -60,7 +60,7 @@
 	defer other.Close()
 	head := strings.Repeat("a:\n", 1000)
 	go func() { _, _ = io.WriteString(caller, head) }()
-	if err := readAll(accepted, len(head)); !errors.Is(err, errHeadRefused) {
-		t.Errorf("error %v, want %v", err, errHeadRefused)
+	if err := readAll(accepted, len(head)); !errors.Is(err, ErrHeadRefused) {
+		t.Errorf("error %v, want %v", err, ErrHeadRefused)
 	}
 }
--- a/internal/tier/overloadtest/endpoint_test.go
+++ b/internal/tier/overloadtest/endpoint_test.go
@@ -43,26 +43,32 @@
 	t.Cleanup(platform.Close)
 	for _, service := range []string{turnService, toolService, filesService} {
 		e := &endpoint{id: service + "-1", service: service}
-		listener, err := net.Listen("tcp4", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		server := &http.Server{Handler: e, ReadHeaderTimeout: requestTimeout}
-		served := make(chan struct{})
-		go func() {
-			defer close(served)
-			_ = server.Serve(listener)
-		}()
-		t.Cleanup(func() {
-			server.Close()
-			<-served
-		})
-		platform.Put(model.Endpoint{ID: e.id, Service: service, Address: listener.Addr().String(), Zone: endpointZone,
+		platform.Put(model.Endpoint{ID: e.id, Service: service, Address: serveHTTP(t, e), Zone: endpointZone,
 			Version: endpointVersions, Capacity: endpointCapacity, State: model.Ready})
 	}
 	return platform
 }
 
+// serveHTTP serves HTTP on a free port until the test ends, and returns its address.
+func serveHTTP(t testing.TB, handler http.Handler) string {
+	t.Helper()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: requestTimeout}
+	served := make(chan struct{})
+	go func() {
+		defer close(served)
+		_ = server.Serve(listener)
+	}()
+	t.Cleanup(func() {
+		server.Close()
+		<-served
+	})
+	return listener.Addr().String()
+}
+
 // ServeHTTP answers one request.
 func (e *endpoint) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	header := w.Header()
--- a/internal/tier/overloadtest/flood_test.go
+++ b/internal/tier/overloadtest/flood_test.go
@@ -20,7 +20,7 @@
 	foreignHead        headKind = "foreign"             // with another request's id, again and again, then the ordinary one
 	informationalHead  headKind = "informational"       // 1xx with many fields, again and again, then the ordinary one
 	noContentHead      headKind = "no content"          // 204, which a body follows all the same
-	endlessLineHead    headKind = "endless status line" // and below
+	endlessLineHead    headKind = "endless status line" // this one and those after it never end
 	endlessFieldHead   headKind = "endless field"
 	endlessFieldsHead  headKind = "endless fields"
 	continuationHead   headKind = "endless continuation lines"
@@ -66,7 +66,7 @@
 	tinyEvents    bodyKind = "tiny events"    // with data
 	numbered      bodyKind = "numbered"       // tiny events with ids
 	comments      bodyKind = "comments"       // empty comments
-	emptyLines    bodyKind = "empty lines"    //
+	emptyLines    bodyKind = "empty lines"    // line feeds alone
 	longEvent     bodyKind = "long event"     // data lines of one event
 	longIDs       bodyKind = "long ids"       // events whose id has half a megabyte
 	manyIDs       bodyKind = "many ids"       // id lines of one event
--- a/internal/tier/overloadtest/platformflood_test.go
+++ b/internal/tier/overloadtest/platformflood_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"math"
-	"net"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -35,21 +34,8 @@
 // startFloodingPlatform starts a flooding platform before another one.
 func startFloodingPlatform(t testing.TB, inner string) *floodingPlatform {
 	t.Helper()
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	p := &floodingPlatform{inner: inner, address: listener.Addr().String()}
-	server := &http.Server{Handler: p, ReadHeaderTimeout: requestTimeout}
-	served := make(chan struct{})
-	go func() {
-		defer close(served)
-		_ = server.Serve(listener)
-	}()
-	t.Cleanup(func() {
-		server.Close()
-		<-served
-	})
+	p := &floodingPlatform{inner: inner}
+	p.address = serveHTTP(t, p)
 	return p
 }
 
--- a/internal/tier/platformlist/page_decoder.go
+++ b/internal/tier/platformlist/page_decoder.go
@@ -1,6 +1,7 @@
 package platformlist
 
 import (
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -69,7 +70,7 @@
 func decodeObject(decoder *json.Decoder) (page, error) {
 	var decoded page
 	if token, err := decoder.Token(); err != nil || token != json.Delim('{') {
-		return page{}, orElse(err, errNotObject)
+		return page{}, cmp.Or(err, errNotObject)
 	}
 	for decoder.More() {
 		name, err := decoder.Token()
@@ -84,7 +85,7 @@
 		return page{}, err
 	}
 	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
-		return page{}, orElse(err, errMoreText)
+		return page{}, cmp.Or(err, errMoreText)
 	}
 	return decoded, nil
 }
@@ -151,11 +152,3 @@
 	}
 	return true
 }
-
-// orElse returns the error, or another one if it is nil.
-func orElse(err, other error) error {
-	if err != nil {
-		return err
-	}
-	return other
-}
--- a/internal/tier/proxy/clientconn.go
+++ b/internal/tier/proxy/clientconn.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"net/http"
 	"sync"
@@ -39,9 +38,6 @@
 	connectionBytes = 32 << 10
 )
 
-// errHeadRefused is the read error of a head for which there is no memory.
-var errHeadRefused = errors.New("no memory for the head of a request")
-
 // Read reads from the client. While the connection is closing, it does not return the first bytes of a request.
 func (c *clientConn) Read(buffer []byte) (int, error) {
 	n, err := c.TCPConn.Read(buffer)
@@ -55,7 +51,7 @@
 	}
 	c.idle = false
 	if !c.inRequest && !c.reserveHead(buffer[:n]) {
-		return 0, errHeadRefused
+		return 0, memorybudget.ErrHeadRefused
 	}
 	return n, err
 }
@@ -63,9 +59,7 @@
 // reserveHead reserves memory for the next bytes of a head. The caller holds the mutex.
 func (c *clientConn) reserveHead(data []byte) bool {
 	c.lease.Progressed(len(data))
-	before := c.head.Memory()
-	c.head.Add(data)
-	return c.lease.TryGrow(memorybudget.Connections, c.head.Memory()-before)
+	return c.lease.TryGrow(memorybudget.Connections, c.head.Add(data))
 }
 
 // awaitHead says that the client is to send a head. It may be made to give its connection back.
--- a/internal/tier/transport/clientconnection.go
+++ b/internal/tier/transport/clientconnection.go
@@ -8,8 +8,6 @@
 	"sync"
 	"sync/atomic"
 	"time"
-
-	"mastusher/internal/tier/memorybudget"
 )
 
 // pendingCall is a call without an answer yet.
@@ -76,13 +74,11 @@
 
 // read handles received lines until reading or a line fails.
 func (c *clientConnection) read(socket net.Conn) error {
-	lease, err := c.peer.pool.memory.TryReserve(memorybudget.Lines, 0)
+	reader, release, err := c.peer.pool.newReader(socket)
 	if err != nil {
 		return err
 	}
-	defer lease.Release()
-	reader := newLineReader(socket, c.peer.pool.limits.lineBytes)
-	reader.reserveFrom(lease, func() { socket.Close() })
+	defer release()
 	for {
 		text, err := reader.next()
 		var refused *refusedLineError
--- a/internal/tier/transport/pool.go
+++ b/internal/tier/transport/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"sync"
 	"sync/atomic"
 
@@ -44,6 +45,17 @@
 // SetMemory sets the budget of long answers. It must be called before the first call.
 func (p *Pool) SetMemory(memory *memorybudget.Budget) { p.memory = memory }
 
+// newReader returns a reader of the lines of a socket, which takes the memory of long ones from the pool's budget until release is called.
+func (p *Pool) newReader(socket net.Conn) (reader *lineReader, release func(), err error) {
+	lease, err := p.memory.TryReserve(memorybudget.Lines, 0)
+	if err != nil {
+		return nil, nil, err
+	}
+	reader = newLineReader(socket, p.limits.lineBytes)
+	reader.reserveFrom(lease, func() { socket.Close() })
+	return reader, lease.Release, nil
+}
+
 // newPool is like NewPool but uses the given limits.
 func newPool(bounds limits) *Pool {
 	pool := &Pool{limits: bounds, network: network.System{}, peers: map[string]*peer{}}
--- a/internal/tier/transport/stream.go
+++ b/internal/tier/transport/stream.go
@@ -4,8 +4,6 @@
 	"context"
 	"fmt"
 	"net"
-
-	"mastusher/internal/tier/memorybudget"
 )
 
 // Stream requests a series of items on its own connection and calls receive for each, in order, in the caller's goroutine. A slow
@@ -70,13 +68,11 @@
 // receive passes items to the receiver until the series ends. connectionErr is an error of the connection, streamErr an error of the
 // handler or the receiver.
 func (p *Pool) receive(socket net.Conn, id uint64, decodeItem decodeItem) (connectionErr, streamErr error) {
-	lease, err := p.memory.TryReserve(memorybudget.Lines, 0)
+	reader, release, err := p.newReader(socket)
 	if err != nil {
 		return err, nil
 	}
-	defer lease.Release()
-	reader := newLineReader(socket, p.limits.lineBytes)
-	reader.reserveFrom(lease, func() { socket.Close() })
+	defer release()
 	for {
 		text, err := reader.next()
 		if err != nil {
--- a/internal/tier/upstream/headguard.go
+++ b/internal/tier/upstream/headguard.go
@@ -22,12 +22,11 @@
 
 // accept measures the next bytes. The error is errTooManyFields or errNoHeadMemory.
 func (g *headGuard) accept(data []byte) error {
-	before := g.meter.Memory()
-	g.meter.Add(data)
+	growth := g.meter.Add(data)
 	if g.meter.Fields() > g.maxFields {
 		return errTooManyFields
 	}
-	if now := g.meter.Memory(); g.reserve != nil && now > before && !g.reserve(now) {
+	if growth > 0 && g.reserve != nil && !g.reserve(g.meter.Memory()) {
 		return errNoHeadMemory
 	}
 	return nil
--- a/internal/tier/upstream/options.go
+++ b/internal/tier/upstream/options.go
@@ -12,7 +12,8 @@
 // With larger timeouts, and with more or less frequent keep-alive probes, requests tolerate slower networks, but a dead endpoint is
 // detected later: its requests fail closer to their deadlines, and its connections count against MaxConnections for longer. A larger
 // IdleTimeout or a smaller IdleTimeoutMargin lets more connections be reused, but more requests are sent on connections that the
-// endpoint is about to close. A larger MaxIdle saves new connections, but endpoints may fill the receive buffers of idle ones. A larger MaxHeaderBytes or MaxHeaderFields accepts longer heads, but an endless head takes that much memory.
+// endpoint is about to close. A larger MaxIdle saves new connections, but endpoints may fill the receive buffers of idle ones. A larger
+// MaxHeaderBytes or MaxHeaderFields accepts longer heads, but an endless head takes that much memory.
 type Options struct {
 	ConnectTimeout    time.Duration    // to establish a connection; default 400 ms
 	UserTimeout       time.Duration    // for sent bytes to be acknowledged (TCP_USER_TIMEOUT, RFC 5482); default 2.5 s
